--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,151 @@
+// Command drill hosts many instances of the decision module on the ember-9016 wire, sharing nothing.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+
+	"topazpost/control"
+	"topazpost/ember"
+	"topazpost/node"
+)
+
+// instance is one node: its module, its door, and its events of the batch in hand.
+type instance struct {
+	number int64
+	post   *control.Post
+	host   *ember.Host
+	events []node.Event
+	marked bool // it has an event in this batch
+}
+
+// fleet holds the instances of this process; order is that of first mention in the batch.
+type fleet struct {
+	instances map[int64]*instance
+	order     []*instance
+	target    int64
+	aimed     bool
+	now       int64
+	reply     []byte
+}
+
+func main() {
+	if err := serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+// serve answers batches until the input ends; an error or a panic is told on the wire as BAIL_OUT.
+func serve(in io.Reader, stdout io.Writer) (err error) {
+	out := bufio.NewWriterSize(stdout, 1<<16)
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic: %v", p)
+		}
+		if err != nil {
+			text := strings.NewReplacer("\n", " ", "\t", " ").Replace(err.Error())
+			fmt.Fprintf(out, "BAIL_OUT\t%s\nFINISHED\n", text)
+			out.Flush()
+		}
+	}()
+	reader := ember.NewReader(in)
+	f := &fleet{instances: make(map[int64]*instance)}
+	for {
+		line, err := reader.Line()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if line[0] != "EOB" {
+			if err := f.take(line); err != nil {
+				return err
+			}
+			continue
+		}
+		f.answer()
+		if _, err := out.Write(f.reply); err != nil {
+			return err
+		}
+		if err := out.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// take reads one line of a batch.
+func (f *fleet) take(line []string) (err error) {
+	switch line[0] {
+	case "MARK":
+		f.aimed = false
+		f.now, err = ember.Clock(line)
+		return err
+	case "TARGET_INSTANCE":
+		f.aimed = true
+		f.target, err = ember.Instance(line)
+		return err
+	}
+	if !f.aimed {
+		return fmt.Errorf("ember: %q names no instance", line[0])
+	}
+	switch line[0] {
+	case "CRASH_NOW":
+		if i := f.instances[f.target]; i != nil {
+			i.post, i.events = nil, nil
+			delete(f.instances, f.target)
+		}
+		return nil
+	case "PROVISION":
+		plate, err := ember.ReadPlate(line)
+		if err != nil {
+			return err
+		}
+		if old := f.instances[f.target]; old != nil {
+			old.post = nil
+		}
+		i := &instance{number: f.target, host: ember.NewHost(plate), marked: true}
+		i.post = control.New(&plate.Nameplate, f.now)
+		f.instances[f.target] = i
+		f.order = append(f.order, i)
+		return nil
+	}
+	i := f.instances[f.target]
+	if i == nil {
+		return fmt.Errorf("ember: %s for instance %d, which is not running", line[0], f.target)
+	}
+	event, live, err := i.host.Event(line)
+	if err != nil || !live {
+		return err
+	}
+	i.events = append(i.events, event)
+	if !i.marked {
+		i.marked = true
+		f.order = append(f.order, i)
+	}
+	return nil
+}
+
+// answer has each instance that was told something decide, and writes the reply.
+func (f *fleet) answer() {
+	f.reply = f.reply[:0]
+	for _, i := range f.order {
+		if i.post == nil {
+			continue
+		}
+		actions := i.post.Decide(f.now, i.events)
+		i.events, i.marked = i.events[:0], false
+		if len(actions) > 0 {
+			f.reply = append(strconv.AppendInt(append(f.reply, "AT\t"...), i.number, 10), '\n')
+		}
+		f.reply = i.host.Append(f.reply, actions)
+	}
+	f.order = f.order[:0]
+	f.reply = append(f.reply, "FINISHED\n"...)
+}
--- /dev/null
+++ b/control/control.go
@@ -0,0 +1,853 @@
+// Package control holds every decision of a node: what it takes, runs and turns away.
+//
+// A host makes one Post for a node's life with New and hands each batch of events to Decide, which returns
+// the actions to take, in order. The interface, types only, is package node. A Post knows nothing but its
+// nameplate, its events and the clock of the batch; it shares nothing and keeps no goroutine.
+//
+// The ordinary path is that of "Draining, in three beats" with the running limit of the design page;
+// docs/design.md says what was kept, changed and added, and when each exception acts.
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+
+	"topazpost/node"
+)
+
+const (
+	ms = int64(1_000_000) // ns in a millisecond
+
+	beat         = 50 * ms     // ns; one timer for all that waits: short beside any client timeout
+	answerMargin = 60 * ms     // ns before the due time at which a final answer is given: a beat and a tick
+	preDrain     = 5_000 * ms  // ns of the paper's pre-drain delay
+	drainBudget  = 20_000 * ms // ns of the paper's drain timeout
+	killMargin   = 300 * ms    // ns kept free before the kill, room for a pause
+
+	binCount    = 28   // bins of half an octave: ratios of 1/128 to 128, coarse yet within a fifth
+	longMemory  = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
+	shortMemory = 8.0  // samples kept of the present pace: a second of a small node
+
+	crowdRoom    = 0.75 // of the survivable crowd: the rest is room for returns from calls and for pauses
+	memoryRoom   = 0.85 // of the memory that runs and records may take; the rest is the hold's
+	memoryBrim   = 0.95 // of the memory past which the hold is turned away, last in order first
+	recordRoom   = 0.25 // of the memory for the table of tokens and shared reads
+	callRoom     = 0.9  // of the node's share of calls; the rest covers lingering ones and ticks
+	tierCalls    = 4    // calls in hand for each core where a whole tier lies below
+	freeBusy     = 0.9  // busy fraction of the cores under which they count as free
+	limitGrowth  = 0.25 // step up of the running limit while cores are free and work waits
+	limitBackoff = 0.8  // step down of the running limit when throughput drops
+	dropped      = 0.85 // of the best throughput at a lower limit: under this it dropped
+
+	restTail     = 0.4      // of its expected cost that a run past its expectation still needs
+	pressureHigh = 0.35     // of the shortest objective: a longer wait asks callers for less
+	pressureLow  = 0.15     // of the shortest objective: a shorter wait asks them for more
+	levelUp      = 0.04     // step of the level for each beat of high pressure
+	levelDown    = 0.01     // step of the level for each beat of low pressure
+	levelTop     = 0.95     // highest level outside a drain: some traffic must tell when trouble ends
+	creditTop    = 4.0      // outstanding invocations a core that credits start from
+	slowPace     = 2.0      // times the usual cost past which the node itself counts as slow
+	soundPace    = 1.4      // times the usual cost under which it counts as sound again
+	echoShare    = 0.3      // of arrivals that are further tries past which other nodes turn work away too
+	breakerOpen  = 0.5      // share of recent calls failing past which calls are left out where allowed
+	probeEvery   = 500 * ms // ns between calls that test whether what lies below has recovered
+)
+
+type state uint8
+
+const (
+	ended state = iota
+	held
+	joined   // waits for the result of the invocation it repeats
+	running  // on the cores
+	standing // at a call not yet made
+	calling  // its call is in hand
+	paused
+)
+
+// invocation is all that is known of one invocation.
+type invocation struct {
+	state    state
+	answered bool // a final answer was given or is owed no more
+	ran      bool // it, or the try it repeats, has started
+	late     bool // full billed value is out of reach
+	op       *operation
+	tenant   int32
+	further  bool
+	arrived  int64
+	due      int64
+	kb       float64
+	base     float64 // ns: the hint, or the operation's unit where there is none
+	spent    float64 // ns of one whole core so far
+	since    float64 // core clock when it last came on the cores
+	callAt   int64
+	tries    int
+	key      float64 // its place in the order of the hold
+}
+
+// operation is an operation with what was measured of it.
+type operation struct {
+	*node.Operation
+	usual histogram // own core time of runs, over their base
+	away  histogram // time a run spent off the cores, over the objective
+}
+
+// histogram counts ratios in a few coarse bins and is halved from time to time.
+type histogram struct {
+	bins  [binCount]float64
+	total float64
+}
+
+func (h *histogram) add(ratio, memory float64) {
+	bin := int(math.Round(2*math.Log2(max(ratio, 1e-9)))) + binCount/2
+	h.bins[min(max(bin, 0), binCount-1)]++
+	if h.total++; h.total > memory {
+		for i := range h.bins {
+			h.bins[i] /= 2
+		}
+		h.total /= 2
+	}
+}
+
+// mean counts one sample of the prior beside those seen.
+func (h *histogram) mean(prior float64) float64 {
+	sum := prior
+	for i, n := range h.bins {
+		sum += n * math.Exp2(float64(i-binCount/2)/2)
+	}
+	return sum / (h.total + 1)
+}
+
+// Post decides for one node.
+type Post struct {
+	plate  *node.Nameplate
+	chance *rand.Rand
+	born   int64
+	now    int64
+	out    []node.Action
+	ops    []operation
+	invs   []invocation
+	live   []int32 // not ended, in order of arrival
+	order  []int32 // the hold, in the order it is to run
+	next   int64   // when the beat is due
+
+	onCores   int
+	offCores  int // standing or calling
+	memory    float64
+	records   []int64 // when kept records end
+	recordKB  float64
+	coreClock float64 // ns that a run on the cores has had of one whole core since birth
+	reading   float64 // how many others want the cores, by the last gauge
+	busy      float64
+	pace      histogram
+	stall     float64
+	lag       float64 // ns that arrivals waited unread of late
+
+	limit      float64
+	workDone   float64
+	windowAt   int64
+	throughput float64 // best seen at the last lower limit
+
+	inHand    int
+	lingering []int64
+	callSlots [9]float64 // ns of calls in hand, by slots of an eighth of the span
+	callSlot  int64
+	callFails histogram
+	lastProbe int64
+
+	noticed, intakeEnd, drainEnd int64
+	atNotice, closed, abandoned  int
+	reported                     bool
+
+	healthy  bool
+	level    float64
+	credit   float64
+	said     float64
+	echoes   float64
+	arrivals float64
+	callers  map[int64]float64
+	tenants  []float64 // arrivals a second, smoothed
+	spread   float64   // callers that count, given how unequal they are
+}
+
+// New makes the decisions' state of a node that has just started.
+func New(plate *node.Nameplate, now int64) *Post {
+	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
+		limit: float64(plate.Cores), credit: creditTop * float64(plate.Cores), said: -1, windowAt: now,
+		callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates))}
+	for i := range plate.Operations {
+		p.ops = append(p.ops, operation{Operation: &plate.Operations[i]})
+	}
+	return p
+}
+
+// Decide is the one entry point: it takes what happened at a moment and returns what to do.
+func (p *Post) Decide(now int64, events []node.Event) []node.Action {
+	p.out = p.out[:0]
+	p.advance(now)
+	for i := range events {
+		p.take(&events[i])
+	}
+	p.keepDeadlines()
+	p.keepDrain()
+	p.makeCalls()
+	p.orderHold()
+	p.startRuns()
+	p.keepMemory()
+	if now >= p.next {
+		p.adjustLimit()
+		p.adjustHealth()
+		p.adjustAdvice()
+		p.next = now + beat
+		p.do(node.Action{Kind: node.Timer, At: p.next})
+	}
+	p.live = slices.DeleteFunc(p.live, func(i int32) bool {
+		if p.invs[i].state == ended {
+			p.do(node.Action{Kind: node.Release, Inv: i})
+			return true
+		}
+		return false
+	})
+	return p.out
+}
+
+func (p *Post) do(a node.Action) { p.out = append(p.out, a) }
+
+func (p *Post) cores() float64 { return float64(p.plate.Cores) }
+
+// advance moves the clocks: that of the cores, which all runs share, and that of the calls in hand.
+func (p *Post) advance(now int64) {
+	dt := float64(now - p.now)
+	p.coreClock += dt * min(1, p.cores()/max(1, float64(p.onCores)+p.reading))
+	if span := p.plate.CallSpan / 8; span > 0 {
+		for at := p.now; at < now; {
+			slot := at / span
+			for ; p.callSlot < slot; p.callSlot++ {
+				p.callSlots[(p.callSlot+1)%9] = 0
+			}
+			end := min(now, (slot+1)*span)
+			p.callSlots[slot%9] += float64(end-at) * float64(p.inHand+len(p.lingering))
+			at = end
+		}
+	}
+	p.now = now
+	p.lingering = slices.DeleteFunc(p.lingering, func(until int64) bool { return until <= now })
+}
+
+func (p *Post) take(e *node.Event) {
+	switch e.Kind {
+	case node.Arrived:
+		p.intake(e)
+		return
+	case node.DrainNotice:
+		p.drain(e.Kill)
+		return
+	case node.TimerDue:
+		p.busy = e.Busy
+		if e.Runnable >= 0 {
+			p.reading += (max(0, e.Runnable-float64(p.onCores)) - p.reading) / 4
+		}
+		return
+	}
+	i := e.Inv
+	v := &p.invs[i]
+	switch {
+	case v.state == ended:
+	case e.Kind == node.CallerGone:
+		v.answered = true
+		switch v.state {
+		case held, paused, joined:
+			p.end(i)
+		case running:
+			p.stop(i)
+		}
+	case e.Kind == node.CallWanted && v.state == running:
+		p.shift(v, standing)
+	case e.Kind == node.CallEnded && v.state == calling:
+		p.callEnded(i, e.Outcome)
+	case e.Kind == node.RunEnded:
+		p.runEnded(i, e.Outcome)
+	}
+}
+
+// shift moves an invocation to another state and keeps the counts and its core time true.
+func (p *Post) shift(v *invocation, to state) {
+	count := func(s state, by int) {
+		switch s {
+		case running:
+			p.onCores += by
+		case standing:
+			p.offCores += by
+		case calling:
+			p.offCores += by
+			p.inHand += by
+		}
+		switch s {
+		case ended:
+		case held, joined:
+			p.memory += float64(by) * v.kb
+		default:
+			p.memory += float64(by) * v.kb * p.plate.Blowup
+		}
+	}
+	if v.state == running {
+		v.spent += p.coreClock - v.since
+	}
+	if to == running {
+		v.since = p.coreClock
+	}
+	count(v.state, -1)
+	count(to, 1)
+	v.state = to
+}
+
+func (p *Post) end(i int32) {
+	p.shift(&p.invs[i], ended)
+	p.closed++
+}
+
+// stop takes a run off the cores where that is allowed; its work is lost or kept as the site has it.
+func (p *Post) stop(i int32) {
+	if p.plate.Halting != node.NoHalt {
+		p.do(node.Action{Kind: node.Stop, Inv: i})
+	}
+}
+
+// Intake.
+
+// intake takes what was read into the hold, joins it to the invocation it repeats, or turns it away.
+func (p *Post) intake(e *node.Event) {
+	for int(e.Inv) >= len(p.invs) {
+		p.invs = append(p.invs, invocation{})
+	}
+	v := &p.invs[e.Inv]
+	op := &p.ops[e.Operation]
+	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: p.now - e.Age, kb: e.HeldKB,
+		base: float64(e.Hint)}
+	if v.base <= 0 {
+		v.base = float64(op.Objective) / 8
+	}
+	if v.due = e.Due; v.due == 0 {
+		v.due = v.arrived + op.ClientTimeout
+	}
+	p.live = append(p.live, e.Inv)
+	p.shift(v, held)
+	p.lag += (float64(e.Age) - p.lag) / 8
+	p.arrivals++
+	p.callers[e.Caller]++
+	if e.Further {
+		p.echoes++
+	}
+	if e.Tenant >= 0 {
+		p.tenants[e.Tenant]++
+	}
+	if e.Repeats != node.NoRepeat {
+		v.ran = e.Repeats == node.EndedRepeat || p.invs[e.Repeats].ran
+	}
+	switch {
+	case p.noticed != 0 && p.now >= p.intakeEnd:
+		p.giveUp(e.Inv)
+	case e.Repeats != node.NoRepeat:
+		p.do(node.Action{Kind: node.Reuse, Inv: e.Inv})
+		p.shift(v, joined)
+	case op.Effect == node.Tokened:
+		p.record(e.Inv, v.arrived+op.Window-p.now)
+	case op.Effect == node.Idempotent && p.plate.ReuseFor > 0 && e.Subject && !e.Write:
+		p.record(e.Inv, v.due+p.plate.ReuseFor-p.now)
+	}
+}
+
+// record keeps an invocation in the table so that repeats find it. Guards against a second effect; a
+// tokened invocation that finds no room is turned away unrun, a shared read goes on unshared.
+func (p *Post) record(i int32, keep int64) {
+	if p.recordKB+p.plate.EntryKB > recordRoom*p.plate.MemoryKB {
+		if p.invs[i].op.Effect == node.Tokened {
+			p.giveUp(i)
+		}
+		return
+	}
+	if keep > 0 {
+		p.do(node.Action{Kind: node.Record, Inv: i, For: keep})
+		p.records = append(p.records, p.now+keep)
+		p.recordKB += p.plate.EntryKB
+	}
+}
+
+// giveUp gives the final answer to what will not be served, at once.
+func (p *Post) giveUp(i int32) {
+	v := &p.invs[i]
+	if v.answered {
+		return
+	}
+	v.answered = true
+	if v.state == held && !v.ran {
+		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: p.fleetFull(v)})
+		p.end(i)
+		return
+	}
+	p.do(node.Action{Kind: node.Fail, Inv: i})
+	switch v.state {
+	case running:
+		p.stop(i)
+	case held, joined, paused:
+		p.end(i)
+	}
+}
+
+// comeBack names the time after which the node can take more: the end of its life, or of its backlog.
+func (p *Post) comeBack() int64 {
+	if !p.plate.ComeBack {
+		return 0
+	}
+	if p.noticed != 0 {
+		return p.plate.ComeBackMax
+	}
+	return min(p.plate.ComeBackMax, int64(max(0, p.wait()-pressureLow*p.tightest())))
+}
+
+// fleetFull says that another node would do no better: this one is sound, yet full, and other tries come in.
+func (p *Post) fleetFull(v *invocation) bool {
+	return p.noticed == 0 && p.healthy && (v.further || p.echoes > echoShare*p.arrivals)
+}
+
+// Order of the hold.
+
+// expected is the core time that an invocation is still to take.
+func (p *Post) expected(v *invocation) float64 {
+	cost := v.base * v.op.usual.mean(1) * p.slowness()
+	spent := v.spent
+	if v.state == running {
+		spent += p.coreClock - v.since
+	}
+	return max(cost-spent, restTail*cost)
+}
+
+func (p *Post) slowness() float64 { return max(p.pace.mean(1), p.stall) }
+
+// backlog is the core time that running work still needs.
+func (p *Post) backlog() float64 {
+	sum := 0.0
+	for _, i := range p.live {
+		if v := &p.invs[i]; v.state == running {
+			sum += p.expected(v)
+		}
+	}
+	return sum
+}
+
+// freeCores is what reading and checks leave to runs.
+func (p *Post) freeCores() float64 { return max(p.cores()/2, p.cores()-p.reading) }
+
+func (p *Post) wait() float64 {
+	sum := p.backlog()
+	for _, i := range p.live {
+		if v := &p.invs[i]; v.state == held {
+			sum += p.expected(v)
+		}
+	}
+	return sum/p.freeCores() + p.lag
+}
+
+func (p *Post) objective(v *invocation) float64 {
+	return float64(v.arrived+v.op.Objective) + v.op.Stretch*v.base
+}
+
+// orderHold ranks the hold by billed value for each unit of core time and gives up at once on what cannot
+// end in time to earn anything. Guards against work wasted on answers that come too late, whatever made
+// them late: overload, a slow node, a cold one. Does harm while costs are overestimated, as they are for a
+// moment after a few very large invocations.
+func (p *Post) orderHold() {
+	p.order = p.order[:0]
+	for _, i := range p.live {
+		v := &p.invs[i]
+		if v.state != held && v.state != paused {
+			continue
+		}
+		p.order = append(p.order, i)
+		cost := p.expected(v)
+		v.key = v.op.BilledValue * p.withinShare(v.tenant)
+		if !p.plate.ByWork {
+			v.key /= cost
+		}
+		v.late = float64(p.now)+cost+p.away(v) > p.objective(v)
+		if v.late {
+			v.key *= v.op.LateShare
+		}
+	}
+	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
+	ahead := p.backlog()
+	kept := p.order[:0]
+	for _, i := range p.order {
+		v := &p.invs[i]
+		cost := p.expected(v)
+		end := float64(p.now) + cost + p.away(v)
+		if p.onCores >= p.plate.Cores || len(kept) > 0 {
+			end += ahead / p.freeCores()
+		}
+		if v.key <= 0 || end > p.objective(v) && (v.op.LateShare == 0 || end > float64(v.due-answerMargin)) {
+			p.giveUp(i)
+			continue
+		}
+		ahead += cost
+		kept = append(kept, i)
+	}
+	p.order = kept
+}
+
+func (p *Post) away(v *invocation) float64 {
+	if !v.op.MayCall {
+		return 0
+	}
+	return v.op.away.mean(0) * float64(v.op.Objective)
+}
+
+// withinShare is the expected part of full value for a tenant that may be over its share of the fleet.
+func (p *Post) withinShare(tenant int32) float64 {
+	if tenant < 0 || p.plate.TenantRates[tenant] <= 0 {
+		return 1
+	}
+	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers))
+	if rate := p.tenants[tenant]; rate > share {
+		return (share + (rate-share)*p.plate.OverShare) / rate
+	}
+	return 1
+}
+
+// Running limit.
+
+// survivable is the crowd on the cores that is safe now, at the slowest warm-up that is guaranteed.
+func (p *Post) survivable() float64 {
+	warm := 1.0
+	if p.plate.Fresh && p.plate.WarmAfter > 0 {
+		part := min(1, float64(p.now-p.born)/float64(p.plate.WarmAfter))
+		warm = p.plate.ColdFrom + (1-p.plate.ColdFrom)*part
+	}
+	return crowdRoom * p.cores() * (1 + (p.plate.TipMultiple-1)*warm)
+}
+
+// startRuns starts the hold in order under the limit. What returns from a call goes onto the cores
+// unasked, so those off the cores count towards the survivable crowd as load to come.
+func (p *Post) startRuns() {
+	crowd := p.survivable()
+	for _, i := range p.order {
+		v := &p.invs[i]
+		if float64(p.onCores) >= min(p.limit, crowd) || float64(p.onCores+p.offCores) >= crowd {
+			return
+		}
+		more := v.kb * (p.plate.Blowup - 1)
+		if v.state == paused {
+			more = 0
+		}
+		if v.answered || v.state == ended || p.memory+p.recordKB+more > memoryRoom*p.plate.MemoryKB {
+			continue
+		}
+		v.ran = true
+		p.do(node.Action{Kind: node.Run, Inv: i})
+		p.shift(v, running)
+	}
+}
+
+// adjustLimit grows the limit while cores are free and work waits, and backs off when throughput drops.
+func (p *Post) adjustLimit() {
+	waiting := len(p.order) > 0 && float64(p.onCores) >= p.limit-1
+	if waiting && p.busy >= 0 && p.busy < freeBusy {
+		p.limit += max(1, limitGrowth*p.limit)
+	}
+	if p.now-p.windowAt >= 20*beat {
+		rate := p.workDone / float64(p.now-p.windowAt)
+		if p.limit > p.cores() && waiting && rate < dropped*p.throughput {
+			p.limit *= limitBackoff
+		}
+		if p.limit <= p.cores() || rate > p.throughput {
+			p.throughput = rate
+		}
+		p.workDone, p.windowAt = 0, p.now
+	}
+	if p.limit > p.cores() && p.busy > freeBusy {
+		p.limit -= limitGrowth
+	}
+	p.limit = max(p.cores(), min(p.limit, p.survivable()))
+}
+
+// runEnded closes a run and learns what it cost.
+func (p *Post) runEnded(i int32, outcome node.Outcome) {
+	v := &p.invs[i]
+	if outcome == node.Withdrawn && !v.answered && p.plate.Halting != node.NoHalt {
+		if p.plate.Halting == node.PauseHalt {
+			p.shift(v, paused)
+		} else {
+			p.shift(v, held)
+		}
+		return
+	}
+	if v.state == calling && v.answered {
+		p.lingering = append(p.lingering, p.now+p.plate.Linger)
+	}
+	started := v.state != joined
+	p.end(i)
+	usual := v.base * v.op.usual.mean(1)
+	if !started || outcome != node.Succeeded && v.spent < usual {
+		return
+	}
+	p.pace.add(v.spent/usual, shortMemory)
+	v.op.usual.add(v.spent/v.base, longMemory)
+	p.workDone += usual
+}
+
+// Calls.
+
+// makeCalls makes the calls that invocations stand at, oldest first, within this node's share.
+func (p *Post) makeCalls() {
+	for _, i := range p.live {
+		v := &p.invs[i]
+		if v.state != standing || v.answered {
+			continue
+		}
+		skip := v.op.SkipShare > 0
+		until := v.due - answerMargin
+		if skip {
+			until = min(until, int64(p.objective(v)-p.expected(v)))
+		}
+		room := p.callRoom()
+		until = min(until, p.now+room)
+		switch {
+		case skip && (until <= p.now || p.belowFails()):
+			p.do(node.Action{Kind: node.SkipCall, Inv: i})
+			p.shift(v, running)
+		case room > 0 && until > p.now:
+			v.callAt = p.now
+			v.tries++
+			p.do(node.Action{Kind: node.Call, Inv: i, At: until})
+			p.shift(v, calling)
+		}
+	}
+}
+
+// callRoom is how long one more call may stay in hand for the node to keep its share of what lies below.
+func (p *Post) callRoom() int64 {
+	count := float64(p.inHand + len(p.lingering) + 1)
+	switch p.plate.Below {
+	case node.TierBelow:
+		if count > tierCalls*p.cores() {
+			return 0
+		}
+	case node.SharedBelow:
+		if count <= callRoom*p.plate.CallShare {
+			break
+		}
+		if p.inHand+len(p.lingering) > 0 {
+			return 0
+		}
+		left := callRoom * p.plate.CallShare * float64(p.plate.CallSpan)
+		for _, used := range p.callSlots {
+			left -= used
+		}
+		return int64(left) - p.plate.Linger
+	}
+	return math.MaxInt64 / 4
+}
+
+// belowFails says to leave calls out, but for one now and then that tests for recovery.
+func (p *Post) belowFails() bool {
+	if p.callFails.total < 3 || p.callFails.mean(0) < breakerOpen {
+		return false
+	}
+	if p.now-p.lastProbe >= probeEvery {
+		p.lastProbe = p.now
+		return false
+	}
+	return true
+}
+
+// callEnded repeats a call only where it is known not to have run; else the call is left out or the run fails.
+func (p *Post) callEnded(i int32, outcome node.Outcome) {
+	v := &p.invs[i]
+	if outcome == node.Succeeded {
+		v.op.away.add(float64(p.now-v.callAt)/float64(v.op.Objective), longMemory)
+		p.callFails.add(1e-9, shortMemory)
+		p.shift(v, running)
+		return
+	}
+	p.callFails.add(1, shortMemory)
+	p.shift(v, standing)
+	unseen := outcome == node.Overloaded || outcome == node.Unreachable
+	if !unseen {
+		p.lingering = append(p.lingering, p.now+p.plate.Linger)
+	}
+	switch {
+	case v.answered:
+	case v.op.SkipShare > 0:
+		p.do(node.Action{Kind: node.SkipCall, Inv: i})
+		p.shift(v, running)
+	case !unseen || v.tries > 3:
+		p.giveUp(i)
+	}
+}
+
+// Deadlines.
+
+// keepDeadlines answers what is due and stops runs that can earn nothing more.
+func (p *Post) keepDeadlines() {
+	for _, i := range p.live {
+		v := &p.invs[i]
+		switch {
+		case v.state == ended:
+		case v.answered:
+			if v.state == running && p.now >= p.next {
+				p.stop(i)
+			}
+		case p.now >= v.due-answerMargin:
+			p.giveUp(i)
+		case v.state == running && p.plate.Halting != node.NoHalt && v.op.LateShare == 0 &&
+			float64(p.now) > p.objective(v):
+			p.giveUp(i)
+		}
+	}
+}
+
+// keepMemory turns away the end of the hold before memory runs out, and forgets records that ended.
+func (p *Post) keepMemory() {
+	for k := len(p.order) - 1; k >= 0 && p.memory+p.recordKB > memoryBrim*p.plate.MemoryKB; k-- {
+		if p.invs[p.order[k]].state == held {
+			p.giveUp(p.order[k])
+		}
+	}
+	p.records = slices.DeleteFunc(p.records, func(until int64) bool {
+		if until < p.now {
+			p.recordKB -= p.plate.EntryKB
+		}
+		return until < p.now
+	})
+}
+
+// Drain.
+
+// drain is beat 1: health goes bad and what is in flight is sampled, in the turn of the notice. Both
+// durations shrink in proportion where the told kill leaves less.
+func (p *Post) drain(kill int64) {
+	if p.noticed == 0 {
+		p.noticed, p.atNotice, p.closed = p.now, 0, 0
+		for _, i := range p.live {
+			if p.invs[i].state != ended {
+				p.atNotice++
+			}
+		}
+		p.intakeEnd, p.drainEnd = math.MaxInt64, math.MaxInt64
+		p.do(node.Action{Kind: node.Health, Good: false, Stored: true})
+		p.next = p.now
+	}
+	scale := min(1, max(0, float64(kill-killMargin-p.noticed)/float64(preDrain+drainBudget)))
+	p.intakeEnd = min(p.intakeEnd, p.noticed+min(int64(scale*float64(preDrain)), p.plate.DrainGrace))
+	p.drainEnd = min(p.drainEnd, p.intakeEnd+int64(scale*float64(drainBudget)))
+}
+
+// keepDrain ends beat 3: what is open at the deadline is aborted and counted.
+func (p *Post) keepDrain() {
+	if p.noticed == 0 || p.now < p.drainEnd {
+		return
+	}
+	for _, i := range p.live {
+		if v := &p.invs[i]; v.state != ended && !v.answered {
+			p.abandoned++
+			p.giveUp(i)
+		}
+	}
+	if !p.reported {
+		p.reported = true
+		p.do(node.Action{Kind: node.Note, Text: fmt.Sprintf("drain: in flight at start %d, completed %d, abandoned %d",
+			p.atNotice, p.closed, p.abandoned)})
+	}
+}
+
+// Health.
+
+// adjustHealth reports bad while draining or while this node alone does worse than is usual for it. A
+// fleet that is full is not unhealthy: callers would have nowhere to go.
+func (p *Post) adjustHealth() {
+	least, runs := math.Inf(1), 0
+	for _, i := range p.live {
+		if v := &p.invs[i]; v.state == running {
+			runs++
+			least = min(least, (v.spent+p.coreClock-v.since)/(v.base*v.op.usual.mean(1)))
+		}
+	}
+	p.stall = 0
+	if 2*runs > p.plate.Cores {
+		p.stall = least
+	}
+	was := p.healthy
+	switch pace := p.slowness(); {
+	case p.noticed != 0:
+		p.healthy = false
+	case pace > slowPace:
+		p.healthy = false
+	case pace < soundPace || p.said < 0:
+		p.healthy = true
+	}
+	if p.healthy != was {
+		p.do(node.Action{Kind: node.Health, Good: p.healthy, Stored: true})
+	}
+}
+
+// Advice.
+
+// tightest is the shortest latency objective.
+func (p *Post) tightest() float64 {
+	least := math.Inf(1)
+	for i := range p.ops {
+		least = min(least, float64(p.ops[i].Objective))
+	}
+	return least
+}
+
+// adjustAdvice tells callers how much to send: less while the wait is long, more while it is short.
+func (p *Post) adjustAdvice() {
+	p.arrivals, p.echoes = p.arrivals*0.98, p.echoes*0.98
+	sum, squares := 0.0, 0.0
+	for caller, n := range p.callers {
+		if p.callers[caller] = n * 0.98; n < 0.05 {
+			delete(p.callers, caller)
+		}
+		sum, squares = sum+math.Round(n), squares+math.Round(n)*math.Round(n)
+	}
+	p.spread = 1
+	if squares > 0 {
+		p.spread = sum * sum / squares
+	}
+	for t := range p.tenants {
+		p.tenants[t] *= 1 - float64(beat)/4e9
+	}
+	wait, top := p.wait(), creditTop*p.cores()
+	switch {
+	case wait > pressureHigh*p.tightest():
+		p.level = min(levelTop, p.level+levelUp)
+		p.credit = max(p.cores(), p.credit*(1-levelUp))
+	case wait < pressureLow*p.tightest():
+		p.level = max(0, p.level-levelDown)
+		p.credit = min(top, p.credit+levelDown*top)
+	}
+	value := 0.0
+	switch p.plate.Advice {
+	case node.NoAdvice:
+		return
+	case node.LevelAdvice:
+		if value = p.level; p.noticed != 0 {
+			value = 1
+		}
+	case node.CreditAdvice:
+		if value = p.credit / p.spread; p.noticed != 0 {
+			value = 0
+		}
+	case node.WeightAdvice:
+		if value = p.credit / top; p.noticed != 0 {
+			value = 0
+		}
+	}
+	if value = math.Round(value*100) / 100; value != p.said {
+		p.said = value
+		p.do(node.Action{Kind: node.Advise, Value: value})
+	}
+}
--- /dev/null
+++ b/ember/ember.go
@@ -0,0 +1,318 @@
+// Package ember speaks the ember-9016 wire: it reads batches into events of package node and writes actions
+// as replies. It decides nothing.
+package ember
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"topazpost/node"
+)
+
+// Host is the door of one instance: it gives wire ids small indices and takes them back.
+type Host struct {
+	plate   *Plate
+	indices map[uint64]int32
+	ids     []uint64
+	free    []int32
+}
+
+// NewHost opens the door of an instance that was started with the given plate.
+func NewHost(plate *Plate) *Host {
+	return &Host{plate: plate, indices: make(map[uint64]int32)}
+}
+
+func (h *Host) admit(id uint64) int32 {
+	if n := len(h.free); n > 0 {
+		index := h.free[n-1]
+		h.free = h.free[:n-1]
+		h.ids[index], h.indices[id] = id, index
+		return index
+	}
+	index := int32(len(h.ids))
+	h.ids = append(h.ids, id)
+	h.indices[id] = index
+	return index
+}
+
+func (h *Host) release(index int32) {
+	delete(h.indices, h.ids[index])
+	h.free = append(h.free, index)
+}
+
+// Reader reads the lines of the wire.
+type Reader struct {
+	in *bufio.Reader
+}
+
+// NewReader reads batches from in.
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20)}
+}
+
+// Line returns the next line split at its tabs; io.EOF ends the input.
+func (r *Reader) Line() ([]string, error) {
+	line, err := r.in.ReadString('\n')
+	if errors.Is(err, io.EOF) && line != "" {
+		return nil, io.ErrUnexpectedEOF
+	}
+	if err != nil {
+		return nil, err
+	}
+	return strings.Split(strings.TrimRight(line, "\r\n"), "\t"), nil
+}
+
+// fields walks the values of one line and keeps the first error.
+type fields struct {
+	name   string
+	values []string
+	err    error
+}
+
+func (f *fields) next() string {
+	if len(f.values) == 0 {
+		return "-"
+	}
+	v := f.values[0]
+	f.values = f.values[1:]
+	return v
+}
+
+func (f *fields) fail(v string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("ember: %s: malformed value %q", f.name, v)
+	}
+}
+
+func (f *fields) whole() uint64 {
+	v := f.next()
+	if v == "-" {
+		return 0
+	}
+	n, err := strconv.ParseUint(v, 10, 64)
+	if err != nil {
+		f.fail(v)
+	}
+	return n
+}
+
+func (f *fields) id() uint64 {
+	if len(f.values) == 0 || f.values[0] == "-" {
+		f.fail("-")
+	}
+	return f.whole()
+}
+
+func (f *fields) number() float64 {
+	v := f.next()
+	if v == "-" {
+		return 0
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		f.fail(v)
+	}
+	return n
+}
+
+// time reads milliseconds as whole nanoseconds; the wire counts in microseconds.
+func (f *fields) time() int64 { return int64(math.Round(f.number()*1e3)) * 1e3 }
+
+var outcomes = map[string]node.Outcome{
+	"success": node.Succeeded, "failure": node.Errored, "overloaded": node.Overloaded,
+	"timed_out": node.TimedOut, "unreachable": node.Unreachable, "broken": node.Broken,
+	"withdrawn": node.Withdrawn, "void": node.Void,
+}
+
+func (f *fields) outcome() node.Outcome {
+	v := f.next()
+	o, ok := outcomes[v]
+	if !ok {
+		f.fail(v)
+	}
+	return o
+}
+
+// Clock reads the moment of a MARK line.
+func Clock(line []string) (int64, error) {
+	f := fields{name: line[0], values: line[1:]}
+	if len(f.values) == 0 {
+		f.fail("-")
+	}
+	return f.time(), f.err
+}
+
+// Instance reads the number of a TARGET_INSTANCE line.
+func Instance(line []string) (int64, error) {
+	f := fields{name: line[0], values: line[1:]}
+	n := f.id()
+	return int64(n), f.err
+}
+
+// Event reads one event of this instance; live is false for one that names an id no longer live.
+func (h *Host) Event(line []string) (e node.Event, live bool, err error) {
+	f := fields{name: line[0], values: line[1:]}
+	switch f.name {
+	case "WORK_ITEM":
+		h.arrival(&f, &e)
+		return e, f.err == nil, f.err
+	case "TERMINATE_SOON":
+		if len(f.values) == 0 || f.values[0] == "-" {
+			f.fail("-")
+		}
+		e = node.Event{Kind: node.DrainNotice, Kill: f.time()}
+		return e, f.err == nil, f.err
+	case "DUE":
+		e = node.Event{Kind: node.TimerDue, Timer: int64(f.id()), Busy: -1, Runnable: -1, Sockets: -1}
+		h.gauges(&f, &e)
+		return e, f.err == nil, f.err
+	case "CANCELLED_BY_CLIENT":
+		e.Kind = node.CallerGone
+	case "BLOCKED":
+		e.Kind = node.CallWanted
+	case "CAME_BACK":
+		e.Kind = node.CallEnded
+	case "WORK_DONE":
+		e.Kind = node.RunEnded
+	default:
+		return e, false, fmt.Errorf("ember: unknown event %q", f.name)
+	}
+	index, ok := h.indices[f.id()]
+	e.Inv = index
+	if e.Kind == node.CallEnded || e.Kind == node.RunEnded {
+		e.Outcome = f.outcome()
+	}
+	return e, ok && f.err == nil, f.err
+}
+
+func (h *Host) arrival(f *fields, e *node.Event) {
+	id := f.id()
+	e.Kind = node.Arrived
+	e.Due = f.time()
+	e.Age = f.time()
+	e.Rank = f.number()
+	e.Caller = int64(f.whole())
+	e.Subject = len(f.values) > 0 && f.values[0] != "-"
+	f.next()
+	marks := f.whole()
+	e.Further, e.Write = marks&2 != 0, marks&4 != 0
+	repeats := f.whole()
+	operation := f.next()
+	tenant := f.next()
+	if hint := f.time(); marks&1 != 0 {
+		e.Hint = hint
+	}
+	e.HeldKB = f.number()
+	op, ok := h.plate.operations[operation]
+	if !ok {
+		f.fail(operation)
+	}
+	e.Operation, e.Tenant, e.Repeats = op, -1, node.NoRepeat
+	if t, ok := h.plate.tenants[tenant]; ok {
+		e.Tenant = t
+	}
+	if f.err != nil {
+		return
+	}
+	if repeats != 0 {
+		e.Repeats = node.EndedRepeat
+		if index, ok := h.indices[repeats]; ok {
+			e.Repeats = index
+		}
+	}
+	e.Inv = h.admit(id)
+}
+
+func (h *Host) gauges(f *fields, e *node.Event) {
+	row := f.next()
+	if row == "-" || row == "" {
+		return
+	}
+	for i, v := range strings.Split(row, ",") {
+		n, err := strconv.ParseFloat(v, 64)
+		if err != nil {
+			f.fail(v)
+			return
+		}
+		if i >= len(h.plate.gauges) {
+			return
+		}
+		switch h.plate.gauges[i] {
+		case "cpu_busy":
+			e.Busy = n
+		case "runnable":
+			e.Runnable = n
+		case "sockets":
+			e.Sockets = n
+		}
+	}
+}
+
+// Append writes the actions of this instance to a reply and takes back the indices released.
+func (h *Host) Append(reply []byte, actions []node.Action) []byte {
+	for i := range actions {
+		a := &actions[i]
+		switch a.Kind {
+		case node.Release:
+			h.release(a.Inv)
+			continue
+		case node.Run:
+			reply = h.named(reply, "DISPATCH", a)
+		case node.Throttle:
+			reply = h.named(reply, "SAY_NO", a)
+			reply = millis(append(reply, '\t'), a.For)
+			reply = flag(append(reply, '\t'), a.NoRetry)
+		case node.Fail:
+			reply = h.named(reply, "FINISH_ERROR", a)
+		case node.Stop:
+			reply = h.named(reply, "YANK", a)
+		case node.Reuse:
+			reply = h.named(reply, "REUSE", a)
+		case node.Record:
+			reply = h.named(reply, "RECORD_KEY", a)
+			reply = millis(append(reply, '\t'), a.For)
+		case node.Unrecord:
+			reply = h.named(reply, "UNPIN", a)
+		case node.Call:
+			reply = h.named(reply, "GO_CALL", a)
+			reply = millis(append(reply, '\t'), a.At)
+		case node.SkipCall:
+			reply = h.named(reply, "FALL_BACK", a)
+		case node.Health:
+			reply = flag(append(reply, "FITNESS\t"...), a.Good)
+			reply = flag(append(reply, '\t'), a.Stored)
+		case node.Advise:
+			reply = strconv.AppendFloat(append(reply, "SIGNAL\t"...), a.Value, 'f', -1, 64)
+		case node.CloseIdle:
+			reply = millis(append(reply, "IDLE\t"...), a.For)
+		case node.Timer:
+			reply = millis(append(reply, "REMIND\t"...), a.At)
+			reply = strconv.AppendInt(append(reply, '\t'), a.Key, 10)
+		case node.Note:
+			reply = append(append(reply, "TRACE\t"...), a.Text...)
+		}
+		reply = append(reply, '\n')
+	}
+	return reply
+}
+
+func (h *Host) named(reply []byte, word string, a *node.Action) []byte {
+	reply = append(append(reply, word...), '\t')
+	return strconv.AppendUint(reply, h.ids[a.Inv], 10)
+}
+
+func millis(reply []byte, ns int64) []byte {
+	return strconv.AppendFloat(reply, float64(ns/1e3)/1e3, 'f', -1, 64)
+}
+
+func flag(reply []byte, set bool) []byte {
+	if set {
+		return append(reply, '1')
+	}
+	return append(reply, '0')
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,189 @@
+// Package node is the interface of the decision module: what a node is told, what it may do, and what it
+// reads at start. It holds types only; protocols are translated into it at their own doors.
+package node
+
+// Effect says whether an operation may run again.
+type Effect uint8
+
+// The three kinds of operation.
+const (
+	Idempotent Effect = iota
+	Tokened
+	NonIdempotent
+)
+
+// Halting says what stopping a run does to its progress.
+type Halting uint8
+
+// The ways in which running work can be stopped.
+const (
+	NoHalt Halting = iota
+	DropHalt
+	PauseHalt
+)
+
+// Advice is the meaning of the free value that callers hear from a node.
+type Advice uint8
+
+// The kinds of advice that callers may heed.
+const (
+	NoAdvice Advice = iota
+	LevelAdvice
+	CreditAdvice
+	WeightAdvice
+)
+
+// Below says what invocations call while they run.
+type Below uint8
+
+// What may lie below a node.
+const (
+	NothingBelow Below = iota
+	SharedBelow
+	TierBelow
+)
+
+// Operation describes one kind of invocation. Times are nanoseconds.
+type Operation struct {
+	Effect        Effect
+	Objective     int64
+	Stretch       float64
+	ClientTimeout int64
+	Window        int64
+	BilledValue   float64
+	LateShare     float64
+	SkipShare     float64
+	MayCall       bool
+}
+
+// Nameplate is what a node reads at start. Times are nanoseconds, memory is in kilobytes.
+type Nameplate struct {
+	Seed        int64
+	Operations  []Operation
+	TenantRates []float64
+	OverShare   float64
+	ByWork      bool
+	Cores       int
+	MemoryKB    float64
+	Blowup      float64
+	EntryKB     float64
+	Halting     Halting
+	Advice      Advice
+	Callers     int
+	Peers       int
+	Below       Below
+	CallShare   float64
+	CallSpan    int64
+	Linger      int64
+	ReuseFor    int64
+	FullChecks  bool
+	Fresh       bool
+	ColdFrom    float64
+	WarmAfter   int64
+	TipMultiple float64
+	TipSpan     int64
+	DrainGrace  int64
+	ComeBack    bool
+	ComeBackMax int64
+}
+
+// EventKind names what happened.
+type EventKind uint8
+
+// The events.
+const (
+	Arrived EventKind = iota
+	CallerGone
+	DrainNotice
+	CallWanted
+	CallEnded
+	TimerDue
+	RunEnded
+)
+
+// Outcome is how a run or a call ended.
+type Outcome uint8
+
+// The outcomes; Overloaded, Unreachable and Void prove that nothing ran.
+const (
+	Succeeded Outcome = iota
+	Errored
+	Overloaded
+	TimedOut
+	Unreachable
+	Broken
+	Withdrawn
+	Void
+)
+
+// Values of Event.Repeats that are not an index.
+const (
+	NoRepeat    = -1
+	EndedRepeat = -2
+)
+
+// Event is one thing that happened; only the fields of its kind are set.
+type Event struct {
+	Kind    EventKind
+	Inv     int32
+	Outcome Outcome
+	Timer   int64
+
+	// Arrived
+	Due       int64 // stated by the caller; 0 where it states none
+	Age       int64 // since arrival at the machine
+	Rank      float64
+	Caller    int64
+	Operation int32
+	Tenant    int32 // -1 where it has none
+	Repeats   int32
+	Subject   bool
+	Further   bool
+	Write     bool
+	Hint      int64 // expected work, 0 where unknown
+	HeldKB    float64
+
+	// DrainNotice
+	Kill int64
+
+	// TimerDue; a gauge that the site lacks is negative
+	Busy     float64
+	Runnable float64
+	Sockets  float64
+}
+
+// ActionKind names what to do.
+type ActionKind uint8
+
+// The actions. Release is for the door alone: the module is done with the index.
+const (
+	Run ActionKind = iota
+	Throttle
+	Fail
+	Stop
+	Reuse
+	Record
+	Unrecord
+	Call
+	SkipCall
+	Health
+	Advise
+	CloseIdle
+	Timer
+	Note
+	Release
+)
+
+// Action is one thing to do; only the fields of its kind are set.
+type Action struct {
+	Kind    ActionKind
+	Inv     int32
+	At      int64 // Timer, Call: a moment
+	For     int64 // Throttle, Record, CloseIdle: a duration
+	Value   float64
+	Key     int64
+	Good    bool
+	Stored  bool
+	NoRetry bool
+	Text    string
+}
