--- a/control/control.go
+++ b/control/control.go
@@ -45,8 +45,8 @@
 	restTail     = 0.4      // of its expected cost that a run past its expectation still needs
 	pressureHigh = 0.35     // of the shortest objective: a longer wait asks callers for less
 	pressureLow  = 0.15     // of the shortest objective: a shorter wait asks them for more
-	levelUp      = 0.04     // step of the level for each beat of high pressure
-	levelDown    = 0.01     // step of the level for each beat of low pressure
+	levelUp      = 0.02     // step of the level for each beat of high pressure
+	levelDown    = 0.015    // step of the level for each beat of low pressure
 	levelTop     = 0.95     // highest level outside a drain: some traffic must tell when trouble ends
 	creditTop    = 4.0      // outstanding invocations a core that credits start from
 	slowPace     = 2.0      // times the usual cost past which the node itself counts as slow
@@ -441,8 +441,9 @@
 // freeCores is what reading and checks leave to runs.
 func (p *Post) freeCores() float64 { return max(p.cores()/2, p.cores()-p.reading) }
 
+// wait is how long the hold would take to clear on the cores, with the time that arrivals lay unread.
 func (p *Post) wait() float64 {
-	sum := p.backlog()
+	sum := 0.0
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == held {
 			sum += p.expected(v)
