Calls: highest billed value first, and the hold counts the wait for calls

The shared dependency slowed from 15 ms to over 100 ms a call; each run stood in line for its call until its objective had passed, so every call made was for work already lost. Told from overload by idle cores (busy 0.3) while runs stood at calls. Now the line for calls is ordered, what cannot end in time leaves it at once, and the hold starts and keeps only what the wait for calls allows. Should also guard against a next tier that slows; harm: a burst of slow calls holds back starts briefly.

--- a/control/control.go
+++ b/control/control.go
@@ -156,6 +156,7 @@
 	callSlots [9]float64 // ns of calls in hand, by slots of an eighth of the span
 	callSlot  int64
 	callFails histogram
+	callTime  histogram // of late, over the shortest objective
 	lastProbe int64
 
 	noticed, intakeEnd, drainEnd int64
@@ -449,7 +450,18 @@
 			sum += p.expected(v)
 		}
 	}
-	return sum/p.freeCores() + p.lag
+	return sum/p.freeCores() + p.lag + p.callWait()
+}
+
+// callWait is how long one that comes to a call now would stand there until it is made.
+func (p *Post) callWait() float64 {
+	abreast := 1.0
+	if p.plate.Below == node.TierBelow {
+		abreast = tierCalls * p.cores()
+	} else {
+		abreast = max(1, math.Floor(callRoom*p.plate.CallShare))
+	}
+	return float64(p.offCores-p.inHand) / abreast * p.callTime.mean(0) * p.tightest()
 }
 
 func (p *Post) objective(v *invocation) float64 {
@@ -502,7 +514,7 @@
 	if !v.op.MayCall {
 		return 0
 	}
-	return v.op.away.mean(0) * float64(v.op.Objective)
+	return v.op.away.mean(0)*float64(v.op.Objective) + p.callWait()
 }
 
 // withinShare is the expected part of full value for a tenant that may be over its share of the fleet.
@@ -600,11 +612,24 @@
 
 // Calls.
 
-// makeCalls makes the calls that invocations stand at, oldest first, within this node's share.
+// makeCalls makes the calls that invocations stand at, within this node's share: the highest billed value
+// first, then the oldest. What cannot end in time even if called now is given up. Guards against a slow
+// dependency that every run waits for until none of them is in time; the hold counts the wait as well.
 func (p *Post) makeCalls() {
+	p.order = p.order[:0]
 	for _, i := range p.live {
+		if v := &p.invs[i]; v.state == standing && !v.answered {
+			p.order = append(p.order, i)
+		}
+	}
+	slices.SortStableFunc(p.order, func(a, b int32) int {
+		return cmp.Compare(p.invs[b].op.BilledValue, p.invs[a].op.BilledValue)
+	})
+	for _, i := range p.order {
 		v := &p.invs[i]
-		if v.state != standing || v.answered {
+		if v.op.LateShare == 0 && v.op.SkipShare == 0 &&
+			float64(p.now)+p.callTime.mean(0)*p.tightest() > p.objective(v) {
+			p.giveUp(i)
 			continue
 		}
 		skip := v.op.SkipShare > 0
@@ -669,10 +694,12 @@
 	if outcome == node.Succeeded {
 		v.op.away.add(float64(p.now-v.callAt)/float64(v.op.Objective), longMemory)
 		p.callFails.add(1e-9, shortMemory)
+		p.callTime.add(float64(p.now-v.callAt)/p.tightest(), shortMemory)
 		p.shift(v, running)
 		return
 	}
 	p.callFails.add(1, shortMemory)
+	p.callTime.add(float64(p.now-v.callAt)/p.tightest(), shortMemory)
 	p.shift(v, standing)
 	unseen := outcome == node.Overloaded || outcome == node.Unreachable
 	if !unseen {
