Module: shorter, one leaky budget for call shares below one, calls left out by chance

Folds the ring of call slots into a budget, the breaker into a chance that follows recent failures, and the answers and stops into giveUp and letGo.

--- a/control/control.go
+++ b/control/control.go
@@ -42,18 +42,18 @@
 	limitBackoff = 0.8  // step down of the running limit when throughput drops
 	dropped      = 0.85 // of the best throughput at a lower limit: under this it dropped
 
-	restTail     = 0.4      // of its expected cost that a run past its expectation still needs
-	pressureHigh = 0.35     // of the shortest objective: a longer wait asks callers for less
-	pressureLow  = 0.15     // of the shortest objective: a shorter wait asks them for more
-	levelUp      = 0.02     // step of the level for each beat of high pressure
-	levelDown    = 0.015    // step of the level for each beat of low pressure
-	levelTop     = 0.95     // highest level outside a drain: some traffic must tell when trouble ends
-	creditTop    = 4.0      // outstanding invocations a core that credits start from
-	slowPace     = 2.0      // times the usual cost past which the node itself counts as slow
-	soundPace    = 1.4      // times the usual cost under which it counts as sound again
-	echoShare    = 0.3      // of arrivals that are further tries past which other nodes turn work away too
-	breakerOpen  = 0.5      // share of recent calls failing past which calls are left out where allowed
-	probeEvery   = 500 * ms // ns between calls that test whether what lies below has recovered
+	restTail     = 0.4   // of its expected cost that a run past its expectation still needs
+	pressureHigh = 0.35  // of the shortest objective: a longer wait asks callers for less
+	pressureLow  = 0.15  // of the shortest objective: a shorter wait asks them for more
+	levelUp      = 0.02  // step of the level for each beat of high pressure
+	levelDown    = 0.015 // step of the level for each beat of low pressure
+	levelTop     = 0.95  // highest level outside a drain: some traffic must tell when trouble ends
+	creditTop    = 4.0   // outstanding invocations a core that credits start from
+	slowPace     = 2.0   // times the usual cost past which the node itself counts as slow
+	soundPace    = 1.4   // times the usual cost under which it counts as sound again
+	echoShare    = 0.3   // of arrivals that are further tries past which other nodes turn work away too
+	callTries    = 4     // calls made for one need, while each is known not to have run
+	skipMost     = 0.9   // greatest chance of leaving a call out: the rest tests for recovery
 )
 
 type state uint8
@@ -70,22 +70,16 @@
 
 // invocation is all that is known of one invocation.
 type invocation struct {
-	state    state
-	answered bool // a final answer was given or is owed no more
-	ran      bool // it, or the try it repeats, has started
-	late     bool // full billed value is out of reach
-	op       *operation
-	tenant   int32
-	further  bool
-	arrived  int64
-	due      int64
-	kb       float64
-	base     float64 // ns: the hint, or the operation's unit where there is none
-	spent    float64 // ns of one whole core so far
-	since    float64 // core clock when it last came on the cores
-	callAt   int64
-	tries    int
-	key      float64 // its place in the order of the hold
+	op                   *operation
+	state                state
+	answered             bool // a final answer was given or is owed no more
+	ran, further         bool // ran: it, or the try it repeats, has started
+	tenant               int32
+	tries                int // calls made for its present need
+	arrived, due, callAt int64
+	kb, key              float64 // its memory while held, its place in the order of the hold
+	base                 float64 // ns: the hint, or the operation's unit where there is none
+	spent, since         float64 // ns of one whole core so far, core clock when it last came on
 }
 
 // operation is an operation with what was measured of it.
@@ -123,64 +117,52 @@
 
 // Post decides for one node.
 type Post struct {
-	plate  *node.Nameplate
-	chance *rand.Rand
-	born   int64
-	now    int64
-	out    []node.Action
-	ops    []operation
-	invs   []invocation
-	live   []int32 // not ended, in order of arrival
-	order  []int32 // the hold, in the order it is to run
-	next   int64   // when the beat is due
-
-	onCores   int
-	offCores  int // standing or calling
-	memory    float64
-	records   []int64 // when kept records end
-	recordKB  float64
-	coreClock float64 // ns that a run on the cores has had of one whole core since birth
-	reading   float64 // how many others want the cores, by the last gauge
-	busy      float64
-	pace      histogram
-	stall     float64
-	lag       float64 // ns that arrivals waited unread of late
-
-	limit      float64
-	workDone   float64
-	windowAt   int64
-	throughput float64 // best seen at the last lower limit
-
-	inHand    int
-	lingering []int64
-	callSlots [9]float64 // ns of calls in hand, by slots of an eighth of the span
-	callSlot  int64
-	callFails histogram
-	callTime  histogram // of late, over the shortest objective
-	lastProbe int64
+	plate           *node.Nameplate
+	chance          *rand.Rand
+	born, now, next int64 // next is when the beat is due
+	out             []node.Action
+	ops             []operation
+	invs            []invocation
+	live            []int32 // not ended, in order of arrival
+	order           []int32 // the hold, in the order it is to run
+	tightest        float64 // ns, the shortest latency objective
+
+	onCores, offCores, inHand int // off the cores are those standing or calling, in hand the calls
+	memory, recordKB          float64
+	records                   []int64 // when kept records end
+	coreClock                 float64 // ns that a run on the cores has had of one whole core since birth
+	busy, reading             float64 // busy part of the cores, and how many others want them
+	pace                      histogram
+	stall                     float64 // times the usual cost that every run has overstayed
+	lag                       float64 // ns that arrivals lay unread of late
+
+	limit, throughput, workDone float64 // throughput is the best seen at the last lower limit
+	windowAt                    int64
+
+	lingering  []int64
+	callBudget float64 // ns of calls that may still be in hand, where the share is below one
+	callFails  histogram
+	callTime   histogram // of late, over the shortest objective
 
 	noticed, intakeEnd, drainEnd int64
 	atNotice, closed, abandoned  int
-	reported                     bool
+	reported, unhealthy          bool
 
-	healthy  bool
-	level    float64
-	credit   float64
-	said     float64
-	echoes   float64
-	arrivals float64
-	callers  map[int64]float64
-	tenants  []float64 // arrivals a second, smoothed
-	spread   float64   // callers that count, given how unequal they are
+	level, credit, said float64
+	arrivals, echoes    float64           // echoes are further tries among the arrivals
+	callers             map[int64]float64 // arrivals from each
+	tenants             []float64         // arrivals a second, smoothed
 }
 
 // New makes the decisions' state of a node that has just started.
 func New(plate *node.Nameplate, now int64) *Post {
 	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
 		limit: float64(plate.Cores), credit: creditTop * float64(plate.Cores), said: -1, windowAt: now,
-		callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates))}
+		callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)),
+		tightest: math.Inf(1)}
 	for i := range plate.Operations {
 		p.ops = append(p.ops, operation{Operation: &plate.Operations[i]})
+		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
 	}
 	return p
 }
@@ -188,6 +170,9 @@
 // Decide is the one entry point: it takes what happened at a moment and returns what to do.
 func (p *Post) Decide(now int64, events []node.Event) []node.Action {
 	p.out = p.out[:0]
+	if p.said < 0 {
+		p.tellHealth()
+	}
 	p.advance(now)
 	for i := range events {
 		p.take(&events[i])
@@ -199,11 +184,11 @@
 	p.startRuns()
 	p.keepMemory()
 	if now >= p.next {
+		p.next = now + beat
+		p.do(node.Action{Kind: node.Timer, At: p.next})
 		p.adjustLimit()
 		p.adjustHealth()
 		p.adjustAdvice()
-		p.next = now + beat
-		p.do(node.Action{Kind: node.Timer, At: p.next})
 	}
 	p.live = slices.DeleteFunc(p.live, func(i int32) bool {
 		if p.invs[i].state == ended {
@@ -223,17 +208,9 @@
 func (p *Post) advance(now int64) {
 	dt := float64(now - p.now)
 	p.coreClock += dt * min(1, p.cores()/max(1, float64(p.onCores)+p.reading))
-	if span := p.plate.CallSpan / 8; span > 0 {
-		for at := p.now; at < now; {
-			slot := at / span
-			for ; p.callSlot < slot; p.callSlot++ {
-				p.callSlots[(p.callSlot+1)%9] = 0
-			}
-			end := min(now, (slot+1)*span)
-			p.callSlots[slot%9] += float64(end-at) * float64(p.inHand+len(p.lingering))
-			at = end
-		}
-	}
+	share := callRoom * p.plate.CallShare / 2
+	p.callBudget -= dt * float64(p.inHand+len(p.lingering))
+	p.callBudget = min(p.callBudget+dt*share, share*float64(p.plate.CallSpan))
 	p.now = now
 	p.lingering = slices.DeleteFunc(p.lingering, func(until int64) bool { return until <= now })
 }
@@ -259,12 +236,7 @@
 	case v.state == ended:
 	case e.Kind == node.CallerGone:
 		v.answered = true
-		switch v.state {
-		case held, paused, joined:
-			p.end(i)
-		case running:
-			p.stop(i)
-		}
+		p.letGo(i)
 	case e.Kind == node.CallWanted && v.state == running:
 		p.shift(v, standing)
 	case e.Kind == node.CallEnded && v.state == calling:
@@ -276,33 +248,31 @@
 
 // shift moves an invocation to another state and keeps the counts and its core time true.
 func (p *Post) shift(v *invocation, to state) {
-	count := func(s state, by int) {
-		switch s {
-		case running:
-			p.onCores += by
-		case standing:
-			p.offCores += by
-		case calling:
-			p.offCores += by
-			p.inHand += by
-		}
-		switch s {
-		case ended:
-		case held, joined:
-			p.memory += float64(by) * v.kb
-		default:
-			p.memory += float64(by) * v.kb * p.plate.Blowup
-		}
-	}
 	if v.state == running {
 		v.spent += p.coreClock - v.since
 	}
-	if to == running {
-		v.since = p.coreClock
+	p.weigh(v, -1)
+	v.state, v.since = to, p.coreClock
+	p.weigh(v, 1)
+}
+
+// weigh counts an invocation in or out of what its state takes up.
+func (p *Post) weigh(v *invocation, by int) {
+	kb := v.kb * p.plate.Blowup
+	switch v.state {
+	case ended:
+		kb = 0
+	case held, joined:
+		kb = v.kb
+	case running:
+		p.onCores += by
+	case standing, calling:
+		p.offCores += by
+	}
+	if v.state == calling {
+		p.inHand += by
 	}
-	count(v.state, -1)
-	count(to, 1)
-	v.state = to
+	p.memory += float64(by) * kb
 }
 
 func (p *Post) end(i int32) {
@@ -310,13 +280,6 @@
 	p.closed++
 }
 
-// stop takes a run off the cores where that is allowed; its work is lost or kept as the site has it.
-func (p *Post) stop(i int32) {
-	if p.plate.Halting != node.NoHalt {
-		p.do(node.Action{Kind: node.Stop, Inv: i})
-	}
-}
-
 // Intake.
 
 // intake takes what was read into the hold, joins it to the invocation it repeats, or turns it away.
@@ -324,8 +287,7 @@
 	for int(e.Inv) >= len(p.invs) {
 		p.invs = append(p.invs, invocation{})
 	}
-	v := &p.invs[e.Inv]
-	op := &p.ops[e.Operation]
+	v, op := &p.invs[e.Inv], &p.ops[e.Operation]
 	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: p.now - e.Age, kb: e.HeldKB,
 		base: float64(e.Hint)}
 	if v.base <= 0 {
@@ -345,9 +307,7 @@
 	if e.Tenant >= 0 {
 		p.tenants[e.Tenant]++
 	}
-	if e.Repeats != node.NoRepeat {
-		v.ran = e.Repeats == node.EndedRepeat || p.invs[e.Repeats].ran
-	}
+	v.ran = e.Repeats == node.EndedRepeat || e.Repeats >= 0 && p.invs[e.Repeats].ran
 	switch {
 	case p.noticed != 0 && p.now >= p.intakeEnd:
 		p.giveUp(e.Inv)
@@ -355,25 +315,21 @@
 		p.do(node.Action{Kind: node.Reuse, Inv: e.Inv})
 		p.shift(v, joined)
 	case op.Effect == node.Tokened:
-		p.record(e.Inv, v.arrived+op.Window-p.now)
+		p.record(e.Inv, v.arrived+op.Window)
 	case op.Effect == node.Idempotent && p.plate.ReuseFor > 0 && e.Subject && !e.Write:
-		p.record(e.Inv, v.due+p.plate.ReuseFor-p.now)
+		p.record(e.Inv, v.due+p.plate.ReuseFor)
 	}
 }
 
 // record keeps an invocation in the table so that repeats find it. Guards against a second effect; a
 // tokened invocation that finds no room is turned away unrun, a shared read goes on unshared.
-func (p *Post) record(i int32, keep int64) {
-	if p.recordKB+p.plate.EntryKB > recordRoom*p.plate.MemoryKB {
-		if p.invs[i].op.Effect == node.Tokened {
-			p.giveUp(i)
-		}
-		return
-	}
-	if keep > 0 {
-		p.do(node.Action{Kind: node.Record, Inv: i, For: keep})
-		p.records = append(p.records, p.now+keep)
+func (p *Post) record(i int32, until int64) {
+	if p.recordKB+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
+		p.do(node.Action{Kind: node.Record, Inv: i, For: until - p.now})
+		p.records = append(p.records, until)
 		p.recordKB += p.plate.EntryKB
+	} else if p.invs[i].op.Effect == node.Tokened {
+		p.giveUp(i)
 	}
 }
 
@@ -386,32 +342,37 @@
 	v.answered = true
 	if v.state == held && !v.ran {
 		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: p.fleetFull(v)})
-		p.end(i)
-		return
+	} else {
+		p.do(node.Action{Kind: node.Fail, Inv: i})
 	}
-	p.do(node.Action{Kind: node.Fail, Inv: i})
-	switch v.state {
-	case running:
-		p.stop(i)
+	p.letGo(i)
+}
+
+// letGo drops what is off the cores and has its answer, or needs none; a run is stopped where that is
+// allowed, one at a call ends by itself.
+func (p *Post) letGo(i int32) {
+	switch p.invs[i].state {
 	case held, joined, paused:
 		p.end(i)
+	case running:
+		if p.plate.Halting != node.NoHalt {
+			p.do(node.Action{Kind: node.Stop, Inv: i})
+		}
 	}
 }
 
 // comeBack names the time after which the node can take more: the end of its life, or of its backlog.
 func (p *Post) comeBack() int64 {
-	if !p.plate.ComeBack {
-		return 0
-	}
 	if p.noticed != 0 {
 		return p.plate.ComeBackMax
 	}
-	return min(p.plate.ComeBackMax, int64(max(0, p.wait()-pressureLow*p.tightest())))
+	spread := 0.5 + p.chance.Float64() // so that those turned away together do not come back together
+	return min(p.plate.ComeBackMax, int64(spread*max(0, p.wait()-pressureLow*p.tightest)))
 }
 
 // fleetFull says that another node would do no better: this one is sound, yet full, and other tries come in.
 func (p *Post) fleetFull(v *invocation) bool {
-	return p.noticed == 0 && p.healthy && (v.further || p.echoes > echoShare*p.arrivals)
+	return !p.unhealthy && (v.further || p.echoes > echoShare*p.arrivals)
 }
 
 // Order of the hold.
@@ -428,11 +389,11 @@
 
 func (p *Post) slowness() float64 { return max(p.pace.mean(1), p.stall) }
 
-// backlog is the core time that running work still needs.
-func (p *Post) backlog() float64 {
+// work is the core time that those in a state still need.
+func (p *Post) work(of state) float64 {
 	sum := 0.0
 	for _, i := range p.live {
-		if v := &p.invs[i]; v.state == running {
+		if v := &p.invs[i]; v.state == of {
 			sum += p.expected(v)
 		}
 	}
@@ -442,26 +403,20 @@
 // freeCores is what reading and checks leave to runs.
 func (p *Post) freeCores() float64 { return max(p.cores()/2, p.cores()-p.reading) }
 
-// wait is how long the hold would take to clear on the cores, with the time that arrivals lay unread.
-func (p *Post) wait() float64 {
-	sum := 0.0
-	for _, i := range p.live {
-		if v := &p.invs[i]; v.state == held {
-			sum += p.expected(v)
-		}
-	}
-	return sum/p.freeCores() + p.lag + p.callWait()
-}
+// wait is how long the hold would take to clear, with the time that arrivals lay unread.
+func (p *Post) wait() float64 { return p.work(held)/p.freeCores() + p.lag + p.callWait() }
 
 // callWait is how long one that comes to a call now would stand there until it is made.
 func (p *Post) callWait() float64 {
-	abreast := 1.0
-	if p.plate.Below == node.TierBelow {
-		abreast = tierCalls * p.cores()
-	} else {
-		abreast = max(1, math.Floor(callRoom*p.plate.CallShare))
+	return float64(p.offCores-p.inHand) / p.abreast() * p.callTime.mean(0) * p.tightest
+}
+
+// abreast is how many calls may be in hand at once.
+func (p *Post) abreast() float64 {
+	if p.plate.Below == node.SharedBelow {
+		return max(1, math.Floor(callRoom*p.plate.CallShare))
 	}
-	return float64(p.offCores-p.inHand) / abreast * p.callTime.mean(0) * p.tightest()
+	return tierCalls * p.cores()
 }
 
 func (p *Post) objective(v *invocation) float64 {
@@ -479,42 +434,39 @@
 		if v.state != held && v.state != paused {
 			continue
 		}
-		p.order = append(p.order, i)
-		cost := p.expected(v)
 		v.key = v.op.BilledValue * p.withinShare(v.tenant)
 		if !p.plate.ByWork {
-			v.key /= cost
+			v.key /= p.expected(v)
 		}
-		v.late = float64(p.now)+cost+p.away(v) > p.objective(v)
-		if v.late {
+		if p.ends(v) > p.objective(v) {
 			v.key *= v.op.LateShare
 		}
+		p.order = append(p.order, i)
 	}
-	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
-	ahead := p.backlog()
-	kept := p.order[:0]
-	for _, i := range p.order {
+	p.sortOrder()
+	ahead := p.work(running)
+	p.order = slices.DeleteFunc(p.order, func(i int32) bool {
 		v := &p.invs[i]
-		cost := p.expected(v)
-		end := float64(p.now) + cost + p.away(v)
-		if p.onCores >= p.plate.Cores || len(kept) > 0 {
+		end := p.ends(v)
+		if p.onCores >= p.plate.Cores || i != p.order[0] {
 			end += ahead / p.freeCores()
 		}
 		if v.key <= 0 || end > p.objective(v) && (v.op.LateShare == 0 || end > float64(v.due-answerMargin)) {
 			p.giveUp(i)
-			continue
+			return true
 		}
-		ahead += cost
-		kept = append(kept, i)
-	}
-	p.order = kept
+		ahead += p.expected(v)
+		return false
+	})
 }
 
-func (p *Post) away(v *invocation) float64 {
-	if !v.op.MayCall {
-		return 0
+// ends is when an invocation would end if it ran from now on.
+func (p *Post) ends(v *invocation) float64 {
+	end := float64(p.now) + p.expected(v)
+	if v.op.MayCall {
+		end += v.op.away.mean(0)*float64(v.op.Objective) + p.callWait()
 	}
-	return v.op.away.mean(0)*float64(v.op.Objective) + p.callWait()
+	return end
 }
 
 // withinShare is the expected part of full value for a tenant that may be over its share of the fleet.
@@ -589,25 +541,19 @@
 func (p *Post) runEnded(i int32, outcome node.Outcome) {
 	v := &p.invs[i]
 	if outcome == node.Withdrawn && !v.answered && p.plate.Halting != node.NoHalt {
-		if p.plate.Halting == node.PauseHalt {
-			p.shift(v, paused)
-		} else {
-			p.shift(v, held)
-		}
+		p.shift(v, map[node.Halting]state{node.PauseHalt: paused, node.DropHalt: held}[p.plate.Halting])
 		return
 	}
 	if v.state == calling && v.answered {
 		p.lingering = append(p.lingering, p.now+p.plate.Linger)
 	}
-	started := v.state != joined
+	own, usual := v.state != joined, v.base*v.op.usual.mean(1)
 	p.end(i)
-	usual := v.base * v.op.usual.mean(1)
-	if !started || outcome != node.Succeeded && v.spent < usual {
-		return
+	if own && (outcome == node.Succeeded || v.spent > usual) {
+		p.pace.add(v.spent/usual, shortMemory)
+		v.op.usual.add(v.spent/v.base, longMemory)
+		p.workDone += usual
 	}
-	p.pace.add(v.spent/usual, shortMemory)
-	v.op.usual.add(v.spent/v.base, longMemory)
-	p.workDone += usual
 }
 
 // Calls.
@@ -619,31 +565,27 @@
 	p.order = p.order[:0]
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == standing && !v.answered {
+			v.key = v.op.BilledValue
 			p.order = append(p.order, i)
 		}
 	}
-	slices.SortStableFunc(p.order, func(a, b int32) int {
-		return cmp.Compare(p.invs[b].op.BilledValue, p.invs[a].op.BilledValue)
-	})
+	p.sortOrder()
 	for _, i := range p.order {
 		v := &p.invs[i]
-		if v.op.LateShare == 0 && v.op.SkipShare == 0 &&
-			float64(p.now)+p.callTime.mean(0)*p.tightest() > p.objective(v) {
+		room := p.callRoom()
+		until := min(v.due-answerMargin, p.now+room)
+		if v.op.SkipShare > 0 {
+			until = min(until, int64(p.objective(v)-p.expected(v)))
+			if until <= p.now || p.chance.Float64() < min(skipMost, p.callFails.mean(0)) {
+				p.do(node.Action{Kind: node.SkipCall, Inv: i})
+				p.shift(v, running)
+				continue
+			}
+		} else if v.op.LateShare == 0 && float64(p.now)+p.callTime.mean(0)*p.tightest > p.objective(v) {
 			p.giveUp(i)
 			continue
 		}
-		skip := v.op.SkipShare > 0
-		until := v.due - answerMargin
-		if skip {
-			until = min(until, int64(p.objective(v)-p.expected(v)))
-		}
-		room := p.callRoom()
-		until = min(until, p.now+room)
-		switch {
-		case skip && (until <= p.now || p.belowFails()):
-			p.do(node.Action{Kind: node.SkipCall, Inv: i})
-			p.shift(v, running)
-		case room > 0 && until > p.now:
+		if room > 0 && until > p.now {
 			v.callAt = p.now
 			v.tries++
 			p.do(node.Action{Kind: node.Call, Inv: i, At: until})
@@ -652,65 +594,44 @@
 	}
 }
 
-// callRoom is how long one more call may stay in hand for the node to keep its share of what lies below.
-func (p *Post) callRoom() int64 {
-	count := float64(p.inHand + len(p.lingering) + 1)
-	switch p.plate.Below {
-	case node.TierBelow:
-		if count > tierCalls*p.cores() {
-			return 0
-		}
-	case node.SharedBelow:
-		if count <= callRoom*p.plate.CallShare {
-			break
-		}
-		if p.inHand+len(p.lingering) > 0 {
-			return 0
-		}
-		left := callRoom * p.plate.CallShare * float64(p.plate.CallSpan)
-		for _, used := range p.callSlots {
-			left -= used
-		}
-		return int64(left) - p.plate.Linger
-	}
-	return math.MaxInt64 / 4
+// sortOrder puts the highest key first, then the oldest.
+func (p *Post) sortOrder() {
+	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
 }
 
-// belowFails says to leave calls out, but for one now and then that tests for recovery.
-func (p *Post) belowFails() bool {
-	if p.callFails.total < 3 || p.callFails.mean(0) < breakerOpen {
-		return false
+// callRoom is how long one more call may stay in hand. A share below one is kept as a mean over its span,
+// by a budget that fills at half the share and holds half a span of it.
+func (p *Post) callRoom() int64 {
+	if float64(p.inHand+len(p.lingering)+1) > p.abreast() {
+		return 0
 	}
-	if p.now-p.lastProbe >= probeEvery {
-		p.lastProbe = p.now
-		return false
+	if p.plate.Below == node.SharedBelow && callRoom*p.plate.CallShare < 1 {
+		return int64(p.callBudget) - p.plate.Linger
 	}
-	return true
+	return math.MaxInt64 / 4
 }
 
-// callEnded repeats a call only where it is known not to have run; else the call is left out or the run fails.
+// callEnded repeats a call only where it is known not to have run; else it is left out or the run fails.
 func (p *Post) callEnded(i int32, outcome node.Outcome) {
 	v := &p.invs[i]
+	took := float64(p.now - v.callAt)
+	p.callTime.add(took/p.tightest, shortMemory)
 	if outcome == node.Succeeded {
-		v.op.away.add(float64(p.now-v.callAt)/float64(v.op.Objective), longMemory)
-		p.callFails.add(1e-9, shortMemory)
-		p.callTime.add(float64(p.now-v.callAt)/p.tightest(), shortMemory)
+		v.op.away.add(took/float64(v.op.Objective), longMemory)
+		p.callFails.add(0, shortMemory)
 		p.shift(v, running)
 		return
 	}
 	p.callFails.add(1, shortMemory)
-	p.callTime.add(float64(p.now-v.callAt)/p.tightest(), shortMemory)
 	p.shift(v, standing)
 	unseen := outcome == node.Overloaded || outcome == node.Unreachable
 	if !unseen {
 		p.lingering = append(p.lingering, p.now+p.plate.Linger)
 	}
-	switch {
-	case v.answered:
-	case v.op.SkipShare > 0:
+	if v.op.SkipShare > 0 && !v.answered {
 		p.do(node.Action{Kind: node.SkipCall, Inv: i})
 		p.shift(v, running)
-	case !unseen || v.tries > 3:
+	} else if !unseen || v.tries >= callTries {
 		p.giveUp(i)
 	}
 }
@@ -721,18 +642,14 @@
 func (p *Post) keepDeadlines() {
 	for _, i := range p.live {
 		v := &p.invs[i]
-		switch {
-		case v.state == ended:
-		case v.answered:
-			if v.state == running && p.now >= p.next {
-				p.stop(i)
-			}
-		case p.now >= v.due-answerMargin:
-			p.giveUp(i)
-		case v.state == running && p.plate.Halting != node.NoHalt && v.op.LateShare == 0 &&
-			float64(p.now) > p.objective(v):
+		futile := v.state == running && p.plate.Halting != node.NoHalt && v.op.LateShare == 0 &&
+			float64(p.now) > p.objective(v)
+		if v.state != ended && (futile || p.now >= v.due-answerMargin) {
 			p.giveUp(i)
 		}
+		if v.state == running && v.answered && p.now >= p.next {
+			p.letGo(i) // again: a stop has no effect while the cores stand still
+		}
 	}
 }
 
@@ -764,8 +681,8 @@
 			}
 		}
 		p.intakeEnd, p.drainEnd = math.MaxInt64, math.MaxInt64
-		p.do(node.Action{Kind: node.Health, Good: false, Stored: true})
-		p.next = p.now
+		p.unhealthy, p.next = true, p.now
+		p.tellHealth()
 	}
 	scale := min(1, max(0, float64(kill-killMargin-p.noticed)/float64(preDrain+drainBudget)))
 	p.intakeEnd = min(p.intakeEnd, p.noticed+min(int64(scale*float64(preDrain)), p.plate.DrainGrace))
@@ -785,8 +702,8 @@
 	}
 	if !p.reported {
 		p.reported = true
-		p.do(node.Action{Kind: node.Note, Text: fmt.Sprintf("drain: in flight at start %d, completed %d, abandoned %d",
-			p.atNotice, p.closed, p.abandoned)})
+		p.do(node.Action{Kind: node.Note, Text: fmt.Sprintf(
+			"drain: in flight at start %d, completed %d, abandoned %d", p.atNotice, p.closed, p.abandoned)})
 	}
 }
 
@@ -795,84 +712,64 @@
 // adjustHealth reports bad while draining or while this node alone does worse than is usual for it. A
 // fleet that is full is not unhealthy: callers would have nowhere to go.
 func (p *Post) adjustHealth() {
-	least, runs := math.Inf(1), 0
+	least := math.Inf(1)
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == running {
-			runs++
 			least = min(least, (v.spent+p.coreClock-v.since)/(v.base*v.op.usual.mean(1)))
 		}
 	}
-	p.stall = 0
-	if 2*runs > p.plate.Cores {
+	if p.stall = 0; 2*p.onCores > p.plate.Cores {
 		p.stall = least
 	}
-	was := p.healthy
-	switch pace := p.slowness(); {
-	case p.noticed != 0:
-		p.healthy = false
-	case pace > slowPace:
-		p.healthy = false
-	case pace < soundPace || p.said < 0:
-		p.healthy = true
+	was := p.unhealthy
+	if pace := p.slowness(); pace > slowPace || pace < soundPace {
+		p.unhealthy = pace > slowPace
 	}
-	if p.healthy != was {
-		p.do(node.Action{Kind: node.Health, Good: p.healthy, Stored: true})
+	if p.unhealthy = p.unhealthy || p.noticed != 0; p.unhealthy != was {
+		p.tellHealth()
 	}
 }
 
-// Advice.
+// tellHealth sets what checks are told; they are always answered from store, since a full one costs work.
+func (p *Post) tellHealth() { p.do(node.Action{Kind: node.Health, Good: !p.unhealthy, Stored: true}) }
 
-// tightest is the shortest latency objective.
-func (p *Post) tightest() float64 {
-	least := math.Inf(1)
-	for i := range p.ops {
-		least = min(least, float64(p.ops[i].Objective))
-	}
-	return least
-}
+// Advice.
 
 // adjustAdvice tells callers how much to send: less while the wait is long, more while it is short.
 func (p *Post) adjustAdvice() {
 	p.arrivals, p.echoes = p.arrivals*0.98, p.echoes*0.98
-	sum, squares := 0.0, 0.0
+	sum, squares := 0.0, 1e-9
 	for caller, n := range p.callers {
 		if p.callers[caller] = n * 0.98; n < 0.05 {
 			delete(p.callers, caller)
 		}
 		sum, squares = sum+math.Round(n), squares+math.Round(n)*math.Round(n)
 	}
-	p.spread = 1
-	if squares > 0 {
-		p.spread = sum * sum / squares
-	}
 	for t := range p.tenants {
 		p.tenants[t] *= 1 - float64(beat)/4e9
 	}
 	wait, top := p.wait(), creditTop*p.cores()
 	switch {
-	case wait > pressureHigh*p.tightest():
+	case wait > pressureHigh*p.tightest:
 		p.level = min(levelTop, p.level+levelUp)
 		p.credit = max(p.cores(), p.credit*(1-levelUp))
-	case wait < pressureLow*p.tightest():
+	case wait < pressureLow*p.tightest:
 		p.level = max(0, p.level-levelDown)
 		p.credit = min(top, p.credit+levelDown*top)
 	}
-	value := 0.0
+	value, away := 0.0, 0.0
 	switch p.plate.Advice {
 	case node.NoAdvice:
 		return
 	case node.LevelAdvice:
-		if value = p.level; p.noticed != 0 {
-			value = 1
-		}
+		value, away = p.level, 1
 	case node.CreditAdvice:
-		if value = p.credit / p.spread; p.noticed != 0 {
-			value = 0
-		}
+		value = p.credit / max(1, sum*sum/squares) // the callers that count, given how unequal they are
 	case node.WeightAdvice:
-		if value = p.credit / top; p.noticed != 0 {
-			value = 0
-		}
+		value = p.credit / top
+	}
+	if p.noticed != 0 {
+		value = away
 	}
 	if value = math.Round(value*100) / 100; value != p.said {
 		p.said = value
--- a/ember/plate.go
+++ b/ember/plate.go
@@ -93,8 +93,6 @@
 		TipMultiple: p.number("guarantees.tip_multiple"),
 		TipSpan:     p.time("guarantees.fall"),
 		DrainGrace:  p.time("guarantees.drain_grace"),
-		ComeBack:    p.flag("limits.retry_after"),
-		ComeBackMax: p.time("limits.max_retry_after"),
 		Halting: map[string]node.Halting{
 			"drop": node.DropHalt, "pause": node.PauseHalt}[p.text("family_info.halt")],
 		Advice: map[string]node.Advice{"min_rank": node.LevelAdvice, "tokens": node.CreditAdvice,
@@ -102,6 +100,9 @@
 		Below: map[string]node.Below{
 			"common": node.SharedBelow, "next_hop": node.TierBelow}[p.text("family_info.below")],
 	}
+	if p.flag("limits.retry_after") {
+		plate.Nameplate.ComeBackMax = p.time("limits.max_retry_after")
+	}
 	p.operationsInto(plate)
 	for i := range p.count("tenants") {
 		at := "tenants." + strconv.Itoa(i)
--- a/node/node.go
+++ b/node/node.go
@@ -83,8 +83,7 @@
 	TipMultiple float64
 	TipSpan     int64
 	DrainGrace  int64
-	ComeBack    bool
-	ComeBackMax int64
+	ComeBackMax int64 // 0 where none may be named
 }
 
 // EventKind names what happened.
