--- a/control/control.go
+++ b/control/control.go
@@ -39,8 +39,7 @@
 	tierCalls    = 4    // calls in hand for each core where a whole tier lies below
 	freeBusy     = 0.9  // busy fraction of the cores under which they count as free
 	limitGrowth  = 0.25 // step up of the running limit while cores are free and work waits
-	limitBackoff = 0.8  // step down of the running limit when throughput drops
-	dropped      = 0.85 // of the best throughput at a lower limit: under this it dropped
+	limitBackoff = 0.8  // part of the best throughput at a lower limit that counts as a drop; the step down
 
 	restTail     = 0.4   // of its expected cost that a run past its expectation still needs
 	pressureHigh = 0.35  // of the shortest objective: a longer wait asks callers for less
@@ -125,10 +124,10 @@
 	invs            []invocation
 	live            []int32 // not ended, in order of arrival
 	order           []int32 // the hold, in the order it is to run
-	tightest        float64 // ns, the shortest latency objective
+	tightest, cores float64 // ns of the shortest latency objective; how many cores there are
 
-	onCores, offCores, inHand int // off the cores are those standing or calling, in hand the calls
-	memory, recordKB          float64
+	onCores, offCores, inHand int     // off the cores are those standing or calling, in hand the calls
+	memory                    float64 // kB of what is held and run
 	records                   []int64 // when kept records end
 	coreClock                 float64 // ns that a run on the cores has had of one whole core since birth
 	busy, reading             float64 // busy part of the cores, and how many others want them
@@ -145,8 +144,9 @@
 	callTime   histogram // of late, over the shortest objective
 
 	noticed, intakeEnd, drainEnd int64
-	atNotice, closed, abandoned  int
-	reported, unhealthy          bool
+	opened, closed               int // invocations ever read, and ended
+	atNotice, closedBefore       int // in flight and ended at the notice
+	unhealthy                    bool
 
 	level, credit, said float64
 	arrivals, echoes    float64           // echoes are further tries among the arrivals
@@ -157,7 +157,8 @@
 // New makes the decisions' state of a node that has just started.
 func New(plate *node.Nameplate, now int64) *Post {
 	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
-		limit: float64(plate.Cores), credit: creditTop * float64(plate.Cores), said: -1, windowAt: now,
+		cores: float64(plate.Cores), limit: float64(plate.Cores), credit: creditTop * float64(plate.Cores),
+		said: -1, windowAt: now,
 		callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)),
 		tightest: math.Inf(1)}
 	for i := range plate.Operations {
@@ -170,9 +171,6 @@
 // Decide is the one entry point: it takes what happened at a moment and returns what to do.
 func (p *Post) Decide(now int64, events []node.Event) []node.Action {
 	p.out = p.out[:0]
-	if p.said < 0 {
-		p.tellHealth()
-	}
 	p.advance(now)
 	for i := range events {
 		p.take(&events[i])
@@ -191,23 +189,21 @@
 		p.adjustAdvice()
 	}
 	p.live = slices.DeleteFunc(p.live, func(i int32) bool {
-		if p.invs[i].state == ended {
-			p.do(node.Action{Kind: node.Release, Inv: i})
-			return true
+		if p.invs[i].state != ended {
+			return false
 		}
-		return false
+		p.do(node.Action{Kind: node.Release, Inv: i})
+		return true
 	})
 	return p.out
 }
 
 func (p *Post) do(a node.Action) { p.out = append(p.out, a) }
 
-func (p *Post) cores() float64 { return float64(p.plate.Cores) }
-
 // advance moves the clocks: that of the cores, which all runs share, and that of the calls in hand.
 func (p *Post) advance(now int64) {
 	dt := float64(now - p.now)
-	p.coreClock += dt * min(1, p.cores()/max(1, float64(p.onCores)+p.reading))
+	p.coreClock += dt * min(1, p.cores/max(1, float64(p.onCores)+p.reading))
 	share := callRoom * p.plate.CallShare / 2
 	p.callBudget -= dt * float64(p.inHand+len(p.lingering))
 	p.callBudget = min(p.callBudget+dt*share, share*float64(p.plate.CallSpan))
@@ -237,10 +233,10 @@
 	case e.Kind == node.CallerGone:
 		v.answered = true
 		p.letGo(i)
-	case e.Kind == node.CallWanted && v.state == running:
+	case e.Kind == node.CallWanted:
 		p.shift(v, standing)
-	case e.Kind == node.CallEnded && v.state == calling:
-		p.callEnded(i, e.Outcome)
+	case e.Kind == node.CallEnded:
+		p.callEnded(v, e.Outcome)
 	case e.Kind == node.RunEnded:
 		p.runEnded(i, e.Outcome)
 	}
@@ -258,19 +254,20 @@
 
 // weigh counts an invocation in or out of what its state takes up.
 func (p *Post) weigh(v *invocation, by int) {
-	kb := v.kb * p.plate.Blowup
+	kb := v.kb
+	if v.state >= running {
+		kb *= p.plate.Blowup
+	}
 	switch v.state {
 	case ended:
-		kb = 0
-	case held, joined:
-		kb = v.kb
+		return
 	case running:
 		p.onCores += by
-	case standing, calling:
-		p.offCores += by
-	}
-	if v.state == calling {
+	case calling:
 		p.inHand += by
+		p.offCores += by
+	case standing:
+		p.offCores += by
 	}
 	p.memory += float64(by) * kb
 }
@@ -297,6 +294,7 @@
 		v.due = v.arrived + op.ClientTimeout
 	}
 	p.live = append(p.live, e.Inv)
+	p.opened++
 	p.shift(v, held)
 	p.lag += (float64(e.Age) - p.lag) / 8
 	p.arrivals++
@@ -324,15 +322,16 @@
 // record keeps an invocation in the table so that repeats find it. Guards against a second effect; a
 // tokened invocation that finds no room is turned away unrun, a shared read goes on unshared.
 func (p *Post) record(i int32, until int64) {
-	if p.recordKB+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
+	if p.recordKB()+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
 		p.do(node.Action{Kind: node.Record, Inv: i, For: until - p.now})
 		p.records = append(p.records, until)
-		p.recordKB += p.plate.EntryKB
 	} else if p.invs[i].op.Effect == node.Tokened {
 		p.giveUp(i)
 	}
 }
 
+func (p *Post) recordKB() float64 { return float64(len(p.records)) * p.plate.EntryKB }
+
 // giveUp gives the final answer to what will not be served, at once.
 func (p *Post) giveUp(i int32) {
 	v := &p.invs[i]
@@ -341,7 +340,9 @@
 	}
 	v.answered = true
 	if v.state == held && !v.ran {
-		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: p.fleetFull(v)})
+		// A sound node that is full amid further tries takes it that other nodes are full as well.
+		full := !p.unhealthy && (v.further || p.echoes > echoShare*p.arrivals)
+		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: full})
 	} else {
 		p.do(node.Action{Kind: node.Fail, Inv: i})
 	}
@@ -367,12 +368,7 @@
 		return p.plate.ComeBackMax
 	}
 	spread := 0.5 + p.chance.Float64() // so that those turned away together do not come back together
-	return min(p.plate.ComeBackMax, int64(spread*max(0, p.wait()-pressureLow*p.tightest)))
-}
-
-// fleetFull says that another node would do no better: this one is sound, yet full, and other tries come in.
-func (p *Post) fleetFull(v *invocation) bool {
-	return !p.unhealthy && (v.further || p.echoes > echoShare*p.arrivals)
+	return min(p.plate.ComeBackMax, int64(spread*p.wait()))
 }
 
 // Order of the hold.
@@ -390,8 +386,7 @@
 func (p *Post) slowness() float64 { return max(p.pace.mean(1), p.stall) }
 
 // work is the core time that those in a state still need.
-func (p *Post) work(of state) float64 {
-	sum := 0.0
+func (p *Post) work(of state) (sum float64) {
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == of {
 			sum += p.expected(v)
@@ -401,7 +396,7 @@
 }
 
 // freeCores is what reading and checks leave to runs.
-func (p *Post) freeCores() float64 { return max(p.cores()/2, p.cores()-p.reading) }
+func (p *Post) freeCores() float64 { return max(p.cores/2, p.cores-p.reading) }
 
 // wait is how long the hold would take to clear, with the time that arrivals lay unread.
 func (p *Post) wait() float64 { return p.work(held)/p.freeCores() + p.lag + p.callWait() }
@@ -416,7 +411,7 @@
 	if p.plate.Below == node.SharedBelow {
 		return max(1, math.Floor(callRoom*p.plate.CallShare))
 	}
-	return tierCalls * p.cores()
+	return tierCalls * p.cores
 }
 
 func (p *Post) objective(v *invocation) float64 {
@@ -448,7 +443,7 @@
 	p.order = slices.DeleteFunc(p.order, func(i int32) bool {
 		v := &p.invs[i]
 		end := p.ends(v)
-		if p.onCores >= p.plate.Cores || i != p.order[0] {
+		if float64(p.onCores) >= p.cores || i != p.order[0] {
 			end += ahead / p.freeCores()
 		}
 		if v.key <= 0 || end > p.objective(v) && (v.op.LateShare == 0 || end > float64(v.due-answerMargin)) {
@@ -471,14 +466,14 @@
 
 // withinShare is the expected part of full value for a tenant that may be over its share of the fleet.
 func (p *Post) withinShare(tenant int32) float64 {
-	if tenant < 0 || p.plate.TenantRates[tenant] <= 0 {
+	if tenant < 0 {
 		return 1
 	}
-	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers))
-	if rate := p.tenants[tenant]; rate > share {
-		return (share + (rate-share)*p.plate.OverShare) / rate
+	rate, share := p.tenants[tenant], p.plate.TenantRates[tenant]/float64(max(1, p.plate.Peers))
+	if share <= 0 || rate <= share {
+		return 1
 	}
-	return 1
+	return (share + (rate-share)*p.plate.OverShare) / rate
 }
 
 // Running limit.
@@ -486,11 +481,11 @@
 // survivable is the crowd on the cores that is safe now, at the slowest warm-up that is guaranteed.
 func (p *Post) survivable() float64 {
 	warm := 1.0
-	if p.plate.Fresh && p.plate.WarmAfter > 0 {
-		part := min(1, float64(p.now-p.born)/float64(p.plate.WarmAfter))
-		warm = p.plate.ColdFrom + (1-p.plate.ColdFrom)*part
+	if p.plate.Fresh {
+		age := float64(p.now-p.born) / float64(max(1, p.plate.WarmAfter))
+		warm = min(1, p.plate.ColdFrom+(1-p.plate.ColdFrom)*age)
 	}
-	return crowdRoom * p.cores() * (1 + (p.plate.TipMultiple-1)*warm)
+	return crowdRoom * p.cores * (1 + (p.plate.TipMultiple-1)*warm)
 }
 
 // startRuns starts the hold in order under the limit. What returns from a call goes onto the cores
@@ -503,10 +498,7 @@
 			return
 		}
 		more := v.kb * (p.plate.Blowup - 1)
-		if v.state == paused {
-			more = 0
-		}
-		if v.answered || v.state == ended || p.memory+p.recordKB+more > memoryRoom*p.plate.MemoryKB {
+		if v.state == held && p.memory+p.recordKB()+more > memoryRoom*p.plate.MemoryKB {
 			continue
 		}
 		v.ran = true
@@ -523,18 +515,18 @@
 	}
 	if p.now-p.windowAt >= 20*beat {
 		rate := p.workDone / float64(p.now-p.windowAt)
-		if p.limit > p.cores() && waiting && rate < dropped*p.throughput {
+		if p.limit > p.cores && waiting && rate < limitBackoff*p.throughput {
 			p.limit *= limitBackoff
 		}
-		if p.limit <= p.cores() || rate > p.throughput {
+		if p.limit <= p.cores || rate > p.throughput {
 			p.throughput = rate
 		}
 		p.workDone, p.windowAt = 0, p.now
 	}
-	if p.limit > p.cores() && p.busy > freeBusy {
+	if p.limit > p.cores && p.busy > freeBusy {
 		p.limit -= limitGrowth
 	}
-	p.limit = max(p.cores(), min(p.limit, p.survivable()))
+	p.limit = max(p.cores, min(p.limit, p.survivable()))
 }
 
 // runEnded closes a run and learns what it cost.
@@ -548,8 +540,7 @@
 		p.lingering = append(p.lingering, p.now+p.plate.Linger)
 	}
 	own, usual := v.state != joined, v.base*v.op.usual.mean(1)
-	p.end(i)
-	if own && (outcome == node.Succeeded || v.spent > usual) {
+	if p.end(i); own && (outcome == node.Succeeded || v.spent > usual) {
 		p.pace.add(v.spent/usual, shortMemory)
 		v.op.usual.add(v.spent/v.base, longMemory)
 		p.workDone += usual
@@ -559,8 +550,9 @@
 // Calls.
 
 // makeCalls makes the calls that invocations stand at, within this node's share: the highest billed value
-// first, then the oldest. What cannot end in time even if called now is given up. Guards against a slow
-// dependency that every run waits for until none of them is in time; the hold counts the wait as well.
+// first, then the oldest. Where that is allowed a call is left out that failed, or is likely to fail or to
+// come too late; else what cannot end in time even if called now is given up. Guards against a dependency
+// so slow that every run waits for it until none is in time; the hold counts the wait as well.
 func (p *Post) makeCalls() {
 	p.order = p.order[:0]
 	for _, i := range p.live {
@@ -571,21 +563,20 @@
 	}
 	p.sortOrder()
 	for _, i := range p.order {
-		v := &p.invs[i]
-		room := p.callRoom()
-		until := min(v.due-answerMargin, p.now+room)
-		if v.op.SkipShare > 0 {
-			until = min(until, int64(p.objective(v)-p.expected(v)))
-			if until <= p.now || p.chance.Float64() < min(skipMost, p.callFails.mean(0)) {
-				p.do(node.Action{Kind: node.SkipCall, Inv: i})
-				p.shift(v, running)
-				continue
-			}
-		} else if v.op.LateShare == 0 && float64(p.now)+p.callTime.mean(0)*p.tightest > p.objective(v) {
-			p.giveUp(i)
-			continue
+		v, room := &p.invs[i], p.callRoom()
+		until, failed := min(v.due-answerMargin, p.now+room), v.tries >= callTries
+		skippable, latest := v.op.SkipShare > 0, int64(p.objective(v)-p.expected(v))
+		if skippable {
+			until = min(until, latest)
 		}
-		if room > 0 && until > p.now {
+		switch {
+		case skippable && (failed || latest <= p.now || p.chance.Float64() < min(skipMost, p.callFails.mean(0))):
+			p.do(node.Action{Kind: node.SkipCall, Inv: i})
+			p.shift(v, running)
+		case failed, !skippable && v.op.LateShare == 0 &&
+			float64(p.now)+p.callTime.mean(0)*p.tightest > p.objective(v):
+			p.giveUp(i)
+		case room > 0 && until > p.now:
 			v.callAt = p.now
 			v.tries++
 			p.do(node.Action{Kind: node.Call, Inv: i, At: until})
@@ -611,29 +602,23 @@
 	return math.MaxInt64 / 4
 }
 
-// callEnded repeats a call only where it is known not to have run; else it is left out or the run fails.
-func (p *Post) callEnded(i int32, outcome node.Outcome) {
-	v := &p.invs[i]
+// callEnded learns how calls go; one that failed is repeated only where it is known not to have run.
+func (p *Post) callEnded(v *invocation, outcome node.Outcome) {
 	took := float64(p.now - v.callAt)
 	p.callTime.add(took/p.tightest, shortMemory)
 	if outcome == node.Succeeded {
 		v.op.away.add(took/float64(v.op.Objective), longMemory)
 		p.callFails.add(0, shortMemory)
+		v.tries = 0
 		p.shift(v, running)
 		return
 	}
 	p.callFails.add(1, shortMemory)
 	p.shift(v, standing)
-	unseen := outcome == node.Overloaded || outcome == node.Unreachable
-	if !unseen {
+	if outcome != node.Overloaded && outcome != node.Unreachable {
+		v.tries = callTries
 		p.lingering = append(p.lingering, p.now+p.plate.Linger)
 	}
-	if v.op.SkipShare > 0 && !v.answered {
-		p.do(node.Action{Kind: node.SkipCall, Inv: i})
-		p.shift(v, running)
-	} else if !unseen || v.tries >= callTries {
-		p.giveUp(i)
-	}
 }
 
 // Deadlines.
@@ -655,17 +640,12 @@
 
 // keepMemory turns away the end of the hold before memory runs out, and forgets records that ended.
 func (p *Post) keepMemory() {
-	for k := len(p.order) - 1; k >= 0 && p.memory+p.recordKB > memoryBrim*p.plate.MemoryKB; k-- {
+	p.records = slices.DeleteFunc(p.records, func(until int64) bool { return until < p.now })
+	for k := len(p.order) - 1; k >= 0 && p.memory+p.recordKB() > memoryBrim*p.plate.MemoryKB; k-- {
 		if p.invs[p.order[k]].state == held {
 			p.giveUp(p.order[k])
 		}
 	}
-	p.records = slices.DeleteFunc(p.records, func(until int64) bool {
-		if until < p.now {
-			p.recordKB -= p.plate.EntryKB
-		}
-		return until < p.now
-	})
 }
 
 // Drain.
@@ -674,12 +654,7 @@
 // durations shrink in proportion where the told kill leaves less.
 func (p *Post) drain(kill int64) {
 	if p.noticed == 0 {
-		p.noticed, p.atNotice, p.closed = p.now, 0, 0
-		for _, i := range p.live {
-			if p.invs[i].state != ended {
-				p.atNotice++
-			}
-		}
+		p.noticed, p.atNotice, p.closedBefore = p.now, p.opened-p.closed, p.closed
 		p.intakeEnd, p.drainEnd = math.MaxInt64, math.MaxInt64
 		p.unhealthy, p.next = true, p.now
 		p.tellHealth()
@@ -694,38 +669,36 @@
 	if p.noticed == 0 || p.now < p.drainEnd {
 		return
 	}
+	abandoned, completed := 0, p.closed-p.closedBefore
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state != ended && !v.answered {
-			p.abandoned++
+			abandoned++
 			p.giveUp(i)
 		}
 	}
-	if !p.reported {
-		p.reported = true
-		p.do(node.Action{Kind: node.Note, Text: fmt.Sprintf(
-			"drain: in flight at start %d, completed %d, abandoned %d", p.atNotice, p.closed, p.abandoned)})
-	}
+	p.drainEnd = math.MaxInt64
+	p.do(node.Action{Kind: node.Note, Text: fmt.Sprintf(
+		"drain: in flight at start %d, completed %d, abandoned %d", p.atNotice, completed, abandoned)})
 }
 
 // Health.
 
-// adjustHealth reports bad while draining or while this node alone does worse than is usual for it. A
-// fleet that is full is not unhealthy: callers would have nowhere to go.
+// adjustHealth reports bad while draining or while this node does worse than is usual for it. One that is
+// merely full is not unhealthy: were all full, callers would have nowhere to go.
 func (p *Post) adjustHealth() {
-	least := math.Inf(1)
+	p.stall = 0
 	for _, i := range p.live {
-		if v := &p.invs[i]; v.state == running {
-			least = min(least, (v.spent+p.coreClock-v.since)/(v.base*v.op.usual.mean(1)))
+		v := &p.invs[i]
+		stay := (v.spent + p.coreClock - v.since) / (v.base * v.op.usual.mean(1))
+		if v.state == running && 2*float64(p.onCores) > p.cores && (p.stall == 0 || stay < p.stall) {
+			p.stall = stay
 		}
 	}
-	if p.stall = 0; 2*p.onCores > p.plate.Cores {
-		p.stall = least
-	}
 	was := p.unhealthy
 	if pace := p.slowness(); pace > slowPace || pace < soundPace {
 		p.unhealthy = pace > slowPace
 	}
-	if p.unhealthy = p.unhealthy || p.noticed != 0; p.unhealthy != was {
+	if p.unhealthy = p.unhealthy || p.noticed != 0; p.unhealthy != was || p.said < 0 {
 		p.tellHealth()
 	}
 }
@@ -748,31 +721,28 @@
 	for t := range p.tenants {
 		p.tenants[t] *= 1 - float64(beat)/4e9
 	}
-	wait, top := p.wait(), creditTop*p.cores()
+	wait, top := p.wait(), creditTop*p.cores
 	switch {
 	case wait > pressureHigh*p.tightest:
 		p.level = min(levelTop, p.level+levelUp)
-		p.credit = max(p.cores(), p.credit*(1-levelUp))
+		p.credit = max(p.cores, p.credit*(1-levelUp))
 	case wait < pressureLow*p.tightest:
 		p.level = max(0, p.level-levelDown)
 		p.credit = min(top, p.credit+levelDown*top)
 	}
-	value, away := 0.0, 0.0
+	value, away := p.level, 1.0
 	switch p.plate.Advice {
-	case node.NoAdvice:
-		return
-	case node.LevelAdvice:
-		value, away = p.level, 1
 	case node.CreditAdvice:
-		value = p.credit / max(1, sum*sum/squares) // the callers that count, given how unequal they are
+		value, away = p.credit/max(1, sum*sum/squares), 0 // by the callers that count, unequal as they are
 	case node.WeightAdvice:
-		value = p.credit / top
+		value, away = p.credit/top, 0
 	}
 	if p.noticed != 0 {
 		value = away
 	}
-	if value = math.Round(value*100) / 100; value != p.said {
-		p.said = value
+	value = math.Round(value*100) / 100
+	if value != p.said && p.plate.Advice != node.NoAdvice {
 		p.do(node.Action{Kind: node.Advise, Value: value})
 	}
+	p.said = value
 }
