--- a/control/control.go
+++ b/control/control.go
@@ -446,7 +446,7 @@
 		if float64(p.onCores) >= p.cores || i != p.order[0] {
 			end += ahead / p.freeCores()
 		}
-		if v.key <= 0 || end > p.objective(v) && (v.op.LateShare == 0 || end > float64(v.due-answerMargin)) {
+		if end > p.objective(v) && (v.op.LateShare == 0 || end > float64(v.due-answerMargin)) {
 			p.giveUp(i)
 			return true
 		}
--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,274 @@
+package control
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"topazpost/node"
+)
+
+func TestDueRunIsErroredThenStopped(t *testing.T) {
+	p := post()
+	v := put(p, 0, running)
+	v.due = p.now + answerMargin
+	p.keepDeadlines()
+	assert.Equal(t, []node.ActionKind{node.Fail, node.Stop, node.Stop}, kinds(p))
+	assert.True(t, v.answered)
+}
+
+func TestRunPastItsObjectiveGoesOnWhereItCannotBeStopped(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Halting = node.NoHalt })
+	v := put(p, 0, running)
+	v.arrived -= 2_000 * ms
+	p.keepDeadlines()
+	assert.Empty(t, p.out)
+}
+
+func TestHopelessIsThrottledAtOnceWithATimeToComeBack(t *testing.T) {
+	p := post()
+	p.lag = float64(300 * ms)
+	v := put(p, 0, held)
+	v.arrived -= 950 * ms
+	p.orderHold()
+	assert.Equal(t, []node.ActionKind{node.Throttle}, kinds(p))
+	assert.Positive(t, p.out[0].For)
+	assert.Equal(t, ended, v.state)
+}
+
+func TestHoldPutsValueForCoreTimeFirst(t *testing.T) {
+	p := post()
+	put(p, 0, held)
+	put(p, 1, held)
+	big := put(p, 1, held)
+	big.base *= 3
+	p.orderHold()
+	assert.Equal(t, []int32{1, 2, 0}, p.order)
+}
+
+func TestTenantOverItsShareComesAfterOthers(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.TenantRates = []float64{2, 2}; n.OverShare = 0.1 })
+	p.tenants = []float64{10, 1}
+	assert.InDelta(t, (1+9*0.1)/10, p.withinShare(0), 1e-9)
+	assert.Equal(t, 1.0, p.withinShare(1))
+}
+
+func TestTokenedIsRecordedBeforeItRuns(t *testing.T) {
+	p := post()
+	out := p.Decide(start, []node.Event{{Kind: node.Arrived, Inv: 0, Operation: 1, Tenant: -1,
+		Repeats: node.NoRepeat, HeldKB: 10}})
+	assert.Equal(t, node.Record, out[0].Kind)
+	assert.Equal(t, 5_000*ms, out[0].For)
+	assert.Equal(t, node.Run, out[1].Kind)
+}
+
+func TestTokenedWithoutRoomInTheTableIsThrottledUnrun(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.EntryKB = 300 })
+	put(p, 1, held)
+	p.record(0, p.now+5_000*ms)
+	assert.Equal(t, []node.ActionKind{node.Throttle}, kinds(p))
+}
+
+func TestRepeatOfWhatRanIsReused(t *testing.T) {
+	p := post()
+	p.intake(&node.Event{Kind: node.Arrived, Operation: 1, Tenant: -1, Repeats: node.EndedRepeat, HeldKB: 10})
+	assert.Equal(t, []node.ActionKind{node.Reuse}, kinds(p))
+}
+
+func TestRepeatOfWhatRanIsErroredNotThrottledOnceIntakeEnded(t *testing.T) {
+	p := post()
+	p.noticed, p.intakeEnd = p.now-ms, p.now
+	p.intake(&node.Event{Kind: node.Arrived, Operation: 1, Tenant: -1, Repeats: node.EndedRepeat, HeldKB: 10})
+	assert.Equal(t, []node.ActionKind{node.Fail}, kinds(p))
+}
+
+func TestCallIsRepeatedOnlyIfKnownNotToHaveRun(t *testing.T) {
+	for outcome, want := range map[node.Outcome]node.ActionKind{node.Overloaded: node.Call,
+		node.Unreachable: node.Call, node.TimedOut: node.Fail, node.Broken: node.Fail, node.Errored: node.Fail} {
+		p := post()
+		v := put(p, 1, calling)
+		v.callAt = p.now
+		p.callEnded(v, outcome)
+		p.makeCalls()
+		assert.Equal(t, []node.ActionKind{want}, kinds(p), "outcome %d", outcome)
+	}
+}
+
+func TestFailedCallIsLeftOutWhereAllowed(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Operations[0].SkipShare = 0.5 })
+	v := put(p, 0, standing)
+	v.tries = callTries
+	p.makeCalls()
+	assert.Equal(t, []node.ActionKind{node.SkipCall}, kinds(p))
+	assert.Equal(t, running, v.state)
+}
+
+func TestCallsInHandKeepTheShareHighestValueFirst(t *testing.T) {
+	p := post()
+	for _, op := range []int{0, 0, 1} {
+		put(p, op, standing)
+	}
+	p.makeCalls()
+	assert.Equal(t, []node.ActionKind{node.Call, node.Call}, kinds(p))
+	assert.Equal(t, []int32{2, 0}, []int32{p.out[0].Inv, p.out[1].Inv})
+}
+
+func TestShareBelowOneIsKeptAsAMean(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.CallShare = 0.5 })
+	assert.LessOrEqual(t, p.callRoom(), int64(0), "the budget starts empty")
+	p.advance(p.now + 4_000*ms)
+	assert.InDelta(t, float64(900*ms), float64(p.callRoom()), 1e3)
+	put(p, 0, calling)
+	p.advance(p.now + 1_000*ms)
+	assert.LessOrEqual(t, p.callRoom(), int64(0))
+}
+
+// The incident of boutique-brest on which every call was made for work already too late.
+func TestSlowDependencyHoldsBackStarts(t *testing.T) {
+	p := post()
+	for range 6 {
+		p.callTime.add(0.5, shortMemory)
+		put(p, 0, standing)
+	}
+	put(p, 0, held)
+	p.orderHold()
+	assert.Equal(t, []node.ActionKind{node.Throttle}, kinds(p))
+	p.out = p.out[:0]
+	p.now += 900 * ms
+	p.makeCalls()
+	assert.Equal(t, node.Fail, p.out[0].Kind)
+}
+
+func TestCrowdIsTighterWhileCold(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Fresh = true; n.ColdFrom = 0.2; n.WarmAfter = 10_000 * ms })
+	assert.InDelta(t, crowdRoom*2*(1+3*0.2), p.survivable(), 1e-9)
+	p.now += 20_000 * ms
+	assert.InDelta(t, crowdRoom*2*4, p.survivable(), 1e-9)
+}
+
+func TestThoseAtCallsCountTowardsTheCrowd(t *testing.T) {
+	p := post()
+	for range 6 {
+		put(p, 0, standing)
+	}
+	put(p, 0, held)
+	p.order = []int32{6}
+	p.startRuns()
+	assert.Empty(t, p.out)
+}
+
+func TestMemoryStopsStartsAndTurnsAwayTheEndOfTheHold(t *testing.T) {
+	p := post()
+	for range 2 {
+		put(p, 0, held).kb = 480
+	}
+	p.memory, p.order = 960, []int32{0, 1}
+	p.startRuns()
+	assert.Empty(t, p.out)
+	p.keepMemory()
+	assert.Equal(t, []node.ActionKind{node.Throttle}, kinds(p))
+	assert.Equal(t, int32(1), p.out[0].Inv)
+}
+
+func TestLimitGrowsWhileCoresAreFreeAndFallsWithThroughput(t *testing.T) {
+	p := post()
+	put(p, 0, held)
+	p.order, p.onCores, p.busy = []int32{0}, 2, 0.5
+	p.adjustLimit()
+	assert.Equal(t, 3.0, p.limit)
+	p.busy, p.throughput, p.onCores, p.now = freeBusy, 1, 3, p.now+20*beat
+	p.adjustLimit()
+	assert.InDelta(t, 3*limitBackoff, p.limit, 1e-9)
+	p.limit = 0
+	p.adjustLimit()
+	assert.Equal(t, 2.0, p.limit, "the core count is the floor")
+}
+
+func TestNoticeTurnsHealthBadAndScalesBothDurations(t *testing.T) {
+	p := post()
+	put(p, 0, running)
+	p.drain(p.now + killMargin + 5_000*ms)
+	assert.Equal(t, []node.ActionKind{node.Health}, kinds(p))
+	assert.False(t, p.out[0].Good)
+	assert.Equal(t, 1, p.atNotice)
+	assert.Equal(t, p.now+1_000*ms, p.intakeEnd)
+	assert.Equal(t, p.now+5_000*ms, p.drainEnd)
+}
+
+func TestIntakeEndsWithinTheGraceAndASecondNoticeNeverExtends(t *testing.T) {
+	p := post()
+	p.drain(p.now + 60_000*ms)
+	assert.Equal(t, p.now+2_000*ms, p.intakeEnd)
+	p.now += 1_000 * ms
+	p.drain(p.now + 90_000*ms)
+	assert.Equal(t, p.noticed+2_000*ms, p.intakeEnd)
+}
+
+func TestDrainDeadlineAbortsAndCountsTheRest(t *testing.T) {
+	p := post()
+	put(p, 0, running)
+	put(p, 0, held)
+	p.noticed, p.drainEnd, p.atNotice, p.closed = p.now-ms, p.now, 3, 2
+	p.keepDrain()
+	assert.Equal(t, []node.ActionKind{node.Fail, node.Stop, node.Throttle, node.Note}, kinds(p))
+	assert.Equal(t, "drain: in flight at start 3, completed 2, abandoned 2", p.out[3].Text)
+}
+
+func TestStalledRunsTurnHealthBadBeforeAnyEnds(t *testing.T) {
+	p := post()
+	put(p, 0, running)
+	put(p, 0, running)
+	p.coreClock += float64(500 * ms)
+	p.adjustHealth()
+	assert.True(t, p.unhealthy)
+}
+
+func TestAFullHoldIsNotUnhealthyButAsksForLess(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Advice = node.LevelAdvice })
+	for range 20 {
+		put(p, 0, held)
+	}
+	p.adjustHealth()
+	assert.False(t, p.unhealthy)
+	p.adjustAdvice()
+	assert.InDelta(t, levelUp, p.level, 1e-9)
+}
+
+func TestDrainAdvisesCallersAway(t *testing.T) {
+	for advice, want := range map[node.Advice]float64{node.LevelAdvice: 1, node.CreditAdvice: 0, node.WeightAdvice: 0} {
+		p := post(func(n *node.Nameplate) { n.Advice = advice })
+		p.noticed = p.now
+		p.adjustAdvice()
+		assert.Equal(t, want, p.out[0].Value)
+	}
+}
+
+func TestLateEventsOnEndedInvocationsDoNothing(t *testing.T) {
+	p := post()
+	put(p, 0, held)
+	p.end(0)
+	for kind := node.CallerGone; kind <= node.RunEnded; kind++ {
+		if kind != node.DrainNotice && kind != node.TimerDue {
+			p.take(&node.Event{Kind: kind})
+		}
+	}
+	assert.Empty(t, p.out)
+	assert.Equal(t, 1, p.closed)
+}
+
+func TestPausedRunKeepsItsMemoryAndResumes(t *testing.T) {
+	p := post()
+	v := put(p, 0, running)
+	p.runEnded(0, node.Withdrawn)
+	assert.Equal(t, paused, v.state)
+	assert.Equal(t, 40.0, p.memory)
+}
+
+func TestHistogramIsHalved(t *testing.T) {
+	var h histogram
+	for range 9 {
+		h.add(2, 8)
+	}
+	assert.InDelta(t, 4.5, h.total, 1e-9)
+	assert.InDelta(t, (1+4.5*2)/5.5, h.mean(1), 1e-9)
+}
--- /dev/null
+++ b/ember/ember_test.go
@@ -0,0 +1,61 @@
+package ember
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/node"
+)
+
+func split(line string) []string { return strings.Split(line, "\t") }
+
+func host(t *testing.T) *Host {
+	plate, err := ReadPlate(split("PROVISION\t7\tgrades.count=1\tgrades.0.name=catalogue\tgrades.0.aim=1700.0\t" +
+		"family_info.gauges=cpu_busy,runnable\ttenants=\tunknown.key=x"))
+	require.NoError(t, err)
+	return NewHost(plate)
+}
+
+const item = "WORK_ITEM\t9\t-\t1.85\t0.625\t17\t-\t3\t-\tcatalogue\t-\t12.0\t24.5"
+
+func TestArrivalIsRead(t *testing.T) {
+	e, live, err := host(t).Event(split(item))
+	require.NoError(t, err)
+	assert.True(t, live)
+	assert.Equal(t, node.Event{Kind: node.Arrived, Age: 1_850_000, Rank: 0.625, Caller: 17, Tenant: -1,
+		Repeats: node.NoRepeat, Further: true, Hint: 12_000_000, HeldKB: 24.5}, e)
+}
+
+func TestEventsOfIdsNoLongerLiveAreDropped(t *testing.T) {
+	h := host(t)
+	_, _, err := h.Event(split(item))
+	require.NoError(t, err)
+	h.Append(nil, []node.Action{{Kind: node.Release}})
+	_, live, err := h.Event(split("WORK_DONE\t9\tsuccess\t3.0"))
+	assert.NoError(t, err)
+	assert.False(t, live)
+}
+
+func TestMalformedLinesAreNamedErrors(t *testing.T) {
+	for _, line := range []string{"WORK_ITEM\t9\tx", "WORK_DONE\t9\tmaybe\t1", "NONSENSE\t1", "DUE\t-",
+		strings.Replace(item, "catalogue", "other", 1)} {
+		_, _, err := host(t).Event(split(line))
+		assert.ErrorContains(t, err, "ember: ")
+	}
+}
+
+func TestActionsAreWritten(t *testing.T) {
+	h := host(t)
+	_, _, err := h.Event(split(item))
+	require.NoError(t, err)
+	got := h.Append(nil, []node.Action{
+		{Kind: node.Throttle, For: 250_000_000, NoRetry: true}, {Kind: node.Call, At: 8_912_250_000},
+		{Kind: node.Health, Good: true, Stored: true}, {Kind: node.Advise, Value: 0.25},
+		{Kind: node.Timer, At: 1_000_500_000, Key: 77}, {Kind: node.Unrecord}, {Kind: node.CloseIdle, For: 10_000_000},
+	})
+	assert.Equal(t, "SAY_NO\t9\t250\t1\nGO_CALL\t9\t8912.25\nFITNESS\t1\t1\nSIGNAL\t0.25\nREMIND\t1000.5\t77\n"+
+		"UNPIN\t9\nIDLE\t10\n", string(got))
+}
