--- a/control/control.go
+++ b/control/control.go
@@ -29,7 +29,7 @@
 
 	binCount    = 28   // bins of half an octave: ratios of 1/128 to 128, coarse yet within a fifth
 	longMemory  = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
-	shortMemory = 8.0  // samples kept of the present pace: a second of a small node
+	shortMemory = 8.0  // samples kept of the present: a second of a small node
 
 	crowdRoom    = 0.75 // of the survivable crowd: the rest is room for returns from calls and for pauses
 	memoryRoom   = 0.85 // of the memory that runs and records may take; the rest is the hold's
@@ -48,6 +48,8 @@
 	levelDown    = 0.015 // step of the level for each beat of low pressure
 	levelTop     = 0.95  // highest level outside a drain: some traffic must tell when trouble ends
 	creditTop    = 4.0   // outstanding invocations a core that credits start from
+	creditLow    = 0.1   // outstanding invocations a core granted to all callers at the least
+	creditDown   = 0.05  // part of the credit taken back for each beat of high pressure
 	slowPace     = 2.0   // times the usual cost past which the node itself counts as slow
 	soundPace    = 1.4   // times the usual cost under which it counts as sound again
 	echoShare    = 0.3   // of arrivals that are further tries past which other nodes turn work away too
@@ -95,8 +97,7 @@
 }
 
 func (h *histogram) add(ratio, memory float64) {
-	bin := int(math.Round(2*math.Log2(max(ratio, 1e-9)))) + binCount/2
-	h.bins[min(max(bin, 0), binCount-1)]++
+	h.bins[min(max(int(math.Round(2*math.Log2(max(ratio, 1e-9))))+binCount/2, 0), binCount-1)]++
 	if h.total++; h.total > memory {
 		for i := range h.bins {
 			h.bins[i] /= 2
@@ -156,15 +157,17 @@
 
 // New makes the decisions' state of a node that has just started.
 func New(plate *node.Nameplate, now int64) *Post {
+	cores := float64(plate.Cores)
 	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
-		cores: float64(plate.Cores), limit: float64(plate.Cores), credit: creditTop * float64(plate.Cores),
-		said: -1, windowAt: now,
-		callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)),
-		tightest: math.Inf(1)}
+		windowAt: now, cores: cores, limit: cores, credit: creditTop * cores, tightest: math.Inf(1), said: -1,
+		callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates))}
 	for i := range plate.Operations {
 		p.ops = append(p.ops, operation{Operation: &plate.Operations[i]})
 		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
 	}
+	if plate.Fresh {
+		p.level, p.credit = 1-plate.ColdFrom, plate.ColdFrom*p.credit
+	}
 	return p
 }
 
@@ -285,14 +288,9 @@
 		p.invs = append(p.invs, invocation{})
 	}
 	v, op := &p.invs[e.Inv], &p.ops[e.Operation]
-	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: p.now - e.Age, kb: e.HeldKB,
-		base: float64(e.Hint)}
-	if v.base <= 0 {
-		v.base = float64(op.Objective) / 8
-	}
-	if v.due = e.Due; v.due == 0 {
-		v.due = v.arrived + op.ClientTimeout
-	}
+	arrived := p.now - e.Age
+	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: arrived, kb: e.HeldKB,
+		due: cmp.Or(e.Due, arrived+op.ClientTimeout), base: float64(cmp.Or(e.Hint, op.Objective/8))}
 	p.live = append(p.live, e.Inv)
 	p.opened++
 	p.shift(v, held)
@@ -419,9 +417,8 @@
 }
 
 // orderHold ranks the hold by billed value for each unit of core time and gives up at once on what cannot
-// end in time to earn anything. Guards against work wasted on answers that come too late, whatever made
-// them late: overload, a slow node, a cold one. Does harm while costs are overestimated, as they are for a
-// moment after a few very large invocations.
+// end in time to earn anything. Guards against work wasted on answers too late, whatever made them late:
+// overload, a slow node, a cold one. Does harm while a few very large invocations inflate the costs.
 func (p *Post) orderHold() {
 	p.order = p.order[:0]
 	for _, i := range p.live {
@@ -536,7 +533,7 @@
 		p.shift(v, map[node.Halting]state{node.PauseHalt: paused, node.DropHalt: held}[p.plate.Halting])
 		return
 	}
-	if v.state == calling && v.answered {
+	if v.state == calling {
 		p.lingering = append(p.lingering, p.now+p.plate.Linger)
 	}
 	own, usual := v.state != joined, v.base*v.op.usual.mean(1)
@@ -725,16 +722,15 @@
 	switch {
 	case wait > pressureHigh*p.tightest:
 		p.level = min(levelTop, p.level+levelUp)
-		p.credit = max(p.cores, p.credit*(1-levelUp))
+		p.credit = max(creditLow*p.cores, p.credit*(1-creditDown))
 	case wait < pressureLow*p.tightest:
 		p.level = max(0, p.level-levelDown)
 		p.credit = min(top, p.credit+levelDown*top)
 	}
 	value, away := p.level, 1.0
-	switch p.plate.Advice {
-	case node.CreditAdvice:
+	if p.plate.Advice == node.CreditAdvice {
 		value, away = p.credit/max(1, sum*sum/squares), 0 // by the callers that count, unequal as they are
-	case node.WeightAdvice:
+	} else if p.plate.Advice == node.WeightAdvice {
 		value, away = p.credit/top, 0
 	}
 	if p.noticed != 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -272,3 +272,10 @@
 	assert.InDelta(t, 4.5, h.total, 1e-9)
 	assert.InDelta(t, (1+4.5*2)/5.5, h.mean(1), 1e-9)
 }
+
+// The incident of pret-quimper on which fresh nodes were flooded before their first answers.
+func TestColdStartInvitesLess(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Fresh = true; n.ColdFrom = 0.25 })
+	assert.Equal(t, 0.75, p.level)
+	assert.Equal(t, 0.25*creditTop*2, p.credit)
+}
