Running limit: reading and checks count towards it, one run always let on

Each node had 6 runs and 6 readings on 6 cores, work lay unread for 2 s and runs took seconds; told from a slow dependency by busy cores, from a slow node by all nodes alike. Counting reading towards the limit keeps the total near the core count and lets the line of unread work clear.

--- a/control/control.go
+++ b/control/control.go
@@ -486,12 +486,14 @@
 }
 
 // startRuns starts the hold in order under the limit. What returns from a call goes onto the cores
-// unasked, so those off the cores count towards the survivable crowd as load to come.
+// unasked, so those off the cores count towards the survivable crowd as load to come. Reading and checks
+// count towards the limit, though one run is always let on: guards against a flood of arrivals that crowds
+// the cores until runs and reading both crawl. Does harm where the gauge lags behind a short flurry.
 func (p *Post) startRuns() {
-	crowd := p.survivable()
+	crowd, room := p.survivable(), max(1, p.limit-p.reading)
 	for _, i := range p.order {
 		v := &p.invs[i]
-		if float64(p.onCores) >= min(p.limit, crowd) || float64(p.onCores+p.offCores) >= crowd {
+		if float64(p.onCores) >= min(room, crowd) || float64(p.onCores+p.offCores) >= crowd {
 			return
 		}
 		more := v.kb * (p.plate.Blowup - 1)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -279,3 +279,13 @@
 	assert.Equal(t, 0.75, p.level)
 	assert.Equal(t, 0.25*creditTop*2, p.credit)
 }
+
+// The incident of meubles-rennes on which reading and runs together crowded every node's cores.
+func TestReadingCountsTowardsTheLimit(t *testing.T) {
+	p := post()
+	put(p, 0, held)
+	put(p, 0, held)
+	p.order, p.reading = []int32{0, 1}, 2
+	p.startRuns()
+	assert.Equal(t, []node.ActionKind{node.Run}, kinds(p))
+}
