Calls: one budget keeps the share as a mean at any size

A node's share was 0.68 of a call, which let it make one call at a time from a budget that started empty. Now every share is kept as a mean by a budget, full at start; each call reserves a third of what those in hand could leave. Should also guard against calls that hang; harm: a very slow dependency has its calls abandoned sooner.

--- a/control/control.go
+++ b/control/control.go
@@ -35,8 +35,8 @@
 	memoryRoom   = 0.85 // of the memory that runs and records may take; the rest is the hold's
 	memoryBrim   = 0.95 // of the memory past which the hold is turned away, last in order first
 	recordRoom   = 0.25 // of the memory for the table of tokens and shared reads
-	callRoom     = 0.9  // of the node's share of calls; the rest covers lingering ones and ticks
-	tierCalls    = 4    // calls in hand for each core where a whole tier lies below
+	callRoom     = 0.9  // of the node's share of calls; the rest covers ticks and pauses
+	callsACore   = 4    // calls in hand for each core at the most
 	freeBusy     = 0.9  // busy fraction of the cores under which they count as free
 	limitGrowth  = 0.25 // step up of the running limit while cores are free and work waits
 	limitBackoff = 0.8  // part of the best throughput at a lower limit that counts as a drop; the step down
@@ -71,16 +71,17 @@
 
 // invocation is all that is known of one invocation.
 type invocation struct {
-	op                   *operation
-	state                state
-	answered             bool // a final answer was given or is owed no more
-	ran, further         bool // ran: it, or the try it repeats, has started
-	tenant               int32
-	tries                int // calls made for its present need
-	arrived, due, callAt int64
-	kb, key              float64 // its memory while held, its place in the order of the hold
-	base                 float64 // ns: the hint, or the operation's unit where there is none
-	spent, since         float64 // ns of one whole core so far, core clock when it last came on
+	op                *operation
+	state             state
+	answered          bool // a final answer was given or is owed no more
+	ran, further      bool // ran: it, or the try it repeats, has started
+	tenant            int32
+	tries             int // calls made for its present need
+	arrived, due      int64
+	callAt, callUntil int64
+	kb, key           float64 // its memory while held, its place in the order of the hold
+	base              float64 // ns: the hint, or the operation's unit where there is none
+	spent, since      float64 // ns of one whole core so far, core clock when it last came on
 }
 
 // operation is an operation with what was measured of it.
@@ -139,8 +140,7 @@
 	limit, throughput, workDone float64 // throughput is the best seen at the last lower limit
 	windowAt                    int64
 
-	lingering  []int64
-	callBudget float64 // ns of calls that may still be in hand, where the share is below one
+	callBudget float64 // ns of calls that may still be in hand, by this node's share
 	callFails  histogram
 	callTime   histogram // of late, over the shortest objective
 
@@ -165,6 +165,7 @@
 		p.ops = append(p.ops, operation{Operation: &plate.Operations[i]})
 		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
 	}
+	p.callBudget = callRoom * plate.CallShare / 2 * float64(plate.CallSpan)
 	if plate.Fresh {
 		p.level, p.credit = 1-plate.ColdFrom, plate.ColdFrom*p.credit
 	}
@@ -208,10 +209,9 @@
 	dt := float64(now - p.now)
 	p.coreClock += dt * min(1, p.cores/max(1, float64(p.onCores)+p.reading))
 	share := callRoom * p.plate.CallShare / 2
-	p.callBudget -= dt * float64(p.inHand+len(p.lingering))
+	p.callBudget -= dt * float64(p.inHand)
 	p.callBudget = min(p.callBudget+dt*share, share*float64(p.plate.CallSpan))
 	p.now = now
-	p.lingering = slices.DeleteFunc(p.lingering, func(until int64) bool { return until <= now })
 }
 
 func (p *Post) take(e *node.Event) {
@@ -229,8 +229,7 @@
 		}
 		return
 	}
-	i := e.Inv
-	v := &p.invs[i]
+	i, v := e.Inv, &p.invs[e.Inv]
 	switch {
 	case v.state == ended:
 	case e.Kind == node.CallerGone:
@@ -347,8 +346,7 @@
 	p.letGo(i)
 }
 
-// letGo drops what is off the cores and has its answer, or needs none; a run is stopped where that is
-// allowed, one at a call ends by itself.
+// letGo drops what needs no answer more; a run is stopped if that is allowed, one at a call ends by itself.
 func (p *Post) letGo(i int32) {
 	switch p.invs[i].state {
 	case held, joined, paused:
@@ -401,15 +399,7 @@
 
 // callWait is how long one that comes to a call now would stand there until it is made.
 func (p *Post) callWait() float64 {
-	return float64(p.offCores-p.inHand) / p.abreast() * p.callTime.mean(0) * p.tightest
-}
-
-// abreast is how many calls may be in hand at once.
-func (p *Post) abreast() float64 {
-	if p.plate.Below == node.SharedBelow {
-		return max(1, math.Floor(callRoom*p.plate.CallShare))
-	}
-	return tierCalls * p.cores
+	return float64(p.offCores-p.inHand) / float64(max(1, p.inHand)) * p.callTime.mean(0) * p.tightest
 }
 
 func (p *Post) objective(v *invocation) float64 {
@@ -536,7 +526,7 @@
 		return
 	}
 	if v.state == calling {
-		p.lingering = append(p.lingering, p.now+p.plate.Linger)
+		p.callBudget -= float64(p.plate.Linger)
 	}
 	own, usual := v.state != joined, v.base*v.op.usual.mean(1)
 	if p.end(i); own && (outcome == node.Succeeded || v.spent > usual) {
@@ -576,7 +566,7 @@
 			float64(p.now)+p.callTime.mean(0)*p.tightest > p.objective(v):
 			p.giveUp(i)
 		case room > 0 && until > p.now:
-			v.callAt = p.now
+			v.callAt, v.callUntil = p.now, until
 			v.tries++
 			p.do(node.Action{Kind: node.Call, Inv: i, At: until})
 			p.shift(v, calling)
@@ -589,16 +579,27 @@
 	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
 }
 
-// callRoom is how long one more call may stay in hand. A share below one is kept as a mean over its span,
-// by a budget that fills at half the share and holds half a span of it.
+// callRoom is how long one more call may stay in hand. The node's share is kept as a mean over its span by a
+// budget that fills at half the share and holds half a span of it; a call may take a third of what is left
+// if all in hand are abandoned at their last moment. Guards against shares far below one, as in large fleets.
 func (p *Post) callRoom() int64 {
-	if float64(p.inHand+len(p.lingering)+1) > p.abreast() {
+	if float64(p.inHand+1) > callsACore*p.cores {
 		return 0
 	}
-	if p.plate.Below == node.SharedBelow && callRoom*p.plate.CallShare < 1 {
-		return int64(p.callBudget) - p.plate.Linger
+	if p.plate.Below != node.SharedBelow {
+		return math.MaxInt64 / 4
+	}
+	spare := p.callBudget
+	for _, i := range p.live {
+		if v := &p.invs[i]; v.state == calling {
+			spare -= float64(max(0, v.callUntil-p.now) + p.plate.Linger)
+		}
+	}
+	room := spare/3 - float64(p.plate.Linger)
+	if room < 2*p.callTime.mean(0)*p.tightest {
+		return 0
 	}
-	return math.MaxInt64 / 4
+	return int64(room)
 }
 
 // callEnded learns how calls go; one that failed is repeated only where it is known not to have run.
@@ -616,7 +617,7 @@
 	p.shift(v, standing)
 	if outcome != node.Overloaded && outcome != node.Unreachable {
 		v.tries = callTries
-		p.lingering = append(p.lingering, p.now+p.plate.Linger)
+		p.callBudget -= float64(p.plate.Linger)
 	}
 }
 
@@ -682,8 +683,8 @@
 
 // Health.
 
-// adjustHealth reports bad while draining or while this node does worse than is usual for it. One that is
-// merely full is not unhealthy: were all full, callers would have nowhere to go.
+// adjustHealth reports bad in a drain or while this node does worse than is usual for it. One that is only
+// full stays good: were all full, callers would have nowhere to go.
 func (p *Post) adjustHealth() {
 	p.stall = 0
 	for _, i := range p.live {
