Health: an idle node drifts back to its usual pace and reports good again

Told from overload by their idle cores. Also guards against any cause of bad health that ends while the node is left alone. Harm: a node that stays slow comes and goes.

--- a/control/control.go
+++ b/control/control.go
@@ -4,8 +4,7 @@
 // the actions to take, in order. The interface, types only, is package node. A Post knows nothing but its
 // nameplate, its events and the clock of the batch; it shares nothing and keeps no goroutine.
 //
-// The ordinary path is that of "Draining, in three beats" with the running limit of the design page;
-// docs/design.md says what was kept, changed and added, and when each exception acts.
+// The ordinary path is that of "Draining, in three beats"; docs/design.md says what was kept and changed.
 package control
 
 import (
@@ -574,7 +573,6 @@
 	}
 }
 
-// sortOrder puts the highest key first, then the oldest.
 func (p *Post) sortOrder() {
 	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
 }
@@ -686,7 +684,9 @@
 // adjustHealth reports bad in a drain or while this node does worse than is usual for it. One that is only
 // full stays good: were all full, callers would have nowhere to go.
 func (p *Post) adjustHealth() {
-	p.stall = 0
+	if p.stall = 0; p.onCores == 0 {
+		p.pace.add(1, shortMemory) // an idle node comes back: nothing else would tell it that it may
+	}
 	for _, i := range p.live {
 		v := &p.invs[i]
 		stay := (v.spent + p.coreClock - v.since) / (v.base * v.op.usual.mean(1))
@@ -703,7 +703,7 @@
 	}
 }
 
-// tellHealth sets what checks are told; they are always answered from store, since a full one costs work.
+// tellHealth answers checks from store, since a full one costs work.
 func (p *Post) tellHealth() { p.do(node.Action{Kind: node.Health, Good: !p.unhealthy, Stored: true}) }
 
 // Advice.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -297,3 +297,17 @@
 	p.startRuns()
 	assert.Equal(t, []node.ActionKind{node.Run}, kinds(p))
 }
+
+// A day of boutique-brest on which nodes that reported bad got no more work and so never came back.
+func TestIdleNodeReturnsToGoodHealth(t *testing.T) {
+	p := post()
+	for range 8 {
+		p.pace.add(8, shortMemory)
+	}
+	p.adjustHealth()
+	assert.True(t, p.unhealthy)
+	for range 60 {
+		p.adjustHealth()
+	}
+	assert.False(t, p.unhealthy)
+}
