--- a/control/control.go
+++ b/control/control.go
@@ -178,7 +178,6 @@
 	for i := range events {
 		p.take(&events[i])
 	}
-	p.keepDeadlines()
 	p.keepDrain()
 	p.makeCalls()
 	p.orderHold()
@@ -187,6 +186,7 @@
 	if now >= p.next {
 		p.next = now + beat
 		p.do(node.Action{Kind: node.Timer, At: p.next})
+		p.keepDeadlines()
 		p.adjustLimit()
 		p.adjustHealth()
 		p.adjustAdvice()
@@ -630,7 +630,7 @@
 		if v.state != ended && (futile || p.now >= v.due-answerMargin) {
 			p.giveUp(i)
 		}
-		if v.state == running && v.answered && p.now >= p.next {
+		if v.state == running && v.answered {
 			p.letGo(i) // again: a stop has no effect while the cores stand still
 		}
 	}
