--- a/ember/plate.go
+++ b/ember/plate.go
@@ -91,7 +91,6 @@
 		ColdFrom:    p.number("guarantees.cold_from"),
 		WarmAfter:   p.time("guarantees.warm_after"),
 		TipMultiple: p.number("guarantees.tip_multiple"),
-		TipSpan:     p.time("guarantees.fall"),
 		DrainGrace:  p.time("guarantees.drain_grace"),
 		Halting: map[string]node.Halting{
 			"drop": node.DropHalt, "pause": node.PauseHalt}[p.text("family_info.halt")],
--- a/node/node.go
+++ b/node/node.go
@@ -81,7 +81,6 @@
 	ColdFrom    float64
 	WarmAfter   int64
 	TipMultiple float64
-	TipSpan     int64
 	DrainGrace  int64
 	ComeBackMax int64 // 0 where none may be named
 }
