Running limit: grows on what wants a core now; returns from calls are bounded

Change: the limit grows while the gauge of what wants a core is below the core count; runs with those off the cores stay under the limit and twice their usual number while no core is free. Calls a core no longer have a bound of their own: the crowd's is tighter. Guards against few cores crowded by returns; may hold back starts where calls come in waves.

--- a/control/control.go
+++ b/control/control.go
@@ -28,6 +28,7 @@
 
 	binCount    = 28   // bins of half an octave: ratios of 1/128 to 128, coarse yet within a fifth
 	longMemory  = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
+	awayMemory  = 1e9  // ns over which the mean number off the cores is taken: some runs
 	shortMemory = 8.0  // samples kept of the present: a second of a small node
 
 	crowdRoom    = 0.75 // of the survivable crowd: the rest is room for returns from calls and for pauses
@@ -35,7 +36,6 @@
 	memoryBrim   = 0.95 // of the memory past which the hold is turned away, last in order first
 	recordRoom   = 0.25 // of the memory for the table of tokens and shared reads
 	callRoom     = 0.9  // of the node's share of calls; the rest covers ticks and pauses
-	callsACore   = 4    // calls in hand for each core at the most
 	freeBusy     = 0.9  // busy fraction of the cores under which they count as free
 	limitGrowth  = 0.25 // step up of the running limit while cores are free and work waits
 	limitBackoff = 0.8  // part of the best throughput at a lower limit that counts as a drop; the step down
@@ -130,8 +130,9 @@
 	onCores, offCores, inHand int     // off the cores are those standing or calling, in hand the calls
 	memory                    float64 // kB of what is held and run
 	records                   []int64 // when kept records end
+	away                      float64 // off the cores in the mean of late
 	coreClock                 float64 // ns that a run on the cores has had of one whole core since birth
-	busy, reading             float64 // busy part of the cores, and how many others want them
+	reading                   float64 // how many others than runs want the cores
 	pace                      histogram
 	stall                     float64 // times the usual cost that every run has overstayed
 	lag                       float64 // ns that arrivals lay unread of late
@@ -144,9 +145,9 @@
 	callTime   histogram // of late, over the shortest objective
 
 	noticed, intakeEnd, drainEnd int64
-	opened, closed               int // invocations ever read, and ended
-	atNotice, closedBefore       int // in flight and ended at the notice
-	unhealthy                    bool
+	opened, closed               int  // invocations ever read, and ended
+	atNotice, closedBefore       int  // in flight and ended at the notice
+	unhealthy, free              bool // free: a core was idle at the last beat
 
 	level, credit, said float64
 	arrivals, echoes    float64           // echoes are further tries among the arrivals
@@ -206,10 +207,10 @@
 // advance moves the clocks: that of the cores, which all runs share, and that of the calls in hand.
 func (p *Post) advance(now int64) {
 	dt := float64(now - p.now)
+	p.away += (float64(p.offCores) - p.away) * min(1, dt/awayMemory)
 	p.coreClock += dt * min(1, p.cores/max(1, float64(p.onCores)+p.reading))
 	share := callRoom * p.plate.CallShare / 2
-	p.callBudget -= dt * float64(p.inHand)
-	p.callBudget = min(p.callBudget+dt*share, share*float64(p.plate.CallSpan))
+	p.callBudget = min(p.callBudget+dt*(share-float64(p.inHand)), share*float64(p.plate.CallSpan))
 	p.now = now
 }
 
@@ -222,8 +223,9 @@
 		p.drain(e.Kill)
 		return
 	case node.TimerDue:
-		p.busy = e.Busy
+		p.free = e.Busy >= 0 && e.Busy < freeBusy
 		if e.Runnable >= 0 {
+			p.free = e.Runnable < p.cores
 			p.reading += (max(0, e.Runnable-float64(p.onCores)) - p.reading) / 4
 		}
 		return
@@ -362,8 +364,7 @@
 	if p.noticed != 0 {
 		return p.plate.ComeBackMax
 	}
-	spread := 0.5 + p.chance.Float64() // so that those turned away together do not come back together
-	return min(p.plate.ComeBackMax, int64(spread*p.wait()))
+	return min(p.plate.ComeBackMax, int64((0.5+p.chance.Float64())*p.wait())) // spread, not all at once
 }
 
 // Order of the hold.
@@ -474,15 +475,20 @@
 	return crowdRoom * p.cores * (1 + (p.plate.TipMultiple-1)*warm)
 }
 
-// startRuns starts the hold in order under the limit. What returns from a call goes onto the cores
-// unasked, so those off the cores count towards the survivable crowd as load to come. Reading and checks
-// count towards the limit, though one run is always let on: guards against a flood of arrivals that crowds
-// the cores until runs and reading both crawl. Does harm where the gauge lags behind a short flurry.
+// startRuns starts the hold in order under the limit. Reading and checks count towards it, though one run
+// is always let on: guards against a flood of arrivals on which runs and reading both crawl; does harm where
+// the gauge lags behind a short flurry. What returns from a call goes onto the cores unasked, so those off
+// the cores have their bound: with the runs they stay under the survivable crowd and, while no core is free,
+// under the limit and twice their usual number. Guards against returns that crowd a node of few cores.
 func (p *Post) startRuns() {
-	crowd, room := p.survivable(), max(1, p.limit-p.reading)
+	room := max(1, p.limit-p.reading)
+	all := p.survivable()
+	if !p.free {
+		all = min(all, room+2*p.away)
+	}
 	for _, i := range p.order {
 		v := &p.invs[i]
-		if float64(p.onCores) >= min(room, crowd) || float64(p.onCores+p.offCores) >= crowd {
+		if float64(p.onCores) >= room || float64(p.onCores+p.offCores) >= all {
 			return
 		}
 		more := v.kb * (p.plate.Blowup - 1)
@@ -498,22 +504,21 @@
 // adjustLimit grows the limit while cores are free and work waits, and backs off when throughput drops.
 func (p *Post) adjustLimit() {
 	waiting := len(p.order) > 0 && float64(p.onCores) >= p.limit-1
-	if waiting && p.busy >= 0 && p.busy < freeBusy {
+	if waiting && p.free {
 		p.limit += max(1, limitGrowth*p.limit)
 	}
+	if !p.free {
+		p.limit -= limitGrowth
+	}
 	if p.now-p.windowAt >= 20*beat {
 		rate := p.workDone / float64(p.now-p.windowAt)
 		if p.limit > p.cores && waiting && rate < limitBackoff*p.throughput {
 			p.limit *= limitBackoff
-		}
-		if p.limit <= p.cores || rate > p.throughput {
+		} else if p.limit <= p.cores || rate > p.throughput {
 			p.throughput = rate
 		}
 		p.workDone, p.windowAt = 0, p.now
 	}
-	if p.limit > p.cores && p.busy > freeBusy {
-		p.limit -= limitGrowth
-	}
 	p.limit = max(p.cores, min(p.limit, p.survivable()))
 }
 
@@ -578,12 +583,9 @@
 }
 
 // callRoom is how long one more call may stay in hand. The node's share is kept as a mean over its span by a
-// budget that fills at half the share and holds half a span of it; a call may take a third of what is left
-// if all in hand are abandoned at their last moment. Guards against shares far below one, as in large fleets.
+// budget that fills at half the share and holds half a span of it; a call may take a third of what is left if
+// all in hand are abandoned at their last moment. Guards against shares far below one, as in large fleets.
 func (p *Post) callRoom() int64 {
-	if float64(p.inHand+1) > callsACore*p.cores {
-		return 0
-	}
 	if p.plate.Below != node.SharedBelow {
 		return math.MaxInt64 / 4
 	}
@@ -625,9 +627,8 @@
 func (p *Post) keepDeadlines() {
 	for _, i := range p.live {
 		v := &p.invs[i]
-		futile := v.state == running && p.plate.Halting != node.NoHalt && v.op.LateShare == 0 &&
-			float64(p.now) > p.objective(v)
-		if v.state != ended && (futile || p.now >= v.due-answerMargin) {
+		futile := v.state == running && p.plate.Halting != node.NoHalt && v.op.LateShare == 0
+		if v.state != ended && (futile && float64(p.now) > p.objective(v) || p.now >= v.due-answerMargin) {
 			p.giveUp(i)
 		}
 		if v.state == running && v.answered {
@@ -694,11 +695,9 @@
 			p.stall = stay
 		}
 	}
-	was := p.unhealthy
-	if pace := p.slowness(); pace > slowPace || pace < soundPace {
-		p.unhealthy = pace > slowPace
-	}
-	if p.unhealthy = p.unhealthy || p.noticed != 0; p.unhealthy != was || p.said < 0 {
+	was, pace := p.unhealthy, p.slowness()
+	p.unhealthy = p.noticed != 0 || pace > slowPace || p.unhealthy && pace > soundPace
+	if p.unhealthy != was || p.said < 0 {
 		p.tellHealth()
 	}
 }
