Health: overstaying of few runs tells less of a stall

What a run overstays is now divided by 1 + 2/runs. Does harm where a stall strikes a node of few cores: it is seen later.

--- a/control/control.go
+++ b/control/control.go
@@ -54,6 +54,7 @@
 	creditLow    = 0.1  // outstanding invocations a core granted to all callers at the least
 	creditDown   = 0.05 // part of the credit taken back for each beat of high pressure
 	slowPace     = 2.0  // times the usual cost past which the node itself counts as slow
+	fewRuns      = 2.0  // runs whose overstaying tells half: a few large ones among few are no stall
 	soundPace    = 1.4  // times the usual cost under which it counts as sound again
 	echoShare    = 0.3  // of arrivals that are further tries past which other nodes turn work away too
 	callTries    = 4    // calls made for one need, while each is known not to have run
@@ -689,7 +690,7 @@
 	}
 	for _, i := range p.live {
 		v := &p.invs[i]
-		stay := (v.spent + p.coreClock - v.since) / (v.base * v.op.usual.Mean(1))
+		stay := (v.spent + p.coreClock - v.since) / (v.base * v.op.usual.Mean(1)) / (1 + fewRuns/float64(p.onCores))
 		if v.state == running && 2*float64(p.onCores) > p.cores && (p.stall == 0 || stay < p.stall) {
 			p.stall = stay
 		}
