Order of the hold: long runs make way; one opening for all advice

Change: where work can be paused, the run of lowest rank is paused for one that ranks 1.5 times above it, if it still ends in time after that. Level, credit and weight are now one opening that falls by a twentieth and rises by a fiftieth a beat. Guards against short objectives missed behind long runs; harm where expectations of run time fail.

--- a/control/control.go
+++ b/control/control.go
@@ -1,8 +1,8 @@
 // Package control holds every decision of a node: what it takes, runs and turns away.
 //
 // A host makes one Post for a node's life with New and hands each batch of events to Decide, which returns
-// the actions to take, in order. The interface, types only, is package node. A Post knows nothing but its
-// nameplate, its events and the clock of the batch; it shares nothing and keeps no goroutine.
+// the actions to take, in order. The interface, types only, is package node. A Post knows only its nameplate,
+// its events and the clock of the batch.
 //
 // The ordinary path is that of "Draining, in three beats"; docs/design.md says what was kept and changed.
 package control
@@ -45,20 +45,20 @@
 	limitGrowth  = 0.25 // step up of the running limit while cores are free and work waits
 	limitBackoff = 0.8  // part of the best throughput at a lower limit that counts as a drop; the step down
 
-	restTail     = 0.4  // of its expected cost that a run past its expectation still needs
-	pressureHigh = 0.35 // of the shortest objective: a longer wait asks callers for less
-	pressureLow  = 0.15 // of the shortest objective: a shorter wait asks them for more
-	adviceStep   = 0.02 // step of the level, and of the credit's return, for each beat
-	levelTop     = 0.95 // highest level outside a drain: some traffic must tell when trouble ends
-	creditTop    = 4.0  // outstanding invocations a core that credits start from
-	creditLow    = 0.1  // outstanding invocations a core granted to all callers at the least
-	creditDown   = 0.05 // part of the credit taken back for each beat of high pressure
-	slowPace     = 2.0  // times the usual cost past which the node itself counts as slow
-	fewRuns      = 2.0  // runs whose overstaying tells half: a few large ones among few are no stall
-	soundPace    = 1.4  // times the usual cost under which it counts as sound again
-	echoShare    = 0.3  // of arrivals that are further tries past which other nodes turn work away too
-	callTries    = 4    // calls made for one need, while each is known not to have run
-	skipMost     = 0.9  // greatest chance of leaving a call out: the rest tests for recovery
+	makeWayFrom  = 1.5   // times the rank of a run from which one that waits takes its place
+	restTail     = 0.4   // of its expected cost that a run past its expectation still needs
+	pressureHigh = 0.35  // of the shortest objective: a longer wait asks callers for less
+	pressureLow  = 0.15  // of the shortest objective: a shorter wait asks them for more
+	adviceUp     = 0.02  // of all that could be asked for, given back for each beat of low pressure
+	creditTop    = 4.0   // outstanding invocations a core that credits start from
+	adviceDown   = 0.05  // part of what is asked for taken back for each beat of high pressure
+	adviceLow    = 0.025 // of all that could be asked for, at the least: some must tell when trouble ends
+	slowPace     = 2.0   // times the usual cost past which the node itself counts as slow
+	fewRuns      = 2.0   // runs whose overstaying tells half: a few large ones among few are no stall
+	soundPace    = 1.4   // times the usual cost under which it counts as sound again
+	echoShare    = 0.3   // of arrivals that are further tries past which other nodes turn work away too
+	callTries    = 4     // calls made for one need, while each is known not to have run
+	skipMost     = 0.9   // greatest chance of leaving a call out: the rest tests for recovery
 )
 
 type state uint8
@@ -103,40 +103,35 @@
 	out             []node.Action
 	ops             []operation
 	invs            []invocation
-	live            []int32 // not ended, in order of arrival
-	order           []int32 // the hold, in the order it is to run
+	live, order     []int32 // not ended, in order of arrival; the hold, in the order it is to run
 	tightest, cores float64 // ns of the shortest latency objective; how many cores there are
 
 	onCores, standing, inHand int     // on the cores, off them with no call made, off them with a call in hand
-	memory                    float64 // kB of what is held and run
 	records                   []int64 // when kept records end
+	memory                    float64 // kB of what is held and run
 	away                      float64 // off the cores in the mean of late
 	coreClock                 float64 // ns that a run on the cores has had of one whole core since birth
 	reading                   float64 // how many others than runs want the cores
-	pace                      tally.Ratios
 	stays                     tally.Stays
 	patient                   float64 // part of the client timeout that most callers wait
 	stall                     float64 // times the usual cost that every run has overstayed
 	lag                       float64 // ns that arrivals lay unread of late
 
 	limit, throughput, workDone float64 // throughput is the best seen at the last lower limit
-	windowAt                    int64
 
-	callUsed  tally.Window // ns of calls in hand over the last span
-	callFails tally.Ratios
-	callTime  tally.Ratios // of late, over the shortest objective
+	callUsed                  tally.Window // ns of calls in hand over the last span
+	pace, callFails, callTime tally.Ratios // of late; callTime over the shortest objective
 
-	noticed, intakeEnd, drainEnd int64
-	opened, closed               int  // invocations ever read, and ended
-	atNotice, closedBefore       int  // in flight and ended at the notice
-	unhealthy, free              bool // free: a core was idle at the last beat
+	windowAt, noticed, intakeEnd, drainEnd int64
+	opened, closed                         int  // invocations ever read, and ended
+	atNotice, closedBefore                 int  // in flight and ended at the notice
+	unhealthy, free                        bool // free: a core was idle at the last beat
 
-	level, credit, said float64
-	allFull             bool    // other nodes seem to turn work away too
-	arrivals, echoes    float64 // echoes are further tries among the arrivals
-	throttled           float64
-	callers             map[int64]float64 // arrivals from each caller of late
-	tenants             []float64         // arrivals a second, smoothed
+	open, said                  float64           // open is the part of all that could be asked for
+	allFull                     bool              // other nodes seem to turn work away too
+	arrivals, echoes, throttled float64           // of late; echoes are further tries among the arrivals
+	callers                     map[int64]float64 // arrivals from each caller of late
+	tenants                     []float64         // arrivals a second, smoothed
 }
 
 func ratios(memory float64) tally.Ratios { return tally.NewRatios(binCount, binsAnOctave, memory) }
@@ -147,14 +142,14 @@
 	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
 		pace: ratios(shortMemory), callFails: ratios(shortMemory), callTime: ratios(shortMemory),
 		stays: tally.NewStays(patienceBins, longMemory), callUsed: tally.NewWindow(plate.CallSpan, callSlices),
-		windowAt: now, cores: cores, limit: cores, credit: creditTop * cores, tightest: math.Inf(1), said: -1,
+		windowAt: now, cores: cores, limit: cores, open: 1, tightest: math.Inf(1), said: -1,
 		patient: 1, callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates))}
 	for i := range plate.Operations {
 		p.ops = append(p.ops, operation{&plate.Operations[i], ratios(longMemory), ratios(longMemory)})
 		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
 	}
 	if plate.Fresh {
-		p.level, p.credit = 1-plate.ColdFrom, plate.ColdFrom*p.credit
+		p.open = plate.ColdFrom
 	}
 	return p
 }
@@ -181,11 +176,11 @@
 		p.adjustAdvice()
 	}
 	p.live = slices.DeleteFunc(p.live, func(i int32) bool {
-		if p.invs[i].state != ended {
-			return false
+		over := p.invs[i].state == ended
+		if over {
+			p.do(node.Action{Kind: node.Release, Inv: i})
 		}
-		p.do(node.Action{Kind: node.Release, Inv: i})
-		return true
+		return over
 	})
 	return p.out
 }
@@ -202,32 +197,26 @@
 }
 
 func (p *Post) take(e *node.Event) {
-	switch e.Kind {
-	case node.Arrived:
+	switch i := e.Inv; {
+	case e.Kind == node.Arrived:
 		p.intake(e)
-		return
-	case node.DrainNotice:
+	case e.Kind == node.DrainNotice:
 		p.drain(e.Kill)
-		return
-	case node.TimerDue:
+	case e.Kind == node.TimerDue:
 		p.free = e.Busy >= 0 && e.Busy < freeBusy
 		if e.Runnable >= 0 {
 			p.free = e.Runnable < p.cores
 			p.reading += (max(0, e.Runnable-float64(p.onCores)) - p.reading) / 4
 		}
-		return
-	}
-	i, v := e.Inv, &p.invs[e.Inv]
-	switch {
-	case v.state == ended:
+	case p.invs[i].state == ended:
 	case e.Kind == node.CallerGone:
-		p.watch(v, true)
-		v.answered = true
+		p.watch(&p.invs[i], true)
+		p.invs[i].answered = true
 		p.letGo(i)
 	case e.Kind == node.CallWanted:
-		p.shift(v, standing)
+		p.shift(&p.invs[i], standing)
 	case e.Kind == node.CallEnded:
-		p.callEnded(v, e.Outcome)
+		p.callEnded(&p.invs[i], e.Outcome)
 	case e.Kind == node.RunEnded:
 		p.runEnded(i, e.Outcome)
 	}
@@ -271,11 +260,8 @@
 
 // intake takes what was read into the hold, joins it to the invocation it repeats, or turns it away.
 func (p *Post) intake(e *node.Event) {
-	for int(e.Inv) >= len(p.invs) {
-		p.invs = append(p.invs, invocation{})
-	}
-	v, op := &p.invs[e.Inv], &p.ops[e.Operation]
-	arrived := p.now - e.Age
+	p.invs = append(p.invs, make([]invocation, max(0, int(e.Inv)+1-len(p.invs)))...)
+	v, op, arrived := &p.invs[e.Inv], &p.ops[e.Operation], p.now-e.Age
 	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: arrived, kb: e.HeldKB,
 		due: cmp.Or(e.Due, arrived+op.ClientTimeout), base: float64(cmp.Or(e.Hint, op.Objective/8))}
 	p.live = append(p.live, e.Inv)
@@ -324,8 +310,7 @@
 		return
 	}
 	p.watch(v, false)
-	v.answered = true
-	if v.state == held && !v.ran {
+	if v.answered = true; v.state == held && !v.ran {
 		if p.throttled++; !p.plate.RetriesMarked {
 			p.echoes++ // where they bear no mark, what is turned away here tells of those to come
 		}
@@ -338,7 +323,9 @@
 
 // watch learns, by part of the client timeout, how long callers wait: most leave well before it.
 func (p *Post) watch(v *invocation, left bool) {
-	p.stays.Add(float64(p.now-v.arrived)/float64(v.op.ClientTimeout), left)
+	if !v.answered {
+		p.stays.Add(float64(p.now-v.arrived)/float64(v.op.ClientTimeout), left)
+	}
 }
 
 // letGo drops what needs no answer more; a run is stopped if that is allowed, one at a call ends by itself.
@@ -365,8 +352,7 @@
 
 // expected is the core time that an invocation is still to take.
 func (p *Post) expected(v *invocation) float64 {
-	cost := v.base * v.op.usual.Mean(1) * p.slowness()
-	spent := v.spent
+	cost, spent := v.base*v.op.usual.Mean(1)*p.slowness(), v.spent
 	if v.state == running {
 		spent += p.coreClock - v.since
 	}
@@ -415,13 +401,7 @@
 		if v.state != held && v.state != paused {
 			continue
 		}
-		v.key = v.op.BilledValue * p.withinShare(v.tenant)
-		if !p.plate.ByWork {
-			v.key /= p.expected(v)
-		}
-		if p.ends(v) > p.objective(v) {
-			v.key *= v.op.LateShare
-		}
+		p.rank(v)
 		p.order = append(p.order, i)
 	}
 	p.sortOrder()
@@ -441,6 +421,17 @@
 	})
 }
 
+// rank sets the place of an invocation in the order: its billed value for each unit of core time.
+func (p *Post) rank(v *invocation) {
+	v.key = v.op.BilledValue * p.withinShare(v.tenant)
+	if !p.plate.ByWork {
+		v.key /= p.expected(v)
+	}
+	if p.ends(v) > p.objective(v) {
+		v.key *= v.op.LateShare
+	}
+}
+
 // ends is when an invocation would end if it ran from now on.
 func (p *Post) ends(v *invocation) float64 {
 	end := float64(p.now) + p.expected(v)
@@ -485,6 +476,7 @@
 	for _, i := range p.order {
 		v := &p.invs[i]
 		if float64(p.onCores) >= room || float64(p.onCores+p.standing+p.inHand) >= all {
+			p.makeWay(v)
 			return
 		}
 		more := v.kb * (p.plate.Blowup - 1)
@@ -497,6 +489,22 @@
 	}
 }
 
+// makeWay pauses the run of the lowest rank where one that waits ranks far above it and it still ends in time
+// after that. Guards against short objectives missed behind long runs; does harm where expectations fail.
+func (p *Post) makeWay(first *invocation) {
+	least, key, takes := int32(-1), first.key, p.expected(first)
+	for _, i := range p.live {
+		if v := &p.invs[i]; v.state == running && !v.answered && p.ends(v)+takes < p.objective(v) {
+			if p.rank(v); v.key*makeWayFrom < key {
+				least, key = i, v.key*makeWayFrom
+			}
+		}
+	}
+	if least >= 0 && p.plate.Halting == node.PauseHalt {
+		p.do(node.Action{Kind: node.Stop, Inv: least})
+	}
+}
+
 // adjustLimit grows the limit while cores are free and work waits, and backs off when throughput drops.
 func (p *Post) adjustLimit() {
 	waiting := len(p.order) > 0 && float64(p.onCores) >= p.limit-1
@@ -527,9 +535,7 @@
 	if v.state == calling {
 		p.callUsed.Add(p.now, float64(p.plate.Linger))
 	}
-	if !v.answered {
-		p.watch(v, false)
-	}
+	p.watch(v, false)
 	own, usual := v.state != joined, v.base*v.op.usual.Mean(1)
 	if p.end(i); own && (outcome == node.Succeeded || v.spent > usual) {
 		p.pace.Add(v.spent / usual)
@@ -579,10 +585,9 @@
 	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
 }
 
-// callRoom is how long one more call may stay in hand. The node's share is kept as a mean over its span, with
-// all in hand taken to be abandoned at their last moment: a call may take a third of what that leaves, or
-// some times what calls took of late if that is more and fits. Guards against a dependency that hangs, and
-// shares far below one call, as in large fleets; does harm where a call takes many times its usual time.
+// callRoom is how long one more call may stay in hand: a third of what is left of the node's share if all in
+// hand are abandoned at their last moment, or some times what calls took of late where that fits. Guards
+// against a dependency that hangs and shares far below one call; does harm where calls take ever longer.
 func (p *Post) callRoom() int64 {
 	if p.plate.Below != node.SharedBelow {
 		return math.MaxInt64 / 4
@@ -721,20 +726,17 @@
 	for t := range p.tenants {
 		p.tenants[t] *= 1 - float64(beat)/4e9
 	}
-	wait, top := p.wait(), creditTop*p.cores
-	switch {
-	case wait > pressureHigh*p.tightest:
-		p.level = min(levelTop, p.level+adviceStep)
-		p.credit = max(creditLow*p.cores, p.credit*(1-creditDown))
-	case wait < pressureLow*p.tightest:
-		p.level = max(0, p.level-adviceStep)
-		p.credit = min(top, p.credit+adviceStep*top)
-	}
-	value, away := p.level, 1.0
-	if p.plate.Advice == node.CreditAdvice {
-		value, away = p.credit/max(1, sum*sum/squares), 0 // by the callers that count, unequal as they are
-	} else if p.plate.Advice == node.WeightAdvice {
-		value, away = p.credit/top, 0
+	if wait := p.wait(); wait > pressureHigh*p.tightest {
+		p.open = max(adviceLow, p.open*(1-adviceDown))
+	} else if wait < pressureLow*p.tightest {
+		p.open = min(1, p.open+adviceUp)
+	}
+	value, away := p.open, 0.0
+	switch p.plate.Advice {
+	case node.LevelAdvice:
+		value, away = 1-p.open, 1
+	case node.CreditAdvice: // for each of the callers that count, unequal as they are
+		value *= creditTop * p.cores / max(1, sum*sum/squares)
 	}
 	if p.noticed != 0 {
 		value = away
