Order of the hold: rank weighed by the chance to end in time

Change: rank falls with what little slack is left beside the time needed. Guards against work begun too late; may starve long operations.

--- a/control/control.go
+++ b/control/control.go
@@ -427,8 +427,10 @@
 	if !p.plate.ByWork {
 		v.key /= p.expected(v)
 	}
-	if p.ends(v) > p.objective(v) {
+	if need, slack := p.ends(v)-float64(p.now), p.objective(v)-float64(p.now); need > slack {
 		v.key *= v.op.LateShare
+	} else {
+		v.key *= 1 - math.Exp(-slack/need)
 	}
 }
 
