Advice: the highest level outside a drain is a half

Change: the level goes up to a half only. May do harm in deep overload whose callers heed levels: more is read only to be turned away.

--- a/control/control.go
+++ b/control/control.go
@@ -53,6 +53,7 @@
 	creditTop    = 4.0   // outstanding invocations a core that credits start from
 	adviceDown   = 0.05  // part of what is asked for taken back for each beat of high pressure
 	adviceLow    = 0.025 // of all that could be asked for, at the least: some must tell when trouble ends
+	levelHigh    = 0.5   // highest level outside a drain: past it the lowest operations starve at the callers
 	slowPace     = 2.0   // times the usual cost past which the node itself counts as slow
 	fewRuns      = 2.0   // runs whose overstaying tells half: a few large ones among few are no stall
 	soundPace    = 1.4   // times the usual cost under which it counts as sound again
@@ -73,7 +74,6 @@
 	paused
 )
 
-// invocation is all that is known of one invocation.
 type invocation struct {
 	op                *operation
 	state             state
@@ -421,7 +421,7 @@
 	})
 }
 
-// rank sets the place of an invocation in the order: its billed value for each unit of core time.
+// rank sets the place in the order: billed value for each unit of core time, by the chance to end in time.
 func (p *Post) rank(v *invocation) {
 	v.key = v.op.BilledValue * p.withinShare(v.tenant)
 	if !p.plate.ByWork {
@@ -470,8 +470,7 @@
 // What returns from a call goes onto the cores unasked, so those off the cores have their bound: with runs
 // under the survivable crowd and, while no core is free, under the limit and twice their usual number.
 func (p *Post) startRuns() {
-	room := max(1, p.limit-p.reading)
-	all := p.survivable()
+	room, all := max(1, p.limit-p.reading), p.survivable()
 	if !p.free {
 		all = min(all, room+2*p.away)
 	}
@@ -734,10 +733,9 @@
 		p.open = min(1, p.open+adviceUp)
 	}
 	value, away := p.open, 0.0
-	switch p.plate.Advice {
-	case node.LevelAdvice:
-		value, away = 1-p.open, 1
-	case node.CreditAdvice: // for each of the callers that count, unequal as they are
+	if p.plate.Advice == node.LevelAdvice {
+		value, away = levelHigh*(1-p.open), 1
+	} else if p.plate.Advice == node.CreditAdvice { // for each caller that counts, unequal as they are
 		value *= creditTop * p.cores / max(1, sum*sum/squares)
 	}
 	if p.noticed != 0 {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -395,3 +395,17 @@
 	p.adjustHealth()
 	assert.False(t, p.unhealthy, "two large invocations are no stall")
 }
+
+// A release of boutique-brest: a third of runs, half of these read late, failed at their objective.
+func TestLittleSlackLowersTheRank(t *testing.T) {
+	p := post()
+	fresh, stale, late := put(p, 0, held), put(p, 0, held), put(p, 0, held)
+	stale.arrived -= 800 * ms
+	late.arrived -= 2_000 * ms
+	for _, v := range []*invocation{fresh, stale, late} {
+		p.rank(v)
+	}
+	assert.Greater(t, fresh.key, stale.key)
+	assert.Positive(t, stale.key)
+	assert.Zero(t, late.key)
+}
