Advice: a node that hears of little opens again; tenants' rates in their own unit

Change: unread time counts only while something lies unread. Tenants' arrivals were compared with their shares four times too high; now in the same unit.

--- a/control/control.go
+++ b/control/control.go
@@ -27,6 +27,9 @@
 	drainBudget  = 20_000 * ms // ns of the paper's drain timeout
 	killMargin   = 300 * ms    // ns kept free before the kill, room for a pause
 
+	fadeSpan = 2_500 * ms                          // ns that arrivals are remembered, some for each operation of a small node
+	fade     = 1 - float64(beat)/float64(fadeSpan) // for each beat
+
 	binCount     = 28   // bins: ratios of 1/128 to 128
 	binsAnOctave = 2.0  // bins to a factor of two: coarse, yet within a fifth
 	longMemory   = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
@@ -46,8 +49,7 @@
 	limitBackoff = 0.8  // part of the best throughput at a lower limit that counts as a drop; the step down
 
 	makeWayFrom  = 1.5   // times the rank of a run from which one that waits takes its place
-	hopeLeft     = 0.4   // of its expected cost that half of all runs do without: costs are skewed
-	restTail     = 0.4   // of its expected cost that a run past its expectation still needs
+	skew         = 0.4   // of its expected cost that half of all runs do without, and one past it still needs
 	pressureHigh = 0.35  // of the shortest objective: a longer wait asks callers for less
 	pressureLow  = 0.15  // of the shortest objective: a shorter wait asks them for more
 	adviceUp     = 0.02  // of all that could be asked for, given back for each beat of low pressure
@@ -60,7 +62,6 @@
 	soundPace    = 1.4   // times the usual cost under which it counts as sound again
 	echoShare    = 0.3   // of arrivals that are further tries past which other nodes turn work away too
 	callTries    = 4     // calls made for one need, while each is known not to have run
-	skipMost     = 0.9   // greatest chance of leaving a call out: the rest tests for recovery
 )
 
 type state uint8
@@ -110,9 +111,8 @@
 	onCores, standing, inHand int     // on the cores, off them with no call made, off them with a call in hand
 	records                   []int64 // when kept records end
 	memory                    float64 // kB of what is held and run
-	away                      float64 // off the cores in the mean of late
 	coreClock                 float64 // ns that a run on the cores has had of one whole core since birth
-	reading                   float64 // how many others than runs want the cores
+	away, reading             float64 // off the cores in the mean of late; others than runs that want the cores
 	stays                     tally.Stays
 	patient                   float64 // part of the client timeout that most callers wait
 	stall                     float64 // times the usual cost that every run has overstayed
@@ -132,7 +132,7 @@
 	allFull                     bool              // other nodes seem to turn work away too
 	arrivals, echoes, throttled float64           // of late; echoes are further tries among the arrivals
 	callers                     map[int64]float64 // arrivals from each caller of late
-	tenants                     []float64         // arrivals a second, smoothed
+	tenants                     []float64         // arrivals of late
 }
 
 func ratios(memory float64) tally.Ratios { return tally.NewRatios(binCount, binsAnOctave, memory) }
@@ -357,7 +357,7 @@
 	if v.state == running {
 		spent += p.coreClock - v.since
 	}
-	return max(cost-spent, restTail*cost)
+	return max(cost-spent, skew*cost)
 }
 
 func (p *Post) slowness() float64 { return max(p.pace.Mean(1), p.stall) }
@@ -375,8 +375,11 @@
 // freeCores is what reading and checks leave to runs.
 func (p *Post) freeCores() float64 { return max(p.cores/2, p.cores-p.reading) }
 
-// wait is how long the hold would take to clear, with the time that arrivals lay unread.
-func (p *Post) wait() float64 { return p.work(held)/p.freeCores() + p.lag + p.callWait() }
+// wait is how long the hold would take to clear, with the time that arrivals lay unread while any do: a node
+// that asked for little hears of little, and would else stay shut for good.
+func (p *Post) wait() float64 {
+	return p.work(held)/p.freeCores() + p.lag*min(1, p.reading) + p.callWait()
+}
 
 // callWait is how long one that comes to a call now would stand there until it is made.
 func (p *Post) callWait() float64 {
@@ -412,7 +415,7 @@
 		if float64(p.onCores) >= p.cores || i != p.order[0] {
 			end += ahead / p.freeCores()
 		}
-		if end-hopeLeft*p.expected(v) > p.objective(v) && (v.op.LateShare == 0 || end > p.left(v)) {
+		if end-skew*p.expected(v) > p.objective(v) && (v.op.LateShare == 0 || end > p.left(v)) {
 			p.giveUp(i)
 			return true
 		}
@@ -448,7 +451,7 @@
 	if tenant < 0 || p.plate.TenantRates[tenant] <= 0 {
 		return 1
 	}
-	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers))
+	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers)) * float64(fadeSpan) / 1e9
 	inside := share / max(share, p.tenants[tenant])
 	return inside + (1-inside)*p.plate.OverShare
 }
@@ -567,7 +570,7 @@
 			until = min(until, latest)
 		}
 		switch {
-		case skippable && (failed || latest <= p.now || p.chance.Float64() < min(skipMost, p.callFails.Mean(0))):
+		case skippable && (failed || latest <= p.now || p.chance.Float64() < p.callFails.Mean(0)):
 			p.do(node.Action{Kind: node.SkipCall, Inv: i})
 			p.shift(v, running)
 		case failed, !skippable && v.op.LateShare == 0 &&
@@ -715,17 +718,17 @@
 
 // adjustAdvice tells callers how much to send: less while the wait is long, more while it is short.
 func (p *Post) adjustAdvice() {
-	p.arrivals, p.echoes, p.throttled = p.arrivals*0.98, p.echoes*0.98, p.throttled*0.98
+	p.arrivals, p.echoes, p.throttled = p.arrivals*fade, p.echoes*fade, p.throttled*fade
 	sum, squares := 0.0, 1e-9
 	for caller, n := range p.callers {
-		if p.callers[caller] = n * 0.98; n < 0.05 {
+		if p.callers[caller] = n * fade; n < 0.05 {
 			delete(p.callers, caller)
 		}
 		sum, squares = sum+math.Round(n), squares+math.Round(n)*math.Round(n)
 	}
 	p.allFull = p.throttled > echoShare/2*p.arrivals && (p.allFull || p.echoes > echoShare*p.arrivals)
 	for t := range p.tenants {
-		p.tenants[t] *= 1 - float64(beat)/4e9
+		p.tenants[t] *= fade
 	}
 	if wait := p.wait(); wait > pressureHigh*p.tightest {
 		p.open = max(adviceLow, p.open*(1-adviceDown))
