--- a/control/control.go
+++ b/control/control.go
@@ -27,12 +27,10 @@
 	drainBudget  = 20_000 * ms // ns of the paper's drain timeout
 	killMargin   = 300 * ms    // ns kept free before the kill, room for a pause
 
-	fadeSpan = 2_500 * ms                          // ns that arrivals are remembered, some for each operation of a small node
-	fade     = 1 - float64(beat)/float64(fadeSpan) // for each beat
-
 	binCount     = 28   // bins: ratios of 1/128 to 128
 	binsAnOctave = 2.0  // bins to a factor of two: coarse, yet within a fifth
 	longMemory   = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
+	fade         = 0.98 // of what is remembered of arrivals kept for each beat: two and a half seconds of them
 	awayMemory   = 1e9  // ns over which the mean number off the cores is taken: some runs
 	patienceBins = 24   // parts of a client timeout: fine beside the spread of run times
 	patienceMost = 0.67 // of callers that must still wait for an answer to be worth a run: notices get lost
@@ -451,7 +449,7 @@
 	if tenant < 0 || p.plate.TenantRates[tenant] <= 0 {
 		return 1
 	}
-	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers)) * float64(fadeSpan) / 1e9
+	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers)) * float64(beat) / 1e9 / (1 - fade)
 	inside := share / max(share, p.tenants[tenant])
 	return inside + (1-inside)*p.plate.OverShare
 }
@@ -577,8 +575,7 @@
 			float64(p.now)+p.callTime.Mean(0)*p.tightest > p.objective(v):
 			p.giveUp(i)
 		case room > 0 && until > p.now:
-			v.callAt, v.callUntil = p.now, until
-			v.tries++
+			v.callAt, v.callUntil, v.tries = p.now, until, v.tries+1
 			p.do(node.Action{Kind: node.Call, Inv: i, At: until})
 			p.shift(v, calling)
 		}
