--- a/control/control.go
+++ b/control/control.go
@@ -130,7 +130,7 @@
 	allFull                     bool              // other nodes seem to turn work away too
 	arrivals, echoes, throttled float64           // of late; echoes are further tries among the arrivals
 	callers                     map[int64]float64 // arrivals from each caller of late
-	tenants                     []float64         // arrivals of late
+	tenants                     []float64         // arrivals of late, first those of none
 }
 
 func ratios(memory float64) tally.Ratios { return tally.NewRatios(binCount, binsAnOctave, memory) }
@@ -142,7 +142,7 @@
 		pace: ratios(shortMemory), callFails: ratios(shortMemory), callTime: ratios(shortMemory),
 		stays: tally.NewStays(patienceBins, longMemory), callUsed: tally.NewWindow(plate.CallSpan, callSlices),
 		windowAt: now, cores: cores, limit: cores, open: 1, tightest: math.Inf(1), said: -1,
-		patient: 1, callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates))}
+		patient: 1, callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)+1)}
 	for i := range plate.Operations {
 		p.ops = append(p.ops, operation{&plate.Operations[i], ratios(longMemory), ratios(longMemory)})
 		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
@@ -272,9 +272,7 @@
 	if e.Further {
 		p.echoes++
 	}
-	if e.Tenant >= 0 {
-		p.tenants[e.Tenant]++
-	}
+	p.tenants[e.Tenant+1]++
 	v.ran = e.Repeats == node.EndedRepeat || e.Repeats >= 0 && p.invs[e.Repeats].ran
 	switch {
 	case p.noticed != 0 && p.now >= p.intakeEnd:
@@ -289,8 +287,7 @@
 	}
 }
 
-// record keeps an invocation in the table so that repeats find it. Guards against a second effect; a
-// tokened invocation that finds no room is turned away unrun, a shared read goes on unshared.
+// record guards against a second effect; a tokened invocation that finds no room is turned away unrun.
 func (p *Post) record(i int32, until int64) {
 	if p.recordKB()+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
 		p.do(node.Action{Kind: node.Record, Inv: i, For: until - p.now})
@@ -398,12 +395,10 @@
 func (p *Post) orderHold() {
 	p.order = p.order[:0]
 	for _, i := range p.live {
-		v := &p.invs[i]
-		if v.state != held && v.state != paused {
-			continue
+		if v := &p.invs[i]; v.state == held || v.state == paused {
+			p.rank(v)
+			p.order = append(p.order, i)
 		}
-		p.rank(v)
-		p.order = append(p.order, i)
 	}
 	p.sortOrder()
 	ahead := p.work(running)
@@ -450,7 +445,7 @@
 		return 1
 	}
 	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers)) * float64(beat) / 1e9 / (1 - fade)
-	inside := share / max(share, p.tenants[tenant])
+	inside := share / max(share, p.tenants[tenant+1])
 	return inside + (1-inside)*p.plate.OverShare
 }
 
@@ -481,8 +476,7 @@
 			p.makeWay(v)
 			return
 		}
-		more := v.kb * (p.plate.Blowup - 1)
-		if v.state == held && p.memory+p.recordKB()+more > memoryRoom*p.plate.MemoryKB {
+		if v.state == held && p.memory+p.recordKB()+v.kb*(p.plate.Blowup-1) > memoryRoom*p.plate.MemoryKB {
 			continue
 		}
 		v.ran = true
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -48,7 +48,7 @@
 
 func TestTenantOverItsShareComesAfterOthers(t *testing.T) {
 	p := post(func(n *node.Nameplate) { n.TenantRates = []float64{2, 2}; n.OverShare = 0.1 })
-	p.tenants = []float64{25, 2.5}
+	p.tenants = []float64{0, 25, 2.5}
 	assert.InDelta(t, (1+9*0.1)/10, p.withinShare(0), 1e-9)
 	assert.Equal(t, 1.0, p.withinShare(1))
 }
