--- a/control/control.go
+++ b/control/control.go
@@ -48,7 +48,7 @@
 
 	makeWayFrom  = 1.5   // times the rank of a run from which one that waits takes its place
 	skew         = 0.4   // of its expected cost that half of all runs do without, and one past it still needs
-	pressureHigh = 0.5  // of the shortest objective: a longer wait asks callers for less
+	pressureHigh = 0.5   // of the shortest objective: a longer wait asks callers for less
 	pressureLow  = 0.25  // of the shortest objective: a shorter wait asks them for more
 	adviceUp     = 0.02  // of all that could be asked for, given back for each beat of low pressure
 	creditTop    = 4.0   // outstanding invocations a core that credits start from
