--- a/tally/tally.go
+++ b/tally/tally.go
@@ -9,6 +9,7 @@
 	bins             []float64
 	perOctave        float64
 	seen, remembered float64
+	sum              float64 // of what was counted, each at the middle of its bin
 }
 
 // NewRatios counts in a number of bins, so many to a factor of two, and halves them past a number of samples.
@@ -18,20 +19,20 @@
 
 // Add counts one ratio.
 func (r *Ratios) Add(ratio float64) {
-	bin := int(math.Round(r.perOctave*math.Log2(max(ratio, 1e-9)))) + len(r.bins)/2
-	r.bins[min(max(bin, 0), len(r.bins)-1)]++
+	middle := len(r.bins) / 2
+	bin := int(math.Round(r.perOctave*math.Log2(max(ratio, 1e-9)))) + middle
+	bin = min(max(bin, 0), len(r.bins)-1)
+	r.bins[bin]++
+	r.sum += math.Exp2(float64(bin-middle) / r.perOctave)
 	if r.seen++; r.seen > r.remembered {
-		r.seen = halve(r.bins)
+		halve(r.bins)
+		r.seen, r.sum = r.seen/2, r.sum/2
 	}
 }
 
 // Mean counts one sample of the prior beside those seen.
 func (r *Ratios) Mean(prior float64) float64 {
-	sum := prior
-	for i, n := range r.bins {
-		sum += n * math.Exp2(float64(i-len(r.bins)/2)/r.perOctave)
-	}
-	return sum / (r.seen + 1)
+	return (prior + r.sum) / (r.seen + 1)
 }
 
 // Stays counts how long some stay and when others leave, by equal parts of a whole.
@@ -99,10 +100,8 @@
 	return sum
 }
 
-func halve(bins []float64) (sum float64) {
+func halve(bins []float64) {
 	for i := range bins {
 		bins[i] /= 2
-		sum += bins[i]
 	}
-	return sum
 }
