--- a/control/control.go
+++ b/control/control.go
@@ -47,7 +47,6 @@
 	limitBackoff = 0.8  // part of the best throughput at a lower limit that counts as a drop; the step down
 
 	makeWayFrom  = 1.5   // times the rank of a run from which one that waits takes its place
-	furtherWorth = 0.7   // of a first try's rank: part of the objective has passed, how much is not told
 	skew         = 0.4   // of its expected cost that half of all runs do without, and one past it still needs
 	pressureHigh = 0.5   // of the shortest objective: a longer wait asks callers for less
 	pressureLow  = 0.25  // of the shortest objective: a shorter wait asks them for more
@@ -424,9 +423,6 @@
 	if !p.plate.ByWork {
 		v.key /= p.expected(v)
 	}
-	if v.further {
-		v.key *= furtherWorth
-	}
 	if need, slack := p.ends(v)-float64(p.now), p.objective(v)-float64(p.now); need > slack {
 		v.key *= v.op.LateShare
 	} else {
