--- a/control/control.go
+++ b/control/control.go
@@ -31,6 +31,11 @@
 	binsAnOctave = 2.0  // bins to a factor of two: coarse, yet within a fifth
 	longMemory   = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
 	fade         = 0.98 // of what is remembered of arrivals kept for each beat: two and a half seconds of them
+	lagMemory    = 8.0  // arrivals over which the time unread is taken: a second or two
+	gaugeMemory  = 4.0  // beats over which the gauge of others is taken: short beside a run
+	awayTimes    = 2.0  // times the mean number off the cores that may be off them: calls come in waves
+	callerGone   = 0.05 // arrivals of late under which a caller is forgotten: what it heard has lapsed
+	callPart     = 3.0  // one call may take one of so many parts of the share left: some more must fit
 	awayMemory   = 1e9  // ns over which the mean number off the cores is taken: some runs
 	patienceBins = 24   // parts of a client timeout: fine beside the spread of run times
 	patienceMost = 0.67 // of callers that must still wait for an answer to be worth a run: notices get lost
@@ -205,7 +210,7 @@
 		p.free = e.Busy >= 0 && e.Busy < freeBusy
 		if e.Runnable >= 0 {
 			p.free = e.Runnable < p.cores
-			p.reading += (max(0, e.Runnable-float64(p.onCores)) - p.reading) / 4
+			p.reading += (max(0, e.Runnable-float64(p.onCores)) - p.reading) / gaugeMemory
 		}
 	case p.invs[i].state == ended:
 	case e.Kind == node.CallerGone:
@@ -266,7 +271,7 @@
 	p.live = append(p.live, e.Inv)
 	p.opened++
 	p.shift(v, held)
-	p.lag += (float64(e.Age) - p.lag) / 8
+	p.lag += (float64(e.Age) - p.lag) / lagMemory
 	p.arrivals++
 	p.callers[e.Caller]++
 	if e.Further {
@@ -468,7 +473,7 @@
 func (p *Post) startRuns() {
 	room, all := max(1, p.limit-p.reading), p.survivable()
 	if !p.free {
-		all = min(all, room+2*p.away)
+		all = min(all, room+awayTimes*p.away)
 	}
 	for _, i := range p.order {
 		v := &p.invs[i]
@@ -595,7 +600,7 @@
 		}
 	}
 	usual := p.callTime.Mean(0) * p.tightest
-	room := max(spare/3-linger, min(spare-linger, callTimes*usual))
+	room := max(spare/callPart-linger, min(spare-linger, callTimes*usual))
 	if room < 2*usual {
 		return 0
 	}
@@ -712,7 +717,7 @@
 	p.arrivals, p.echoes, p.throttled = p.arrivals*fade, p.echoes*fade, p.throttled*fade
 	sum, squares := 0.0, 1e-9
 	for caller, n := range p.callers {
-		if p.callers[caller] = n * fade; n < 0.05 {
+		if p.callers[caller] = n * fade; n < callerGone {
 			delete(p.callers, caller)
 		}
 		sum, squares = sum+math.Round(n), squares+math.Round(n)*math.Round(n)
