--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -103,15 +103,15 @@
 		}
 		return nil
 	case "PROVISION":
-		plate, err := ember.ReadPlate(line)
+		settings, err := ember.Start(line)
 		if err != nil {
 			return err
 		}
 		if old := f.instances[f.target]; old != nil {
 			old.post = nil
 		}
-		i := &instance{number: f.target, host: ember.NewHost(plate), marked: true}
-		i.post = control.New(&plate.Nameplate, f.now)
+		i := &instance{number: f.target, host: ember.NewHost(settings), marked: true}
+		i.post = control.New(&settings.Nameplate, f.now)
 		f.instances[f.target] = i
 		f.order = append(f.order, i)
 		return nil
--- /dev/null
+++ b/cmd/topazpost/main.go
@@ -0,0 +1,110 @@
+// Command topazpost is one node: the decision module on real sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"topazpost/server"
+)
+
+type serve struct {
+	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
+	where
+}
+
+type check struct{ where }
+
+type version struct{}
+
+type where struct {
+	Config string `arg:"" optional:"" env:"GW_CONFIG" help:"Path of the configuration." type:"path"`
+}
+
+func (w *where) read() (*server.Nameplate, error) {
+	if w.Config == "" {
+		return nil, fmt.Errorf("configuration: no path is given and GW_CONFIG is not set")
+	}
+	text, err := os.ReadFile(w.Config)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	return server.ReadNameplate(text)
+}
+
+// Run serves until a signal has been heeded. The first one drains, a second one ends the drain.
+func (c *serve) Run() error {
+	nameplate, err := c.read()
+	if err != nil {
+		return err
+	}
+	nameplate.Limit()
+	level, err := zerolog.ParseLevel(c.Level)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr)
+	if c.Form == "console" {
+		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
+	}
+	log = log.Level(level).With().Timestamp().Logger()
+	node := server.New(nameplate, log, server.SystemClock())
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		node.Drain()
+		<-signals
+		stop()
+	}()
+	return node.Run(ctx)
+}
+
+// Run says what a node would start with.
+func (c *check) Run() error {
+	n, err := c.read()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s listens on %s; executor %s, catalogue %s, control plane %s; %d operations, %g cores, %d MB, "+
+		"%d descriptors, %g ms from the notice to the kill\n", n.Name, n.Listen, n.Executor, n.Catalog, n.Control,
+		len(n.Settings.Operations), n.Cores, n.MemoryMB, n.Sockets, n.StopMS)
+	return nil
+}
+
+// Run says what was built.
+func (version) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return fmt.Errorf("this build has no information about itself")
+	}
+	revision := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	fmt.Println("topazpost", info.Main.Version, "revision", revision, info.GoVersion)
+	return nil
+}
+
+func main() {
+	var line struct {
+		Serve   serve   `cmd:"" default:"withargs" help:"Serve as one node until it is told to drain."`
+		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
+		Version version `cmd:"" help:"Say what was built."`
+	}
+	run := kong.Parse(&line, kong.Name("topazpost"),
+		kong.Description("Decides, inside one server of a fleet, what it takes, runs and turns away."))
+	run.FatalIfErrorf(run.Run())
+}
--- a/control/control.go
+++ b/control/control.go
@@ -1,8 +1,7 @@
 // Package control holds every decision of a node: what it takes, runs and turns away.
 //
 // A host makes one Post for a node's life with New and hands each batch of events to Decide, which returns
-// the actions to take, in order. The interface, types only, is package node. A Post knows only its nameplate,
-// its events and the clock of the batch.
+// the actions to take, in order. It knows only what it is handed. The interface, types only, is package node.
 //
 // The ordinary path is that of "Draining, in three beats"; docs/design.md says what was kept and changed.
 package control
@@ -129,7 +128,7 @@
 	windowAt, noticed, intakeEnd, drainEnd int64
 	opened, closed                         int  // invocations ever read, and ended
 	atNotice, closedBefore                 int  // in flight and ended at the notice
-	unhealthy, free                        bool // free: a core was idle at the last beat
+	unhealthy, free, drained               bool // free: a core was idle at the last beat
 
 	open, said                  float64           // open is the part of all that could be asked for
 	allFull                     bool              // other nodes seem to turn work away too
@@ -654,8 +653,7 @@
 
 // Drain.
 
-// drain is beat 1: health goes bad and what is in flight is sampled, in the turn of the notice. Both
-// durations shrink in proportion where the told kill leaves less.
+// drain is beat 1: bad health, a sample of what is in flight. Both durations shrink to fit under the kill.
 func (p *Post) drain(kill int64) {
 	if p.noticed == 0 {
 		p.noticed, p.atNotice, p.closedBefore = p.now, p.opened-p.closed, p.closed
@@ -668,27 +666,30 @@
 	p.drainEnd = min(p.drainEnd, p.intakeEnd+int64(scale*float64(drainBudget)))
 }
 
-// keepDrain ends beat 3: what is open at the deadline is aborted and counted.
+// keepDrain stops intake and ends beat 3 once nothing is open; at the deadline the rest is aborted, counted.
 func (p *Post) keepDrain() {
-	if p.noticed == 0 || p.now < p.drainEnd {
+	if p.noticed == 0 || p.drained || p.now < p.intakeEnd {
 		return
 	}
+	p.do(node.Action{Kind: node.StopIntake})
 	abandoned, completed := 0, p.closed-p.closedBefore
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state != ended && !v.answered {
+			if p.now < p.drainEnd {
+				return
+			}
 			abandoned++
 			p.giveUp(i)
 		}
 	}
-	p.drainEnd = math.MaxInt64
-	p.do(node.Action{Kind: node.Note, Text: fmt.Sprintf(
+	p.drained = true
+	p.do(node.Action{Kind: node.Leave, Text: fmt.Sprintf(
 		"drain: in flight at start %d, completed %d, abandoned %d", p.atNotice, completed, abandoned)})
 }
 
 // Health.
 
-// adjustHealth reports bad in a drain or while this node does worse than is usual for it. One that is only
-// full stays good: were all full, callers would have nowhere to go.
+// adjustHealth reports bad in a drain or while doing worse than usual; were full ones bad, none were left.
 func (p *Post) adjustHealth() {
 	if p.stall = 0; p.onCores == 0 {
 		p.pace.Add(1) // an idle node comes back: nothing else would tell it that it may
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -223,8 +223,20 @@
 	put(p, 0, held)
 	p.noticed, p.drainEnd, p.atNotice, p.closed = p.now-ms, p.now, 3, 2
 	p.keepDrain()
-	assert.Equal(t, []node.ActionKind{node.Fail, node.Stop, node.Throttle, node.Note}, kinds(p))
-	assert.Equal(t, "drain: in flight at start 3, completed 2, abandoned 2", p.out[3].Text)
+	assert.Equal(t, []node.ActionKind{node.StopIntake, node.Fail, node.Stop, node.Throttle, node.Leave}, kinds(p))
+	assert.Equal(t, "drain: in flight at start 3, completed 2, abandoned 2", p.out[4].Text)
+}
+
+func TestDrainIsOverOnceNothingIsOpenAndIntakeEnded(t *testing.T) {
+	p := post()
+	v := put(p, 0, running)
+	p.noticed, p.intakeEnd, p.drainEnd = p.now-ms, p.now, p.now+1_000*ms
+	p.keepDrain()
+	assert.Equal(t, []node.ActionKind{node.StopIntake}, kinds(p))
+	v.answered = true
+	p.keepDrain()
+	p.keepDrain()
+	assert.Equal(t, []node.ActionKind{node.StopIntake, node.StopIntake, node.Leave}, kinds(p), "told once")
 }
 
 func TestStalledRunsTurnHealthBadBeforeAnyEnds(t *testing.T) {
--- a/ember/ember.go
+++ b/ember/ember.go
@@ -12,19 +12,20 @@
 	"strings"
 
 	"topazpost/node"
+	"topazpost/plate"
 )
 
 // Host is the door of one instance: it gives wire ids small indices and takes them back.
 type Host struct {
-	plate   *Plate
+	plate   *plate.Plate
 	indices map[uint64]int32
 	ids     []uint64
 	free    []int32
 }
 
 // NewHost opens the door of an instance that was started with the given plate.
-func NewHost(plate *Plate) *Host {
-	return &Host{plate: plate, indices: make(map[uint64]int32)}
+func NewHost(settings *plate.Plate) *Host {
+	return &Host{plate: settings, indices: make(map[uint64]int32)}
 }
 
 func (h *Host) admit(id uint64) int32 {
@@ -154,6 +155,16 @@
 	return int64(n), f.err
 }
 
+// Start reads a PROVISION line.
+func Start(line []string) (*plate.Plate, error) {
+	f := fields{name: line[0], values: line[1:]}
+	seed := int64(f.id())
+	if f.err != nil {
+		return nil, f.err
+	}
+	return plate.FromPairs(seed, f.values)
+}
+
 // Event reads one event of this instance; live is false for one that names an id no longer live.
 func (h *Host) Event(line []string) (e node.Event, live bool, err error) {
 	f := fields{name: line[0], values: line[1:]}
@@ -208,12 +219,12 @@
 		e.Hint = hint
 	}
 	e.HeldKB = f.number()
-	op, ok := h.plate.operations[operation]
+	op, ok := h.plate.Operations[operation]
 	if !ok {
 		f.fail(operation)
 	}
 	e.Operation, e.Tenant, e.Repeats = op, -1, node.NoRepeat
-	if t, ok := h.plate.tenants[tenant]; ok {
+	if t, ok := h.plate.Tenants[tenant]; ok {
 		e.Tenant = t
 	}
 	if f.err != nil {
@@ -239,10 +250,10 @@
 			f.fail(v)
 			return
 		}
-		if i >= len(h.plate.gauges) {
+		if i >= len(h.plate.Gauges) {
 			return
 		}
-		switch h.plate.gauges[i] {
+		switch h.plate.Gauges[i] {
 		case "cpu_busy":
 			e.Busy = n
 		case "runnable":
@@ -261,6 +272,8 @@
 		case node.Release:
 			h.release(a.Inv)
 			continue
+		case node.StopIntake: // the simulator takes its nodes off the lists itself
+			continue
 		case node.Run:
 			reply = h.named(reply, "DISPATCH", a)
 		case node.Throttle:
@@ -293,7 +306,7 @@
 		case node.Timer:
 			reply = millis(append(reply, "REMIND\t"...), a.At)
 			reply = strconv.AppendInt(append(reply, '\t'), a.Key, 10)
-		case node.Note:
+		case node.Leave:
 			reply = append(append(reply, "TRACE\t"...), a.Text...)
 		}
 		reply = append(reply, '\n')
--- a/ember/ember_test.go
+++ b/ember/ember_test.go
@@ -13,10 +13,10 @@
 func split(line string) []string { return strings.Split(line, "\t") }
 
 func host(t *testing.T) *Host {
-	plate, err := ReadPlate(split("PROVISION\t7\tgrades.count=1\tgrades.0.name=catalogue\tgrades.0.aim=1700.0\t" +
+	settings, err := Start(split("PROVISION\t7\tgrades.count=1\tgrades.0.name=catalogue\tgrades.0.aim=1700.0\t" +
 		"family_info.gauges=cpu_busy,runnable\ttenants=\tunknown.key=x"))
 	require.NoError(t, err)
-	return NewHost(plate)
+	return NewHost(settings)
 }
 
 const item = "WORK_ITEM\t9\t-\t1.85\t0.625\t17\t-\t3\t-\tcatalogue\t-\t12.0\t24.5"
--- /dev/null
+++ b/must/release.go
@@ -0,0 +1,6 @@
+//go:build !debug
+
+package must
+
+// Debug says that a breach panics.
+const Debug = false
--- a/node/node.go
+++ b/node/node.go
@@ -169,7 +169,8 @@
 	Advise
 	CloseIdle
 	Timer
-	Note
+	StopIntake // beat 3 of a drain has begun; said again until it is over
+	Leave      // the drain is over; Text is its report
 	Release
 )
 
--- /dev/null
+++ b/reducer/executor.go
@@ -0,0 +1,224 @@
+package reducer
+
+import (
+	"fmt"
+	"strconv"
+
+	"topazpost/control"
+	"topazpost/frame"
+	"topazpost/lines"
+	"topazpost/node"
+)
+
+// joined starts on a new link: the notices after the last one taken come first, and the tag of the gauges
+// asked for behind them tells when all of them are in.
+func (r *Reducer) joined(link int) {
+	r.Counters.ExecutorLinks++
+	r.link, r.synced, r.redialAt = link, false, never
+	b := lines.Append(nil, "JOIN", strconv.Itoa(r.notice))
+	r.do(Effect{Kind: Tell, Link: link, Bytes: lines.Append(b, "METER", r.syncTag())})
+}
+
+func (r *Reducer) syncTag() string { return "j" + strconv.Itoa(r.link) }
+
+// tell writes a command that is worth nothing on a later link.
+func (r *Reducer) tell(words ...string) {
+	r.do(Effect{Kind: Tell, Link: r.link, Bytes: lines.Append(nil, words...)})
+}
+
+// order writes a command that must be read; it is kept until the executor is known to have read it.
+func (r *Reducer) order(i int32, bytes []byte) {
+	r.seq++
+	r.unread = append(r.unread, command{r.seq, i, r.invs[i].call, bytes})
+	if r.synced {
+		r.do(Effect{Kind: Tell, Link: r.link, Bytes: bytes})
+	}
+}
+
+// readBy drops the commands that are known to have been read.
+func (r *Reducer) readBy(read func(c *command) bool) {
+	kept := r.unread[:0]
+	for i := range r.unread {
+		if !read(&r.unread[i]) {
+			kept = append(kept, r.unread[i])
+		}
+	}
+	clear(r.unread[len(kept):])
+	r.unread = kept
+}
+
+// askGauges asks for the gauges with the number of the last command: the answer proves that it was read.
+func (r *Reducer) askGauges() {
+	if r.synced {
+		r.tell("METER", "m"+strconv.Itoa(r.seq))
+	}
+}
+
+func (r *Reducer) run(i int32) {
+	v := &r.invs[i]
+	if r.Guard.Hold(v.live && !v.answered, "no run after an answer") {
+		r.order(i, lines.AppendBody(nil, v.body, "EXEC", v.call, v.op))
+		v.body = nil
+	}
+}
+
+func (r *Reducer) fromExecutor(in *Input) {
+	if in.Kind == Parted {
+		r.remark(Info, "executor link ended", "", in.Err)
+		r.link, r.synced = 0, false
+		r.redialAt = r.now + r.wait
+		r.wait = min(2*r.wait, redialMost)
+		for tag := range r.diags {
+			r.diagnosed(tag, false)
+		}
+		return
+	}
+	if err := r.told(in.Line.Words, in.Line.Body); err != nil {
+		r.remark(Warn, "executor can't be understood", "", err)
+		r.do(Effect{Kind: Part, Link: r.link})
+	}
+}
+
+func (r *Reducer) told(words []string, body []byte) error {
+	number := func(k int) int {
+		if k < len(words) {
+			if n, err := strconv.Atoi(words[k]); err == nil {
+				return n
+			}
+		}
+		return -1
+	}
+	switch word := words[0]; {
+	case word == "WELCOME" && len(words) == 3 && (words[1] == "new" || words[1] == "old"):
+		r.welcome(words)
+		return nil
+	case word == "METERS" && len(words) == 2+len(r.plate.Gauges):
+		return r.meters(words)
+	case word == "DIAGNOSED" && len(words) == 3:
+		r.diagnosed(words[1], words[2] == "good")
+		return nil
+	case word == "BAD" && len(words) >= 2:
+		r.refusedCommand(words)
+		return nil
+	case word == "EXIT" && (len(words) == 6 || len(words) == 5) && number(1) > 0:
+		if r.taken(number(1)) {
+			return r.exit(words, body)
+		}
+		return nil
+	case word == "CALLOUT" && len(words) == 4 && number(1) > 0:
+		if r.taken(number(1)) {
+			r.callout(words[2], body)
+		}
+		return nil
+	case word == "LOG" && number(1) > 0:
+		r.taken(number(1))
+		return nil
+	}
+	return fmt.Errorf("line %q", words)
+}
+
+// taken says whether a notice is new; each is taken once and in order.
+func (r *Reducer) taken(n int) bool {
+	if n <= r.notice {
+		return false
+	}
+	r.Guard.Hold(n == r.notice+1, "notices come in order")
+	r.notice = n
+	return true
+}
+
+// welcome starts the module when the executor is first heard of: its state and age are those of the cores.
+func (r *Reducer) welcome(words []string) {
+	r.wait = redialFirst
+	if r.post != nil {
+		return
+	}
+	age, err := strconv.ParseFloat(words[2], 64)
+	if err != nil || age < 0 {
+		age = 0
+	}
+	r.plate.Nameplate.Fresh = words[1] == "new"
+	r.post = control.New(&r.plate.Nameplate, r.now-int64(age*float64(ms)))
+	r.good, r.beatAt = true, r.now
+	r.remark(Info, "executor is up, serving", words[1], nil)
+}
+
+func (r *Reducer) meters(words []string) error {
+	tag := words[1]
+	for k, name := range r.plate.Gauges {
+		v, err := strconv.ParseFloat(words[2+k], 64)
+		if err != nil {
+			return fmt.Errorf("gauge %s: %w", name, err)
+		}
+		switch name {
+		case "cpu_busy":
+			r.busy = v
+		case "runnable":
+			r.runnable = v
+		case "sockets":
+			r.sockets = v
+		}
+	}
+	r.metered = r.now
+	if tag == r.syncTag() && !r.synced {
+		r.synced = true
+		for i := range r.unread {
+			if c := &r.unread[i]; r.isLive(c) {
+				r.do(Effect{Kind: Tell, Link: r.link, Bytes: c.bytes})
+			}
+		}
+	} else if seq, err := strconv.Atoi(tag[1:]); tag[0] == 'm' && err == nil {
+		r.readBy(func(c *command) bool { return c.seq <= seq })
+	}
+	return nil
+}
+
+func (r *Reducer) isLive(c *command) bool {
+	v := &r.invs[c.index]
+	return v.live && !v.answered && v.call == c.call
+}
+
+// refusedCommand ends a run that could not start; a refused reply to a call was read twice.
+func (r *Reducer) refusedCommand(words []string) {
+	r.remark(Warn, "executor did not carry out a command", words[len(words)-1], nil)
+	if i, v := r.lookup(words[len(words)-1]); v != nil && words[1] == "EXEC" {
+		if !v.answered {
+			r.answer(i, frame.Failed, nil)
+		}
+		r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: node.Errored})
+	}
+}
+
+var ends = map[string]node.Outcome{
+	"good": node.Succeeded, "bad": node.Errored, "cut": node.Withdrawn, "gone": node.Void,
+}
+
+// exit answers with what the run came to, if that is still owed.
+func (r *Reducer) exit(words []string, body []byte) error {
+	outcome, known := ends[words[3]]
+	if !known {
+		return fmt.Errorf("end %q", words[3])
+	}
+	i, v := r.lookup(words[2])
+	if v == nil {
+		return nil // given up and forgotten before it ended
+	}
+	r.readBy(func(c *command) bool { return c.call == v.call })
+	if !v.answered {
+		if outcome == node.Succeeded {
+			r.answer(i, frame.Served, body)
+		} else {
+			r.answer(i, frame.Failed, nil)
+		}
+	}
+	r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: outcome})
+	return nil
+}
+
+func (r *Reducer) callout(call string, body []byte) {
+	if i, v := r.lookup(call); v != nil {
+		r.readBy(func(c *command) bool { return c.call == v.call })
+		v.wanted = body
+		r.events = append(r.events, node.Event{Kind: node.CallWanted, Inv: i})
+	}
+}
--- /dev/null
+++ b/reducer/reducer.go
@@ -0,0 +1,322 @@
+package reducer
+
+import (
+	"fmt"
+	"math"
+
+	"topazpost/control"
+	"topazpost/frame"
+	"topazpost/must"
+	"topazpost/node"
+	"topazpost/plate"
+)
+
+const (
+	ms = int64(1_000_000) // ns in a millisecond
+
+	streamsOpen = 32       // requests that may be open on one connection
+	bodyMost    = 2 << 10  // bytes of a request's body
+	heapMost    = 2_000.0  // kB of memory that a request may be booked with
+	ageMost     = 60_000   // ms past which an arrival's stamp tells of a clock that jumped, not of a wait
+	meterLead   = 5 * ms   // ns before a timer of the module at which the gauges are asked for: a round trip
+	meterStale  = 500 * ms // ns after which gauges say nothing: the span over which they are taken
+	diagWait    = 900 * ms // ns that a deep check may take: dispatchers wait little longer
+	redialFirst = 20 * ms  // ns to the first new try at a link that ended
+	redialMost  = 500 * ms // ns to any further try
+	idleTrust   = 8_000 * ms
+	reportEvery = 1_000 * ms // ns between reports, three to the time after which an entry lapses
+	reportAgain = 200 * ms   // ns to the next try after one that failed
+	never       = math.MaxInt64
+)
+
+// invocation is what the door keeps of one.
+type invocation struct {
+	live, answered bool
+	conn           int
+	stream         uint32
+	call, op       string
+	body           []byte
+	wanted         []byte // body of the call that the run waits for
+	calling        bool
+	asked          bool // its call was written to the catalogue
+	until          int64
+}
+
+// connection is a dispatcher's connection.
+type connection struct {
+	last    uint32 // highest stream seen
+	open    map[uint32]int32
+	checks  int   // deep checks that wait for the executor
+	used    int64 // when it was last read from
+	noMore  bool
+	closing bool
+}
+
+// command is one that the executor may not have read.
+type command struct {
+	seq   int
+	index int32
+	call  string
+	bytes []byte
+}
+
+// check is a deep health check that the executor works on.
+type check struct {
+	conn   int
+	stream uint32
+	until  int64
+}
+
+// Counters are what an operator may want to see of a node's life.
+type Counters struct {
+	Requests, Served, Refused, Failed, Gone, BrokenRequests, BrokenConnections   int
+	ExecutorLinks, CatalogueLinks, StrayReplies, Evicted, Reports, ReportsFailed int
+}
+
+// Reducer is the state of one node.
+type Reducer struct {
+	Guard    must.Guard
+	Counters Counters
+
+	plate    *plate.Plate
+	name     string
+	stop     int64 // ns from the notice to the kill
+	connMost int
+	post     *control.Post
+	now      int64
+	wall     int64 // Unix ns at now
+	effects  []Effect
+	events   []node.Event
+
+	invs  []invocation
+	free  []int32
+	calls map[string]int32
+	conns map[int]*connection
+	open  int // invocations that are owed an answer
+
+	beatAt, meterAt         int64
+	busy, runnable, sockets float64
+	metered                 int64 // when the gauges came
+
+	good, stored bool
+	load         string // what answers carry, empty before the first advice
+
+	link             int // to the executor, 0 where there is none
+	welcomed, synced bool
+	notice           int // the last that was taken
+	seq              int // of the last command
+	unread           []command
+	redialAt, wait   int64
+	diags            map[string]check
+	diagged          int
+
+	below               int // link to the catalogue, 0 where there is none
+	reaching            bool
+	belowUsed           int64
+	reportAt            int64
+	reporting           bool
+	noticed, shut, left bool
+}
+
+// New is the state of a node that has just started. Settings are those of its configuration, connections the
+// most that it is to keep.
+func New(settings *plate.Plate, name string, stop int64, connections int) *Reducer {
+	r := &Reducer{plate: settings, name: name, stop: stop, connMost: connections, calls: map[string]int32{},
+		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
+		metered: math.MinInt64 / 2, wait: redialFirst}
+	r.Guard.Tell = func(what string, times int) {
+		r.do(Effect{Kind: Remark, Level: Warn, Text: fmt.Sprintf("did not hold, %d times so far: %s", times, what)})
+	}
+	return r
+}
+
+func (r *Reducer) do(e Effect) { r.effects = append(r.effects, e) }
+
+func (r *Reducer) remark(level Level, text, id string, err error) {
+	r.do(Effect{Kind: Remark, Level: level, Text: text, ID: id, Err: err})
+}
+
+// Step takes what happened up to now, a clock that only advances, with wall its time in Unix nanoseconds. The
+// effects are valid until the next step.
+func (r *Reducer) Step(now, wall int64, inputs []Input) []Effect {
+	r.now, r.wall, r.effects, r.events = now, wall, r.effects[:0], r.events[:0]
+	for i := range inputs {
+		r.take(&inputs[i])
+	}
+	r.keepTimers()
+	if r.post != nil && len(r.events) > 0 {
+		for _, a := range r.post.Decide(now, r.events) {
+			r.carry(&a)
+		}
+	}
+	r.keepLeaving()
+	r.do(Effect{Kind: Wake, At: r.wake()})
+	return r.effects
+}
+
+func (r *Reducer) take(in *Input) {
+	switch in.Kind {
+	case Opened:
+		r.opened(in.Link)
+	case Read, Malformed, Closed:
+		if c := r.conns[in.Link]; c != nil {
+			r.fromDispatcher(in, c)
+		}
+	case Joined:
+		r.joined(in.Link)
+	case Told, Parted:
+		if in.Link == r.link {
+			r.fromExecutor(in)
+		}
+	case Reached, Refused, Replied, Broke:
+		r.fromCatalogue(in)
+	case Reported:
+		r.reported(in.Err)
+	case Notice:
+		r.drain()
+	}
+}
+
+// keepTimers does what is due.
+func (r *Reducer) keepTimers() {
+	if r.now >= r.redialAt && r.link == 0 {
+		r.redialAt = never
+		r.do(Effect{Kind: Dial})
+	}
+	if r.now >= r.reportAt && !r.reporting && !r.noticed {
+		r.reporting = true
+		r.do(Effect{Kind: Report, Ready: r.post != nil && r.good})
+	}
+	if r.now >= r.meterAt && r.link != 0 {
+		r.meterAt = never
+		r.askGauges()
+	}
+	r.keepCalls()
+	r.keepChecks()
+	if r.now >= r.beatAt {
+		e := node.Event{Kind: node.TimerDue, Busy: -1, Runnable: -1, Sockets: -1}
+		if r.now-r.metered <= meterStale {
+			e.Busy, e.Runnable, e.Sockets = r.busy, r.runnable, r.sockets
+		}
+		r.beatAt = never
+		r.events = append(r.events, e)
+	}
+}
+
+// wake is when the next of the timers is due.
+func (r *Reducer) wake() int64 {
+	at := min(r.beatAt, r.callsDue(), r.checksDue())
+	if r.link == 0 {
+		at = min(at, r.redialAt)
+	} else {
+		at = min(at, r.meterAt)
+	}
+	if !r.reporting && !r.noticed {
+		at = min(at, r.reportAt)
+	}
+	if r.below != 0 {
+		at = min(at, r.belowUsed+idleTrust)
+	}
+	return at
+}
+
+// carry does what the module asks for.
+func (r *Reducer) carry(a *node.Action) {
+	switch a.Kind {
+	case node.Run:
+		r.run(a.Inv)
+	case node.Throttle:
+		r.throttle(a)
+	case node.Fail:
+		r.answer(a.Inv, frame.Failed, nil)
+	case node.Call:
+		r.call(a.Inv, a.At)
+	case node.Health:
+		r.good, r.stored = a.Good, a.Stored
+	case node.Advise:
+		r.load = number(a.Value)
+	case node.Timer:
+		r.beatAt, r.meterAt = a.At, a.At-meterLead
+	case node.StopIntake:
+		r.stopIntake()
+	case node.Leave:
+		r.left = true
+		r.remark(Info, a.Text, "", nil)
+	case node.Release:
+		r.release(a.Inv)
+	default:
+		r.Guard.Hold(false, "an action that this site allows")
+	}
+}
+
+// drain passes on the notice; a node that never had its executor has nothing to drain.
+func (r *Reducer) drain() {
+	if r.noticed {
+		return
+	}
+	r.noticed = true
+	r.remark(Info, "drain notice", "", nil)
+	if r.post == nil {
+		r.stopIntake()
+		r.left = true
+		return
+	}
+	r.events = append(r.events, node.Event{Kind: node.DrainNotice, Kill: r.now + r.stop})
+}
+
+// stopIntake is the start of beat 3 on sockets: nobody can connect any more, and no connection brings more.
+func (r *Reducer) stopIntake() {
+	if r.shut {
+		return
+	}
+	r.shut = true
+	r.do(Effect{Kind: Shut})
+	for link, c := range r.conns {
+		r.noMore(link, c)
+	}
+}
+
+func (r *Reducer) keepLeaving() {
+	if r.left && r.open == 0 {
+		r.left = false
+		r.do(Effect{Kind: Leave})
+	}
+}
+
+// Admission of ids.
+
+func (r *Reducer) admit(v invocation) int32 {
+	index := int32(len(r.invs))
+	if n := len(r.free); n > 0 {
+		index, r.free = r.free[n-1], r.free[:n-1]
+	} else {
+		r.invs = append(r.invs, invocation{})
+	}
+	r.invs[index] = v
+	r.calls[v.call] = index
+	r.open++
+	return index
+}
+
+// release forgets an index; the module ends nothing unanswered, but should it, an error is the answer.
+func (r *Reducer) release(i int32) {
+	v := &r.invs[i]
+	if !r.Guard.Hold(v.live, "an index released is live") {
+		return
+	}
+	if !r.Guard.Hold(v.answered, "what is released was answered") {
+		r.answer(i, frame.Failed, nil)
+	}
+	r.quitCall(v)
+	delete(r.calls, v.call)
+	*v = invocation{}
+	r.free = append(r.free, i)
+}
+
+// lookup finds the invocation that an id names, if it is live.
+func (r *Reducer) lookup(call string) (int32, *invocation) {
+	if i, ok := r.calls[call]; ok {
+		return i, &r.invs[i]
+	}
+	return -1, nil
+}
--- /dev/null
+++ b/reducer/types.go
@@ -0,0 +1,81 @@
+// Package reducer holds the one state of a real node. Step takes what happened and returns what is to be
+// done; it has no goroutine, no socket and no clock. All that it decides by is package control.
+package reducer
+
+import (
+	"topazpost/frame"
+	"topazpost/lines"
+)
+
+// InputKind names what happened.
+type InputKind uint8
+
+// The inputs. A link or connection is named by a number that is never used twice.
+const (
+	Opened    InputKind = iota // a dispatcher's connection was accepted
+	Read                       // a frame came on it
+	Malformed                  // what came on it can't be read any further
+	Closed                     // it is gone
+	Joined                     // a link to the executor is up
+	Told                       // a line came on it
+	Parted                     // it ended, or could not be had
+	Reached                    // a link to the catalogue is up
+	Replied                    // a line came on it
+	Refused                    // a link to the catalogue could not be had
+	Broke                      // it ended
+	Reported                   // a report to the control plane ended
+	Notice                     // the node is to drain
+)
+
+// Input is one thing that happened. Payloads and bodies belong to the reducer from then on.
+type Input struct {
+	Kind  InputKind
+	Link  int // the connection or link
+	Frame frame.Frame
+	Line  lines.Line
+	Err   error
+}
+
+// EffectKind names what is to be done.
+type EffectKind uint8
+
+// The effects.
+const (
+	Receive EffectKind = iota // read frames from a new connection
+	Send                      // write to a connection
+	Finish                    // close it once all is written
+	Dial                      // open a link to the executor, giving Joined or Parted
+	Tell                      // write to the executor
+	Part                      // close the link to the executor, giving Parted
+	Reach                     // open a link to the catalogue, giving Reached or Refused
+	Ask                       // write to the catalogue
+	Quit                      // close the link to the catalogue, giving Broke
+	Report                    // report to the control plane, giving Reported
+	Shut                      // close the listening socket
+	Leave                     // all is done: flush and end
+	Wake                      // step again at this time at the latest
+	Remark                    // log
+)
+
+// Level is how loud a remark is.
+type Level uint8
+
+// The levels of remarks.
+const (
+	Debug Level = iota
+	Info
+	Warn
+)
+
+// Effect is one thing to do; only the fields of its kind are set.
+type Effect struct {
+	Kind  EffectKind
+	Link  int
+	At    int64
+	Bytes []byte
+	Ready bool
+	Level Level
+	Text  string
+	ID    string
+	Err   error
+}
--- /dev/null
+++ b/server/clock.go
@@ -0,0 +1,18 @@
+package server
+
+import "time"
+
+// Clock tells the time twice: in nanoseconds that only advance, and as Unix time, which may jump.
+type Clock interface {
+	Now() (monotonic, unix int64)
+}
+
+type systemClock struct{ start time.Time }
+
+// SystemClock is the clock of the system.
+func SystemClock() Clock { return systemClock{time.Now()} }
+
+func (c systemClock) Now() (monotonic, unix int64) {
+	now := time.Now()
+	return int64(now.Sub(c.start)) + 1, now.UnixNano()
+}
--- /dev/null
+++ b/server/config.go
@@ -0,0 +1,81 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+
+	"topazpost/plate"
+)
+
+// Nameplate is what a node is started with.
+type Nameplate struct {
+	Name, Listen, Executor, Control, Catalog string
+	StopMS                                   float64
+	Cores                                    float64
+	MemoryMB                                 int
+	Sockets                                  int
+	Settings                                 *plate.Plate
+}
+
+// file is the form of the configuration.
+type file struct {
+	Name     string  `json:"name"`
+	Listen   string  `json:"listen"`
+	Executor string  `json:"executor"`
+	Control  string  `json:"control"`
+	Catalog  string  `json:"catalog"`
+	Seed     string  `json:"seed"`
+	StopMS   float64 `json:"stop_ms"`
+	Limits   struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  float64 `json:"sockets"`
+	} `json:"limits"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// ReadNameplate reads a configuration; an error names the field that is unusable.
+func ReadNameplate(text []byte) (*Nameplate, error) {
+	var f file
+	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&f); err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	if f.Name == "" {
+		return nil, fmt.Errorf("configuration: name: missing")
+	}
+	for _, address := range []struct{ field, value string }{{"listen", f.Listen}, {"executor", f.Executor},
+		{"control", f.Control}, {"catalog", f.Catalog}} {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			return nil, fmt.Errorf("configuration: %s: %w", address.field, err)
+		}
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: seed: %w", err)
+	}
+	for _, n := range []struct {
+		field       string
+		value, from float64
+	}{{"stop_ms", f.StopMS, 1}, {"limits.cores", f.Limits.Cores, 0.01},
+		{"limits.memory_mb", f.Limits.MemoryMB, 32}, {"limits.sockets", f.Limits.Sockets, 64}} {
+		if n.value < n.from {
+			return nil, fmt.Errorf("configuration: %s: %g is less than %g", n.field, n.value, n.from)
+		}
+	}
+	if len(f.Settings) == 0 {
+		return nil, fmt.Errorf("configuration: settings: missing")
+	}
+	settings, err := plate.FromJSON(int64(seed), f.Settings)
+	if err == nil {
+		err = settings.Usable()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("configuration: settings: %w", err)
+	}
+	return &Nameplate{Name: f.Name, Listen: f.Listen, Executor: f.Executor, Control: f.Control,
+		Catalog: f.Catalog, StopMS: f.StopMS, Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB),
+		Sockets: int(f.Limits.Sockets), Settings: settings}, nil
+}
--- /dev/null
+++ b/server/dispatchers.go
@@ -0,0 +1,239 @@
+package server
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"topazpost/frame"
+	"topazpost/reducer"
+)
+
+const (
+	pendingMost = 1 << 20          // bytes that may wait for a peer; far above all answers to 32 streams
+	writeWait   = 20 * time.Second // a peer that takes nothing for so long is cut off: no pause lasts as long
+	acceptAgain = 20 * time.Millisecond
+	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
+	flushWait   = 250 * time.Millisecond // for the last answers to be taken before the node ends
+)
+
+// connection is one from a dispatcher: a reader, and a writer that is started when there is something to
+// write and sends all that waits with one call.
+type connection struct {
+	link int
+	net  *net.TCPConn
+
+	mu       sync.Mutex
+	pending  []byte
+	spare    []byte // the buffer that was last written
+	writing  bool
+	finished bool
+	over     bool
+}
+
+// connections are all of the dispatchers'. Only the loop adds to and takes from open.
+type connections struct {
+	s     *Server
+	mu    sync.Mutex
+	open  map[int]*connection
+	dirty []*connection // with something to write since the last flush
+	slots chan struct{}
+}
+
+func newConnections(s *Server) *connections {
+	return &connections{s: s, open: make(map[int]*connection),
+		slots: make(chan struct{}, s.plate.Sockets-spareSockets/2)}
+}
+
+// accept takes connections while descriptors last; without one it waits a little, and so never spins.
+func (c *connections) accept() error {
+	for next := 1; ; next++ {
+		select {
+		case c.slots <- struct{}{}:
+		case <-c.s.ctx.Done():
+			return nil
+		}
+		conn, err := c.s.listener.Accept()
+		for err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			c.s.log.Warn().Err(err).Msg("no connection could be accepted")
+			time.Sleep(acceptAgain)
+			conn, err = c.s.listener.Accept()
+		}
+		k := &connection{link: next, net: conn.(*net.TCPConn)}
+		c.mu.Lock()
+		c.open[next] = k
+		c.mu.Unlock()
+		if !c.s.put(reducer.Input{Kind: reducer.Opened, Link: next}) {
+			k.net.Close()
+			return nil
+		}
+	}
+}
+
+func (c *connections) get(link int) *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open[link]
+}
+
+func (c *connections) receive(link int) {
+	if k := c.get(link); k != nil {
+		c.s.group.Go(func() error { c.read(k); return nil })
+	}
+}
+
+// read gives the reducer all that comes. What can't be parsed is read on to its end, to see that come.
+func (c *connections) read(k *connection) {
+	var parser frame.Parser
+	broken := false
+	for {
+		n, err := k.net.Read(parser.Space())
+		if err != nil {
+			c.s.put(reducer.Input{Kind: reducer.Closed, Link: k.link, Err: err})
+			c.drop(k)
+			return
+		}
+		if broken {
+			continue
+		}
+		parser.Wrote(n)
+		for {
+			f, ok, err := parser.Next()
+			if err != nil {
+				broken = true
+				c.s.put(reducer.Input{Kind: reducer.Malformed, Link: k.link, Err: err})
+			}
+			if !ok {
+				break
+			}
+			f.Payload = append([]byte(nil), f.Payload...)
+			if !c.s.put(reducer.Input{Kind: reducer.Read, Link: k.link, Frame: f}) {
+				break
+			}
+		}
+	}
+}
+
+// drop frees what a connection held.
+func (c *connections) drop(k *connection) {
+	k.mu.Lock()
+	over := k.over
+	k.over, k.pending = true, nil
+	k.mu.Unlock()
+	if over {
+		return
+	}
+	k.net.Close()
+	c.mu.Lock()
+	delete(c.open, k.link)
+	c.mu.Unlock()
+	<-c.slots
+}
+
+func (c *connections) send(link int, b []byte) {
+	k := c.get(link)
+	if k == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.over {
+		return
+	}
+	if len(k.pending)+len(b) > pendingMost {
+		c.s.log.Warn().Int("connection", link).Msg("peer reads too slowly, cut off")
+		k.net.Close() // the reader sees it and drops it
+		return
+	}
+	if len(k.pending) == 0 {
+		c.dirty = append(c.dirty, k)
+	}
+	k.pending = append(k.pending, b...)
+}
+
+// finish closes a connection once all is written.
+func (c *connections) finish(link int) {
+	if k := c.get(link); k != nil {
+		k.mu.Lock()
+		k.finished = true
+		k.mu.Unlock()
+		c.dirty = append(c.dirty, k)
+	}
+}
+
+// flush starts a writer on each connection with something to write.
+func (c *connections) flush() {
+	for _, k := range c.dirty {
+		k.mu.Lock()
+		if !k.writing && !k.over {
+			k.writing = true
+			c.s.group.Go(func() error { c.write(k); return nil })
+		}
+		k.mu.Unlock()
+	}
+	c.dirty = c.dirty[:0]
+}
+
+func (c *connections) write(k *connection) {
+	for {
+		k.mu.Lock()
+		b := k.pending
+		if len(b) == 0 || k.over {
+			k.writing = false
+			end := k.finished && !k.over
+			k.mu.Unlock()
+			if end { // the reader drops it at the peer's end, or when that does not come
+				k.net.CloseWrite()
+				k.net.SetReadDeadline(time.Now().Add(lingerWait))
+			}
+			return
+		}
+		k.pending, k.spare = k.spare[:0], nil
+		k.mu.Unlock()
+		k.net.SetWriteDeadline(time.Now().Add(writeWait))
+		_, err := k.net.Write(b)
+		k.mu.Lock()
+		k.spare = b[:0]
+		if err != nil {
+			k.pending, k.writing = nil, false
+			k.mu.Unlock()
+			k.net.Close()
+			return
+		}
+		k.mu.Unlock()
+	}
+}
+
+// flushAll finishes every connection and waits a little for the peers to take what is owed.
+func (c *connections) flushAll() {
+	c.mu.Lock()
+	var links []int
+	for link := range c.open {
+		links = append(links, link)
+	}
+	c.mu.Unlock()
+	for _, link := range links {
+		c.finish(link)
+	}
+	c.flush()
+	for end := time.Now().Add(flushWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		c.mu.Lock()
+		left := len(c.open)
+		c.mu.Unlock()
+		if left == 0 {
+			return
+		}
+	}
+}
+
+func (c *connections) closeAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.open {
+		k.net.Close()
+	}
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,193 @@
+// Package server carries out what the reducer asks for: it is all of a node that touches sockets and clocks.
+// Other programs embed it by Run; it handles no signals and never exits the process.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"topazpost/reducer"
+)
+
+const (
+	inputsWaiting = 1_024 // inputs that may wait for the reducer; then readers wait, and their peers with them
+	inputsAStep   = 256   // inputs taken in one step, so that effects of the first are not held up
+	memoryPart    = 0.6   // of the memory limit that the runtime aims at; the rest is for stacks and the kernel
+	spareSockets  = 64    // descriptors kept for the links, the listening socket and those about to close
+)
+
+// errLeft ends a node that is drained.
+var errLeft = errors.New("server: drained")
+
+// Server is one node.
+type Server struct {
+	plate  *Nameplate
+	log    zerolog.Logger
+	clock  Clock
+	state  *reducer.Reducer
+	inputs chan reducer.Input
+	notice chan struct{}
+	ctx    context.Context
+	group  *errgroup.Group
+
+	listener net.Listener
+	conns    *connections
+	executor *link
+	below    *link
+	reports  chan bool
+	lastLink int
+}
+
+// New makes a node that Run starts. What a logger and a clock are handed in for is the embedder's to choose.
+func New(nameplate *Nameplate, log zerolog.Logger, clock Clock) *Server {
+	s := &Server{plate: nameplate, log: log, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
+		notice: make(chan struct{}, 1), reports: make(chan bool, 1)}
+	s.state = reducer.New(nameplate.Settings, nameplate.Name, int64(nameplate.StopMS*1e6),
+		nameplate.Sockets-spareSockets)
+	return s
+}
+
+// Drain is the notice to drain: Run returns once the drain is over. Only this drains.
+func (s *Server) Drain() {
+	select {
+	case s.notice <- struct{}{}:
+	default:
+	}
+}
+
+// Limit tells the runtime of the cores and memory that the nameplate allows, for programs that are nothing
+// but this node.
+func (n *Nameplate) Limit() {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
+	debug.SetMemoryLimit(int64(memoryPart * float64(n.MemoryMB) * (1 << 20)))
+}
+
+// Run serves until the drain is over, which is no error, or until ctx ends, which stops at once.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.plate.Listen)
+	if err != nil {
+		return fmt.Errorf("server: %w", err)
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	s.listener, s.group, s.ctx = listener, group, ctx
+	s.conns = newConnections(s)
+	context.AfterFunc(ctx, s.close)
+	s.log.Info().Str("name", s.plate.Name).Stringer("listen", listener.Addr()).Msg("listening")
+	group.Go(func() error { return s.conns.accept() })
+	group.Go(func() error { return s.control() })
+	group.Go(func() error { return s.loop() })
+	if err = group.Wait(); errors.Is(err, errLeft) {
+		return nil
+	}
+	return err
+}
+
+// Addr is where dispatchers connect, once Run listens.
+func (s *Server) Addr() net.Addr { return s.listener.Addr() }
+
+func (s *Server) close() {
+	s.listener.Close()
+	s.conns.closeAll()
+}
+
+// put hands an input to the reducer; false tells that the node has ended.
+func (s *Server) put(in reducer.Input) bool {
+	select {
+	case s.inputs <- in:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// loop is the one place in which the state changes.
+func (s *Server) loop() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	inputs := make([]reducer.Input, 0, inputsAStep)
+	notice := s.notice
+	for {
+		inputs = inputs[:0]
+		select {
+		case <-s.ctx.Done():
+			return s.ctx.Err()
+		case <-timer.C:
+		case in := <-s.inputs:
+			inputs = append(inputs, in)
+		case <-notice:
+			notice = nil
+			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
+		}
+		for more := true; more && len(inputs) < inputsAStep; {
+			select {
+			case in := <-s.inputs:
+				inputs = append(inputs, in)
+			default:
+				more = false
+			}
+		}
+		now, wall := s.clock.Now()
+		wake := int64(math.MaxInt64)
+		for _, e := range s.state.Step(now, wall, inputs) {
+			switch {
+			case e.Kind == reducer.Wake:
+				wake = e.At
+			case e.Kind == reducer.Leave:
+				s.log.Info().Interface("counters", s.state.Counters).Msg("drained, leaving")
+				s.conns.flushAll()
+				return errLeft
+			default:
+				s.carry(&e)
+			}
+		}
+		clear(inputs)
+		s.conns.flush()
+		timer.Reset(time.Duration(max(0, wake-now)))
+	}
+}
+
+func (s *Server) carry(e *reducer.Effect) {
+	switch e.Kind {
+	case reducer.Receive:
+		s.conns.receive(e.Link)
+	case reducer.Send:
+		s.conns.send(e.Link, e.Bytes)
+	case reducer.Finish:
+		s.conns.finish(e.Link)
+	case reducer.Dial:
+		s.dialExecutor()
+	case reducer.Tell:
+		s.executor.write(e.Link, e.Bytes)
+	case reducer.Part:
+		s.executor.hangUp(e.Link)
+	case reducer.Reach:
+		s.dialCatalogue()
+	case reducer.Ask:
+		s.below.write(e.Link, e.Bytes)
+	case reducer.Quit:
+		s.below.hangUp(e.Link)
+	case reducer.Report:
+		select {
+		case s.reports <- e.Ready:
+		default:
+		}
+	case reducer.Shut:
+		s.listener.Close()
+	case reducer.Remark:
+		level := [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel}[e.Level]
+		line := s.log.WithLevel(level).Err(e.Err)
+		if e.ID != "" {
+			line = line.Str("id", e.ID)
+		}
+		line.Msg(e.Text)
+	}
+}
