Executor link: gauges are asked for only after the welcome

Cause: joined() wrote METER behind JOIN; an executor that is not up refuses it with BAD, so the tag that ends the join never came and no EXEC was written (reducer/executor.go, joined and synced). Ruled out: the link itself (one link, no reconnect) and the module (its beats went on). The test joins before the welcome.

--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -10,13 +10,12 @@
 	"topazpost/node"
 )
 
-// joined starts on a new link: the notices after the last one taken come first, and the tag of the gauges
-// asked for behind them tells when all of them are in.
+// joined starts on a new link. It is told of nothing more before its welcome: an executor that is not up yet
+// carries out no command, that for the gauges included.
 func (r *Reducer) joined(link int) {
 	r.Counters.ExecutorLinks++
 	r.link, r.synced, r.redialAt = link, false, never
-	b := lines.Append(nil, "JOIN", strconv.Itoa(r.notice))
-	r.do(Effect{Kind: Tell, Link: link, Bytes: lines.Append(b, "METER", r.syncTag())})
+	r.tell("JOIN", strconv.Itoa(r.notice))
 }
 
 func (r *Reducer) syncTag() string { return "j" + strconv.Itoa(r.link) }
@@ -128,8 +127,10 @@
 }
 
 // welcome starts the module when the executor is first heard of: its state and age are those of the cores.
+// The notices after the last one taken follow it; the gauges asked for now tell when all of them are in.
 func (r *Reducer) welcome(words []string) {
 	r.wait = redialFirst
+	r.tell("METER", r.syncTag())
 	if r.post != nil {
 		return
 	}
--- /dev/null
+++ b/reducer/helpers_test.go
@@ -0,0 +1,100 @@
+package reducer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpost/frame"
+	"topazpost/lines"
+	"topazpost/plate"
+)
+
+const settings = `{"grades":[{"name":"catalogue","aim":1000,"give_up":3000,"importance":1},
+	{"name":"hold","aim":1000,"give_up":3000,"importance":5}],
+	"family_info":{"n_cores":2,"memory_kb":9000,"blowup":4,"class_calls":[true,false],"below":"common","calls_out":9,
+	"calls_over":5000,"linger":100,"advert":"min_rank","gauges":["cpu_busy","runnable","mem_used","sockets"]},
+	"guarantees":{"tip_multiple":8,"drain_grace":2000},"limits":{"retry_after":true,"max_retry_after":1000}}`
+
+// fresh is a node that has not heard of its executor, with connection 7 open.
+func fresh(t *testing.T) *Reducer {
+	p, err := plate.FromJSON(1, []byte(settings))
+	require.NoError(t, err)
+	r := New(p, "n1", 5_000*ms, 4)
+	step(r, Input{Kind: Opened, Link: 7}, Input{Kind: Joined, Link: 1})
+	return r
+}
+
+// up is a node that serves.
+func up(t *testing.T) *Reducer {
+	r := fresh(t)
+	told(r, "WELCOME old 0")
+	told(r, "METERS j1 0.1 1 0.1 3")
+	return r
+}
+
+// step moves the clock on by a millisecond and returns the effects but for those that only wake or remark.
+func step(r *Reducer, inputs ...Input) (got []Effect) {
+	for _, e := range r.Step(r.now+ms, r.now+ms+1_000_000*ms, inputs) {
+		if e.Kind != Wake && e.Kind != Remark && e.Kind != Report {
+			got = append(got, e)
+		}
+	}
+	return got
+}
+
+func told(r *Reducer, line string) []Effect {
+	head, body, _ := strings.Cut(line, "|")
+	return step(r, Input{Kind: Told, Link: r.link, Line: lines.Line{Words: strings.Fields(head), Body: []byte(body)}})
+}
+
+func replied(r *Reducer, line string) []Effect {
+	head, body, _ := strings.Cut(line, "|")
+	return step(r, Input{Kind: Replied, Link: r.below,
+		Line: lines.Line{Words: strings.Fields(head), Body: []byte(body)}})
+}
+
+const callID = "9b1f03aa5c7e2d41"
+
+// invoke is a request on a stream of connection 7, with fields changed or left out where their value is "-".
+func invoke(stream uint32, changed ...string) Input {
+	values := map[string]string{"op": "catalogue", "call": callID, "recv": "1000000", "src": "4", "work": "12.50",
+		"heap": "24.5", "crit": "0.6250"}
+	for i := 0; i < len(changed); i += 2 {
+		values[changed[i]] = changed[i+1]
+	}
+	var fields []frame.Field
+	for name, value := range values {
+		if value != "-" {
+			fields = append(fields, frame.Field{Name: name, Value: value})
+		}
+	}
+	b := frame.AppendRequest(nil, stream, fields, []byte("body"))
+	return Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Request, Stream: stream, Payload: b[9:]}}
+}
+
+// text is what all effects of a kind write.
+func text(effects []Effect, kind EffectKind) (s string) {
+	for _, e := range effects {
+		if e.Kind == kind {
+			s += string(e.Bytes)
+		}
+	}
+	return s
+}
+
+// answers are the codes of the answers among the effects, with their stream.
+func answers(t *testing.T, effects []Effect) (got []string) {
+	for _, e := range effects {
+		if e.Kind != Send {
+			continue
+		}
+		var p frame.Parser
+		p.Wrote(copy(p.Space(), e.Bytes))
+		f, ok, err := p.Next()
+		require.True(t, ok && err == nil)
+		got = append(got, name(f))
+	}
+	return got
+}
--- /dev/null
+++ b/reducer/reducer_test.go
@@ -0,0 +1,210 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"topazpost/frame"
+	"topazpost/must"
+)
+
+func name(f frame.Frame) string {
+	switch {
+	case f.Type == frame.NoMore:
+		return "no more"
+	case f.Type == frame.Checked:
+		return fmt.Sprintf("check %d", f.Payload[0])
+	}
+	return fmt.Sprintf("%d on %d", f.Payload[0], f.Stream)
+}
+
+func TestNothingButJoinIsToldBeforeTheWelcomeAndRunsStartAfterIt(t *testing.T) {
+	r := fresh(t)
+	r.link = 0
+	assert.Equal(t, "JOIN 0\r\n", text(step(r, Input{Kind: Joined, Link: 2}), Tell))
+	assert.Equal(t, "METER j2\r\n", text(told(r, "WELCOME new 3"), Tell))
+	assert.Empty(t, text(step(r, invoke(1)), Tell), "notices may still follow the welcome")
+	assert.Equal(t, "EXEC "+callID+" catalogue 4\r\nbody\r\n", text(told(r, "METERS j2 0 0 0 0"), Tell))
+}
+
+func TestInvocationIsRunAndItsResultIsTheAnswer(t *testing.T) {
+	r := up(t)
+	assert.Equal(t, "EXEC "+callID+" catalogue 4\r\nbody\r\n", text(step(r, invoke(1)), Tell))
+	sent := told(r, "EXIT 1 "+callID+" good 12 6|result")
+	assert.Equal(t, []string{"20 on 1"}, answers(t, sent))
+	assert.Contains(t, text(sent, Send), "result")
+	assert.Empty(t, answers(t, told(r, "EXIT 1 "+callID+" good 12 6|result")), "a notice is taken once")
+	assert.Zero(t, r.open)
+	assert.Empty(t, r.calls)
+}
+
+func TestCallerGoneIsOwedNoAnswer(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	step(r, Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Gone, Stream: 1}})
+	assert.Empty(t, answers(t, told(r, "EXIT 1 "+callID+" good 12 6|result")))
+	step(r, invoke(2))
+	assert.Empty(t, step(r, Input{Kind: Closed, Link: 7}))
+	assert.Empty(t, answers(t, told(r, "EXIT 2 "+callID+" good 12 6|result")))
+	assert.Empty(t, r.calls)
+}
+
+func TestBrokenRequestFailsAndItsConnectionLivesOn(t *testing.T) {
+	r := up(t)
+	for i, broken := range []Input{invoke(1, "op", "other"), invoke(2, "call", "9B1F"), invoke(3, "recv", "-"),
+		invoke(4, "heap", "0"), invoke(5, "crit", "1"), invoke(6, "work", "NaN"), invoke(7, "src", "x"),
+		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Request, Stream: 8, Past: true}},
+		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Request, Stream: 9, Payload: []byte{200}}}} {
+		assert.Equal(t, []string{fmt.Sprintf("51 on %d", i+1)}, answers(t, step(r, broken)))
+	}
+	assert.NotEmpty(t, text(step(r, invoke(10)), Tell))
+	assert.Equal(t, []string{"51 on 11"}, answers(t, step(r, invoke(11))), "its id is in use")
+}
+
+func TestConnectionThatCannotBeUnderstoodEndsOnceItsStreamsAreAnswered(t *testing.T) {
+	for what, bad := range map[string]Input{"length": {Kind: Malformed, Link: 7, Err: frame.ErrLength},
+		"order": invoke(1), "type": {Kind: Read, Link: 7, Frame: frame.Frame{Type: 99}}} {
+		r := up(t)
+		step(r, invoke(1))
+		assert.Equal(t, []string{"51 on 0", "no more"}, answers(t, step(r, bad)), what)
+		assert.Empty(t, step(r, invoke(2, "call", "0000000000000000")), "no request more: "+what)
+		end := told(r, "EXIT 1 "+callID+" good 12 6|result")
+		assert.Equal(t, []string{"20 on 1"}, answers(t, end), what)
+		assert.Equal(t, Finish, end[len(end)-1].Kind, what)
+	}
+}
+
+func TestReplyIsReturnedUnchangedAndOtherRepliesEndTheCall(t *testing.T) {
+	for reply, want := range map[string]string{"DATA 5|reply": "RETURN " + callID + " 5\r\nreply\r\n",
+		"LATER": "FETCH", "NOUSE": "FETCH", "FAULT": "51", "TOOSLOW": "51"} {
+		r := up(t)
+		step(r, invoke(1))
+		told(r, "CALLOUT 1 "+callID+" 3|ask")
+		assert.Regexp(t, "^FETCH "+callID+` \d+ 3\r\nask\r\n$`, text(step(r, Input{Kind: Reached, Link: 5}), Ask))
+		got := replied(r, callID+" "+reply)
+		assert.Contains(t, text(got, Tell)+text(got, Ask)+fmt.Sprint(answers(t, got)), want, reply)
+	}
+}
+
+func TestRefusedCatalogueProvesThatNoCallRanAndABreakProvesNothing(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	told(r, "CALLOUT 1 "+callID+" 3|ask")
+	again := step(r, Input{Kind: Refused, Link: 5})
+	assert.Equal(t, Reach, again[0].Kind)
+	step(r, Input{Kind: Reached, Link: 6})
+	assert.Equal(t, []string{"51 on 1"}, answers(t, step(r, Input{Kind: Broke, Link: 6})))
+}
+
+func TestCallIsQuitAtTheEndOfItsWaitAndItsReplyIsDropped(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	told(r, "CALLOUT 1 "+callID+" 3|ask")
+	step(r, Input{Kind: Reached, Link: 5})
+	r.now = r.invs[0].until
+	got := step(r)
+	assert.Equal(t, "QUIT "+callID+"\r\n", text(got, Ask))
+	assert.Equal(t, []string{"51 on 1"}, answers(t, got))
+	assert.Empty(t, replied(r, callID+" DATA 5|reply"))
+	assert.Equal(t, 1, r.Counters.StrayReplies)
+}
+
+func TestIdleCatalogueLinkIsNotTrustedWithACall(t *testing.T) {
+	r := up(t)
+	r.below, r.belowUsed = 5, r.now-idleTrust
+	got := step(r)
+	assert.Equal(t, Quit, got[0].Kind)
+	assert.Zero(t, r.below)
+}
+
+func TestCommandsAreToldAgainOnlyOnceTheNoticesOfANewLinkAreIn(t *testing.T) {
+	r := up(t)
+	const other = "00000000000000aa"
+	step(r, invoke(1), invoke(2, "call", other))
+	step(r, Input{Kind: Parted, Link: 1})
+	step(r, Input{Kind: Joined, Link: 2})
+	told(r, "WELCOME old 90")
+	assert.Equal(t, []string{"20 on 1"}, answers(t, told(r, "EXIT 1 "+callID+" good 12 1|r")))
+	assert.Equal(t, "EXEC "+other+" catalogue 4\r\nbody\r\n", text(told(r, "METERS j2 0 0 0 0"), Tell))
+	told(r, fmt.Sprintf("METERS m%d 0 0 0 0", r.seq))
+	assert.Empty(t, r.unread, "the gauges prove that all before them was read")
+}
+
+func TestUnreadableLineOpensTheLinkAnew(t *testing.T) {
+	for _, line := range []string{"NONSENSE", "EXIT x y", "EXIT 1 " + callID + " maybe 3 0", "METERS j1 a b c d",
+		"CALLOUT 0 x 1"} {
+		r := up(t)
+		assert.Equal(t, []EffectKind{Part}, []EffectKind{told(r, line)[0].Kind}, line)
+	}
+}
+
+func TestAgeIsCountedFromTheStampUnlessTheClockJumped(t *testing.T) {
+	r := up(t)
+	r.wall = 500_000 * ms
+	assert.Equal(t, 250*ms, r.age(499_750))
+	assert.Zero(t, r.age(500_001))
+	assert.Zero(t, r.age(400_000))
+}
+
+func TestHealthIsAnsweredFromStoreOrThroughTheExecutor(t *testing.T) {
+	deep := Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Check,
+		Payload: append([]byte{1, 3}, "e2e\x01\x001"...)}}
+	r := fresh(t)
+	assert.Equal(t, []string{"check 51"}, answers(t, step(r, deep)), "no executor yet")
+	r = up(t)
+	assert.Equal(t, []string{"check 20"}, answers(t, step(r, deep)))
+	r.stored, r.plate.Nameplate.FullChecks = false, true
+	assert.Equal(t, "DIAG d1\r\n", text(step(r, deep), Tell))
+	assert.Equal(t, []string{"check 51"}, answers(t, told(r, "DIAGNOSED d1 bad")))
+	step(r, deep)
+	r.now += diagWait
+	assert.Equal(t, []string{"check 51"}, answers(t, step(r)))
+}
+
+func TestDrainEndsIntakeThenLeavesOnceAllIsAnswered(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	step(r, Input{Kind: Notice})
+	r.now += 2_000 * ms
+	step(r)
+	r.now += 100 * ms
+	kinds := []EffectKind{}
+	for _, e := range step(r, invoke(2, "call", "00000000000000aa")) {
+		kinds = append(kinds, e.Kind)
+	}
+	assert.NotContains(t, kinds, Leave, "one is still open")
+	assert.True(t, r.shut)
+	assert.Equal(t, 1, r.Counters.Refused, "what came after intake ended is not run")
+	end := told(r, "EXIT 1 "+callID+" good 12 1|r")
+	assert.Equal(t, []string{"20 on 1"}, answers(t, end))
+	assert.Equal(t, Leave, end[len(end)-1].Kind)
+}
+
+func TestNodeWithoutItsExecutorLeavesAtOnce(t *testing.T) {
+	got := step(fresh(t), Input{Kind: Notice})
+	assert.Equal(t, Leave, got[len(got)-1].Kind)
+}
+
+func TestFullTableOfConnectionsMakesRoomAtTheLongestIdle(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	step(r, Input{Kind: Opened, Link: 8})
+	step(r, Input{Kind: Opened, Link: 9})
+	step(r, Input{Kind: Opened, Link: 10})
+	assert.Equal(t, Effect{Kind: Finish, Link: 8}, step(r, Input{Kind: Opened, Link: 11})[0])
+}
+
+func TestASecondAnswerIsABreach(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	again := func() { r.answer(0, frame.Failed, nil); r.answer(0, frame.Failed, nil) }
+	if must.Debug {
+		assert.Panics(t, again)
+		return
+	}
+	again()
+	assert.Equal(t, 1, r.Guard.Broken("one answer an invocation"))
+	assert.Equal(t, 1, r.Counters.Failed)
+}
