--- /dev/null
+++ b/integration/integration_test.go
@@ -0,0 +1,222 @@
+package integration
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/frame"
+)
+
+func TestServesFailsAndReports(t *testing.T) {
+	s := start(t, false, nil)
+	d := s.dial()
+	d.invoke(1, "any\r\n\x00bytes")
+	assert.Equal(t, "20 on 1 any\r\n\x00bytes", d.answer())
+	d.invoke(2, "bad")
+	assert.Equal(t, "51 on 2 ", d.answer())
+	report := await(t, s.reports)
+	assert.Contains(t, report, "PUT /v2/endpoints/n1 {\"condition\":")
+	for report != `PUT /v2/endpoints/n1 {"condition":"Ready"}` {
+		report = await(t, s.reports)
+	}
+}
+
+func TestRequestsSplitAndJoinedAnywhereAreAnsweredInAnyOrder(t *testing.T) {
+	s := start(t, false, nil)
+	d := s.dial()
+	for stream := range uint32(32) {
+		d.invoke(stream+1, fmt.Sprint("body ", stream+1))
+	}
+	got := map[string]bool{}
+	for range 32 {
+		got[d.answer()] = true
+	}
+	for stream := range 32 {
+		assert.Contains(t, got, fmt.Sprintf("20 on %d body %d", stream+1, stream+1))
+	}
+	check := frame.Append(nil, frame.Check, 1, []byte{0})
+	for i := range check {
+		d.write(check[i : i+1])
+	}
+	f, _ := d.next()
+	assert.Equal(t, []byte{frame.Checked, frame.Good}, []byte{f.Type, f.Payload[0]})
+}
+
+func TestCallsEndAsTheirRepliesProve(t *testing.T) {
+	s := start(t, false, nil)
+	d := s.dial()
+	call := d.invoke(1, "call")
+	assert.Equal(t, "20 on 1 reply", d.answer())
+	assert.Equal(t, []string{"FETCH", call}, await(t, s.asked)[:2])
+	s.replyWith(func(call string) string { return call + " FAULT\r\n" })
+	d.invoke(2, "call")
+	assert.Equal(t, "51 on 2 ", d.answer())
+	s.replyWith(func(string) string { return "break" })
+	d.invoke(3, "call")
+	assert.Equal(t, "51 on 3 ", d.answer(), "a break proves nothing, so the call is not repeated")
+	await(t, s.asked)
+	await(t, s.asked)
+	assert.Empty(t, s.asked)
+	s.replyWith(func(call string) string { return "no such words at all\r\n" })
+	d.invoke(4, "call")
+	assert.Equal(t, "51 on 4 ", d.answer())
+	s.replyWith(func(call string) string { return call + " DATA 1\r\nx\r\n" })
+	d.invoke(5, "call")
+	assert.Equal(t, "20 on 5 x", d.answer())
+}
+
+func TestCallerGoneWhileItsCallIsInHandQuitsTheCall(t *testing.T) {
+	s := start(t, false, nil)
+	s.replyWith(func(string) string { return "" })
+	d := s.dial()
+	call := d.invoke(1, "call")
+	await(t, s.asked)
+	d.write(frame.Append(nil, frame.Gone, 1, nil))
+	assert.Equal(t, []string{"QUIT", call, ""}, await(t, s.asked))
+}
+
+func TestExecutorMayComeLateAndItsLinkMayBeCut(t *testing.T) {
+	s := start(t, true, nil)
+	d := s.dial()
+	d.write(frame.Append(nil, frame.Check, 1, []byte{0}))
+	f, _ := d.next()
+	assert.Equal(t, byte(frame.Bad), f.Payload[0], "no executor yet")
+	close(s.up)
+	link := await(t, s.links)
+	s.line("executor is up")
+	call := d.invoke(1, "hold")
+	await(t, s.told)
+	s.mu.Lock()
+	s.link = nil
+	s.mu.Unlock()
+	link.Close()
+	s.notify("EXIT %d " + call + " good 3 4\r\nlate\r\n")
+	assert.Equal(t, "20 on 1 late", d.answer())
+	fmt.Fprint(await(t, s.links), "what is this\r\n")
+	await(t, s.links)
+	d.invoke(2, "again")
+	assert.Equal(t, "20 on 2 again", d.answer())
+}
+
+func TestMalformedInputOfDispatchers(t *testing.T) {
+	s := start(t, false, nil)
+	for what, bad := range map[string][]byte{"length": binary.LittleEndian.AppendUint32(nil, 300_000),
+		"type": frame.Append(nil, 99, 2, nil), "stream": frame.Append(nil, frame.Request, 1, []byte{0})} {
+		d := s.dial()
+		call := d.invoke(1, "hold")
+		await(t, s.told)
+		d.write(bad)
+		assert.Contains(t, d.answer(), "51 on 0 ", what)
+		assert.Equal(t, "no more", d.answer(), what)
+		s.notify("EXIT %d " + call + " good 3 2\r\nok\r\n")
+		assert.Equal(t, "20 on 1 ok", d.answer(), what)
+		_, ok := d.next()
+		assert.False(t, ok, "closed once all is answered: "+what)
+	}
+	d := s.dial()
+	d.write(frame.Append(nil, frame.Request, 1, []byte{9}))
+	assert.Equal(t, "51 on 1 ", d.answer())
+	d.invoke(2, string(make([]byte, 3_000)))
+	assert.Equal(t, "51 on 2 ", d.answer())
+	d.write(frame.Append(nil, frame.Request, 3, make([]byte, 100_000)))
+	assert.Equal(t, "51 on 3 ", d.answer())
+	d.invoke(4, "fine")
+	assert.Equal(t, "20 on 4 fine", d.answer())
+}
+
+func TestDrainServesOnAnswersAllAndLeaves(t *testing.T) {
+	s := start(t, false, nil)
+	d := s.dial()
+	call := d.invoke(1, "hold")
+	await(t, s.told)
+	s.signal()
+	s.line("drain notice")
+	d.invoke(2, "still open")
+	assert.Equal(t, "20 on 2 still open", d.answer(), "the delay keeps intake open")
+	assert.Equal(t, "no more", d.answer())
+	_, err := net.Dial("tcp", s.address)
+	assert.Error(t, err, "nobody can connect any more")
+	d.invoke(3, "too late")
+	assert.Equal(t, "50 on 3 ", d.answer())
+	s.notify("EXIT %d " + call + " good 3 2\r\nok\r\n")
+	assert.Equal(t, "20 on 1 ok", d.answer())
+	s.line("drain: in flight at start 1, completed 3, abandoned 0")
+	assert.NoError(t, await(t, s.ended))
+}
+
+func TestDrainAbortsWhatIsOpenAtItsDeadline(t *testing.T) {
+	s := start(t, false, func(c map[string]any) { c["stop_ms"] = 800 })
+	d := s.dial()
+	d.invoke(1, "hold")
+	await(t, s.told)
+	s.signal()
+	assert.Equal(t, "no more", d.answer())
+	assert.Equal(t, "51 on 1 ", d.answer())
+	s.line("abandoned 1")
+	assert.NoError(t, await(t, s.ended))
+}
+
+func TestAFullNodeThrottles(t *testing.T) {
+	s := start(t, false, func(c map[string]any) {
+		c["settings"].(map[string]any)["family_info"].(map[string]any)["memory_kb"] = 150
+	})
+	d := s.dial()
+	for stream := range uint32(32) {
+		d.invoke(stream+1, "hold")
+	}
+	assert.Regexp(t, `^50 on \d+ $`, d.answer())
+}
+
+func TestAFloodOfConnectionsLeavesRoomForWork(t *testing.T) {
+	s := start(t, false, func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = 96 })
+	for range 150 {
+		conn, err := net.Dial("tcp", s.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+	}
+	d := s.dial()
+	d.invoke(1, "fine")
+	assert.Equal(t, "20 on 1 fine", d.answer())
+}
+
+func TestAPeerThatDoesNotReadIsCutOffAndStopsNoOther(t *testing.T) {
+	s := start(t, false, nil)
+	deaf := s.dial()
+	checks := []byte{}
+	for range 10_000 {
+		checks = frame.Append(checks, frame.Check, 1, []byte{0})
+	}
+	cut := false
+	for i := 0; i < 300 && !cut; i++ {
+		_, err := deaf.conn.Write(checks)
+		cut = err != nil
+	}
+	assert.True(t, cut)
+	d := s.dial()
+	d.invoke(1, "fine")
+	assert.Equal(t, "20 on 1 fine", d.answer())
+}
+
+func TestUnusableConfigurationIsNamedAndUsageIsAnotherCode(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(`{"name":"n1","listen":"nowhere"}`), 0o600))
+	out, err := exec.Command(program, "check", path).CombinedOutput()
+	require.Error(t, err)
+	assert.Contains(t, string(out), "configuration: listen")
+	assert.NotContains(t, string(out), "goroutine")
+	failed := err.(*exec.ExitError).ExitCode()
+	_, err = exec.Command(program, "--no-such-flag").CombinedOutput()
+	require.Error(t, err)
+	assert.NotEqual(t, failed, err.(*exec.ExitError).ExitCode())
+	out, err = exec.Command(program, "version").CombinedOutput()
+	assert.NoError(t, err)
+	assert.Contains(t, string(out), "topazpost")
+}
