--- a/server/server.go
+++ b/server/server.go
@@ -115,7 +115,6 @@
 	defer timer.Stop()
 	inputs := make([]reducer.Input, 0, inputsAStep)
 	notice := s.notice
-	last := time.Now()
 	for {
 		inputs = inputs[:0]
 		select {
@@ -128,10 +127,6 @@
 			notice = nil
 			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
 		}
-		if wait := 4*time.Millisecond - time.Since(last); wait > 0 {
-			time.Sleep(wait)
-		}
-		last = time.Now()
 		for more := true; more && len(inputs) < inputsAStep; {
 			select {
 			case in := <-s.inputs:
