Bounds: what waits for all peers together, logged lines a second, and time to catch up after a pause

Guards against many peers that do not read (up to 1 MB each before, 32 MB in all now), floods of the log by malformed input, and time-outs that count while replies lie unread after the process stood still. Iteration over connections and checks is in order, so equal inputs give equal effects. Commands told again on a link that ends at once are spaced by the back-off, which only a link that has answered for gauges resets.

--- a/must/must.go
+++ b/must/must.go
@@ -25,5 +25,8 @@
 	return false
 }
 
+// All is how often each did not hold.
+func (g *Guard) All() map[string]int { return g.broken }
+
 // Broken is how often something did not hold.
 func (g *Guard) Broken(what string) int { return g.broken[what] }
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 
 	"topazpost/frame"
@@ -48,8 +50,8 @@
 	switch in.Kind {
 	case Closed:
 		delete(r.conns, in.Link)
-		for _, i := range c.open {
-			r.gone(i)
+		for _, stream := range slices.Sorted(maps.Keys(c.open)) {
+			r.gone(c.open[stream])
 		}
 		return
 	case Malformed:
@@ -199,10 +201,8 @@
 			return fmt.Errorf("field %s: %w", field.Name, errField)
 		}
 	}
-	for name, there := range map[string]bool{"op": op, "call": call, "recv": recv, "src": src, "heap": heap} {
-		if !there {
-			return fmt.Errorf("field %s: %w", name, errField)
-		}
+	if !(op && call && recv && src && heap) {
+		return fmt.Errorf("op, call, recv, src or heap: %w", errField)
 	}
 	if _, known := r.calls[v.call]; known {
 		return fmt.Errorf("field call: %w: in use", errField)
@@ -273,8 +273,8 @@
 }
 
 func (r *Reducer) keepChecks() {
-	for tag, d := range r.diags {
-		if r.now >= d.until {
+	for _, tag := range slices.Sorted(maps.Keys(r.diags)) {
+		if r.now >= r.diags[tag].until {
 			r.diagnosed(tag, false)
 		}
 	}
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 
 	"topazpost/control"
@@ -67,7 +69,7 @@
 		r.link, r.synced = 0, false
 		r.redialAt = r.now + r.wait
 		r.wait = min(2*r.wait, redialMost)
-		for tag := range r.diags {
+		for _, tag := range slices.Sorted(maps.Keys(r.diags)) {
 			r.diagnosed(tag, false)
 		}
 		return
@@ -129,7 +131,6 @@
 // welcome starts the module when the executor is first heard of: its state and age are those of the cores.
 // The notices after the last one taken follow it; the gauges asked for now tell when all of them are in.
 func (r *Reducer) welcome(words []string) {
-	r.wait = redialFirst
 	r.tell("METER", r.syncTag())
 	if r.post != nil {
 		return
@@ -169,6 +170,7 @@
 			}
 		}
 	} else if seq, err := strconv.Atoi(tag[1:]); tag[0] == 'm' && err == nil {
+		r.wait = redialFirst // the link has lived for some beats
 		r.readBy(func(c *command) bool { return c.seq <= seq })
 	}
 	return nil
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 
 	"topazpost/control"
 	"topazpost/frame"
@@ -271,8 +273,8 @@
 	}
 	r.shut = true
 	r.do(Effect{Kind: Shut})
-	for link, c := range r.conns {
-		r.noMore(link, c)
+	for _, link := range slices.Sorted(maps.Keys(r.conns)) {
+		r.noMore(link, r.conns[link])
 	}
 }
 
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"topazpost/frame"
@@ -11,11 +12,13 @@
 )
 
 const (
-	pendingMost = 1 << 20          // bytes that may wait for a peer; far above all answers to 32 streams
+	pendingMost = 256 << 10        // bytes that may wait for a peer; all answers to 32 streams are half of it
+	pendingAll  = 32 << 20         // bytes that may wait for all peers; past it each may have but a few answers
+	pendingFew  = 8 << 10          // bytes of a few answers
 	writeWait   = 20 * time.Second // a peer that takes nothing for so long is cut off: no pause lasts as long
 	acceptAgain = 20 * time.Millisecond
 	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
-	flushWait   = 250 * time.Millisecond // for the last answers to be taken before the node ends
+	flushWait   = 150 * time.Millisecond // for the last answers to be taken before the node ends
 )
 
 // connection is one from a dispatcher: a reader, and a writer that is started when there is something to
@@ -38,6 +41,7 @@
 	mu    sync.Mutex
 	open  map[int]*connection
 	dirty []*connection // with something to write since the last flush
+	bytes atomic.Int64  // pending on all
 	slots chan struct{}
 }
 
@@ -59,7 +63,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
-			c.s.log.Warn().Err(err).Msg("no connection could be accepted")
+			c.s.loud.Warn().Err(err).Msg("no connection could be accepted")
 			time.Sleep(acceptAgain)
 			conn, err = c.s.listener.Accept()
 		}
@@ -122,6 +126,7 @@
 func (c *connections) drop(k *connection) {
 	k.mu.Lock()
 	over := k.over
+	c.bytes.Add(-int64(len(k.pending)))
 	k.over, k.pending = true, nil
 	k.mu.Unlock()
 	if over {
@@ -144,8 +149,12 @@
 	if k.over {
 		return
 	}
-	if len(k.pending)+len(b) > pendingMost {
-		c.s.log.Warn().Int("connection", link).Msg("peer reads too slowly, cut off")
+	most := pendingMost
+	if c.bytes.Load() > pendingAll {
+		most = pendingFew
+	}
+	if len(k.pending)+len(b) > most {
+		c.s.loud.Warn().Int("connection", link).Msg("peer reads too slowly, cut off")
 		k.net.Close() // the reader sees it and drops it
 		return
 	}
@@ -153,6 +162,7 @@
 		c.dirty = append(c.dirty, k)
 	}
 	k.pending = append(k.pending, b...)
+	c.bytes.Add(int64(len(b)))
 }
 
 // finish closes a connection once all is written.
@@ -198,7 +208,9 @@
 		_, err := k.net.Write(b)
 		k.mu.Lock()
 		k.spare = b[:0]
+		c.bytes.Add(-int64(len(b)))
 		if err != nil {
+			c.bytes.Add(-int64(len(k.pending)))
 			k.pending, k.writing = nil, false
 			k.mu.Unlock()
 			k.net.Close()
--- a/server/link.go
+++ b/server/link.go
@@ -72,7 +72,7 @@
 		for {
 			line, ok, err := parser.Next()
 			if err != nil {
-				l.s.log.Warn().Err(err).Msg("link can't be parsed")
+				l.s.loud.Warn().Err(err).Msg("link can't be parsed")
 				return err
 			}
 			if !ok {
@@ -94,7 +94,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.pending)+len(b) > linkPending {
-		l.s.log.Warn().Msg("link takes nothing, opened anew")
+		l.s.loud.Warn().Msg("link takes nothing, opened anew")
 		l.net.Close()
 		return
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -19,10 +19,13 @@
 )
 
 const (
-	inputsWaiting = 1_024 // inputs that may wait for the reducer; then readers wait, and their peers with them
-	inputsAStep   = 256   // inputs taken in one step, so that effects of the first are not held up
-	memoryPart    = 0.6   // of the memory limit that the runtime aims at; the rest is for stacks and the kernel
-	spareSockets  = 64    // descriptors kept for the links, the listening socket and those about to close
+	inputsWaiting = 1_024                 // inputs that may wait for the reducer; then readers wait, and their peers with them
+	inputsAStep   = 256                   // inputs taken in one step, so that effects of the first are not held up
+	memoryPart    = 0.6                   // of the memory limit that the runtime aims at; the rest is for stacks and the kernel
+	spareSockets  = 64                    // descriptors kept for the links, the listening socket and those about to close
+	stoodStill    = 20 * time.Millisecond // past its time, a timer tells of a process that did not run
+	catchUp       = 2 * time.Millisecond  // for the readers to bring what came meanwhile, before time-outs count
+	remarksOnce   = 100                   // lines logged in a second of what peers cause; more are dropped
 )
 
 // errLeft ends a node that is drained.
@@ -32,6 +35,7 @@
 type Server struct {
 	plate  *Nameplate
 	log    zerolog.Logger
+	loud   zerolog.Logger // for what peers can cause any number of times
 	clock  Clock
 	state  *reducer.Reducer
 	inputs chan reducer.Input
@@ -49,7 +53,8 @@
 
 // New makes a node that Run starts. What a logger and a clock are handed in for is the embedder's to choose.
 func New(nameplate *Nameplate, log zerolog.Logger, clock Clock) *Server {
-	s := &Server{plate: nameplate, log: log, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
+	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
+	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		notice: make(chan struct{}, 1), reports: make(chan bool, 1)}
 	s.state = reducer.New(nameplate.Settings, nameplate.Name, int64(nameplate.StopMS*1e6),
 		nameplate.Sockets-spareSockets)
@@ -114,13 +119,16 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	inputs := make([]reducer.Input, 0, inputsAStep)
-	notice := s.notice
+	notice, wake := s.notice, int64(math.MaxInt64)
 	for {
 		inputs = inputs[:0]
 		select {
 		case <-s.ctx.Done():
 			return s.ctx.Err()
-		case <-timer.C:
+		case <-timer.C: // a reply that lies unread after a pause must not count as one that never came
+			if now, _ := s.clock.Now(); now-wake > int64(stoodStill) {
+				time.Sleep(catchUp)
+			}
 		case in := <-s.inputs:
 			inputs = append(inputs, in)
 		case <-notice:
@@ -136,13 +144,14 @@
 			}
 		}
 		now, wall := s.clock.Now()
-		wake := int64(math.MaxInt64)
+		wake = math.MaxInt64
 		for _, e := range s.state.Step(now, wall, inputs) {
 			switch {
 			case e.Kind == reducer.Wake:
 				wake = e.At
 			case e.Kind == reducer.Leave:
-				s.log.Info().Interface("counters", s.state.Counters).Msg("drained, leaving")
+				s.log.Info().Interface("counters", s.state.Counters).
+					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
 				s.conns.flushAll()
 				return errLeft
 			default:
@@ -184,7 +193,7 @@
 		s.listener.Close()
 	case reducer.Remark:
 		level := [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel}[e.Level]
-		line := s.log.WithLevel(level).Err(e.Err)
+		line := s.loud.WithLevel(level).Err(e.Err)
 		if e.ID != "" {
 			line = line.Str("id", e.ID)
 		}
