--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -100,7 +100,7 @@
 
 func main() {
 	var line struct {
-		Serve   serve   `cmd:"" default:"withargs" help:"Serve as one node until it is told to drain."`
+		Serve   serve   `cmd:"" help:"Serve as one node until it is told to drain."`
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
--- a/example/main.go
+++ b/example/main.go
@@ -53,6 +53,9 @@
 
 	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr})
 	node := server.New(nameplate, log, server.SystemClock())
+	if err := node.Listen(); err != nil {
+		return err
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- node.Run(context.Background()) }()
 	if err := dispatch(node.Addr().String()); err != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -76,27 +76,36 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(n.MemoryMB) * (1 << 20)))
 }
 
+// Listen opens the listening socket, for programs that want to know its address before Run.
+func (s *Server) Listen() (err error) {
+	if s.listener, err = net.Listen("tcp", s.plate.Listen); err != nil {
+		return fmt.Errorf("server: %w", err)
+	}
+	return nil
+}
+
 // Run serves until the drain is over, which is no error, or until ctx ends, which stops at once.
 func (s *Server) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", s.plate.Listen)
-	if err != nil {
-		return fmt.Errorf("server: %w", err)
+	if s.listener == nil {
+		if err := s.Listen(); err != nil {
+			return err
+		}
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	s.listener, s.group, s.ctx = listener, group, ctx
+	s.group, s.ctx = group, ctx
 	s.conns = newConnections(s)
 	context.AfterFunc(ctx, s.close)
-	s.log.Info().Str("name", s.plate.Name).Stringer("listen", listener.Addr()).Msg("listening")
+	s.log.Info().Str("name", s.plate.Name).Stringer("listen", s.Addr()).Msg("listening")
 	group.Go(func() error { return s.conns.accept() })
 	group.Go(func() error { return s.control() })
 	group.Go(func() error { return s.loop() })
-	if err = group.Wait(); errors.Is(err, errLeft) {
-		return nil
+	if err := group.Wait(); !errors.Is(err, errLeft) {
+		return err
 	}
-	return err
+	return nil
 }
 
-// Addr is where dispatchers connect, once Run listens.
+// Addr is where dispatchers connect, once the node listens.
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
 func (s *Server) close() {
