--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -14,7 +14,7 @@
 			{Objective: 1_000 * ms, ClientTimeout: 3_000 * ms, BilledValue: 5, Effect: node.Tokened,
 				Window: 5_000 * ms, MayCall: true},
 		},
-		Cores: 2, MemoryKB: 1_000, Blowup: 4, EntryKB: 1, Callers: 2, Peers: 2, Below: node.SharedBelow,
+		Cores: 2, MemoryKB: 1_000, Blowup: 4, EntryKB: 1, Peers: 2, Below: node.SharedBelow,
 		CallShare: 2.4, CallSpan: 5_000 * ms, TipMultiple: 4, DrainGrace: 2_000 * ms,
 		ComeBackMax: 1_000 * ms, Halting: node.PauseHalt,
 	}
--- a/ember/ember.go
+++ b/ember/ember.go
@@ -179,7 +179,8 @@
 		e = node.Event{Kind: node.DrainNotice, Kill: f.time()}
 		return e, f.err == nil, f.err
 	case "DUE":
-		e = node.Event{Kind: node.TimerDue, Timer: int64(f.id()), Busy: -1, Runnable: -1, Sockets: -1}
+		f.id() // of the timer
+		e = node.Event{Kind: node.TimerDue, Busy: -1, Runnable: -1}
 		h.gauges(&f, &e)
 		return e, f.err == nil, f.err
 	case "CANCELLED_BY_CLIENT":
@@ -206,7 +207,7 @@
 	e.Kind = node.Arrived
 	e.Due = f.time()
 	e.Age = f.time()
-	e.Rank = f.number()
+	f.number() // the rank, which callers go by
 	e.Caller = int64(f.whole())
 	e.Subject = len(f.values) > 0 && f.values[0] != "-"
 	f.next()
@@ -258,8 +259,6 @@
 			e.Busy = n
 		case "runnable":
 			e.Runnable = n
-		case "sockets":
-			e.Sockets = n
 		}
 	}
 }
@@ -289,8 +288,6 @@
 		case node.Record:
 			reply = h.named(reply, "RECORD_KEY", a)
 			reply = millis(append(reply, '\t'), a.For)
-		case node.Unrecord:
-			reply = h.named(reply, "UNPIN", a)
 		case node.Call:
 			reply = h.named(reply, "GO_CALL", a)
 			reply = millis(append(reply, '\t'), a.At)
@@ -301,11 +298,9 @@
 			reply = flag(append(reply, '\t'), a.Stored)
 		case node.Advise:
 			reply = strconv.AppendFloat(append(reply, "SIGNAL\t"...), a.Value, 'f', -1, 64)
-		case node.CloseIdle:
-			reply = millis(append(reply, "IDLE\t"...), a.For)
 		case node.Timer:
 			reply = millis(append(reply, "REMIND\t"...), a.At)
-			reply = strconv.AppendInt(append(reply, '\t'), a.Key, 10)
+			reply = append(reply, "\t0"...) // there is but one timer
 		case node.Leave:
 			reply = append(append(reply, "TRACE\t"...), a.Text...)
 		}
--- a/ember/ember_test.go
+++ b/ember/ember_test.go
@@ -25,7 +25,7 @@
 	e, live, err := host(t).Event(split(item))
 	require.NoError(t, err)
 	assert.True(t, live)
-	assert.Equal(t, node.Event{Kind: node.Arrived, Age: 1_850_000, Rank: 0.625, Caller: 17, Tenant: -1,
+	assert.Equal(t, node.Event{Kind: node.Arrived, Age: 1_850_000, Caller: 17, Tenant: -1,
 		Repeats: node.NoRepeat, Further: true, Hint: 12_000_000, HeldKB: 24.5}, e)
 }
 
@@ -54,8 +54,8 @@
 	got := h.Append(nil, []node.Action{
 		{Kind: node.Throttle, For: 250_000_000, NoRetry: true}, {Kind: node.Call, At: 8_912_250_000},
 		{Kind: node.Health, Good: true, Stored: true}, {Kind: node.Advise, Value: 0.25},
-		{Kind: node.Timer, At: 1_000_500_000, Key: 77}, {Kind: node.Unrecord}, {Kind: node.CloseIdle, For: 10_000_000},
+		{Kind: node.Timer, At: 1_000_500_000},
 	})
-	assert.Equal(t, "SAY_NO\t9\t250\t1\nGO_CALL\t9\t8912.25\nFITNESS\t1\t1\nSIGNAL\t0.25\nREMIND\t1000.5\t77\n"+
-		"UNPIN\t9\nIDLE\t10\n", string(got))
+	assert.Equal(t, "SAY_NO\t9\t250\t1\nGO_CALL\t9\t8912.25\nFITNESS\t1\t1\nSIGNAL\t0.25\nREMIND\t1000.5\t0\n",
+		string(got))
 }
--- a/node/node.go
+++ b/node/node.go
@@ -69,7 +69,6 @@
 	EntryKB       float64
 	Halting       Halting
 	Advice        Advice
-	Callers       int
 	Peers         int
 	Below         Below
 	CallShare     float64
@@ -126,12 +125,10 @@
 	Kind    EventKind
 	Inv     int32
 	Outcome Outcome
-	Timer   int64
 
 	// Arrived
 	Due       int64 // stated by the caller; 0 where it states none
 	Age       int64 // since arrival at the machine
-	Rank      float64
 	Caller    int64
 	Operation int32
 	Tenant    int32 // -1 where it has none
@@ -148,7 +145,6 @@
 	// TimerDue; a gauge that the site lacks is negative
 	Busy     float64
 	Runnable float64
-	Sockets  float64
 }
 
 // ActionKind names what to do.
@@ -162,12 +158,10 @@
 	Stop
 	Reuse
 	Record
-	Unrecord
 	Call
 	SkipCall
 	Health
 	Advise
-	CloseIdle
 	Timer
 	StopIntake // beat 3 of a drain has begun; said again until it is over
 	Leave      // the drain is over; Text is its report
@@ -179,9 +173,8 @@
 	Kind    ActionKind
 	Inv     int32
 	At      int64 // Timer, Call: a moment
-	For     int64 // Throttle, Record, CloseIdle: a duration
+	For     int64 // Throttle, Record: a duration
 	Value   float64
-	Key     int64
 	Good    bool
 	Stored  bool
 	NoRetry bool
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -136,7 +136,6 @@
 		MemoryKB:      s.number("family_info.memory_kb"),
 		Blowup:        max(1, s.number("family_info.blowup")),
 		EntryKB:       s.number("family_info.entry_kb"),
-		Callers:       int(s.number("family_info.clients_total")),
 		Peers:         int(s.number("group_size")),
 		CallShare:     s.number("family_info.calls_out"),
 		CallSpan:      s.time("family_info.calls_over"),
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -192,8 +192,8 @@
 			e.HeldKB, ok = decimal(field.Value)
 			heap, ok = true, ok && e.HeldKB > 0 && e.HeldKB < heapMost
 		case "crit":
-			e.Rank, ok = decimal(field.Value)
-			ok = ok && e.Rank < 1
+			n, ok = decimal(field.Value)
+			ok = ok && n < 1
 		case "row":
 			e.Subject = true
 		}
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -157,8 +157,6 @@
 			r.busy = v
 		case "runnable":
 			r.runnable = v
-		case "sockets":
-			r.sockets = v
 		}
 	}
 	r.metered = r.now
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -96,9 +96,9 @@
 	conns map[int]*connection
 	open  int // invocations that are owed an answer
 
-	beatAt, meterAt         int64
-	busy, runnable, sockets float64
-	metered                 int64 // when the gauges came
+	beatAt, meterAt int64
+	busy, runnable  float64
+	metered         int64 // when the gauges came
 
 	good, stored bool
 	load         string // what answers carry, empty before the first advice
@@ -196,9 +196,9 @@
 	r.keepCalls()
 	r.keepChecks()
 	if r.now >= r.beatAt {
-		e := node.Event{Kind: node.TimerDue, Busy: -1, Runnable: -1, Sockets: -1}
+		e := node.Event{Kind: node.TimerDue, Busy: -1, Runnable: -1}
 		if r.now-r.metered <= meterStale {
-			e.Busy, e.Runnable, e.Sockets = r.busy, r.runnable, r.sockets
+			e.Busy, e.Runnable = r.busy, r.runnable
 		}
 		r.beatAt = never
 		r.events = append(r.events, e)
