--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -220,3 +221,19 @@
 	assert.NoError(t, err)
 	assert.Contains(t, string(out), "topazpost")
 }
+
+func TestAProcessThatStoodStillLosesNothing(t *testing.T) {
+	s := start(t, false, nil)
+	s.replyWith(func(string) string { return "" })
+	d := s.dial()
+	run, call := d.invoke(1, "hold"), d.invoke(2, "call")
+	await(t, s.told)
+	await(t, s.asked)
+	s.command.Process.Signal(syscall.SIGSTOP)
+	s.notify("EXIT %d " + run + " good 3 5\r\nstill\r\n")
+	fmt.Fprint(await(t, s.supplied), call+" DATA 5\r\nreply\r\n")
+	d.invoke(3, "meanwhile")
+	s.command.Process.Signal(syscall.SIGCONT)
+	got := []string{d.answer(), d.answer(), d.answer()}
+	assert.ElementsMatch(t, []string{"20 on 1 still", "20 on 2 reply", "20 on 3 meanwhile"}, got)
+}
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -53,17 +53,18 @@
 
 // site is a node with its stand-ins.
 type site struct {
-	t       *testing.T
-	address string
-	command *exec.Cmd
-	log     chan string   // lines of the log
-	ended   chan error    // of the process
-	reports chan string   // bodies of reports
-	told    chan []string // commands that the executor read, but for those that ask for gauges
-	asked   chan []string // what the catalogue read
-	links   chan net.Conn // to the executor, each after its JOIN
-	up      chan struct{} // closed once the executor is up
-	reply   func(call string) string
+	t        *testing.T
+	address  string
+	command  *exec.Cmd
+	log      chan string   // lines of the log
+	ended    chan error    // of the process
+	reports  chan string   // bodies of reports
+	told     chan []string // commands that the executor read, but for those that ask for gauges
+	asked    chan []string // what the catalogue read
+	links    chan net.Conn // to the executor, each after its JOIN
+	supplied chan net.Conn // to the catalogue, each as it is opened
+	up       chan struct{} // closed once the executor is up
+	reply    func(call string) string
 
 	mu      sync.Mutex
 	link    net.Conn
@@ -81,7 +82,7 @@
 func start(t *testing.T, late bool, change func(config map[string]any)) *site {
 	s := &site{t: t, log: make(chan string, 1_000), ended: make(chan error, 1), reports: make(chan string, 100),
 		told: make(chan []string, 1_000), asked: make(chan []string, 1_000), links: make(chan net.Conn, 100),
-		up: make(chan struct{}), reply: func(call string) string { return call + " DATA 5\r\nreply\r\n" }}
+		supplied: make(chan net.Conn, 100), up: make(chan struct{}), reply: func(call string) string { return call + " DATA 5\r\nreply\r\n" }}
 	if !late {
 		close(s.up)
 	}
@@ -234,6 +235,7 @@
 }
 
 func (s *site) supply(conn net.Conn) {
+	s.supplied <- conn
 	s.read(conn, "FETCH", func(l lines.Line) {
 		s.asked <- append(l.Words, string(l.Body))
 		if l.Words[0] == "FETCH" {
