Executor link asks again until its notices are in; last connections are taken before intake stops

Found by review after the late executor: BAD to the one METER that ends a join would keep every command back (reducer/executor.go, askGauges did nothing while not synced). Closing the listening socket at once would reset connections that the system had taken and the node not (server/dispatchers.go); now the socket closes 5 ms later, when none waits. An address still in use at the start is tried again for 3 s.

--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -143,8 +143,9 @@
 	d.invoke(2, "still open")
 	assert.Equal(t, "20 on 2 still open", d.answer(), "the delay keeps intake open")
 	assert.Equal(t, "no more", d.answer())
+	s.line("no connection more") // from then on nobody can connect
 	_, err := net.Dial("tcp", s.address)
-	assert.Error(t, err, "nobody can connect any more")
+	assert.Error(t, err)
 	d.invoke(3, "too late")
 	assert.Equal(t, "50 on 3 ", d.answer())
 	s.notify("EXIT %d " + call + " good 3 2\r\nok\r\n")
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -48,11 +48,15 @@
 	r.unread = kept
 }
 
-// askGauges asks for the gauges with the number of the last command: the answer proves that it was read.
+// askGauges asks for the gauges with the number of the last command: the answer proves that it was read. Until
+// the missed notices are known to be in it asks for that, again and again: one that is refused would else keep
+// every command back.
 func (r *Reducer) askGauges() {
+	tag := r.syncTag()
 	if r.synced {
-		r.tell("METER", "m"+strconv.Itoa(r.seq))
+		tag = "m" + strconv.Itoa(r.seq)
 	}
+	r.tell("METER", tag)
 }
 
 func (r *Reducer) run(i int32) {
@@ -131,6 +135,7 @@
 // welcome starts the module when the executor is first heard of: its state and age are those of the cores.
 // The notices after the last one taken follow it; the gauges asked for now tell when all of them are in.
 func (r *Reducer) welcome(words []string) {
+	r.welcomed = r.link
 	r.tell("METER", r.syncTag())
 	if r.post != nil {
 		return
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -103,14 +103,14 @@
 	good, stored bool
 	load         string // what answers carry, empty before the first advice
 
-	link             int // to the executor, 0 where there is none
-	welcomed, synced bool
-	notice           int // the last that was taken
-	seq              int // of the last command
-	unread           []command
-	redialAt, wait   int64
-	diags            map[string]check
-	diagged          int
+	link, welcomed int // to the executor, 0 where there is none; the last that was welcomed
+	synced         bool
+	notice         int // the last that was taken
+	seq            int // of the last command
+	unread         []command
+	redialAt, wait int64
+	diags          map[string]check
+	diagged        int
 
 	below               int // link to the catalogue, 0 where there is none
 	reaching            bool
@@ -189,7 +189,7 @@
 		r.reporting = true
 		r.do(Effect{Kind: Report, Ready: r.post != nil && r.good})
 	}
-	if r.now >= r.meterAt && r.link != 0 {
+	if r.now >= r.meterAt && r.link != 0 && r.welcomed == r.link {
 		r.meterAt = never
 		r.askGauges()
 	}
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -29,6 +29,16 @@
 	assert.Equal(t, "EXEC "+callID+" catalogue 4\r\nbody\r\n", text(told(r, "METERS j2 0 0 0 0"), Tell))
 }
 
+func TestRefusedGaugesDoNotKeepCommandsBackForGood(t *testing.T) {
+	r := fresh(t)
+	told(r, "WELCOME new 3")
+	told(r, "BAD METER j1")
+	step(r, invoke(1))
+	r.now = r.meterAt
+	assert.Equal(t, "METER j1\r\n", text(step(r), Tell))
+	assert.Contains(t, text(told(r, "METERS j1 0 0 0 0"), Tell), "EXEC")
+}
+
 func TestInvocationIsRunAndItsResultIsTheAnswer(t *testing.T) {
 	r := up(t)
 	assert.Equal(t, "EXEC "+callID+" catalogue 4\r\nbody\r\n", text(step(r, invoke(1)), Tell))
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	pendingFew  = 8 << 10          // bytes of a few answers
 	writeWait   = 20 * time.Second // a peer that takes nothing for so long is cut off: no pause lasts as long
 	acceptAgain = 20 * time.Millisecond
+	acceptLast  = 5 * time.Millisecond   // for what waits to be accepted when intake stops
 	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
 	flushWait   = 150 * time.Millisecond // for the last answers to be taken before the node ends
 )
@@ -60,7 +62,9 @@
 		}
 		conn, err := c.s.listener.Accept()
 		for err != nil {
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+				c.s.listener.Close()
+				c.s.log.Info().Msg("no connection more is taken")
 				return nil
 			}
 			c.s.loud.Warn().Err(err).Msg("no connection could be accepted")
@@ -78,6 +82,10 @@
 	}
 }
 
+// shut ends the listening socket once all that the system took is accepted: a request written to a connection
+// that waits there would be lost with it.
+func (c *connections) shut() { c.s.listener.SetDeadline(time.Now().Add(acceptLast)) }
+
 func (c *connections) get(link int) *connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/server/server.go
+++ b/server/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,6 +24,8 @@
 	inputsAStep   = 256                   // inputs taken in one step, so that effects of the first are not held up
 	memoryPart    = 0.6                   // of the memory limit that the runtime aims at; the rest is for stacks and the kernel
 	spareSockets  = 64                    // descriptors kept for the links, the listening socket and those about to close
+	listenFor     = 3 * time.Second       // for the last life of the node to give its address up
+	listenAgain   = 50 * time.Millisecond // between tries at it
 	stoodStill    = 20 * time.Millisecond // past its time, a timer tells of a process that did not run
 	catchUp       = 2 * time.Millisecond  // for the readers to bring what came meanwhile, before time-outs count
 	remarksOnce   = 100                   // lines logged in a second of what peers cause; more are dropped
@@ -43,7 +46,7 @@
 	ctx    context.Context
 	group  *errgroup.Group
 
-	listener net.Listener
+	listener *net.TCPListener
 	conns    *connections
 	executor *link
 	below    *link
@@ -76,12 +79,19 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(n.MemoryMB) * (1 << 20)))
 }
 
-// Listen opens the listening socket, for programs that want to know its address before Run.
-func (s *Server) Listen() (err error) {
-	if s.listener, err = net.Listen("tcp", s.plate.Listen); err != nil {
-		return fmt.Errorf("server: %w", err)
+// Listen opens the listening socket, for programs that want to know its address before Run. An address that is
+// still in use is tried again for a while: the node's last life may not have ended to the full.
+func (s *Server) Listen() error {
+	for end := time.Now().Add(listenFor); ; time.Sleep(listenAgain) {
+		listener, err := net.Listen("tcp", s.plate.Listen)
+		if err == nil {
+			s.listener = listener.(*net.TCPListener)
+			return nil
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return fmt.Errorf("server: %w", err)
+		}
 	}
-	return nil
 }
 
 // Run serves until the drain is over, which is no error, or until ctx ends, which stops at once.
@@ -199,7 +209,7 @@
 		default:
 		}
 	case reducer.Shut:
-		s.listener.Close()
+		s.conns.shut()
 	case reducer.Remark:
 		level := [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel}[e.Level]
 		line := s.loud.WithLevel(level).Err(e.Err)
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,57 @@
+package server
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const config = `{"name":"n1","listen":"127.0.0.1:0","executor":"127.0.0.1:1","control":"127.0.0.1:1",
+	"catalog":"127.0.0.1:1","seed":"8c1f30d27a5be964","stop_ms":3200,
+	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+	"settings":{"grades":[{"name":"hold","aim":1000,"give_up":2600}],"family_info":{"memory_kb":9000},
+	"guarantees":{"tip_multiple":8}}}`
+
+func server(t *testing.T) *Server {
+	n, err := ReadNameplate([]byte(config))
+	require.NoError(t, err)
+	return New(n, zerolog.Nop(), SystemClock())
+}
+
+func TestNodeWithoutAnyPeerDrainsAndEnds(t *testing.T) {
+	s := server(t)
+	s.Drain()
+	assert.NoError(t, s.Run(context.Background()))
+}
+
+func TestEndOfTheContextStopsAtOnce(t *testing.T) {
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	assert.ErrorIs(t, server(t).Run(ctx), context.Canceled)
+}
+
+func TestAddressOfTheLastLifeIsWaitedFor(t *testing.T) {
+	last, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := server(t)
+	s.plate.Listen = last.Addr().String()
+	heard := make(chan error, 1)
+	go func() { heard <- s.Listen() }()
+	last.Close()
+	require.NoError(t, <-heard)
+	s.listener.Close()
+}
+
+func TestUnusableNameplatesNameTheirField(t *testing.T) {
+	for field, text := range map[string]string{"name": `{}`, "listen": `{"name":"n"}`,
+		"seed":          `{"name":"n","listen":":1","executor":":1","control":":1","catalog":":1","seed":"x"}`,
+		"stop_ms":       `{"name":"n","listen":":1","executor":":1","control":":1","catalog":":1","seed":"1"}`,
+		"configuration": `[`} {
+		_, err := ReadNameplate([]byte(text))
+		assert.ErrorContains(t, err, field)
+	}
+}
