--- a/buffer/buffer.go
+++ b/buffer/buffer.go
@@ -2,7 +2,7 @@
 package buffer
 
 const (
-	first = 4 << 10  // bytes at the start: a request with its body fits
+	first = 4 << 10  // bytes at the start: an invocation with its body fits
 	keep  = 16 << 10 // bytes kept once empty; what grew past it for one message is given back
 )
 
--- a/example/main.go
+++ b/example/main.go
@@ -115,7 +115,7 @@
 	}
 	for i, item := range strings.Fields("desk chair lamp") {
 		stream := uint32(i + 1)
-		conn.Write(frame.AppendRequest(nil, stream, []frame.Field{{Name: "op", Value: "quote"},
+		conn.Write(frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "quote"},
 			{Name: "call", Value: fmt.Sprintf("%016x", stream)}, {Name: "src", Value: "1"},
 			{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)},
 			{Name: "heap", Value: "10"}}, []byte(item)))
--- a/frame/frame.go
+++ b/frame/frame.go
@@ -11,23 +11,23 @@
 
 // The types of frames.
 const (
-	Request  = 16
-	Answer   = 17
-	Gone     = 18
-	Check    = 32
-	Checked  = 33
-	NoMore   = 48
-	lenBytes = 4
-	headFrom = lenBytes + 5
+	Invocation = 16
+	Answer     = 17
+	Gone       = 18
+	Check      = 32
+	Checked    = 33
+	NoMore     = 48
+	lenBytes   = 4
+	headFrom   = lenBytes + 5
 )
 
 // The codes of answers.
 const (
-	Served  = 20
-	Refused = 50
-	Failed  = 51
-	Good    = 20
-	Bad     = 51
+	Succeeded = 20
+	Throttled = 50
+	Errored   = 51
+	Good      = 20
+	Bad       = 51
 )
 
 const (
@@ -136,9 +136,9 @@
 	return appendFields(append(b, code), fields)
 }
 
-// AppendRequest writes a request as dispatchers do.
-func AppendRequest(b []byte, stream uint32, fields []Field, body []byte) []byte {
-	return Append(b, Request, stream, append(appendFields(nil, fields), body...))
+// AppendInvocation writes an invocation as dispatchers do.
+func AppendInvocation(b []byte, stream uint32, fields []Field, body []byte) []byte {
+	return Append(b, Invocation, stream, append(appendFields(nil, fields), body...))
 }
 
 // Append writes a frame with a payload.
--- a/frame/frame_test.go
+++ b/frame/frame_test.go
@@ -34,9 +34,9 @@
 }
 
 func stream() []byte {
-	b := AppendRequest(nil, 1, []Field{{"op", "hold"}, {"call", "9b1f03aa5c7e2d41"}}, []byte{0, 13, 10, 255})
+	b := AppendInvocation(nil, 1, []Field{{"op", "hold"}, {"call", "9b1f03aa5c7e2d41"}}, []byte{0, 13, 10, 255})
 	b = Append(b, Gone, 1, nil)
-	b = Append(b, Request, 2, make([]byte, maxKept+1))
+	b = Append(b, Invocation, 2, make([]byte, maxKept+1))
 	return Append(b, Check, 3, []byte{0})
 }
 
@@ -74,7 +74,7 @@
 }
 
 func TestAnswerIsWritten(t *testing.T) {
-	b := append(Head(nil, Answer, 7, Refused, []Field{{"pushback", "250"}}, 2), "ab"...)
+	b := append(Head(nil, Answer, 7, Throttled, []Field{{"pushback", "250"}}, 2), "ab"...)
 	assert.Equal(t, "\x17\x00\x00\x00\x11\x07\x00\x00\x00\x32\x01\x08pushback\x03\x00250ab", string(b))
 }
 
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-func TestRequestsSplitAndJoinedAnywhereAreAnsweredInAnyOrder(t *testing.T) {
+func TestInvocationsSplitAndJoinedAnywhereAreAnsweredInAnyOrder(t *testing.T) {
 	s := start(t, false, nil)
 	d := s.dial()
 	for stream := range uint32(32) {
@@ -74,6 +74,22 @@
 	assert.Equal(t, "20 on 5 x", d.answer())
 }
 
+func TestCallsErrWhileTheCatalogueIsDownAndWorkAgainOnceItIsBack(t *testing.T) {
+	s := start(t, false, nil)
+	d := s.dial()
+	address := s.catalogue.Addr().String()
+	s.catalogue.Close()
+	d.invoke(1, "call")
+	assert.Equal(t, "51 on 1 ", d.answer())
+	assert.Empty(t, s.asked)
+	back, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { back.Close() })
+	go s.accept(back, s.supply)
+	d.invoke(2, "call")
+	assert.Equal(t, "20 on 2 reply", d.answer())
+}
+
 func TestCallerGoneWhileItsCallIsInHandQuitsTheCall(t *testing.T) {
 	s := start(t, false, nil)
 	s.replyWith(func(string) string { return "" })
@@ -110,7 +126,7 @@
 func TestMalformedInputOfDispatchers(t *testing.T) {
 	s := start(t, false, nil)
 	for what, bad := range map[string][]byte{"length": binary.LittleEndian.AppendUint32(nil, 300_000),
-		"type": frame.Append(nil, 99, 2, nil), "stream": frame.Append(nil, frame.Request, 1, []byte{0})} {
+		"type": frame.Append(nil, 99, 2, nil), "stream": frame.Append(nil, frame.Invocation, 1, []byte{0})} {
 		d := s.dial()
 		call := d.invoke(1, "hold")
 		await(t, s.told)
@@ -123,11 +139,11 @@
 		assert.False(t, ok, "closed once all is answered: "+what)
 	}
 	d := s.dial()
-	d.write(frame.Append(nil, frame.Request, 1, []byte{9}))
+	d.write(frame.Append(nil, frame.Invocation, 1, []byte{9}))
 	assert.Equal(t, "51 on 1 ", d.answer())
 	d.invoke(2, string(make([]byte, 3_000)))
 	assert.Equal(t, "51 on 2 ", d.answer())
-	d.write(frame.Append(nil, frame.Request, 3, make([]byte, 100_000)))
+	d.write(frame.Append(nil, frame.Invocation, 3, make([]byte, 100_000)))
 	assert.Equal(t, "51 on 3 ", d.answer())
 	d.invoke(4, "fine")
 	assert.Equal(t, "20 on 4 fine", d.answer())
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -66,6 +66,8 @@
 	up       chan struct{} // closed once the executor is up
 	reply    func(call string) string
 
+	catalogue net.Listener
+
 	mu      sync.Mutex
 	link    net.Conn
 	notices []string
@@ -87,6 +89,7 @@
 		close(s.up)
 	}
 	executor, catalogue := listen(t), listen(t)
+	s.catalogue = catalogue
 	go s.accept(executor, s.execute)
 	go s.accept(catalogue, s.supply)
 	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -189,7 +192,7 @@
 	}
 }
 
-// execute does what the body of a request says: "bad" fails, "call" makes a call, "hold" runs on; else the
+// execute does what the body of an invocation says: "bad" fails, "call" makes a call, "hold" runs on; else the
 // run is good.
 func (s *site) execute(conn net.Conn) {
 	s.read(conn, "EXEC RETURN", func(l lines.Line) {
@@ -273,10 +276,10 @@
 	return &dispatcher{t: s.t, conn: conn}
 }
 
-// invoke sends a request; its id ends in the number of the stream.
+// invoke sends an invocation; its id ends in the number of the stream.
 func (d *dispatcher) invoke(stream uint32, body string) string {
 	call := fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, stream)
-	d.write(frame.AppendRequest(nil, stream, []frame.Field{{Name: "op", Value: "catalogue"},
+	d.write(frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "catalogue"},
 		{Name: "call", Value: call}, {Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)},
 		{Name: "src", Value: "4"}, {Name: "work", Value: "12.5"}, {Name: "heap", Value: "24.5"},
 		{Name: "crit", Value: "0.6"}}, []byte(body)))
--- a/reducer/catalogue.go
+++ b/reducer/catalogue.go
@@ -66,7 +66,7 @@
 		r.Counters.CatalogueLinks++
 		r.reaching, r.below, r.belowUsed = false, in.Link, r.now
 		r.eachCall(func(_ int32, v *invocation) { r.fetch(v) })
-	case Refused: // a call that was never written has not run
+	case Unreached: // a call that was never written has not run
 		r.reaching = false
 		r.remark(Debug, "catalogue can't be reached", "", in.Err)
 		r.eachCall(func(i int32, v *invocation) { r.callOver(i, node.Unreachable) })
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -12,7 +12,7 @@
 	"topazpost/node"
 )
 
-// What makes a request's fields unusable.
+// What makes an invocation's fields unusable.
 var (
 	errField  = errors.New("missing or malformed")
 	errBody   = errors.New("the body is too large")
@@ -59,8 +59,8 @@
 		return
 	}
 	switch f := &in.Frame; f.Type {
-	case frame.Request:
-		r.request(in.Link, c, f)
+	case frame.Invocation:
+		r.intake(in.Link, c, f)
 	case frame.Gone:
 		if i, open := c.open[f.Stream]; open {
 			delete(c.open, f.Stream)
@@ -83,7 +83,7 @@
 	r.Counters.BrokenConnections++
 	text := err.Error()
 	r.do(Effect{Kind: Send, Link: link,
-		Bytes: append(frame.Head(nil, frame.Answer, 0, frame.Failed, nil, len(text)), text...)})
+		Bytes: append(frame.Head(nil, frame.Answer, 0, frame.Errored, nil, len(text)), text...)})
 	r.noMore(link, c)
 	c.closing = true
 	r.keepOpen(link, c)
@@ -120,8 +120,8 @@
 	}
 }
 
-// request takes a request in, or answers at once one that can't be used.
-func (r *Reducer) request(link int, c *connection, f *frame.Frame) {
+// intake takes an invocation in, or answers at once one that can't be used.
+func (r *Reducer) intake(link int, c *connection, f *frame.Frame) {
 	if c.closing {
 		return
 	}
@@ -130,7 +130,7 @@
 		return
 	}
 	c.last = f.Stream
-	r.Counters.Requests++
+	r.Counters.Invocations++
 	v := invocation{live: true, conn: link, stream: f.Stream}
 	e := node.Event{Kind: node.Arrived, Tenant: -1, Repeats: node.NoRepeat}
 	err := r.read(f, &v, &e)
@@ -138,15 +138,15 @@
 		err = errors.New("too many streams are open")
 	}
 	if err != nil {
-		r.Counters.BrokenRequests++
-		r.Counters.Failed++
-		r.remark(Warn, "request can't be used", v.call, err)
-		r.send(link, f.Stream, frame.Failed, nil, nil)
+		r.Counters.BrokenInvocations++
+		r.Counters.Errored++
+		r.remark(Warn, "invocation can't be used", v.call, err)
+		r.send(link, f.Stream, frame.Errored, nil, nil)
 		return
 	}
 	if r.post == nil {
-		r.Counters.Refused++
-		r.send(link, f.Stream, frame.Refused, nil, nil)
+		r.Counters.Throttled++
+		r.send(link, f.Stream, frame.Throttled, nil, nil)
 		return
 	}
 	e.Inv = r.admit(v)
@@ -154,7 +154,7 @@
 	r.events = append(r.events, e)
 }
 
-// read turns a request's fields into an event.
+// read turns an invocation's fields into an event.
 func (r *Reducer) read(f *frame.Frame, v *invocation, e *node.Event) error {
 	if f.Past {
 		return errBody
@@ -219,7 +219,7 @@
 	return n, err == nil && n >= 0 && !math.IsInf(n, 0)
 }
 
-// age is how long ago a request came to the machine; a stamp that can't be is a jump of the clock.
+// age is how long ago an invocation came to the machine; a stamp that can't be is a jump of the clock.
 func (r *Reducer) age(stamp int64) int64 {
 	age := r.wall/ms - stamp
 	if age < 0 || age > ageMost {
@@ -304,7 +304,7 @@
 	if a.NoRetry {
 		fields = append(fields, frame.Field{Name: "stop", Value: "1"})
 	}
-	r.answerWith(a.Inv, frame.Refused, fields, nil)
+	r.answerWith(a.Inv, frame.Throttled, fields, nil)
 }
 
 func (r *Reducer) answer(i int32, code byte, body []byte) { r.answerWith(i, code, nil, body) }
@@ -319,12 +319,12 @@
 	r.open--
 	r.quitCall(v)
 	switch code {
-	case frame.Served:
-		r.Counters.Served++
-	case frame.Refused:
-		r.Counters.Refused++
+	case frame.Succeeded:
+		r.Counters.Succeeded++
+	case frame.Throttled:
+		r.Counters.Throttled++
 	default:
-		r.Counters.Failed++
+		r.Counters.Errored++
 	}
 	r.send(v.conn, v.stream, code, fields, body)
 	if c := r.conns[v.conn]; c != nil {
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -189,7 +189,7 @@
 	r.remark(Warn, "executor did not carry out a command", words[len(words)-1], nil)
 	if i, v := r.lookup(words[len(words)-1]); v != nil && words[1] == "EXEC" {
 		if !v.answered {
-			r.answer(i, frame.Failed, nil)
+			r.answer(i, frame.Errored, nil)
 		}
 		r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: node.Errored})
 	}
@@ -212,9 +212,9 @@
 	r.readBy(func(c *command) bool { return c.call == v.call })
 	if !v.answered {
 		if outcome == node.Succeeded {
-			r.answer(i, frame.Served, body)
+			r.answer(i, frame.Succeeded, body)
 		} else {
-			r.answer(i, frame.Failed, nil)
+			r.answer(i, frame.Errored, nil)
 		}
 	}
 	r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: outcome})
--- a/reducer/helpers_test.go
+++ b/reducer/helpers_test.go
@@ -57,7 +57,7 @@
 
 const callID = "9b1f03aa5c7e2d41"
 
-// invoke is a request on a stream of connection 7, with fields changed or left out where their value is "-".
+// invoke is an invocation on a stream of connection 7, with fields changed or left out where their value is "-".
 func invoke(stream uint32, changed ...string) Input {
 	values := map[string]string{"op": "catalogue", "call": callID, "recv": "1000000", "src": "4", "work": "12.50",
 		"heap": "24.5", "crit": "0.6250"}
@@ -70,8 +70,8 @@
 			fields = append(fields, frame.Field{Name: name, Value: value})
 		}
 	}
-	b := frame.AppendRequest(nil, stream, fields, []byte("body"))
-	return Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Request, Stream: stream, Payload: b[9:]}}
+	b := frame.AppendInvocation(nil, stream, fields, []byte("body"))
+	return Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Invocation, Stream: stream, Payload: b[9:]}}
 }
 
 // text is what all effects of a kind write.
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -16,9 +16,9 @@
 const (
 	ms = int64(1_000_000) // ns in a millisecond
 
-	streamsOpen = 32       // requests that may be open on one connection
-	bodyMost    = 2 << 10  // bytes of a request's body
-	heapMost    = 2_000.0  // kB of memory that a request may be booked with
+	streamsOpen = 32       // invocations that may be open on one connection
+	bodyMost    = 2 << 10  // bytes of an invocation's body
+	heapMost    = 2_000.0  // kB of memory that an invocation may be booked with
 	ageMost     = 60_000   // ms past which an arrival's stamp tells of a clock that jumped, not of a wait
 	meterLead   = 5 * ms   // ns before a timer of the module at which the gauges are asked for: a round trip
 	meterStale  = 500 * ms // ns after which gauges say nothing: the span over which they are taken
@@ -71,8 +71,19 @@
 
 // Counters are what an operator may want to see of a node's life.
 type Counters struct {
-	Requests, Served, Refused, Failed, Gone, BrokenRequests, BrokenConnections   int
-	ExecutorLinks, CatalogueLinks, StrayReplies, Evicted, Reports, ReportsFailed int
+	Invocations       int `json:"invocations"`
+	Succeeded         int `json:"succeeded"`
+	Throttled         int `json:"throttled"`
+	Errored           int `json:"errored"`
+	Gone              int `json:"gone"`
+	BrokenInvocations int `json:"broken_invocations"`
+	BrokenConnections int `json:"broken_connections"`
+	ExecutorLinks     int `json:"executor_links"`
+	CatalogueLinks    int `json:"catalogue_links"`
+	StrayReplies      int `json:"stray_replies"`
+	Evicted           int `json:"evicted"`
+	Reports           int `json:"reports"`
+	ReportsFailed     int `json:"reports_failed"`
 }
 
 // Reducer is the state of one node.
@@ -170,7 +181,7 @@
 		if in.Link == r.link {
 			r.fromExecutor(in)
 		}
-	case Reached, Refused, Replied, Broke:
+	case Reached, Unreached, Replied, Broke:
 		r.fromCatalogue(in)
 	case Reported:
 		r.reported(in.Err)
@@ -230,7 +241,7 @@
 	case node.Throttle:
 		r.throttle(a)
 	case node.Fail:
-		r.answer(a.Inv, frame.Failed, nil)
+		r.answer(a.Inv, frame.Errored, nil)
 	case node.Call:
 		r.call(a.Inv, a.At)
 	case node.Health:
@@ -307,7 +318,7 @@
 		return
 	}
 	if !r.Guard.Hold(v.answered, "what is released was answered") {
-		r.answer(i, frame.Failed, nil)
+		r.answer(i, frame.Errored, nil)
 	}
 	r.quitCall(v)
 	delete(r.calls, v.call)
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -61,12 +61,12 @@
 	assert.Empty(t, r.calls)
 }
 
-func TestBrokenRequestFailsAndItsConnectionLivesOn(t *testing.T) {
+func TestBrokenInvocationIsErroredAndItsConnectionLivesOn(t *testing.T) {
 	r := up(t)
 	for i, broken := range []Input{invoke(1, "op", "other"), invoke(2, "call", "9B1F"), invoke(3, "recv", "-"),
 		invoke(4, "heap", "0"), invoke(5, "crit", "1"), invoke(6, "work", "NaN"), invoke(7, "src", "x"),
-		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Request, Stream: 8, Past: true}},
-		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Request, Stream: 9, Payload: []byte{200}}}} {
+		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Invocation, Stream: 8, Past: true}},
+		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Invocation, Stream: 9, Payload: []byte{200}}}} {
 		assert.Equal(t, []string{fmt.Sprintf("51 on %d", i+1)}, answers(t, step(r, broken)))
 	}
 	assert.NotEmpty(t, text(step(r, invoke(10)), Tell))
@@ -79,7 +79,7 @@
 		r := up(t)
 		step(r, invoke(1))
 		assert.Equal(t, []string{"51 on 0", "no more"}, answers(t, step(r, bad)), what)
-		assert.Empty(t, step(r, invoke(2, "call", "0000000000000000")), "no request more: "+what)
+		assert.Empty(t, step(r, invoke(2, "call", "0000000000000000")), "no invocation more: "+what)
 		end := told(r, "EXIT 1 "+callID+" good 12 6|result")
 		assert.Equal(t, []string{"20 on 1"}, answers(t, end), what)
 		assert.Equal(t, Finish, end[len(end)-1].Kind, what)
@@ -102,7 +102,7 @@
 	r := up(t)
 	step(r, invoke(1))
 	told(r, "CALLOUT 1 "+callID+" 3|ask")
-	again := step(r, Input{Kind: Refused, Link: 5})
+	again := step(r, Input{Kind: Unreached, Link: 5})
 	assert.Equal(t, Reach, again[0].Kind)
 	step(r, Input{Kind: Reached, Link: 6})
 	assert.Equal(t, []string{"51 on 1"}, answers(t, step(r, Input{Kind: Broke, Link: 6})))
@@ -186,7 +186,7 @@
 	}
 	assert.NotContains(t, kinds, Leave, "one is still open")
 	assert.True(t, r.shut)
-	assert.Equal(t, 1, r.Counters.Refused, "what came after intake ended is not run")
+	assert.Equal(t, 1, r.Counters.Throttled, "what came after intake ended is not run")
 	end := told(r, "EXIT 1 "+callID+" good 12 1|r")
 	assert.Equal(t, []string{"20 on 1"}, answers(t, end))
 	assert.Equal(t, Leave, end[len(end)-1].Kind)
@@ -209,12 +209,12 @@
 func TestASecondAnswerIsABreach(t *testing.T) {
 	r := up(t)
 	step(r, invoke(1))
-	again := func() { r.answer(0, frame.Failed, nil); r.answer(0, frame.Failed, nil) }
+	again := func() { r.answer(0, frame.Errored, nil); r.answer(0, frame.Errored, nil) }
 	if must.Debug {
 		assert.Panics(t, again)
 		return
 	}
 	again()
 	assert.Equal(t, 1, r.Guard.Broken("one answer an invocation"))
-	assert.Equal(t, 1, r.Counters.Failed)
+	assert.Equal(t, 1, r.Counters.Errored)
 }
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -21,7 +21,7 @@
 	Parted                     // it ended, or could not be had
 	Reached                    // a link to the catalogue is up
 	Replied                    // a line came on it
-	Refused                    // a link to the catalogue could not be had
+	Unreached                  // a link to the catalogue could not be had
 	Broke                      // it ended
 	Reported                   // a report to the control plane ended
 	Notice                     // the node is to drain
@@ -47,7 +47,7 @@
 	Dial                      // open a link to the executor, giving Joined or Parted
 	Tell                      // write to the executor
 	Part                      // close the link to the executor, giving Parted
-	Reach                     // open a link to the catalogue, giving Reached or Refused
+	Reach                     // open a link to the catalogue, giving Reached or Unreached
 	Ask                       // write to the catalogue
 	Quit                      // close the link to the catalogue, giving Broke
 	Report                    // report to the control plane, giving Reported
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -82,7 +82,7 @@
 	}
 }
 
-// shut ends the listening socket once all that the system took is accepted: a request written to a connection
+// shut ends the listening socket once all that the system took is accepted: an invocation written to a connection
 // that waits there would be lost with it.
 func (c *connections) shut() { c.s.listener.SetDeadline(time.Now().Add(acceptLast)) }
 
--- a/server/link.go
+++ b/server/link.go
@@ -146,6 +146,6 @@
 }
 
 func (s *Server) dialCatalogue() {
-	s.below = s.open(s.plate.Catalog, reducer.Reached, reducer.Refused, reducer.Replied, reducer.Broke,
+	s.below = s.open(s.plate.Catalog, reducer.Reached, reducer.Unreached, reducer.Replied, reducer.Broke,
 		func(words []string) bool { return len(words) == 3 && words[1] == "DATA" })
 }
