--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -31,6 +31,7 @@
 func (r *Reducer) order(i int32, bytes []byte) {
 	r.seq++
 	r.unread = append(r.unread, command{r.seq, i, r.invs[i].call, bytes})
+	r.Guard.Hold(len(r.unread) <= commandMost, "commands not known to be read are bounded")
 	if r.synced {
 		r.do(Effect{Kind: Tell, Link: r.link, Bytes: bytes})
 	}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -16,16 +16,17 @@
 const (
 	ms = int64(1_000_000) // ns in a millisecond
 
-	streamsOpen = 32       // invocations that may be open on one connection
-	bodyMost    = 2 << 10  // bytes of an invocation's body
-	heapMost    = 2_000.0  // kB of memory that an invocation may be booked with
-	ageMost     = 60_000   // ms past which an arrival's stamp tells of a clock that jumped, not of a wait
-	meterLead   = 5 * ms   // ns before a timer of the module at which the gauges are asked for: a round trip
-	meterStale  = 500 * ms // ns after which gauges say nothing: the span over which they are taken
-	diagWait    = 900 * ms // ns that a deep check may take: dispatchers wait little longer
-	redialFirst = 20 * ms  // ns to the first new try at a link that ended
-	redialMost  = 500 * ms // ns to any further try
-	idleTrust   = 8_000 * ms
+	streamsOpen = 32         // invocations that may be open on one connection
+	bodyMost    = 2 << 10    // bytes of an invocation's body
+	heapMost    = 2_000.0    // kB of memory that an invocation may be booked with
+	ageMost     = 60_000     // ms past which an arrival's stamp tells of a clock that jumped, not of a wait
+	meterLead   = 5 * ms     // ns before a timer of the module at which the gauges are asked for: a round trip
+	meterStale  = 500 * ms   // ns after which gauges say nothing: the span over which they are taken
+	diagWait    = 900 * ms   // ns that a deep check may take: dispatchers wait little longer
+	redialFirst = 20 * ms    // ns to the first new try at a link that ended
+	redialMost  = 500 * ms   // ns to any further try
+	idleTrust   = 8_000 * ms // ns of standing idle past which a link to the catalogue is left: it closes at 10 s
+	commandMost = 65_536     // commands not known to be read: two for each invocation that connections can hold
 	reportEvery = 1_000 * ms // ns between reports, three to the time after which an entry lapses
 	reportAgain = 200 * ms   // ns to the next try after one that failed
 	never       = math.MaxInt64
