--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -194,7 +194,7 @@
 }
 
 func TestAFloodOfConnectionsLeavesRoomForWork(t *testing.T) {
-	s := start(t, false, func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = 96 })
+	s := start(t, false, func(c map[string]any) { c["limits"].(map[string]any)["sockets"] = 32 })
 	for range 150 {
 		conn, err := net.Dial("tcp", s.address)
 		require.NoError(t, err)
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -34,7 +34,8 @@
 		}
 		if found {
 			r.Counters.Evicted++
-			r.finish(oldest, r.conns[oldest])
+			delete(r.conns, oldest)
+			r.do(Effect{Kind: Evict, Link: oldest})
 		}
 	}
 	c := &connection{open: make(map[uint32]int32), used: r.now}
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -203,7 +203,7 @@
 	step(r, Input{Kind: Opened, Link: 8})
 	step(r, Input{Kind: Opened, Link: 9})
 	step(r, Input{Kind: Opened, Link: 10})
-	assert.Equal(t, Effect{Kind: Finish, Link: 8}, step(r, Input{Kind: Opened, Link: 11})[0])
+	assert.Equal(t, Effect{Kind: Evict, Link: 8}, step(r, Input{Kind: Opened, Link: 11})[0])
 }
 
 func TestASecondAnswerIsABreach(t *testing.T) {
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -43,7 +43,8 @@
 const (
 	Receive EffectKind = iota // read frames from a new connection
 	Send                      // write to a connection
-	Finish                    // close it once all is written
+	Finish                    // close it once all is written, giving the peer time to read that
+	Evict                     // close it at once: it is idle and its place is wanted
 	Dial                      // open a link to the executor, giving Joined or Parted
 	Tell                      // write to the executor
 	Part                      // close the link to the executor, giving Parted
--- a/server/config.go
+++ b/server/config.go
@@ -60,7 +60,7 @@
 		field       string
 		value, from float64
 	}{{"stop_ms", f.StopMS, 1}, {"limits.cores", f.Limits.Cores, 0.01},
-		{"limits.memory_mb", f.Limits.MemoryMB, 32}, {"limits.sockets", f.Limits.Sockets, 64}} {
+		{"limits.memory_mb", f.Limits.MemoryMB, 12}, {"limits.sockets", f.Limits.Sockets, 32}} {
 		if n.value < n.from {
 			return nil, fmt.Errorf("configuration: %s: %g is less than %g", n.field, n.value, n.from)
 		}
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -49,7 +49,7 @@
 
 func newConnections(s *Server) *connections {
 	return &connections{s: s, open: make(map[int]*connection),
-		slots: make(chan struct{}, s.plate.Sockets-spareSockets/2)}
+		slots: make(chan struct{}, s.plate.Sockets-s.plate.spare()*2/3)} // a third for those about to close
 }
 
 // accept takes connections while descriptors last; without one it waits a little, and so never spins.
@@ -183,6 +183,13 @@
 	}
 }
 
+// evict closes a connection that is idle. What was written to it is still delivered.
+func (c *connections) evict(link int) {
+	if k := c.get(link); k != nil {
+		k.net.Close()
+	}
+}
+
 // flush starts a writer on each connection with something to write.
 func (c *connections) flush() {
 	for _, k := range c.dirty {
--- a/server/server.go
+++ b/server/server.go
@@ -23,7 +23,8 @@
 	inputsWaiting = 1_024                 // inputs that may wait for the reducer; then readers wait, and their peers with them
 	inputsAStep   = 256                   // inputs taken in one step, so that effects of the first are not held up
 	memoryPart    = 0.6                   // of the memory limit that the runtime aims at; the rest is for stacks and the kernel
-	spareSockets  = 64                    // descriptors kept for the links, the listening socket and those about to close
+	spareMost     = 64                    // descriptors kept for the links, the listening socket, files and those about to close
+	spareLeast    = 24                    // of them where the limit is low: the node itself takes 13
 	listenFor     = 3 * time.Second       // for the last life of the node to give its address up
 	listenAgain   = 50 * time.Millisecond // between tries at it
 	stoodStill    = 20 * time.Millisecond // past its time, a timer tells of a process that did not run
@@ -60,7 +61,7 @@
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		notice: make(chan struct{}, 1), reports: make(chan bool, 1)}
 	s.state = reducer.New(nameplate.Settings, nameplate.Name, int64(nameplate.StopMS*1e6),
-		nameplate.Sockets-spareSockets)
+		nameplate.Sockets-nameplate.spare())
 	return s
 }
 
@@ -72,6 +73,9 @@
 	}
 }
 
+// spare is how many descriptors are kept from dispatchers' connections.
+func (n *Nameplate) spare() int { return max(spareLeast, min(spareMost, n.Sockets/4)) }
+
 // Limit tells the runtime of the cores and memory that the nameplate allows, for programs that are nothing
 // but this node.
 func (n *Nameplate) Limit() {
@@ -191,6 +195,8 @@
 		s.conns.send(e.Link, e.Bytes)
 	case reducer.Finish:
 		s.conns.finish(e.Link)
+	case reducer.Evict:
+		s.conns.evict(e.Link)
 	case reducer.Dial:
 		s.dialExecutor()
 	case reducer.Tell:
