--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -155,7 +155,14 @@
 func (r *Reducer) Step(now, wall int64, inputs []Input) []Effect {
 	r.now, r.wall, r.effects, r.events = now, wall, r.effects[:0], r.events[:0]
 	for i := range inputs {
-		r.take(&inputs[i])
+		if inputs[i].Kind != Opened {
+			r.take(&inputs[i])
+		}
+	}
+	for i := range inputs { // last, so that none makes room at one that just brought an invocation
+		if inputs[i].Kind == Opened {
+			r.opened(inputs[i].Link)
+		}
 	}
 	r.keepTimers()
 	if r.post != nil && len(r.events) > 0 {
@@ -170,8 +177,6 @@
 
 func (r *Reducer) take(in *Input) {
 	switch in.Kind {
-	case Opened:
-		r.opened(in.Link)
 	case Read, Malformed, Closed:
 		if c := r.conns[in.Link]; c != nil {
 			r.fromDispatcher(in, c)
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -203,7 +203,8 @@
 	step(r, Input{Kind: Opened, Link: 8})
 	step(r, Input{Kind: Opened, Link: 9})
 	step(r, Input{Kind: Opened, Link: 10})
-	assert.Equal(t, Effect{Kind: Evict, Link: 8}, step(r, Input{Kind: Opened, Link: 11})[0])
+	got := step(r, Input{Kind: Opened, Link: 11}, Input{Kind: Read, Link: 8, Frame: frame.Frame{Type: frame.Gone}})
+	assert.Equal(t, Effect{Kind: Evict, Link: 9}, got[0], "8 was just heard of")
 }
 
 func TestASecondAnswerIsABreach(t *testing.T) {
