--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -305,13 +305,15 @@
 	if a.NoRetry {
 		fields = append(fields, frame.Field{Name: "stop", Value: "1"})
 	}
-	r.answerWith(a.Inv, frame.Throttled, fields, nil)
+	r.answer(a.Inv, frame.Throttled, fields, nil)
 }
 
-func (r *Reducer) answer(i int32, code byte, body []byte) { r.answerWith(i, code, nil, body) }
+func (r *Reducer) succeed(i int32, result []byte) { r.answer(i, frame.Succeeded, nil, result) }
 
-// answerWith gives the one answer of an invocation.
-func (r *Reducer) answerWith(i int32, code byte, fields []frame.Field, body []byte) {
+func (r *Reducer) fail(i int32) { r.answer(i, frame.Errored, nil, nil) }
+
+// answer gives the one answer of an invocation.
+func (r *Reducer) answer(i int32, code byte, fields []frame.Field, body []byte) {
 	v := &r.invs[i]
 	if !r.Guard.Hold(v.live && !v.answered, "one answer an invocation") {
 		return
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -7,7 +7,6 @@
 	"strconv"
 
 	"topazpost/control"
-	"topazpost/frame"
 	"topazpost/lines"
 	"topazpost/node"
 )
@@ -190,7 +189,7 @@
 	r.remark(Warn, "executor did not carry out a command", words[len(words)-1], nil)
 	if i, v := r.lookup(words[len(words)-1]); v != nil && words[1] == "EXEC" {
 		if !v.answered {
-			r.answer(i, frame.Errored, nil)
+			r.fail(i)
 		}
 		r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: node.Errored})
 	}
@@ -213,9 +212,9 @@
 	r.readBy(func(c *command) bool { return c.call == v.call })
 	if !v.answered {
 		if outcome == node.Succeeded {
-			r.answer(i, frame.Succeeded, body)
+			r.succeed(i, body)
 		} else {
-			r.answer(i, frame.Errored, nil)
+			r.fail(i)
 		}
 	}
 	r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: outcome})
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -7,7 +7,6 @@
 	"slices"
 
 	"topazpost/control"
-	"topazpost/frame"
 	"topazpost/must"
 	"topazpost/node"
 	"topazpost/plate"
@@ -247,7 +246,7 @@
 	case node.Throttle:
 		r.throttle(a)
 	case node.Fail:
-		r.answer(a.Inv, frame.Errored, nil)
+		r.fail(a.Inv)
 	case node.Call:
 		r.call(a.Inv, a.At)
 	case node.Health:
@@ -324,7 +323,7 @@
 		return
 	}
 	if !r.Guard.Hold(v.answered, "what is released was answered") {
-		r.answer(i, frame.Errored, nil)
+		r.fail(i)
 	}
 	r.quitCall(v)
 	delete(r.calls, v.call)
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -210,7 +210,7 @@
 func TestASecondAnswerIsABreach(t *testing.T) {
 	r := up(t)
 	step(r, invoke(1))
-	again := func() { r.answer(0, frame.Errored, nil); r.answer(0, frame.Errored, nil) }
+	again := func() { r.fail(0); r.fail(0) }
 	if must.Debug {
 		assert.Panics(t, again)
 		return
