--- a/reducer/helpers_test.go
+++ b/reducer/helpers_test.go
@@ -21,7 +21,7 @@
 func fresh(t *testing.T) *Reducer {
 	p, err := plate.FromJSON(1, []byte(settings))
 	require.NoError(t, err)
-	r := New(p, "n1", 5_000*ms, 4)
+	r := New(p, 5_000*ms, 4)
 	step(r, Input{Kind: Opened, Link: 7}, Input{Kind: Joined, Link: 1})
 	return r
 }
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -92,7 +92,6 @@
 	Counters Counters
 
 	plate    *plate.Plate
-	name     string
 	stop     int64 // ns from the notice to the kill
 	connMost int
 	post     *control.Post
@@ -133,8 +132,8 @@
 
 // New is the state of a node that has just started. Settings are those of its configuration, connections the
 // most that it is to keep.
-func New(settings *plate.Plate, name string, stop int64, connections int) *Reducer {
-	r := &Reducer{plate: settings, name: name, stop: stop, connMost: connections, calls: map[string]int32{},
+func New(settings *plate.Plate, stop int64, connections int) *Reducer {
+	r := &Reducer{plate: settings, stop: stop, connMost: connections, calls: map[string]int32{},
 		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
 		metered: math.MinInt64 / 2, wait: redialFirst}
 	r.Guard.Tell = func(what string, times int) {
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 
 	"topazpost/frame"
 	"topazpost/must"
+	"topazpost/node"
 )
 
 func name(f frame.Frame) string {
@@ -219,3 +221,25 @@
 	assert.Equal(t, 1, r.Guard.Broken("one answer an invocation"))
 	assert.Equal(t, 1, r.Counters.Errored)
 }
+
+func TestThrottleNamesATimeAndTheWishAndCarriesTheFreeValue(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	r.load, r.effects = "0.25", nil
+	r.throttle(&node.Action{Inv: 0, For: 249*ms + 1, NoRetry: true})
+	_, payload, _ := strings.Cut(string(r.effects[0].Bytes), "\x32")
+	fields, _, err := frame.Fields([]byte(payload))
+	assert.NoError(t, err)
+	assert.Equal(t, []frame.Field{{Name: "pushback", Value: "250"}, {Name: "stop", Value: "1"},
+		{Name: "load", Value: "0.25"}}, fields)
+}
+
+func TestReportsAreMadeOneAtATimeAndAgainSoonAfterAnError(t *testing.T) {
+	r := up(t)
+	assert.True(t, r.reporting)
+	r.reported(errField)
+	assert.Equal(t, r.now+reportAgain, r.reportAt)
+	r.reported(nil)
+	assert.Equal(t, r.now+reportEvery, r.reportAt)
+	assert.False(t, r.reporting)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -60,8 +60,7 @@
 	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		notice: make(chan struct{}, 1), reports: make(chan bool, 1)}
-	s.state = reducer.New(nameplate.Settings, nameplate.Name, int64(nameplate.StopMS*1e6),
-		nameplate.Sockets-nameplate.spare())
+	s.state = reducer.New(nameplate.Settings, int64(nameplate.StopMS*1e6), nameplate.Sockets-nameplate.spare())
 	return s
 }
 
