Executor link: gauges asked for behind new commands prove at once that they were read

Found by review: a reply to a call that was told in the last 50 ms before a break is told again on the new link; had it been read, and the run come to its next call just then, it would be taken for that call's. Only what was told within the last round trip is in doubt now.

--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -54,11 +54,19 @@
 func (r *Reducer) askGauges() {
 	tag := r.syncTag()
 	if r.synced {
-		tag = "m" + strconv.Itoa(r.seq)
+		tag, r.proving = "m"+strconv.Itoa(r.seq), r.seq
 	}
 	r.tell("METER", tag)
 }
 
+// prove asks for the gauges behind new commands, so that at a break only those of the last round trip are in
+// doubt. Guards against a reply to a call told twice, which a run at its next call would take for that one's.
+func (r *Reducer) prove() {
+	if r.synced && r.seq > r.proving {
+		r.askGauges()
+	}
+}
+
 func (r *Reducer) run(i int32) {
 	v := &r.invs[i]
 	if r.Guard.Hold(v.live && !v.answered, "no run after an answer") {
@@ -166,7 +174,7 @@
 	}
 	r.metered = r.now
 	if tag == r.syncTag() && !r.synced {
-		r.synced = true
+		r.synced, r.proving = true, 0
 		for i := range r.unread {
 			if c := &r.unread[i]; r.isLive(c) {
 				r.do(Effect{Kind: Tell, Link: r.link, Bytes: c.bytes})
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -116,7 +116,7 @@
 	link, welcomed int // to the executor, 0 where there is none; the last that was welcomed
 	synced         bool
 	notice         int // the last that was taken
-	seq            int // of the last command
+	seq, proving   int // of the last command, and of the last that gauges were asked for behind
 	unread         []command
 	redialAt, wait int64
 	diags          map[string]check
@@ -168,6 +168,7 @@
 			r.carry(&a)
 		}
 	}
+	r.prove()
 	r.keepLeaving()
 	r.do(Effect{Kind: Wake, At: r.wake()})
 	return r.effects
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -144,6 +144,13 @@
 	assert.Empty(t, r.unread, "the gauges prove that all before them was read")
 }
 
+func TestGaugesAreAskedForBehindNewCommandsOnce(t *testing.T) {
+	r := up(t)
+	asked := func(effects []Effect) int { return strings.Count(text(effects, Tell), "METER m1\r\n") }
+	assert.Equal(t, 1, asked(r.Step(r.now+1, 1_000_000*ms, []Input{invoke(1)})))
+	assert.Zero(t, asked(r.Step(r.now+1, 1_000_000*ms, nil)))
+}
+
 func TestUnreadableLineOpensTheLinkAnew(t *testing.T) {
 	for _, line := range []string{"NONSENSE", "EXIT x y", "EXIT 1 " + callID + " maybe 3 0", "METERS j1 a b c d",
 		"CALLOUT 0 x 1"} {
