--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -26,7 +26,7 @@
 	redialMost  = 500 * ms   // ns to any further try
 	idleTrust   = 8_000 * ms // ns of standing idle past which a link to the catalogue is left: it closes at 10 s
 	commandMost = 65_536     // commands not known to be read: two for each invocation that connections can hold
-	reportEvery = 2_000 * ms // ns between reports: an entry lapses at 3 s, so a dead node is off the lists sooner
+	reportEvery = 1_000 * ms // ns between reports, three to the time after which an entry lapses
 	reportAgain = 200 * ms   // ns to the next try after one that failed
 	never       = math.MaxInt64
 )
