Executor link: a join that waits for its welcome no longer wakes the node without pause

Found by review: wake() counted the time to ask for gauges on a link that keepTimers does not ask on yet, so from 5 ms before each beat the loop stepped without a pause until the welcome. Seen in a test that fails on the old line.

--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -150,7 +150,7 @@
 }
 
 func TestDrainServesOnAnswersAllAndLeaves(t *testing.T) {
-	s := start(t, false, nil)
+	s := start(t, false, func(c map[string]any) { c["stop_ms"] = 20_000 })
 	d := s.dial()
 	call := d.invoke(1, "hold")
 	await(t, s.told)
@@ -216,6 +216,7 @@
 	for i := 0; i < 300 && !cut; i++ {
 		_, err := deaf.conn.Write(checks)
 		cut = err != nil
+		assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
 	}
 	assert.True(t, cut)
 	d := s.dial()
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -226,7 +226,7 @@
 	at := min(r.beatAt, r.callsDue(), r.checksDue())
 	if r.link == 0 {
 		at = min(at, r.redialAt)
-	} else {
+	} else if r.welcomed == r.link {
 		at = min(at, r.meterAt)
 	}
 	if !r.reporting && !r.noticed {
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -151,6 +151,15 @@
 	assert.Zero(t, asked(r.Step(r.now+1, 1_000_000*ms, nil)))
 }
 
+func TestLinkThatIsNotWelcomedYetDoesNotKeepTheNodeAwake(t *testing.T) {
+	r := up(t)
+	step(r, Input{Kind: Parted, Link: 1})
+	step(r, Input{Kind: Joined, Link: 2})
+	r.now = r.meterAt
+	step(r)
+	assert.Greater(t, r.wake(), r.now)
+}
+
 func TestUnreadableLineOpensTheLinkAnew(t *testing.T) {
 	for _, line := range []string{"NONSENSE", "EXIT x y", "EXIT 1 " + callID + " maybe 3 0", "METERS j1 a b c d",
 		"CALLOUT 0 x 1"} {
