--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -170,7 +170,9 @@
 	}
 	r.prove()
 	r.keepLeaving()
-	r.do(Effect{Kind: Wake, At: r.wake()})
+	wake := r.wake()
+	r.Guard.Hold(wake > now, "the next wake lies ahead")
+	r.do(Effect{Kind: Wake, At: wake})
 	return r.effects
 }
 
