Executor link: one that could not be had is tried again

Cause: the end of a link that never came up bears a number that the reducer does not hold yet, so take() dropped it as that of an old link and the next try was never due (reducer/reducer.go). The tests refuse connections: one on the reducer, which fails on the old lines, and one with the program.

--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -123,6 +123,22 @@
 	assert.Equal(t, "20 on 2 again", d.answer())
 }
 
+func TestExecutorThatRefusesConnectionsIsTriedAgain(t *testing.T) {
+	s := start(t, false, nil)
+	address, link := s.executor.Addr().String(), await(t, s.links)
+	s.executor.Close()
+	link.Close()
+	s.line("connection refused")
+	back, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { back.Close() })
+	go s.accept(back, s.execute)
+	await(t, s.links)
+	d := s.dial()
+	d.invoke(1, "fine")
+	assert.Equal(t, "20 on 1 fine", d.answer())
+}
+
 func TestMalformedInputOfDispatchers(t *testing.T) {
 	s := start(t, false, nil)
 	for what, bad := range map[string][]byte{"length": binary.LittleEndian.AppendUint32(nil, 300_000),
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -66,7 +66,7 @@
 	up       chan struct{} // closed once the executor is up
 	reply    func(call string) string
 
-	catalogue net.Listener
+	executor, catalogue net.Listener
 
 	mu      sync.Mutex
 	link    net.Conn
@@ -89,7 +89,7 @@
 		close(s.up)
 	}
 	executor, catalogue := listen(t), listen(t)
-	s.catalogue = catalogue
+	s.executor, s.catalogue = executor, catalogue
 	go s.accept(executor, s.execute)
 	go s.accept(catalogue, s.supply)
 	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -185,7 +185,7 @@
 	case Joined:
 		r.joined(in.Link)
 	case Told, Parted:
-		if in.Link == r.link {
+		if in.Link == r.link || in.Kind == Parted && r.link == 0 { // the latter: it could not be had
 			r.fromExecutor(in)
 		}
 	case Reached, Unreached, Replied, Broke:
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -151,6 +151,15 @@
 	assert.Zero(t, asked(r.Step(r.now+1, 1_000_000*ms, nil)))
 }
 
+func TestLinkThatCannotBeHadIsTriedAgain(t *testing.T) {
+	r := up(t)
+	for link := 1; link < 4; link++ { // the first ends, the others are refused
+		assert.Empty(t, step(r, Input{Kind: Parted, Link: link}))
+		r.now = r.redialAt
+		assert.Equal(t, []Effect{{Kind: Dial}}, step(r))
+	}
+}
+
 func TestLinkThatIsNotWelcomedYetDoesNotKeepTheNodeAwake(t *testing.T) {
 	r := up(t)
 	step(r, Input{Kind: Parted, Link: 1})
