SIGHUP moves the executor, catalogue and control plane; each call has a catalogue link

At fault: cmd/topazpost/main.go heard only SIGTERM and SIGINT, and addresses were read once by server/. All calls shared one catalogue link (reducer/catalogue.go), so one that was closed or spoilt failed them all.

Now: SIGHUP is heard from the first line of main; an unusable file is named and read again. Reload is one input: the executor link is opened anew and joins with the last notice taken, reports and new calls go to the new addresses, calls in hand may end on their old links, and a dial to an old address can't win since the reducer numbers links itself. A call has a link to itself; later calls of a run take a new one, so that no second copy of a reply passes for the next. Reports use a connection each. The node's own peers never wait behind dispatchers' frames.

Tests: the reducer on one Reload in every state of a link, the program with three moves while a run goes on and with a file half written.

--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -40,7 +40,7 @@
 	return server.ReadNameplate(text)
 }
 
-// Run serves until a signal has been heeded. The first one drains, a second one ends the drain.
+// Run serves until a signal to end has been heeded. The first one drains, a second one ends the drain.
 func (c *serve) Run() error {
 	nameplate, err := c.read()
 	if err != nil {
@@ -59,14 +59,7 @@
 	node := server.New(nameplate, log, server.SystemClock())
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-signals
-		node.Drain()
-		<-signals
-		stop()
-	}()
+	go c.heed(node, log, stop)
 	return node.Run(ctx)
 }
 
@@ -104,6 +97,8 @@
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
+	signal.Notify(hups, syscall.SIGHUP) // before all else: it must never end the process
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
 	run := kong.Parse(&line, kong.Name("topazpost"),
 		kong.Description("Decides, inside one server of a fleet, what it takes, runs and turns away."))
 	run.FatalIfErrorf(run.Run())
--- /dev/null
+++ b/cmd/topazpost/signals.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"topazpost/server"
+)
+
+const (
+	rereadFirst = 50 * time.Millisecond // to the first new try at a configuration that is unusable: half written, perhaps
+	rereadMost  = 2 * time.Second       // to any further try
+	rereadTimes = 12                    // tries; then the next SIGHUP is waited for
+)
+
+var (
+	hups = make(chan os.Signal, 1)
+	ends = make(chan os.Signal, 2)
+)
+
+// heed maps signals to the node: SIGHUP to Reload with what the file says then, the first to end to Drain, the
+// second to stop. A file that is unusable changes nothing; it is named in the log and read again a little later.
+func (c *serve) heed(node *server.Server, log zerolog.Logger, stop context.CancelFunc) {
+	var again <-chan time.Time
+	end, wait, left := node.Drain, rereadFirst, 0
+	for {
+		select {
+		case <-ends:
+			end()
+			end = stop
+			continue
+		case <-hups:
+			wait, left = rereadFirst, rereadTimes
+		case <-again:
+		}
+		again = nil
+		nameplate, err := c.read()
+		if err == nil {
+			node.Reload(nameplate)
+			continue
+		}
+		log.Warn().Err(err).Int("tries_left", left).Msg("configuration can't be used, the one of before stays")
+		if left > 0 {
+			again, left = time.After(wait), left-1
+			wait = min(2*wait, rereadMost)
+		}
+	}
+}
--- a/reducer/catalogue.go
+++ b/reducer/catalogue.go
@@ -1,96 +1,159 @@
 package reducer
 
 import (
+	"slices"
 	"strconv"
 
 	"topazpost/lines"
 	"topazpost/node"
 )
 
-// call makes the call that a run stands at, over a link that is trusted or a new one.
+// supply is a link to the catalogue. It carries one call at a time: what a spoilt or missing reply takes with it
+// is that call, and the link goes with it. Does harm, as each call in hand needs a descriptor, where there are few.
+type supply struct {
+	link    int
+	address string
+	up      bool
+	inv     int32 // whose call it carries, -1 for none
+	used    bool  // it has carried a call that ended well
+	strange bool  // it brought what was not asked for
+	since   int64 // when it came to stand idle
+}
+
+// call makes the call that a run stands at.
 func (r *Reducer) call(i int32, until int64) {
 	v := &r.invs[i]
 	if !r.Guard.Hold(v.live && !v.calling && v.wanted != nil, "a call is made where a run stands at one") {
 		return
 	}
-	v.calling, v.asked, v.until = true, false, until
-	if r.below != 0 && r.now-r.belowUsed >= idleTrust {
-		r.leaveCatalogue()
-	}
-	if r.below != 0 {
-		r.fetch(v)
-	} else if !r.reaching {
-		r.reaching = true
-		r.do(Effect{Kind: Reach})
+	v.calling, v.until = true, until
+	r.waiting = append(r.waiting, i)
+	r.supplyWaiting()
+}
+
+// supplyWaiting gives calls a link each while there may be more links. The first call of a run takes the link that
+// stood idle for the shortest time; any later one a new link, on which no second copy of an earlier reply can come.
+func (r *Reducer) supplyWaiting() {
+	for len(r.waiting) > 0 {
+		i := r.waiting[0]
+		best := -1
+		for k := range r.supplies {
+			s := &r.supplies[k]
+			if s.up && s.inv < 0 && r.now-s.since < idleTrust && (best < 0 || s.since > r.supplies[best].since) {
+				best = k
+			}
+		}
+		switch {
+		case best >= 0 && !r.invs[i].called:
+			r.supplies[best].inv = i
+			r.fetch(&r.supplies[best])
+		case len(r.supplies) < r.linkMost:
+			s := supply{link: r.newLink(), address: r.to.Catalogue, inv: i}
+			r.supplies = append(r.supplies, s)
+			r.do(Effect{Kind: Reach, Link: s.link, Address: s.address})
+		case best >= 0:
+			r.leave(best)
+			continue
+		default:
+			return
+		}
+		r.waiting = slices.Delete(r.waiting, 0, 1)
 	}
 }
 
-func (r *Reducer) fetch(v *invocation) {
-	v.asked, r.belowUsed = true, r.now
+func (r *Reducer) fetch(s *supply) {
+	v := &r.invs[s.inv]
+	v.called = true
 	wait := strconv.FormatInt(max(1, (v.until-r.now)/ms), 10)
-	r.do(Effect{Kind: Ask, Link: r.below, Bytes: lines.AppendBody(nil, v.wanted, "FETCH", v.call, wait)})
+	r.do(Effect{Kind: Ask, Link: s.link, Bytes: lines.AppendBody(nil, v.wanted, "FETCH", v.call, wait)})
+}
+
+// leave closes a link, which gives up the call on it.
+func (r *Reducer) leave(k int) {
+	r.do(Effect{Kind: Quit, Link: r.supplies[k].link})
+	r.supplies = slices.Delete(r.supplies, k, k+1)
 }
 
-func (r *Reducer) leaveCatalogue() {
-	r.do(Effect{Kind: Quit, Link: r.below})
-	r.below = 0
+// rest lets a link stand idle for a next call, or closes one that is not sound, known or wanted any more.
+func (r *Reducer) rest(k int) {
+	s := &r.supplies[k]
+	idle := 0
+	for _, other := range r.supplies {
+		if other.up && other.inv < 0 {
+			idle++
+		}
+	}
+	s.inv, s.since, s.used = -1, r.now, true
+	if s.strange || s.address != r.to.Catalogue || idle >= idleMost {
+		r.leave(k)
+	}
 }
 
 // quitCall gives up the call that an invocation has in hand, if any.
-func (r *Reducer) quitCall(v *invocation) {
-	if v.calling && v.asked && r.below != 0 {
-		r.belowUsed = r.now
-		r.do(Effect{Kind: Ask, Link: r.below, Bytes: lines.Append(nil, "QUIT", v.call)})
+func (r *Reducer) quitCall(i int32) {
+	if !r.invs[i].calling {
+		return
 	}
-	v.calling = false
+	r.invs[i].calling = false
+	if k := slices.Index(r.waiting, i); k >= 0 {
+		r.waiting = slices.Delete(r.waiting, k, k+1)
+	} else if k := r.supplying(i); r.Guard.Hold(k >= 0, "a call in hand has a link or waits for one") {
+		r.leave(k)
+	}
+}
+
+// supplying is the link that carries an invocation's call, or -1.
+func (r *Reducer) supplying(i int32) int {
+	return slices.IndexFunc(r.supplies, func(s supply) bool { return s.inv == i })
 }
 
-// callOver tells the module how a call ended.
+// callOver tells the module how a call ended that is on no link any more.
 func (r *Reducer) callOver(i int32, outcome node.Outcome) {
 	r.invs[i].calling = false
 	r.events = append(r.events, node.Event{Kind: node.CallEnded, Inv: i, Outcome: outcome})
 }
 
-// eachCall walks the calls in hand in the order of their indices.
-func (r *Reducer) eachCall(f func(i int32, v *invocation)) {
-	for i := range r.invs {
-		if v := &r.invs[i]; v.live && v.calling {
-			f(int32(i), v)
+func (r *Reducer) fromCatalogue(in *Input) {
+	k := slices.IndexFunc(r.supplies, func(s supply) bool { return s.link == in.Link })
+	if k < 0 {
+		if in.Kind == Reached { // left while it was being opened
+			r.do(Effect{Kind: Quit, Link: in.Link})
 		}
+		return
 	}
-}
-
-func (r *Reducer) fromCatalogue(in *Input) {
+	s := &r.supplies[k]
 	switch in.Kind {
 	case Reached:
 		r.Counters.CatalogueLinks++
-		r.reaching, r.below, r.belowUsed = false, in.Link, r.now
-		r.eachCall(func(_ int32, v *invocation) { r.fetch(v) })
-	case Unreached: // a call that was never written has not run
-		r.reaching = false
-		r.remark(Debug, "catalogue can't be reached", "", in.Err)
-		r.eachCall(func(i int32, v *invocation) { r.callOver(i, node.Unreachable) })
-	case Broke:
-		if in.Link == r.below {
-			r.below = 0
-			r.remark(Info, "catalogue link ended", "", in.Err)
-			r.eachCall(func(i int32, v *invocation) { r.callOver(i, node.Broken) })
+		s.up, s.since = true, r.now
+		if s.inv >= 0 {
+			r.fetch(s)
 		}
-	case Replied:
-		if in.Link != r.below {
-			return
+	case Unreached, Broke: // a call that was never written has not run; a break proves nothing
+		i, outcome := s.inv, node.Broken
+		if in.Kind == Unreached {
+			outcome = node.Unreachable
+		}
+		r.remark(Debug, "catalogue link ended", "", in.Err)
+		r.supplies = slices.Delete(r.supplies, k, k+1)
+		if i >= 0 {
+			r.callOver(i, outcome)
 		}
-		r.belowUsed = r.now
-		if !r.replied(in.Line.Words, in.Line.Body) {
+	case Replied:
+		if !r.replied(k, in.Line.Words, in.Line.Body) {
+			i := s.inv
 			r.remark(Warn, "catalogue can't be understood", in.Line.Words[0], nil)
-			r.leaveCatalogue()
-			r.eachCall(func(i int32, v *invocation) { r.callOver(i, node.Broken) })
+			r.leave(k)
+			if i >= 0 {
+				r.callOver(i, node.Broken)
+			}
 		}
 	}
+	r.supplyWaiting()
 }
 
-// replied maps a reply to the outcome that it proves.
-func (r *Reducer) replied(words []string, body []byte) bool {
+// replied maps a reply to the outcome that it proves. What is not asked for, or came before, is passed over.
+func (r *Reducer) replied(k int, words []string, body []byte) bool {
 	var outcome node.Outcome
 	switch {
 	case len(words) == 3 && words[1] == "DATA":
@@ -108,38 +171,76 @@
 	default:
 		return false
 	}
-	i, v := r.lookup(words[0])
-	if v == nil || !v.calling || !v.asked {
+	s := &r.supplies[k]
+	if s.inv < 0 || r.invs[s.inv].call != words[0] {
 		r.Counters.StrayReplies++
+		if s.strange = true; s.inv < 0 {
+			r.leave(k)
+		}
 		return true
 	}
+	i := s.inv
+	v := &r.invs[i]
 	if outcome == node.Succeeded {
 		v.wanted = nil
 		r.order(i, lines.AppendBody(nil, body, "RETURN", v.call))
 	}
+	r.rest(k)
 	r.callOver(i, outcome)
 	return true
 }
 
-// keepCalls ends the waits that are over and drops a link that stood idle too long to be trusted.
+// keepCalls ends the waits that are over and drops links that stood idle too long to be trusted.
 func (r *Reducer) keepCalls() {
-	r.eachCall(func(i int32, v *invocation) {
-		switch {
-		case r.now < v.until:
-		case v.asked:
-			r.quitCall(v)
-			r.callOver(i, node.TimedOut)
-		default:
+	for k := len(r.supplies) - 1; k >= 0; k-- {
+		switch s := &r.supplies[k]; {
+		case s.inv >= 0 && r.now >= r.invs[s.inv].until:
+			i, outcome := s.inv, node.Unreachable
+			if s.up {
+				outcome = node.TimedOut
+			}
+			r.leave(k)
+			r.callOver(i, outcome)
+		case s.inv < 0 && s.up && r.now-s.since >= idleTrust:
+			r.leave(k)
+		}
+	}
+	r.waiting = slices.DeleteFunc(r.waiting, func(i int32) bool {
+		over := r.now >= r.invs[i].until
+		if over {
 			r.callOver(i, node.Unreachable)
 		}
+		return over
 	})
-	if r.below != 0 && r.now-r.belowUsed >= idleTrust {
-		r.leaveCatalogue()
-	}
+	r.supplyWaiting()
 }
 
 func (r *Reducer) callsDue() int64 {
 	at := int64(never)
-	r.eachCall(func(_ int32, v *invocation) { at = min(at, v.until) })
+	for k := range r.supplies {
+		if s := &r.supplies[k]; s.inv >= 0 {
+			at = min(at, r.invs[s.inv].until)
+		} else if s.up {
+			at = min(at, s.since+idleTrust)
+		}
+	}
+	for _, i := range r.waiting {
+		at = min(at, r.invs[i].until)
+	}
 	return at
 }
+
+// moveCalls leaves the links to an address of before, but for those with a call in hand: it may end there.
+func (r *Reducer) moveCalls() {
+	for k := len(r.supplies) - 1; k >= 0; k-- {
+		s := &r.supplies[k]
+		if s.up && s.inv >= 0 {
+			continue
+		}
+		if s.inv >= 0 {
+			r.waiting = append(r.waiting, s.inv)
+		}
+		r.leave(k)
+	}
+	r.supplyWaiting()
+}
--- a/reducer/control.go
+++ b/reducer/control.go
@@ -2,7 +2,7 @@
 
 // reported waits for the next report. A drain sends none: the entry lapses, where one more would keep it.
 func (r *Reducer) reported(err error) {
-	r.reporting = false
+	r.reporting = 0
 	if err != nil {
 		r.Counters.ReportsFailed++
 		r.reportAt = r.now + reportAgain
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -116,7 +116,7 @@
 		r.Counters.Gone++
 		v.answered = true
 		r.open--
-		r.quitCall(v)
+		r.quitCall(i)
 		r.events = append(r.events, node.Event{Kind: node.CallerGone, Inv: i})
 	}
 }
@@ -320,7 +320,7 @@
 	}
 	v.answered = true
 	r.open--
-	r.quitCall(v)
+	r.quitCall(i)
 	switch code {
 	case frame.Succeeded:
 		r.Counters.Succeeded++
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -14,8 +14,12 @@
 // joined starts on a new link. It is told of nothing more before its welcome: an executor that is not up yet
 // carries out no command, that for the gauges included.
 func (r *Reducer) joined(link int) {
+	if link != r.dialing { // to an address of before
+		r.do(Effect{Kind: Part, Link: link})
+		return
+	}
 	r.Counters.ExecutorLinks++
-	r.link, r.synced, r.redialAt = link, false, never
+	r.link, r.dialing, r.synced, r.redialAt = link, 0, false, never
 	r.tell("JOIN", strconv.Itoa(r.notice))
 }
 
@@ -78,12 +82,9 @@
 func (r *Reducer) fromExecutor(in *Input) {
 	if in.Kind == Parted {
 		r.remark(Info, "executor link ended", "", in.Err)
-		r.link, r.synced = 0, false
+		r.partExecutor()
 		r.redialAt = r.now + r.wait
 		r.wait = min(2*r.wait, redialMost)
-		for _, tag := range slices.Sorted(maps.Keys(r.diags)) {
-			r.diagnosed(tag, false)
-		}
 		return
 	}
 	if err := r.told(in.Line.Words, in.Line.Body); err != nil {
@@ -92,6 +93,14 @@
 	}
 }
 
+// partExecutor forgets the link of now, open or being opened.
+func (r *Reducer) partExecutor() {
+	r.link, r.dialing, r.synced = 0, 0, false
+	for _, tag := range slices.Sorted(maps.Keys(r.diags)) {
+		r.diagnosed(tag, false)
+	}
+}
+
 func (r *Reducer) told(words []string, body []byte) error {
 	number := func(k int) int {
 		if k < len(words) {
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -24,7 +24,8 @@
 	diagWait    = 900 * ms   // ns that a deep check may take: dispatchers wait little longer
 	redialFirst = 20 * ms    // ns to the first new try at a link that ended
 	redialMost  = 500 * ms   // ns to any further try
-	idleTrust   = 8_000 * ms // ns of standing idle past which a link to the catalogue is left: it closes at 10 s
+	idleTrust   = 500 * ms   // ns of standing idle past which a link to the catalogue is left: some are forgotten
+	idleMost    = 8          // links to the catalogue that may stand idle: those of a burst are not kept
 	commandMost = 65_536     // commands not known to be read: two for each invocation that connections can hold
 	reportEvery = 1_000 * ms // ns between reports, three to the time after which an entry lapses
 	reportAgain = 200 * ms   // ns to the next try after one that failed
@@ -40,7 +41,7 @@
 	body           []byte
 	wanted         []byte // body of the call that the run waits for
 	calling        bool
-	asked          bool // its call was written to the catalogue
+	called         bool // a call of its was written to the catalogue, this one or an earlier one
 	until          int64
 }
 
@@ -94,6 +95,7 @@
 	plate    *plate.Plate
 	stop     int64 // ns from the notice to the kill
 	connMost int
+	linkMost int
 	post     *control.Post
 	now      int64
 	wall     int64 // Unix ns at now
@@ -113,7 +115,10 @@
 	good, stored bool
 	load         string // what answers carry, empty before the first advice
 
+	to             Addresses
+	lastLink       int // the highest number given to a link or a report
 	link, welcomed int // to the executor, 0 where there is none; the last that was welcomed
+	dialing        int // the link to the executor that is being opened, 0 where none is
 	synced         bool
 	notice         int // the last that was taken
 	seq, proving   int // of the last command, and of the last that gauges were asked for behind
@@ -122,18 +127,17 @@
 	diags          map[string]check
 	diagged        int
 
-	below               int // link to the catalogue, 0 where there is none
-	reaching            bool
-	belowUsed           int64
+	supplies            []supply // links to the catalogue
+	waiting             []int32  // invocations whose call has no link yet
 	reportAt            int64
-	reporting           bool
+	reporting           int // the report that is under way, 0 where none is
 	noticed, shut, left bool
 }
 
-// New is the state of a node that has just started. Settings are those of its configuration, connections the
-// most that it is to keep.
-func New(settings *plate.Plate, stop int64, connections int) *Reducer {
-	r := &Reducer{plate: settings, stop: stop, connMost: connections, calls: map[string]int32{},
+// New is the state of a node that has just started. Settings are those of its configuration, connections and
+// links the most that it is to keep of dispatchers and to the catalogue.
+func New(settings *plate.Plate, to Addresses, stop int64, connections, links int) *Reducer {
+	r := &Reducer{plate: settings, to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
 		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
 		metered: math.MinInt64 / 2, wait: redialFirst}
 	r.Guard.Tell = func(what string, times int) {
@@ -185,27 +189,31 @@
 	case Joined:
 		r.joined(in.Link)
 	case Told, Parted:
-		if in.Link == r.link || in.Kind == Parted && r.link == 0 { // the latter: it could not be had
+		if in.Link == r.link || in.Kind == Parted && in.Link == r.dialing { // the latter: it could not be had
 			r.fromExecutor(in)
 		}
 	case Reached, Unreached, Replied, Broke:
 		r.fromCatalogue(in)
 	case Reported:
-		r.reported(in.Err)
+		if in.Link == r.reporting {
+			r.reported(in.Err)
+		}
 	case Notice:
 		r.drain()
+	case Reload:
+		r.reload(in.To)
 	}
 }
 
 // keepTimers does what is due.
 func (r *Reducer) keepTimers() {
-	if r.now >= r.redialAt && r.link == 0 {
-		r.redialAt = never
-		r.do(Effect{Kind: Dial})
+	if r.now >= r.redialAt && r.link == 0 && r.dialing == 0 {
+		r.dialing = r.newLink()
+		r.do(Effect{Kind: Dial, Link: r.dialing, Address: r.to.Executor})
 	}
-	if r.now >= r.reportAt && !r.reporting && !r.noticed {
-		r.reporting = true
-		r.do(Effect{Kind: Report, Ready: r.post != nil && r.good})
+	if r.now >= r.reportAt && r.reporting == 0 && !r.noticed {
+		r.reporting = r.newLink()
+		r.do(Effect{Kind: Report, Link: r.reporting, Address: r.to.Control, Ready: r.post != nil && r.good})
 	}
 	if r.now >= r.meterAt && r.link != 0 && r.welcomed == r.link {
 		r.meterAt = never
@@ -226,17 +234,14 @@
 // wake is when the next of the timers is due.
 func (r *Reducer) wake() int64 {
 	at := min(r.beatAt, r.callsDue(), r.checksDue())
-	if r.link == 0 {
+	if r.link == 0 && r.dialing == 0 {
 		at = min(at, r.redialAt)
 	} else if r.welcomed == r.link {
 		at = min(at, r.meterAt)
 	}
-	if !r.reporting && !r.noticed {
+	if r.reporting == 0 && !r.noticed {
 		at = min(at, r.reportAt)
 	}
-	if r.below != 0 {
-		at = min(at, r.belowUsed+idleTrust)
-	}
 	return at
 }
 
@@ -284,6 +289,30 @@
 	r.events = append(r.events, node.Event{Kind: node.DrainNotice, Kill: r.now + r.stop})
 }
 
+func (r *Reducer) newLink() int {
+	r.lastLink++
+	return r.lastLink
+}
+
+// reload goes on at the peers' new addresses at once: the old ones take nothing new and close what is open there
+// soon. What a peer's old address has in hand is heard to its end where that does no harm.
+func (r *Reducer) reload(to Addresses) {
+	from := r.to
+	r.to = to
+	if to.Executor != from.Executor { // the next join brings all that was not heard on this link
+		r.do(Effect{Kind: Part, Link: max(r.link, r.dialing)})
+		r.partExecutor()
+		r.redialAt, r.wait = r.now, redialFirst
+	}
+	if to.Catalogue != from.Catalogue {
+		r.moveCalls()
+	}
+	if to.Control != from.Control {
+		r.reporting, r.reportAt = 0, r.now
+	}
+	r.remark(Info, fmt.Sprintf("peers are now at %s, %s and %s", to.Executor, to.Catalogue, to.Control), "", nil)
+}
+
 // stopIntake is the start of beat 3 on sockets: nobody can connect any more, and no connection brings more.
 func (r *Reducer) stopIntake() {
 	if r.shut {
@@ -327,7 +356,7 @@
 	if !r.Guard.Hold(v.answered, "what is released was answered") {
 		r.fail(i)
 	}
-	r.quitCall(v)
+	r.quitCall(i)
 	delete(r.calls, v.call)
 	*v = invocation{}
 	r.free = append(r.free, i)
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -10,7 +10,8 @@
 // InputKind names what happened.
 type InputKind uint8
 
-// The inputs. A link or connection is named by a number that is never used twice.
+// The inputs. A connection is named by a number of the server's, a link by that of the effect that opened it;
+// neither is ever used twice.
 const (
 	Opened    InputKind = iota // a dispatcher's connection was accepted
 	Read                       // a frame came on it
@@ -25,8 +26,12 @@
 	Broke                      // it ended
 	Reported                   // a report to the control plane ended
 	Notice                     // the node is to drain
+	Reload                     // the peers have new addresses
 )
 
+// Addresses are where the peers of a node are.
+type Addresses struct{ Executor, Catalogue, Control string }
+
 // Input is one thing that happened. Payloads and bodies belong to the reducer from then on.
 type Input struct {
 	Kind  InputKind
@@ -34,6 +39,7 @@
 	Frame frame.Frame
 	Line  lines.Line
 	Err   error
+	To    Addresses // Reload
 }
 
 // EffectKind names what is to be done.
@@ -70,13 +76,14 @@
 
 // Effect is one thing to do; only the fields of its kind are set.
 type Effect struct {
-	Kind  EffectKind
-	Link  int
-	At    int64
-	Bytes []byte
-	Ready bool
-	Level Level
-	Text  string
-	ID    string
-	Err   error
+	Kind    EffectKind
+	Link    int
+	Address string // Dial, Reach, Report
+	At      int64
+	Bytes   []byte
+	Ready   bool
+	Level   Level
+	Text    string
+	ID      string
+	Err     error
 }
--- a/server/control.go
+++ b/server/control.go
@@ -15,23 +15,24 @@
 
 const reportWait = 800 * time.Millisecond // for one report, so that three fit before an entry lapses
 
-// control makes the reports that the reducer asks for, one at a time and apart from all else.
-func (s *Server) control() error {
-	client := http.Client{Timeout: reportWait}
-	defer client.CloseIdleConnections()
-	address := url.URL{Scheme: "http", Host: s.plate.Control, Path: "/v2/endpoints/" + s.plate.Name}
-	for {
-		select {
-		case <-s.ctx.Done():
-			return nil
-		case ready := <-s.reports:
-			err := report(s.ctx, &client, address.String(), ready)
-			s.put(reducer.Input{Kind: reducer.Reported, Err: err})
-		}
-	}
+// report makes one report, apart from all else; the one before it is given up.
+func (s *Server) report(e *reducer.Effect) {
+	s.endReport()
+	ctx, end := context.WithTimeout(s.ctx, reportWait)
+	s.endReport = end
+	address := url.URL{Scheme: "http", Host: e.Address, Path: "/v2/endpoints/" + s.plate.Name}
+	number, ready := e.Link, e.Ready
+	s.group.Go(func() error {
+		defer end()
+		s.tell(reducer.Input{Kind: reducer.Reported, Link: number, Err: put(ctx, address.String(), ready)})
+		return nil
+	})
 }
 
-func report(ctx context.Context, client *http.Client, address string, ready bool) error {
+// reporter opens a connection for each report: one that stood idle may have been forgotten at the other end.
+var reporter = http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func put(ctx context.Context, address string, ready bool) error {
 	condition := "NotReady"
 	if ready {
 		condition = "Ready"
@@ -44,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	answer, err := client.Do(request)
+	answer, err := reporter.Do(request)
 	if err != nil {
 		return err
 	}
--- a/server/link.go
+++ b/server/link.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -15,54 +16,58 @@
 	linkWriteEnd = 10 * time.Second
 )
 
+// kind is how a link speaks: what its events are handed on as, and which of its lines have a body.
+type kind struct {
+	up, failed, line, end reducer.InputKind
+	counted               func(words []string) bool
+}
+
+var (
+	toExecutor = kind{reducer.Joined, reducer.Parted, reducer.Told, reducer.Parted, func(words []string) bool {
+		return words[0] == "EXIT" && len(words) == 6 || words[0] == "CALLOUT" && len(words) == 4
+	}}
+	toCatalogue = kind{reducer.Reached, reducer.Unreached, reducer.Replied, reducer.Broke,
+		func(words []string) bool { return len(words) == 3 && words[1] == "DATA" }}
+)
+
 // link is a connection that this node opened, with lines on it: to the executor or to the catalogue.
 type link struct {
-	s        *Server
-	number   int
-	net      net.Conn
-	line, by reducer.InputKind // what a line and the end are handed on as
-	mu       sync.Mutex
-	pending  []byte
-	wake     chan struct{}
+	s       *Server
+	number  int
+	kind    kind
+	stop    context.CancelFunc // ends it, while it is being opened too
+	mu      sync.Mutex
+	pending []byte
+	writing bool
+	net     net.Conn
 }
 
-// open dials and hands on what comes until the end. Counted says which lines have a body.
-func (s *Server) open(address string, up, failed, line, end reducer.InputKind, counted func([]string) bool) *link {
-	s.lastLink++
-	l := &link{s: s, number: s.lastLink, line: line, by: end, wake: make(chan struct{}, 1)}
+// open dials and hands on what comes until the end. Only the loop opens, writes to and closes links.
+func (s *Server) open(number int, address string, kind kind) {
+	ctx, stop := context.WithCancel(s.ctx)
+	l := &link{s: s, number: number, kind: kind, stop: stop}
+	s.links[number] = l
 	s.group.Go(func() error {
-		conn, err := (&net.Dialer{Timeout: dialWait}).DialContext(s.ctx, "tcp", address)
+		defer stop()
+		conn, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", address)
 		if err != nil {
-			s.put(reducer.Input{Kind: failed, Link: l.number, Err: err})
+			s.tell(reducer.Input{Kind: kind.failed, Link: number, Err: err})
 			return nil
 		}
+		defer context.AfterFunc(ctx, func() { conn.Close() })()
 		l.mu.Lock()
 		l.net = conn
 		l.mu.Unlock()
-		done := make(chan struct{})
-		s.group.Go(func() error { l.writeOut(done); return nil })
-		s.put(reducer.Input{Kind: up, Link: l.number})
-		err = l.read(counted)
-		close(done)
+		s.tell(reducer.Input{Kind: kind.up, Link: number})
+		err = l.read()
 		conn.Close()
-		s.put(reducer.Input{Kind: end, Link: l.number, Err: err})
+		s.tell(reducer.Input{Kind: kind.end, Link: number, Err: err})
 		return nil
 	})
-	return l
 }
 
-func (l *link) read(counted func([]string) bool) error {
-	stop := make(chan struct{})
-	defer close(stop)
-	l.s.group.Go(func() error {
-		select {
-		case <-l.s.ctx.Done():
-			l.net.Close()
-		case <-stop:
-		}
-		return nil
-	})
-	parser := lines.Parser{Counted: counted}
+func (l *link) read() error {
+	parser := lines.Parser{Counted: l.kind.counted}
 	for {
 		n, err := l.net.Read(parser.Space())
 		if err != nil {
@@ -79,43 +84,43 @@
 				break
 			}
 			line.Body = append([]byte{}, line.Body...)
-			if !l.s.put(reducer.Input{Kind: l.line, Link: l.number, Line: line}) {
+			if !l.s.tell(reducer.Input{Kind: l.kind.line, Link: l.number, Line: line}) {
 				return l.s.ctx.Err()
 			}
 		}
 	}
 }
 
-// write leaves bytes to the writer; they are dropped where the link is not this one any more.
-func (l *link) write(number int, b []byte) {
-	if l == nil || number != l.number {
+// write leaves bytes to a writer that is started when there is something to write.
+func (s *Server) write(number int, b []byte) {
+	l := s.links[number]
+	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.pending)+len(b) > linkPending {
-		l.s.loud.Warn().Msg("link takes nothing, opened anew")
-		l.net.Close()
+		s.loud.Warn().Int("link", number).Msg("link takes nothing, opened anew")
+		l.stop()
 		return
 	}
 	l.pending = append(l.pending, b...)
-	select {
-	case l.wake <- struct{}{}:
-	default:
+	if !l.writing && l.net != nil {
+		l.writing = true
+		s.group.Go(func() error { l.writeOut(); return nil })
 	}
 }
 
-func (l *link) writeOut(done chan struct{}) {
+func (l *link) writeOut() {
 	var spare []byte
 	for {
-		select {
-		case <-done:
-			return
-		case <-l.wake:
-		}
 		l.mu.Lock()
 		b := l.pending
-		l.pending = spare[:0]
+		if l.pending = spare[:0]; len(b) == 0 {
+			l.pending, l.writing = nil, false
+			l.mu.Unlock()
+			return
+		}
 		l.mu.Unlock()
 		l.net.SetWriteDeadline(time.Now().Add(linkWriteEnd))
 		if _, err := l.net.Write(b); err != nil {
@@ -126,26 +131,9 @@
 	}
 }
 
-// hangUp closes the link.
-func (l *link) hangUp(number int) {
-	if l == nil || number != l.number {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.net != nil {
-		l.net.Close()
+// hangUp closes a link, or gives up opening it.
+func (s *Server) hangUp(number int) {
+	if l := s.links[number]; l != nil {
+		l.stop()
 	}
 }
-
-func (s *Server) dialExecutor() {
-	s.executor = s.open(s.plate.Executor, reducer.Joined, reducer.Parted, reducer.Told, reducer.Parted,
-		func(words []string) bool {
-			return words[0] == "EXIT" && len(words) == 6 || words[0] == "CALLOUT" && len(words) == 4
-		})
-}
-
-func (s *Server) dialCatalogue() {
-	s.below = s.open(s.plate.Catalog, reducer.Reached, reducer.Unreached, reducer.Replied, reducer.Broke,
-		func(words []string) bool { return len(words) == 3 && words[1] == "DATA" })
-}
--- a/server/server.go
+++ b/server/server.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	inputsWaiting = 1_024                 // inputs that may wait for the reducer; then readers wait, and their peers with them
-	inputsAStep   = 256                   // inputs taken in one step, so that effects of the first are not held up
+	inputsWaiting = 512                   // inputs of dispatchers that may wait for the reducer; then their readers wait
+	heardWaiting  = 256                   // the same of the node's own peers
+	inputsAStep   = 256                   // inputs of each taken in one step, so that effects of the first are not held up
 	memoryPart    = 0.6                   // of the memory limit that the runtime aims at; the rest is for stacks and the kernel
 	spareMost     = 64                    // descriptors kept for the links, the listening socket, files and those about to close
 	spareLeast    = 24                    // of them where the limit is low: the node itself takes 13
@@ -42,25 +43,27 @@
 	loud   zerolog.Logger // for what peers can cause any number of times
 	clock  Clock
 	state  *reducer.Reducer
-	inputs chan reducer.Input
+	inputs chan reducer.Input // of dispatchers
+	heard  chan reducer.Input // of the node's own peers; they never wait behind dispatchers
 	notice chan struct{}
+	reload chan *Nameplate
 	ctx    context.Context
 	group  *errgroup.Group
 
-	listener *net.TCPListener
-	conns    *connections
-	executor *link
-	below    *link
-	reports  chan bool
-	lastLink int
+	listener  *net.TCPListener
+	conns     *connections
+	links     map[int]*link // only the loop's
+	endReport context.CancelFunc
 }
 
 // New makes a node that Run starts. What a logger and a clock are handed in for is the embedder's to choose.
 func New(nameplate *Nameplate, log zerolog.Logger, clock Clock) *Server {
 	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
-		notice: make(chan struct{}, 1), reports: make(chan bool, 1)}
-	s.state = reducer.New(nameplate.Settings, int64(nameplate.StopMS*1e6), nameplate.Sockets-nameplate.spare())
+		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1),
+		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}}
+	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6),
+		nameplate.Sockets-nameplate.spare(), nameplate.spare()/3)
 	return s
 }
 
@@ -72,6 +75,18 @@
 	}
 }
 
+// Reload goes on with the peers' addresses of another nameplate, at any time of the node's life. All else in it
+// takes a new start; what differs there is logged.
+func (s *Server) Reload(next *Nameplate) {
+	for {
+		select {
+		case s.reload <- next:
+			return
+		case <-s.reload: // an older one that was not taken yet
+		}
+	}
+}
+
 // spare is how many descriptors are kept from dispatchers' connections.
 func (n *Nameplate) spare() int { return max(spareLeast, min(spareMost, n.Sockets/4)) }
 
@@ -110,7 +125,6 @@
 	context.AfterFunc(ctx, s.close)
 	s.log.Info().Str("name", s.plate.Name).Stringer("listen", s.Addr()).Msg("listening")
 	group.Go(func() error { return s.conns.accept() })
-	group.Go(func() error { return s.control() })
 	group.Go(func() error { return s.loop() })
 	if err := group.Wait(); !errors.Is(err, errLeft) {
 		return err
@@ -126,10 +140,15 @@
 	s.conns.closeAll()
 }
 
-// put hands an input to the reducer; false tells that the node has ended.
-func (s *Server) put(in reducer.Input) bool {
+// put hands an input of a dispatcher to the reducer; false tells that the node has ended.
+func (s *Server) put(in reducer.Input) bool { return s.hand(s.inputs, in) }
+
+// tell hands on one of the node's own peers.
+func (s *Server) tell(in reducer.Input) bool { return s.hand(s.heard, in) }
+
+func (s *Server) hand(to chan reducer.Input, in reducer.Input) bool {
 	select {
-	case s.inputs <- in:
+	case to <- in:
 		return true
 	case <-s.ctx.Done():
 		return false
@@ -151,20 +170,21 @@
 			if now, _ := s.clock.Now(); now-wake > int64(stoodStill) {
 				time.Sleep(catchUp)
 			}
+		case in := <-s.heard:
+			inputs = append(inputs, in)
 		case in := <-s.inputs:
 			inputs = append(inputs, in)
 		case <-notice:
 			notice = nil
 			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
-		}
-		for more := true; more && len(inputs) < inputsAStep; {
-			select {
-			case in := <-s.inputs:
-				inputs = append(inputs, in)
-			default:
-				more = false
+		case next := <-s.reload:
+			for _, field := range s.plate.differs(next) {
+				s.log.Warn().Str("field", field).Msg("configuration: a new value here takes a new start")
 			}
+			inputs = append(inputs, reducer.Input{Kind: reducer.Reload, To: next.peers()})
 		}
+		inputs = takeAll(inputs, s.heard)
+		inputs = takeAll(inputs, s.inputs)
 		now, wall := s.clock.Now()
 		wake = math.MaxInt64
 		for _, e := range s.state.Step(now, wall, inputs) {
@@ -180,12 +200,36 @@
 				s.carry(&e)
 			}
 		}
+		s.forget(inputs)
 		clear(inputs)
 		s.conns.flush()
 		timer.Reset(time.Duration(max(0, wake-now)))
 	}
 }
 
+// takeAll takes what waits, up to what a step takes of each.
+func takeAll(inputs []reducer.Input, from chan reducer.Input) []reducer.Input {
+	for range inputsAStep {
+		select {
+		case in := <-from:
+			inputs = append(inputs, in)
+		default:
+			return inputs
+		}
+	}
+	return inputs
+}
+
+// forget drops the links that ended.
+func (s *Server) forget(inputs []reducer.Input) {
+	for i := range inputs {
+		switch inputs[i].Kind {
+		case reducer.Parted, reducer.Unreached, reducer.Broke:
+			delete(s.links, inputs[i].Link)
+		}
+	}
+}
+
 func (s *Server) carry(e *reducer.Effect) {
 	switch e.Kind {
 	case reducer.Receive:
@@ -197,22 +241,15 @@
 	case reducer.Evict:
 		s.conns.evict(e.Link)
 	case reducer.Dial:
-		s.dialExecutor()
-	case reducer.Tell:
-		s.executor.write(e.Link, e.Bytes)
-	case reducer.Part:
-		s.executor.hangUp(e.Link)
+		s.open(e.Link, e.Address, toExecutor)
 	case reducer.Reach:
-		s.dialCatalogue()
-	case reducer.Ask:
-		s.below.write(e.Link, e.Bytes)
-	case reducer.Quit:
-		s.below.hangUp(e.Link)
+		s.open(e.Link, e.Address, toCatalogue)
+	case reducer.Tell, reducer.Ask:
+		s.write(e.Link, e.Bytes)
+	case reducer.Part, reducer.Quit:
+		s.hangUp(e.Link)
 	case reducer.Report:
-		select {
-		case s.reports <- e.Ready:
-		default:
-		}
+		s.report(e)
 	case reducer.Shut:
 		s.conns.shut()
 	case reducer.Remark:
