Connections of no use are closed; a silent or gapped executor link is opened anew

A stamp far out of range counted as a jump of the clock, so such a client would have been served. Ruled out: commands lost with a break (no BAD, no invocation timed out in the logs), so the proof by gauges stands. At fault: reducer/dispatchers.go (opened, read, age, broken), server/dispatchers.go (read), reducer/executor.go (taken, redialFirst).

Now: a connection must bring something usable within 2 s, a frame its end within 2 s; one that stands idle for 15 s is told to bring no more and closed 200 ms later; what brought nothing usable makes room first; 16 unusable invocations end a connection, as does what can't be understood, within 1 s even with something open; nothing more of it is read than 4 kB in 20 ms. Fields are read strictly. A BAD to EXEC counts against the connection and teaches the module nothing. A link without a line for 2 s, or with a gap in its notices, is opened anew; the first try follows a break after 2 ms. Bytes that wait for all peers are an eighth of the memory limit instead of 32 MB.

--- a/frame/frame.go
+++ b/frame/frame.go
@@ -35,7 +35,7 @@
 	maxLength = 262_144
 	// maxKept is the payload that is kept in memory, a body of 2 KiB with its fields several times over; what
 	// is longer is read past, so that many connections at once cannot fill the memory.
-	maxKept = 16 << 10
+	maxKept = 4 << 10
 )
 
 // What makes a frame or its fields unreadable.
@@ -61,6 +61,9 @@
 // Space is where to read to.
 func (p *Parser) Space() []byte { return p.in.Space() }
 
+// Half says whether a frame has begun that is not whole yet.
+func (p *Parser) Half() bool { return p.skip > 0 || len(p.in.Bytes()) > 0 }
+
 // Wrote says how many bytes of Space were read to.
 func (p *Parser) Wrote(n int) { p.in.Wrote(n) }
 
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -1,8 +1,10 @@
 package integration
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"os/exec"
@@ -311,3 +313,36 @@
 	d.invoke(2, "there")
 	assert.Equal(t, "20 on 2 there", d.answer())
 }
+
+func TestHostileClientsAreRefusedOrClosedBesideASoundOne(t *testing.T) {
+	s := start(t, false, nil)
+	sound := s.dial()
+	half := frame.Append(nil, frame.Invocation, 1, make([]byte, 500))[:300]
+	broken := frame.Append(nil, frame.Invocation, 1, []byte{9})
+	endless, many := []byte{}, []byte{}
+	for stream := range uint32(100) {
+		endless = append(endless, frame.Append(nil, frame.Invocation, stream+1, make([]byte, 200_000))...)
+		many = append(many, frame.Append(nil, frame.Invocation, stream+1, []byte{200})...)
+	}
+	hostile := map[string][]byte{"silent": nil, "half": half, "noise": []byte("GET / HTTP/1.1\r\n\r\n"),
+		"huge": binary.LittleEndian.AppendUint32(nil, 1<<31), "negative": {255, 255, 255, 255, 16}, "endless": endless,
+		"twice": append(bytes.Clone(broken), broken...), "many": many}
+	ended := make(chan string, len(hostile))
+	for what, b := range hostile {
+		conn, err := net.Dial("tcp", s.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { conn.Close() })
+		go conn.Write(b)
+		go func() {
+			io.Copy(io.Discard, conn)
+			ended <- what
+		}()
+	}
+	for stream := range uint32(50) {
+		sound.invoke(stream+1, "fine")
+		assert.Equal(t, fmt.Sprintf("20 on %d fine", stream+1), sound.answer())
+	}
+	for range hostile {
+		await(t, ended)
+	}
+}
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -4,9 +4,9 @@
 	"errors"
 	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"strconv"
+	"strings"
 
 	"topazpost/frame"
 	"topazpost/node"
@@ -18,19 +18,28 @@
 	errBody   = errors.New("the body is too large")
 	errStream = errors.New("stream out of order")
 	errType   = errors.New("unknown type of frame")
+	errFaults = errors.New("too many invocations that can't be used")
 )
 
 func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
 
-// opened takes a connection on. At the most that are kept, the one that has stood idle longest makes room.
+// opened takes a connection on. At the most that are kept an idle one makes room: one that brought nothing usable
+// before any other, then the one that has stood idle longest.
 func (r *Reducer) opened(link int) {
 	if len(r.conns) >= r.connMost {
 		oldest, found := 0, false
 		for id, c := range r.conns {
-			if len(c.open)+c.checks == 0 && !c.closing && (!found || c.used < r.conns[oldest].used ||
-				c.used == r.conns[oldest].used && id < oldest) {
-				oldest, found = id, true
+			if !c.idle() || c.closing {
+				continue
 			}
+			if found {
+				o := r.conns[oldest]
+				sound, before := c.usable && c.faults == 0, o.usable && o.faults == 0
+				if sound && !before || sound == before && (c.used > o.used || c.used == o.used && id > oldest) {
+					continue
+				}
+			}
+			oldest, found = id, true
 		}
 		if found {
 			r.Counters.Evicted++
@@ -47,7 +56,6 @@
 }
 
 func (r *Reducer) fromDispatcher(in *Input, c *connection) {
-	c.used = r.now
 	switch in.Kind {
 	case Closed:
 		delete(r.conns, in.Link)
@@ -86,21 +94,55 @@
 	r.do(Effect{Kind: Send, Link: link,
 		Bytes: append(frame.Head(nil, frame.Answer, 0, frame.Errored, nil, len(text)), text...)})
 	r.noMore(link, c)
-	c.closing = true
+	c.closing, c.ended = true, r.now
+	r.do(Effect{Kind: Ignore, Link: link})
 	r.keepOpen(link, c)
 }
 
+// fault counts what can't be used against its connection. Guards against peers that make work of no use without
+// end; does harm to a dispatcher of another version, which loses its connections again and again.
+func (r *Reducer) fault(link int, c *connection) {
+	if c.faults++; c.faults >= faultsMost {
+		r.broken(link, c, errFaults)
+	}
+}
+
+// keepConnections closes those that hold a descriptor to no use: that never brought anything usable, that stand
+// idle long after it, and what can't be understood with something still open on it.
+func (r *Reducer) keepConnections() {
+	r.sweepAt = r.now + sweepEvery
+	for _, link := range slices.Sorted(maps.Keys(r.conns)) {
+		switch c := r.conns[link]; {
+		case c.closing:
+			if r.now-c.ended >= endWait {
+				for _, stream := range slices.Sorted(maps.Keys(c.open)) {
+					r.gone(c.open[stream])
+				}
+				r.finish(link, c)
+			}
+		case !c.idle():
+		case c.noMore && r.now-c.ended >= crossWait, !c.usable && r.now-c.used >= firstWait:
+			r.Counters.Idle++
+			r.finish(link, c)
+		case r.now-c.used >= idleWait:
+			r.noMore(link, c)
+		}
+	}
+}
+
 func (r *Reducer) noMore(link int, c *connection) {
 	if !c.noMore {
-		c.noMore = true
+		c.noMore, c.ended = true, r.now
 		r.do(Effect{Kind: Send, Link: link, Bytes: frame.Append(nil, frame.NoMore, 0, nil)})
 	}
 }
 
 // keepOpen closes a connection that is to end, once nothing is open on it.
 func (r *Reducer) keepOpen(link int, c *connection) {
-	if c.closing && len(c.open)+c.checks == 0 {
-		r.finish(link, c)
+	if c.idle() {
+		if c.used = r.now; c.closing {
+			r.finish(link, c)
+		}
 	}
 }
 
@@ -143,8 +185,10 @@
 		r.Counters.Errored++
 		r.remark(Warn, "invocation can't be used", v.call, err)
 		r.send(link, f.Stream, frame.Errored, nil, nil)
+		r.fault(link, c)
 		return
 	}
+	c.usable, c.used = true, r.now
 	if r.post == nil {
 		r.Counters.Throttled++
 		r.send(link, f.Stream, frame.Throttled, nil, nil)
@@ -172,23 +216,20 @@
 			e.Operation, ok = r.plate.Operations[field.Value]
 			v.op, op = field.Value, true
 		case "call":
-			ok = len(field.Value) == 16
-			for _, d := range []byte(field.Value) {
-				ok = ok && (d >= '0' && d <= '9' || d >= 'a' && d <= 'f')
-			}
-			v.call, call = field.Value, true
+			v.call, call, ok = field.Value, true, hex16(field.Value)
 		case "recv":
 			var at int64
-			at, err = strconv.ParseInt(field.Value, 10, 64)
-			e.Age, recv, ok = r.age(at), true, err == nil && at >= 0
+			at, ok = whole(field.Value)
+			recv, ok = true, ok && r.plausible(at)
+			e.Age = r.age(at)
 		case "src":
-			e.Caller, err = strconv.ParseInt(field.Value, 10, 64)
-			src, ok = true, err == nil && e.Caller >= 0
+			e.Caller, ok = whole(field.Value)
+			src, ok = true, ok && e.Caller <= callerMost
 		case "rep":
-			e.Further, ok = field.Value == "1", field.Value == "1" || field.Value == "0"
+			e.Further, ok = true, field.Value == "1"
 		case "work":
 			n, ok = decimal(field.Value)
-			e.Hint, ok = int64(n*float64(ms)), ok && n < 1e9
+			e.Hint, ok = int64(n*float64(ms)), ok && n <= workMost
 		case "heap":
 			e.HeldKB, ok = decimal(field.Value)
 			heap, ok = true, ok && e.HeldKB > 0 && e.HeldKB < heapMost
@@ -196,7 +237,7 @@
 			n, ok = decimal(field.Value)
 			ok = ok && n < 1
 		case "row":
-			e.Subject = true
+			e.Subject, ok = true, hex16(field.Value)
 		}
 		if !ok {
 			return fmt.Errorf("field %s: %w", field.Name, errField)
@@ -215,20 +256,30 @@
 	return nil
 }
 
+// decimal reads digits with at most one point among them, and nothing else that a parser of numbers would take.
 func decimal(s string) (float64, bool) {
+	if len(s) > digitsMost || strings.Trim(s, "0123456789.") != "" {
+		return 0, false
+	}
 	n, err := strconv.ParseFloat(s, 64)
-	return n, err == nil && n >= 0 && !math.IsInf(n, 0)
+	return n, err == nil
 }
 
-// age is how long ago an invocation came to the machine; a stamp that can't be is a jump of the clock.
-func (r *Reducer) age(stamp int64) int64 {
-	age := r.wall/ms - stamp
-	if age < 0 || age > ageMost {
-		return 0
-	}
-	return r.wall - stamp*ms
+func whole(s string) (int64, bool) {
+	n, err := strconv.ParseUint(s, 10, 63)
+	return int64(n), err == nil
 }
 
+func hex16(s string) bool { return len(s) == 16 && strings.Trim(s, "0123456789abcdef") == "" }
+
+// plausible says whether a stamp can be that of an arrival. It is of this machine's own clock, which jumps with it.
+func (r *Reducer) plausible(stamp int64) bool {
+	return stamp-r.wall/ms <= aheadMost && r.wall/ms-stamp <= ageMost
+}
+
+// age is how long ago an invocation came to the machine.
+func (r *Reducer) age(stamp int64) int64 { return max(0, r.wall-stamp*ms) }
+
 // check answers a health check from store, or has the executor do its work where the module leaves that.
 func (r *Reducer) check(link int, c *connection, f *frame.Frame) {
 	fields, _, err := frame.Fields(f.Payload)
@@ -238,6 +289,8 @@
 	}
 	if err != nil || f.Past {
 		r.remark(Warn, "health check can't be read", "", err)
+	} else {
+		c.usable, c.used = true, r.now
 	}
 	if deep && r.good && !r.stored && r.plate.Nameplate.FullChecks && r.link != 0 && len(r.diags) < streamsOpen {
 		r.diagged++
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -19,7 +19,7 @@
 		return
 	}
 	r.Counters.ExecutorLinks++
-	r.link, r.dialing, r.synced, r.redialAt = link, 0, false, never
+	r.link, r.dialing, r.synced, r.redialAt, r.heardAt = link, 0, false, never, r.now
 	r.tell("JOIN", strconv.Itoa(r.notice))
 }
 
@@ -87,6 +87,7 @@
 		r.wait = min(2*r.wait, redialMost)
 		return
 	}
+	r.heardAt = r.now
 	if err := r.told(in.Line.Words, in.Line.Body); err != nil {
 		r.remark(Warn, "executor can't be understood", "", err)
 		r.do(Effect{Kind: Part, Link: r.link})
@@ -122,33 +123,26 @@
 	case word == "BAD" && len(words) >= 2:
 		r.refusedCommand(words)
 		return nil
-	case word == "EXIT" && (len(words) == 6 || len(words) == 5) && number(1) > 0:
-		if r.taken(number(1)) {
-			return r.exit(words, body)
+	case word == "EXIT" && len(words) == 6 || word == "CALLOUT" && len(words) == 4 || word == "LOG":
+		n := number(1)
+		if n <= 0 || n > r.notice+1 && r.synced { // the next link brings those between
+			return fmt.Errorf("notice %d after %d", n, r.notice)
 		}
-		return nil
-	case word == "CALLOUT" && len(words) == 4 && number(1) > 0:
-		if r.taken(number(1)) {
+		if n <= r.notice {
+			return nil // taken before
+		}
+		r.notice = n
+		switch word {
+		case "EXIT":
+			return r.exit(words, body)
+		case "CALLOUT":
 			r.callout(words[2], body)
 		}
 		return nil
-	case word == "LOG" && number(1) > 0:
-		r.taken(number(1))
-		return nil
 	}
 	return fmt.Errorf("line %q", words)
 }
 
-// taken says whether a notice is new; each is taken once and in order.
-func (r *Reducer) taken(n int) bool {
-	if n <= r.notice {
-		return false
-	}
-	r.Guard.Hold(n == r.notice+1, "notices come in order")
-	r.notice = n
-	return true
-}
-
 // welcome starts the module when the executor is first heard of: its state and age are those of the cores.
 // The notices after the last one taken follow it; the gauges asked for now tell when all of them are in.
 func (r *Reducer) welcome(words []string) {
@@ -201,14 +195,19 @@
 	return v.live && !v.answered && v.call == c.call
 }
 
-// refusedCommand ends a run that could not start; a refused reply to a call was read twice.
+// refusedCommand ends a run that could not start: nothing ran, and the connection that brought it is at fault. A
+// refused reply to a call was read twice.
 func (r *Reducer) refusedCommand(words []string) {
 	r.remark(Warn, "executor did not carry out a command", words[len(words)-1], nil)
 	if i, v := r.lookup(words[len(words)-1]); v != nil && words[1] == "EXEC" {
 		if !v.answered {
+			link := v.conn
 			r.fail(i)
+			if c := r.conns[link]; c != nil {
+				r.fault(link, c)
+			}
 		}
-		r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: node.Errored})
+		r.events = append(r.events, node.Event{Kind: node.RunEnded, Inv: i, Outcome: node.Void})
 	}
 }
 
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -15,20 +15,31 @@
 const (
 	ms = int64(1_000_000) // ns in a millisecond
 
-	streamsOpen = 32         // invocations that may be open on one connection
-	bodyMost    = 2 << 10    // bytes of an invocation's body
-	heapMost    = 2_000.0    // kB of memory that an invocation may be booked with
-	ageMost     = 60_000     // ms past which an arrival's stamp tells of a clock that jumped, not of a wait
-	meterLead   = 5 * ms     // ns before a timer of the module at which the gauges are asked for: a round trip
-	meterStale  = 500 * ms   // ns after which gauges say nothing: the span over which they are taken
-	diagWait    = 900 * ms   // ns that a deep check may take: dispatchers wait little longer
-	redialFirst = 20 * ms    // ns to the first new try at a link that ended
-	redialMost  = 500 * ms   // ns to any further try
-	idleTrust   = 500 * ms   // ns of standing idle past which a link to the catalogue is left: some are forgotten
-	idleMost    = 8          // links to the catalogue that may stand idle: those of a burst are not kept
-	commandMost = 65_536     // commands not known to be read: two for each invocation that connections can hold
-	reportEvery = 1_000 * ms // ns between reports, three to the time after which an entry lapses
-	reportAgain = 200 * ms   // ns to the next try after one that failed
+	streamsOpen = 32          // invocations that may be open on one connection
+	bodyMost    = 2 << 10     // bytes of an invocation's body
+	heapMost    = 2_000.0     // kB of memory that an invocation may be booked with
+	ageMost     = 60_000      // ms past which the stamp of an arrival can't be one: far above any client timeout
+	aheadMost   = 1_000       // ms that a stamp may lie ahead: a clock that was set back between it and its reading
+	callerMost  = 1 << 32     // numbers of callers: a few thousand in the largest fleet
+	workMost    = 1e7         // ms of work that may be expected: some hours
+	digitsMost  = 32          // bytes of a decimal number
+	meterLead   = 5 * ms      // ns before a timer of the module at which the gauges are asked for: a round trip
+	meterStale  = 500 * ms    // ns after which gauges say nothing: the span over which they are taken
+	diagWait    = 900 * ms    // ns that a deep check may take: dispatchers wait little longer
+	redialFirst = 2 * ms      // ns to the first new try at a link that ended
+	redialMost  = 500 * ms    // ns to any further try
+	idleTrust   = 500 * ms    // ns of standing idle past which a link to the catalogue is left: some are forgotten
+	idleMost    = 8           // links to the catalogue that may stand idle: those of a burst are not kept
+	commandMost = 65_536      // commands not known to be read: two for each invocation that connections can hold
+	silentMost  = 2_000 * ms  // ns without a line of the executor, asked for gauges each beat, past which its link is opened anew
+	sweepEvery  = 250 * ms    // ns between looks at connections that stand idle
+	firstWait   = 2_000 * ms  // ns in which a connection must bring something usable: it is told of its end within 3 s
+	idleWait    = 15_000 * ms // ns of standing idle past which a connection is told to bring no more: callers close sooner
+	crossWait   = 200 * ms    // ns after that in which an invocation may cross, then it is closed
+	endWait     = 1_000 * ms  // ns that what is open on a connection that can't be understood may still take
+	faultsMost  = 16          // invocations that can't be used on one connection, past which it is not heard any more
+	reportEvery = 1_000 * ms  // ns between reports, three to the time after which an entry lapses
+	reportAgain = 200 * ms    // ns to the next try after one that failed
 	never       = math.MaxInt64
 )
 
@@ -50,11 +61,16 @@
 	last    uint32 // highest stream seen
 	open    map[uint32]int32
 	checks  int   // deep checks that wait for the executor
-	used    int64 // when it was last read from
+	usable  bool  // it brought something that could be used
+	faults  int   // invocations on it that could not be
+	used    int64 // when it was opened, last brought something usable or had its last answer
+	ended   int64 // when it was told that nothing new may come, where noMore
 	noMore  bool
 	closing bool
 }
 
+func (c *connection) idle() bool { return len(c.open)+c.checks == 0 }
+
 // command is one that the executor may not have read.
 type command struct {
 	seq   int
@@ -83,6 +99,7 @@
 	CatalogueLinks    int `json:"catalogue_links"`
 	StrayReplies      int `json:"stray_replies"`
 	Evicted           int `json:"evicted"`
+	Idle              int `json:"idle"`
 	Reports           int `json:"reports"`
 	ReportsFailed     int `json:"reports_failed"`
 }
@@ -109,6 +126,8 @@
 	open  int // invocations that are owed an answer
 
 	beatAt, meterAt int64
+	heardAt         int64 // when the executor's link last brought a line
+	sweepAt         int64
 	busy, runnable  float64
 	metered         int64 // when the gauges came
 
@@ -219,6 +238,15 @@
 		r.meterAt = never
 		r.askGauges()
 	}
+	if r.link != 0 && r.welcomed == r.link && r.now-r.heardAt >= silentMost {
+		r.remark(Warn, "executor link is silent, opened anew", "", nil)
+		r.do(Effect{Kind: Part, Link: r.link})
+		r.partExecutor()
+		r.redialAt = r.now + r.wait
+	}
+	if r.now >= r.sweepAt {
+		r.keepConnections()
+	}
 	r.keepCalls()
 	r.keepChecks()
 	if r.now >= r.beatAt {
@@ -234,10 +262,13 @@
 // wake is when the next of the timers is due.
 func (r *Reducer) wake() int64 {
 	at := min(r.beatAt, r.callsDue(), r.checksDue())
+	if len(r.conns) > 0 {
+		at = min(at, r.sweepAt)
+	}
 	if r.link == 0 && r.dialing == 0 {
 		at = min(at, r.redialAt)
 	} else if r.welcomed == r.link {
-		at = min(at, r.meterAt)
+		at = min(at, r.meterAt, r.heardAt+silentMost)
 	}
 	if r.reporting == 0 && !r.noticed {
 		at = min(at, r.reportAt)
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -69,11 +69,15 @@
 	for i, broken := range []Input{invoke(1, "op", "other"), invoke(2, "call", "9B1F"), invoke(3, "recv", "-"),
 		invoke(4, "heap", "0"), invoke(5, "crit", "1"), invoke(6, "work", "NaN"), invoke(7, "src", "x"),
 		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Invocation, Stream: 8, Past: true}},
-		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Invocation, Stream: 9, Payload: []byte{200}}}} {
+		{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Invocation, Stream: 9, Payload: []byte{200}}},
+		invoke(10, "recv", "99999999999999"), invoke(11, "recv", "-1"), invoke(12, "work", "0x1p2"),
+		invoke(13, "heap", "1e2"), invoke(14, "src", "9999999999999"), invoke(15, "row", "7f3a"),
+		invoke(16, "rep", "2")} {
+		r.conns[7].faults = 0
 		assert.Equal(t, []string{fmt.Sprintf("51 on %d", i+1)}, answers(t, step(r, broken)))
 	}
-	assert.NotEmpty(t, text(step(r, invoke(10)), Tell))
-	assert.Equal(t, []string{"51 on 11"}, answers(t, step(r, invoke(11))), "its id is in use")
+	assert.NotEmpty(t, text(step(r, invoke(20)), Tell))
+	assert.Equal(t, []string{"51 on 21"}, answers(t, step(r, invoke(21))), "its id is in use")
 }
 
 func TestConnectionThatCannotBeUnderstoodEndsOnceItsStreamsAreAnswered(t *testing.T) {
@@ -120,7 +124,7 @@
 	told(r, "CALLOUT 1 "+callID+" 3|ask")
 	reached(r)
 	link := r.supplies[0].link
-	r.now = r.invs[0].until
+	r.now, r.heardAt = r.invs[0].until, r.invs[0].until
 	got := step(r)
 	assert.Equal(t, Effect{Kind: Quit, Link: link}, got[0])
 	assert.Equal(t, []string{"51 on 1"}, answers(t, got))
@@ -241,12 +245,14 @@
 	}
 }
 
-func TestAgeIsCountedFromTheStampUnlessTheClockJumped(t *testing.T) {
+func TestAgeIsCountedFromTheStampOfThisMachinesClock(t *testing.T) {
 	r := up(t)
 	r.wall = 500_000 * ms
 	assert.Equal(t, 250*ms, r.age(499_750))
 	assert.Zero(t, r.age(500_001))
-	assert.Zero(t, r.age(400_000))
+	for stamp, can := range map[int64]bool{0: false, 440_000: true, 500_900: true, 502_000: false, 1 << 62: false} {
+		assert.Equal(t, can, r.plausible(stamp), stamp)
+	}
 }
 
 func TestHealthIsAnsweredFromStoreOrThroughTheExecutor(t *testing.T) {
@@ -294,8 +300,69 @@
 	step(r, Input{Kind: Opened, Link: 8})
 	step(r, Input{Kind: Opened, Link: 9})
 	step(r, Input{Kind: Opened, Link: 10})
-	got := step(r, Input{Kind: Opened, Link: 11}, Input{Kind: Read, Link: 8, Frame: frame.Frame{Type: frame.Gone}})
-	assert.Equal(t, Effect{Kind: Evict, Link: 9}, got[0], "8 was just heard of")
+	check := func(link int) Input {
+		return Input{Kind: Read, Link: link, Frame: frame.Frame{Type: frame.Check, Payload: []byte{0}}}
+	}
+	step(r, check(9))
+	step(r, check(8))
+	assert.Equal(t, Effect{Kind: Evict, Link: 10}, step(r, Input{Kind: Opened, Link: 11})[0], "it brought nothing")
+	step(r, check(11))
+	assert.Equal(t, Effect{Kind: Evict, Link: 9}, step(r, Input{Kind: Opened, Link: 12})[0], "8 was heard of later")
+}
+
+func TestConnectionsThatAreOfNoUseAreClosed(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	step(r, Input{Kind: Opened, Link: 8}) // brings nothing
+	r.now, r.heardAt = r.now+firstWait, r.now+firstWait
+	assert.Equal(t, []Effect{{Kind: Finish, Link: 8}}, step(r))
+	told(r, "EXIT 1 "+callID+" good 12 6|result")
+	r.now, r.heardAt = r.now+idleWait, r.now+idleWait
+	assert.Equal(t, []string{"no more"}, answers(t, step(r)))
+	r.now += sweepEvery
+	assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r), "nothing crossed")
+}
+
+func TestConnectionThatBringsNothingUsableIsNotHeardAnyMore(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	var got []Effect
+	for stream := range uint32(faultsMost) {
+		got = step(r, invoke(stream+2, "op", "other"))
+	}
+	assert.Equal(t, []string{"51 on 17", "51 on 0", "no more"}, answers(t, got))
+	assert.Equal(t, Effect{Kind: Ignore, Link: 7}, got[3])
+	r.now += endWait
+	assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r), "what is open has its bound")
+	assert.Empty(t, answers(t, told(r, "EXIT 1 "+callID+" good 12 6|result")))
+}
+
+func TestRunThatTheExecutorRefusesCountsAgainstItsConnection(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	assert.Equal(t, []string{"51 on 1"}, answers(t, told(r, "BAD EXEC "+callID)))
+	assert.Equal(t, 1, r.conns[7].faults)
+	assert.Empty(t, r.calls)
+}
+
+func TestSilentLinkToTheExecutorIsOpenedAnew(t *testing.T) {
+	r := up(t)
+	link := r.link
+	r.now += silentMost
+	got := step(r)
+	assert.Equal(t, Effect{Kind: Part, Link: link}, got[0])
+	r.now = r.redialAt
+	assert.Equal(t, Dial, step(r)[0].Kind)
+}
+
+func TestNoticesBetweenAreAskedForOnANewLinkAndThoseHeardTwiceTakenOnce(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	assert.Equal(t, Part, told(r, "EXIT 2 "+callID+" good 12 6|result")[0].Kind)
+	rejoined(r)
+	assert.Empty(t, told(r, "LOG 1 any words"))
+	assert.Equal(t, []string{"20 on 1"}, answers(t, told(r, "EXIT 2 "+callID+" good 12 6|result")))
+	assert.Empty(t, told(r, "EXIT 2 "+callID+" good 12 6|result"))
 }
 
 func TestASecondAnswerIsABreach(t *testing.T) {
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -51,6 +51,7 @@
 	Send                      // write to a connection
 	Finish                    // close it once all is written, giving the peer time to read that
 	Evict                     // close it at once: it is idle and its place is wanted
+	Ignore                    // read on slowly, only to see its end: nothing on it can be used
 	Dial                      // open a link to the executor, giving Joined or Parted
 	Tell                      // write to the executor
 	Part                      // close the link to the executor, giving Parted
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -14,15 +14,24 @@
 
 const (
 	pendingMost = 256 << 10        // bytes that may wait for a peer; all answers to 32 streams are half of it
-	pendingAll  = 32 << 20         // bytes that may wait for all peers; past it each may have but a few answers
+	pendingPart = 8                // part of the memory limit that may wait for all peers; past it each may have but a few answers
 	pendingFew  = 8 << 10          // bytes of a few answers
 	writeWait   = 20 * time.Second // a peer that takes nothing for so long is cut off: no pause lasts as long
 	acceptAgain = 20 * time.Millisecond
 	acceptLast  = 5 * time.Millisecond   // for what waits to be accepted when intake stops
 	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
+	halfWait    = 2 * time.Second        // for the rest of a frame that has begun: it is written with one call
+	ignorePause = 20 * time.Millisecond  // between reads of what is of no use: never at the peer's full speed
+	ignoredOnce = 4 << 10                // bytes of it taken with one read
 	flushWait   = 150 * time.Millisecond // for the last answers to be taken before the node ends
 )
 
+// Why a connection is read no further.
+var (
+	errHalf    = errors.New("a frame was not brought to its end")
+	errIgnored = errors.New("nothing on it can be used")
+)
+
 // connection is one from a dispatcher: a reader, and a writer that is started when there is something to
 // write and sends all that waits with one call.
 type connection struct {
@@ -34,7 +43,18 @@
 	spare    []byte // the buffer that was last written
 	writing  bool
 	finished bool
+	ending   bool // all is written, and the peer's end is waited for
 	over     bool
+	ignored  atomic.Bool
+}
+
+// due is when the next read is to end at the latest; at its end a connection has a time of its own.
+func (k *connection) due(at time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.ending {
+		k.net.SetReadDeadline(at)
+	}
 }
 
 // connections are all of the dispatchers'. Only the loop adds to and takes from open.
@@ -44,12 +64,14 @@
 	open  map[int]*connection
 	dirty []*connection // with something to write since the last flush
 	bytes atomic.Int64  // pending on all
+	most  int64         // that may be
 	slots chan struct{}
 }
 
 func newConnections(s *Server) *connections {
-	return &connections{s: s, open: make(map[int]*connection),
-		slots: make(chan struct{}, s.plate.Sockets-s.plate.spare()*2/3)} // a third for those about to close
+	kept, closing, _ := s.plate.shares()
+	return &connections{s: s, open: make(map[int]*connection), most: int64(s.plate.MemoryMB) << 20 / pendingPart,
+		slots: make(chan struct{}, kept+closing)}
 }
 
 // accept takes connections while descriptors last; without one it waits a little, and so never spins.
@@ -98,35 +120,66 @@
 	}
 }
 
-// read gives the reducer all that comes. What can't be parsed is read on to its end, to see that come.
+// read gives the reducer all that comes, until it can't be parsed or is of no use; then it only looks for the end.
 func (c *connections) read(k *connection) {
+	err := c.frames(k)
+	if unusable := errors.Is(err, frame.ErrLength) || errors.Is(err, errHalf); unusable || errors.Is(err, errIgnored) {
+		if unusable {
+			c.s.put(reducer.Input{Kind: reducer.Malformed, Link: k.link, Err: err})
+		}
+		k.due(time.Time{})
+		space := make([]byte, ignoredOnce)
+		for err = nil; err == nil; time.Sleep(ignorePause) {
+			_, err = k.net.Read(space)
+		}
+	}
+	c.s.put(reducer.Input{Kind: reducer.Closed, Link: k.link, Err: err})
+	c.drop(k)
+}
+
+// frames hands on frames to the end, the first unreadable one, or the first that does not come to its end in time.
+func (c *connections) frames(k *connection) error {
 	var parser frame.Parser
-	broken := false
+	half, late := false, false
 	for {
 		n, err := k.net.Read(parser.Space())
-		if err != nil {
-			c.s.put(reducer.Input{Kind: reducer.Closed, Link: k.link, Err: err})
-			c.drop(k)
-			return
-		}
-		if broken {
+		if half && !late && errors.Is(err, os.ErrDeadlineExceeded) { // or the process stood still: the rest may lie there
+			late = true
+			k.due(time.Now().Add(catchUp))
 			continue
 		}
+		if half && errors.Is(err, os.ErrDeadlineExceeded) {
+			return errHalf
+		}
+		if err != nil {
+			return err
+		}
 		parser.Wrote(n)
+		whole := false
 		for {
 			f, ok, err := parser.Next()
 			if err != nil {
-				broken = true
-				c.s.put(reducer.Input{Kind: reducer.Malformed, Link: k.link, Err: err})
+				return err
 			}
 			if !ok {
 				break
 			}
+			whole = true
+			if k.ignored.Load() {
+				return errIgnored
+			}
 			f.Payload = append([]byte(nil), f.Payload...)
 			if !c.s.put(reducer.Input{Kind: reducer.Read, Link: k.link, Frame: f}) {
-				break
+				return c.s.ctx.Err()
 			}
 		}
+		was := half
+		if half = parser.Half(); half && (whole || !was) {
+			late = false
+			k.due(time.Now().Add(halfWait))
+		} else if !half && was {
+			k.due(time.Time{})
+		}
 	}
 }
 
@@ -158,7 +211,7 @@
 		return
 	}
 	most := pendingMost
-	if c.bytes.Load() > pendingAll {
+	if c.bytes.Load() > c.most {
 		most = pendingFew
 	}
 	if len(k.pending)+len(b) > most {
@@ -190,6 +243,13 @@
 	}
 }
 
+// ignore hands nothing more on of what comes.
+func (c *connections) ignore(link int) {
+	if k := c.get(link); k != nil {
+		k.ignored.Store(true)
+	}
+}
+
 // flush starts a writer on each connection with something to write.
 func (c *connections) flush() {
 	for _, k := range c.dirty {
@@ -209,12 +269,12 @@
 		b := k.pending
 		if len(b) == 0 || k.over {
 			k.writing = false
-			end := k.finished && !k.over
-			k.mu.Unlock()
-			if end { // the reader drops it at the peer's end, or when that does not come
+			if k.finished && !k.over { // the reader drops it at the peer's end, or when that does not come
+				k.ending = true
 				k.net.CloseWrite()
 				k.net.SetReadDeadline(time.Now().Add(lingerWait))
 			}
+			k.mu.Unlock()
 			return
 		}
 		k.pending, k.spare = k.spare[:0], nil
--- a/server/server.go
+++ b/server/server.go
@@ -24,8 +24,11 @@
 	heardWaiting  = 256                   // the same of the node's own peers
 	inputsAStep   = 256                   // inputs of each taken in one step, so that effects of the first are not held up
 	memoryPart    = 0.6                   // of the memory limit that the runtime aims at; the rest is for stacks and the kernel
-	spareMost     = 64                    // descriptors kept for the links, the listening socket, files and those about to close
-	spareLeast    = 24                    // of them where the limit is low: the node itself takes 13
+	ownFiles      = 14                    // descriptors of the node itself: files, listening socket, executor link, two reports
+	linkPart      = 8                     // part of the descriptors for links to the catalogue: one for each call in hand
+	linkLeast     = 4                     // of them where the limit is low
+	closingPart   = 16                    // part of the descriptors for connections that wait for their peer's end
+	closingLeast  = 4                     // of them where the limit is low
 	listenFor     = 3 * time.Second       // for the last life of the node to give its address up
 	listenAgain   = 50 * time.Millisecond // between tries at it
 	stoodStill    = 20 * time.Millisecond // past its time, a timer tells of a process that did not run
@@ -62,8 +65,8 @@
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1),
 		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}}
-	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6),
-		nameplate.Sockets-nameplate.spare(), nameplate.spare()/3)
+	connections, _, links := nameplate.shares()
+	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	return s
 }
 
@@ -87,8 +90,12 @@
 	}
 }
 
-// spare is how many descriptors are kept from dispatchers' connections.
-func (n *Nameplate) spare() int { return max(spareLeast, min(spareMost, n.Sockets/4)) }
+// shares says how the descriptors are parted: among dispatchers' connections, those of them that are about to
+// close, and links to the catalogue.
+func (n *Nameplate) shares() (connections, closing, links int) {
+	links, closing = max(linkLeast, n.Sockets/linkPart), max(closingLeast, n.Sockets/closingPart)
+	return n.Sockets - ownFiles - links - closing, closing, links
+}
 
 // Limit tells the runtime of the cores and memory that the nameplate allows, for programs that are nothing
 // but this node.
@@ -240,6 +247,8 @@
 		s.conns.finish(e.Link)
 	case reducer.Evict:
 		s.conns.evict(e.Link)
+	case reducer.Ignore:
+		s.conns.ignore(e.Link)
 	case reducer.Dial:
 		s.open(e.Link, e.Address, toExecutor)
 	case reducer.Reach:
