A call that may have run is repeated once where the operation is idempotent

At fault: control/control.go, callEnded and makeCalls. The dispatchers' own further tries had hidden most of the loss, at the price of a second reading and run.

Now: such a call is made once more, and while it may be, its reply is waited for no longer than six times what calls took of late. Both are left out for tokened and non-idempotent operations.

--- a/control/control.go
+++ b/control/control.go
@@ -1,5 +1,4 @@
 // Package control holds every decision of a node: what it takes, runs and turns away.
-//
 // A host makes one Post for a node's life with New and hands each batch of events to Decide, which returns
 // the actions to take, in order. It knows only what it is handed. The interface, types only, is package node.
 //
@@ -63,7 +62,8 @@
 	fewRuns      = 2.0   // runs whose overstaying tells half: a few large ones among few are no stall
 	soundPace    = 1.4   // times the usual cost under which it counts as sound again
 	echoShare    = 0.3   // of arrivals that are further tries past which other nodes turn work away too
-	callTries    = 4     // calls made for one need, while each is known not to have run
+	callTries    = 4     // calls made for one need; one that may have run counts for two
+	callLong     = 6.0   // times its usual length past which a reply hardly comes, where a call may be repeated
 )
 
 type state uint8
@@ -465,10 +465,9 @@
 	return crowdRoom * p.cores * (1 + (p.plate.TipMultiple-1)*warm)
 }
 
-// startRuns starts the hold in order under the limit. Reading and checks count towards it, though one run is
-// always let on: guards against a flood on which runs and reading both crawl; does harm where the gauge lags.
-// What returns from a call goes onto the cores unasked, so those off the cores have their bound: with runs
-// under the survivable crowd and, while no core is free, under the limit and twice their usual number.
+// startRuns starts the hold in order under the limit. Reading counts towards it, but one run always
+// goes on: guards against both crawling; does harm where the gauge lags. What left the cores returns unasked
+// and stays, with runs, under the crowd and, with no core free, under the limit and twice its usual number.
 func (p *Post) startRuns() {
 	room, all := max(1, p.limit-p.reading), p.survivable()
 	if !p.free {
@@ -546,9 +545,8 @@
 
 // Calls.
 
-// makeCalls makes the calls that invocations stand at, the highest billed value first, then the oldest. Where
-// that is allowed a call is left out that failed, or is likely to fail or to come too late; else what cannot
-// end in time even if called now is given up. Guards against a dependency so slow that all runs wait for it.
+// makeCalls makes the calls that runs stand at, highest billed value first, then the oldest. If allowed, one
+// that failed, or may fail or be late, is left out; else what can't end in time is given up.
 func (p *Post) makeCalls() {
 	p.order = p.order[:0]
 	for _, i := range p.live {
@@ -564,6 +562,8 @@
 		skippable, latest := v.op.SkipShare > 0, int64(p.objective(v)-p.expected(v))
 		if skippable {
 			until = min(until, latest)
+		} else if v.op.Effect == node.Idempotent && v.tries < callTries/2 && p.callTime.Mean(0) > 0 {
+			until = min(until, p.now+int64(callLong*p.callTime.Mean(0)*p.tightest))
 		}
 		switch {
 		case skippable && (failed || latest <= p.now || p.chance.Float64() < p.callFails.Mean(0)):
@@ -584,9 +584,8 @@
 	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
 }
 
-// callRoom is how long one more call may stay in hand: a third of what is left of the node's share if all in
-// hand are abandoned at their last moment, or some times what calls took of late where that fits. Guards
-// against a dependency that hangs and shares far below one call; does harm where calls take ever longer.
+// callRoom is how long one more call may take: a third of the share left if all in hand are left at the
+// last, or some times the usual. Guards against hangs, small shares; does harm where calls grow longer.
 func (p *Post) callRoom() int64 {
 	if p.plate.Below != node.SharedBelow {
 		return math.MaxInt64 / 4
@@ -606,7 +605,8 @@
 	return int64(room)
 }
 
-// callEnded learns how calls go; one that failed is repeated only where it is known not to have run.
+// callEnded learns how calls go; one that failed is repeated if known not to have run, or once if idempotent.
+// Guards against replies spoilt or lost; does harm where a dependency fails for the calls that it gets.
 func (p *Post) callEnded(v *invocation, outcome node.Outcome) {
 	took := float64(p.now - v.callAt)
 	p.callTime.Add(took / p.tightest)
@@ -620,7 +620,7 @@
 	p.callFails.Add(1)
 	p.shift(v, standing)
 	if outcome != node.Overloaded && outcome != node.Unreachable {
-		v.tries = callTries
+		v.tries += 1 + callTries*int(v.op.Effect) // no more, unless it is idempotent
 		p.callUsed.Add(p.now, float64(p.plate.Linger))
 	}
 }
