Gauges reach the module as they come; the hold is reckoned by the mean reading

At 1.76 s a node believed reading to take 8.0 cores while the gauge said none, kept 7 of 12 cores idle with 15 held, and had nothing to do half a second later, after 47 throttles in 250 ms. The pace of its runs was told as anything from 0.57 to 2.1 and health went bad twice within 3 s. Checked and ruled out: the level asked of callers (0.02 in the mean), the share of calls (hardly used), the links.

Cause: gauges were taken once a beat and smoothed over four of them, 200 ms, four times as long as a run here (control/control.go, take); the time in which the hold clears was reckoned as though a burst of reading went on for good (freeCores); eight samples of the pace are few where runs are skewed.

Now: every answer of the gauges is an event, and what else wants the cores is followed by the time that went by, a fifth of the shortest objective: what it was on a site with an objective of one second. The hold is reckoned by the mean over twice that objective, the pace over 24 runs.

--- a/control/control.go
+++ b/control/control.go
@@ -30,7 +30,9 @@
 	longMemory   = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
 	fade         = 0.98 // of what is remembered of arrivals kept for each beat: two and a half seconds of them
 	lagMemory    = 8.0  // arrivals over which the time unread is taken: a second or two
-	gaugeMemory  = 4.0  // beats over which the gauge of others is taken: short beside a run
+	gaugePart    = 0.2  // of the shortest objective, over which the gauge of others is taken: short beside a run
+	gaugeLong    = 2.0  // the same for their mean, by which the hold is reckoned to clear: bursts pass
+	paceMemory   = 24.0 // samples of the pace: fewer and a few skewed runs look like a slow node
 	awayTimes    = 2.0  // times the mean number off the cores that may be off them: calls come in waves
 	callerGone   = 0.05 // arrivals of late under which a caller is forgotten: what it heard has lapsed
 	callPart     = 3.0  // one call may take one of so many parts of the share left: some more must fit
@@ -110,25 +112,25 @@
 	live, order     []int32 // not ended, in order of arrival; the hold, in the order it is to run
 	tightest, cores float64 // ns of the shortest latency objective; how many cores there are
 
-	onCores, standing, inHand int     // on the cores, off them with no call made, off them with a call in hand
-	records                   []int64 // when kept records end
-	memory                    float64 // kB of what is held and run
-	coreClock                 float64 // ns that a run on the cores has had of one whole core since birth
-	away, reading             float64 // off the cores in the mean of late; others than runs that want the cores
-	stays                     tally.Stays
-	patient                   float64 // part of the client timeout that most callers wait
-	stall                     float64 // times the usual cost that every run has overstayed
-	lag                       float64 // ns that arrivals lay unread of late
+	onCores, standing, inHand  int     // on the cores, off them with no call made, off them with a call in hand
+	records                    []int64 // when kept records end
+	memory                     float64 // kB of what is held and run
+	coreClock                  float64 // ns that a run on the cores has had of one whole core since birth
+	away, reading, meanReading float64 // mean off the cores; others that want cores, now and as a mean
+	stays                      tally.Stays
+	patient                    float64 // part of the client timeout that most callers wait
+	stall                      float64 // times the usual cost that every run has overstayed
+	lag                        float64 // ns that arrivals lay unread of late
 
 	limit, throughput, workDone float64 // throughput is the best seen at the last lower limit
 
 	callUsed                  tally.Window // ns of calls in hand over the last span
 	pace, callFails, callTime tally.Ratios // of late; callTime over the shortest objective
 
-	windowAt, noticed, intakeEnd, drainEnd int64
-	opened, closed                         int  // invocations ever read, and ended
-	atNotice, closedBefore                 int  // in flight and ended at the notice
-	unhealthy, free, drained               bool // free: a core was idle at the last beat
+	gauged, windowAt, noticed, intakeEnd, drainEnd int64 // gauged: when the gauges came
+	opened, closed                                 int   // invocations ever read, and ended
+	atNotice, closedBefore                         int   // in flight and ended at the notice
+	unhealthy, free, drained                       bool  // free: a core was idle at the last beat
 
 	open, said                  float64           // open is the part of all that could be asked for
 	allFull                     bool              // other nodes seem to turn work away too
@@ -143,7 +145,7 @@
 func New(plate *node.Nameplate, now int64) *Post {
 	cores := float64(plate.Cores)
 	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
-		pace: ratios(shortMemory), callFails: ratios(shortMemory), callTime: ratios(shortMemory),
+		pace: ratios(paceMemory), callFails: ratios(shortMemory), callTime: ratios(shortMemory),
 		stays: tally.NewStays(patienceBins, longMemory), callUsed: tally.NewWindow(plate.CallSpan, callSlices),
 		windowAt: now, cores: cores, limit: cores, open: 1, tightest: math.Inf(1), said: -1,
 		patient: 1, callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)+1)}
@@ -209,7 +211,9 @@
 		p.free = e.Busy >= 0 && e.Busy < freeBusy
 		if e.Runnable >= 0 {
 			p.free = e.Runnable < p.cores
-			p.reading += (max(0, e.Runnable-float64(p.onCores)) - p.reading) / gaugeMemory
+			others, part := max(0, e.Runnable-float64(p.onCores)), float64(p.now-p.gauged)/p.tightest
+			p.reading, p.gauged = p.reading+(others-p.reading)*min(1, part/gaugePart), p.now
+			p.meanReading += (others - p.meanReading) * min(1, part/gaugeLong)
 		}
 	case p.invs[i].state == ended:
 	case e.Kind == node.CallerGone:
@@ -371,11 +375,10 @@
 	return sum
 }
 
-// freeCores is what reading and checks leave to runs.
-func (p *Post) freeCores() float64 { return max(p.cores/2, p.cores-p.reading) }
+// freeCores is what reading and checks leave to runs while the hold clears.
+func (p *Post) freeCores() float64 { return max(p.cores/2, p.cores-p.meanReading) }
 
-// wait is how long the hold would take to clear, with the time that arrivals lay unread while any do: a node
-// that asked for little hears of little, and would else stay shut for good.
+// wait is how long the hold would take to clear, with the time that arrivals lay unread while any do.
 func (p *Post) wait() float64 {
 	return p.work(held)/p.freeCores() + p.lag*min(1, p.reading) + p.callWait()
 }
@@ -404,7 +407,7 @@
 			p.order = append(p.order, i)
 		}
 	}
-	p.sortOrder()
+	slices.SortStableFunc(p.order, p.byKey)
 	ahead := p.work(running)
 	p.order = slices.DeleteFunc(p.order, func(i int32) bool {
 		v := &p.invs[i]
@@ -465,9 +468,8 @@
 	return crowdRoom * p.cores * (1 + (p.plate.TipMultiple-1)*warm)
 }
 
-// startRuns starts the hold in order under the limit. Reading counts towards it, but one run always
-// goes on: guards against both crawling; does harm where the gauge lags. What left the cores returns unasked
-// and stays, with runs, under the crowd and, with no core free, under the limit and twice its usual number.
+// startRuns starts the hold in order. Reading counts towards the limit, but one run always goes on. What left
+// the cores returns unasked, so it has a bound with runs: the crowd or, with no core free, twice its usual.
 func (p *Post) startRuns() {
 	room, all := max(1, p.limit-p.reading), p.survivable()
 	if !p.free {
@@ -555,7 +557,7 @@
 			p.order = append(p.order, i)
 		}
 	}
-	p.sortOrder()
+	slices.SortStableFunc(p.order, p.byKey)
 	for _, i := range p.order {
 		v, room := &p.invs[i], p.callRoom()
 		until, failed := min(v.due-answerMargin, p.now+room), v.tries >= callTries
@@ -580,9 +582,7 @@
 	}
 }
 
-func (p *Post) sortOrder() {
-	slices.SortStableFunc(p.order, func(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) })
-}
+func (p *Post) byKey(a, b int32) int { return cmp.Compare(p.invs[b].key, p.invs[a].key) }
 
 // callRoom is how long one more call may take: a third of the share left if all in hand are left at the
 // last, or some times the usual. Guards against hangs, small shares; does harm where calls grow longer.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -466,3 +466,33 @@
 	p.adjustAdvice()
 	assert.InDelta(t, adviceLow+adviceUp, p.open, 1e-9)
 }
+
+// The service days of meubles-rennes: a burst being read, or a few long runs, made nodes throttle what they had room for.
+func TestABurstOfReadingDoesNotShrinkWhatTheHoldIsReckonedToClear(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Cores = 8 })
+	for range 20 { // a second of little reading, then a beat of much
+		p.now += 50 * ms
+		p.take(&node.Event{Kind: node.TimerDue, Busy: 0.5, Runnable: 1})
+	}
+	p.now += 50 * ms
+	p.take(&node.Event{Kind: node.TimerDue, Busy: 1, Runnable: 9})
+	assert.InDelta(t, 6.8, p.freeCores(), 0.05)
+	assert.InDelta(t, 3, p.reading, 0.1, "the limit follows it at once")
+	now := p.now
+	p.now += 10 * ms
+	p.take(&node.Event{Kind: node.TimerDue, Busy: 1, Runnable: 9})
+	assert.InDelta(t, 3.3, p.reading, 0.1, "by the time that went by, not by the gauge")
+	assert.Equal(t, now+10*ms, p.gauged)
+}
+
+func TestAFewLongRunsAreNoSlowNode(t *testing.T) {
+	p := post()
+	for range 20 {
+		p.pace.Add(1)
+	}
+	for range 3 {
+		p.pace.Add(4)
+	}
+	p.adjustHealth()
+	assert.False(t, p.unhealthy)
+}
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -175,7 +175,9 @@
 			r.runnable = v
 		}
 	}
-	r.metered = r.now
+	if r.metered = r.now; r.post != nil && r.synced {
+		r.events = append(r.events, node.Event{Kind: node.TimerDue, Busy: r.busy, Runnable: r.runnable})
+	}
 	if tag == r.syncTag() && !r.synced {
 		r.synced, r.proving = true, 0
 		for i := range r.unread {
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -217,6 +217,12 @@
 	assert.Zero(t, asked(r.Step(r.now+1, 1_000_000*ms, nil)))
 }
 
+func TestGaugesReachTheModuleAsTheyCome(t *testing.T) {
+	r := up(t)
+	told(r, "METERS m0 0.5 3 0.1 3")
+	assert.Equal(t, []node.Event{{Kind: node.TimerDue, Busy: 0.5, Runnable: 3}}, r.events)
+}
+
 func TestLinkThatCannotBeHadIsTriedAgain(t *testing.T) {
 	r := up(t)
 	for range 3 { // the first ends, the others are refused
