Drain: intake stays open for as long as grace and the longest objective allow

The logs show intake ending 0.55 s after the notice, nothing in flight 0.05 s later, and the dispatchers hearing of it 4.5 s after the notice. Ruled out: connections lost at the close of the listening socket (none reset); the next node, which was up within 0.6 s of the old one's end but known to nobody for 5 s.

Cause: both durations of the source were shrunk in the same proportion (control/control.go, drain), so that of 2.75 s a fifth went to the delay and four fifths to work that ends within half a second. Now the budget is shrunk first, down to the longest objective, and the delay takes what that leaves, within the told grace as before. The source's order, its sample, its counted aborts stay; an abort is still due 300 ms before the kill. Harm: work that takes longer than its objective has less time.

--- a/control/control.go
+++ b/control/control.go
@@ -111,6 +111,7 @@
 	invs            []invocation
 	live, order     []int32 // not ended, in order of arrival; the hold, in the order it is to run
 	tightest, cores float64 // ns of the shortest latency objective; how many cores there are
+	slowest         int64   // ns of the longest latency objective
 
 	onCores, standing, inHand  int     // on the cores, off them with no call made, off them with a call in hand
 	records                    []int64 // when kept records end
@@ -152,6 +153,7 @@
 	for i := range plate.Operations {
 		p.ops = append(p.ops, operation{&plate.Operations[i], ratios(longMemory), ratios(longMemory)})
 		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
+		p.slowest = max(p.slowest, plate.Operations[i].Objective)
 	}
 	if plate.Fresh {
 		p.open = plate.ColdFrom
@@ -263,8 +265,6 @@
 	p.closed++
 }
 
-// Intake.
-
 // intake takes what was read into the hold, joins it to the invocation it repeats, or turns it away.
 func (p *Post) intake(e *node.Event) {
 	p.invs = append(p.invs, make([]invocation, max(0, int(e.Inv)+1-len(p.invs)))...)
@@ -625,8 +625,6 @@
 	}
 }
 
-// Deadlines.
-
 // keepDeadlines answers what is due and stops runs that can earn nothing more.
 func (p *Post) keepDeadlines() {
 	for _, i := range p.live {
@@ -651,9 +649,8 @@
 	}
 }
 
-// Drain.
-
-// drain is beat 1: bad health, a sample of what is in flight. Both durations shrink to fit under the kill.
+// drain is beat 1: bad health, a sample of what is in flight. Both durations shrink to fit under the kill,
+// the delay only as far as the longest objective needs: guards against refusals while callers hear late.
 func (p *Post) drain(kill int64) {
 	if p.noticed == 0 {
 		p.noticed, p.atNotice, p.closedBefore = p.now, p.opened-p.closed, p.closed
@@ -661,9 +658,11 @@
 		p.unhealthy, p.next = true, p.now
 		p.tellHealth()
 	}
-	scale := min(1, max(0, float64(kill-killMargin-p.noticed)/float64(preDrain+drainBudget)))
-	p.intakeEnd = min(p.intakeEnd, p.noticed+min(int64(scale*float64(preDrain)), p.plate.DrainGrace))
-	p.drainEnd = min(p.drainEnd, p.intakeEnd+int64(scale*float64(drainBudget)))
+	room := max(0, kill-killMargin-p.noticed)
+	scale := min(1, float64(room)/float64(preDrain+drainBudget))
+	delay := max(int64(scale*float64(preDrain)), min(preDrain, room-p.slowest))
+	p.intakeEnd = min(p.intakeEnd, p.noticed+min(delay, p.plate.DrainGrace))
+	p.drainEnd = min(p.drainEnd, p.noticed+room, p.intakeEnd+int64(scale*float64(drainBudget)))
 }
 
 // keepDrain stops intake and ends beat 3 once nothing is open; at the deadline the rest is aborted, counted.
@@ -687,8 +686,6 @@
 		"drain: in flight at start %d, completed %d, abandoned %d", p.atNotice, completed, abandoned)})
 }
 
-// Health.
-
 // adjustHealth reports bad in a drain or while doing worse than usual; were full ones bad, none were left.
 func (p *Post) adjustHealth() {
 	if p.stall = 0; p.onCores == 0 {
@@ -711,8 +708,6 @@
 // tellHealth answers checks from store, since a full one costs work.
 func (p *Post) tellHealth() { p.do(node.Action{Kind: node.Health, Good: !p.unhealthy, Stored: true}) }
 
-// Advice.
-
 // adjustAdvice tells callers how much to send: less while the wait is long, more while it is short.
 func (p *Post) adjustAdvice() {
 	p.arrivals, p.echoes, p.throttled = p.arrivals*fade, p.echoes*fade, p.throttled*fade
