--- a/control/control.go
+++ b/control/control.go
@@ -724,7 +724,7 @@
 	}
 	if wait := p.wait(); wait > pressureHigh*p.tightest {
 		p.open = max(adviceLow, p.open*(1-adviceDown))
-	} else if wait < pressureLow*p.tightest && (p.opened > 0 || !p.plate.Fresh) {
+	} else if wait < pressureLow*p.tightest {
 		p.open = min(1, p.open+adviceUp)
 	}
 	value, away := p.open, 0.0
