--- a/reducer/catalogue.go
+++ b/reducer/catalogue.go
@@ -15,7 +15,6 @@
 	address string
 	up      bool
 	inv     int32 // whose call it carries, -1 for none
-	used    bool  // it has carried a call that ended well
 	strange bool  // it brought what was not asked for
 	since   int64 // when it came to stand idle
 }
@@ -83,7 +82,7 @@
 			idle++
 		}
 	}
-	s.inv, s.since, s.used = -1, r.now, true
+	s.inv, s.since = -1, r.now
 	if s.strange || s.address != r.to.Catalogue || idle >= idleMost {
 		r.leave(k)
 	}
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -152,7 +152,7 @@
 	got := step(r, Input{Kind: Replied, Link: r.supplies[0].link, Line: lines.Line{Words: []string{other, "DATA", "1"},
 		Body: []byte("x")}})
 	assert.Equal(t, "RETURN "+other+" 1\r\nx\r\n", text(got, Tell))
-	assert.True(t, r.supplies[0].used && r.supplies[0].inv < 0, "kept for the next first call of a run")
+	assert.True(t, r.supplies[0].up && r.supplies[0].inv < 0, "kept for the next first call of a run")
 	told(r, "CALLOUT 3 "+other+" 3|ask")
 	assert.Len(t, r.supplies, 2, "a second copy of the first reply can't pass for the second's")
 	got = step(r, Input{Kind: Replied, Link: r.supplies[0].link, Line: lines.Line{Words: []string{other, "DATA", "0"}}})
