While no call is in hand one is made, however long calls took of late

A probe of call outcomes shows no call made by two of three nodes after 5 s: calls had taken 370 to 417 ms in the mean of late, past what any standing run had left, so every run was given up at its call. Ruled out: links (49 idle ones broke, all noticed; 4 calls met a forgotten one), the share of calls (21 s free), the catalogue, which answered the third node.

Cause: what calls take is learned from calls alone (control/control.go, makeCalls); with none made the node stays at what it last believed, for good. Now what can't end in time is given up only while another call is in hand. Guards against any lasting belief in a slow dependency; harm: one call at a time to one that is slow indeed.

--- a/control/control.go
+++ b/control/control.go
@@ -545,10 +545,9 @@
 	}
 }
 
-// Calls.
-
 // makeCalls makes the calls that runs stand at, highest billed value first, then the oldest. If allowed, one
-// that failed, or may fail or be late, is left out; else what can't end in time is given up.
+// that failed, or may fail or be late, is left out; else what can't end in time is given up while one is in
+// hand: were none made, nothing would tell that calls are short again.
 func (p *Post) makeCalls() {
 	p.order = p.order[:0]
 	for _, i := range p.live {
@@ -571,7 +570,7 @@
 		case skippable && (failed || latest <= p.now || p.chance.Float64() < p.callFails.Mean(0)):
 			p.do(node.Action{Kind: node.SkipCall, Inv: i})
 			p.shift(v, running)
-		case failed, !skippable && v.op.LateShare == 0 &&
+		case failed, !skippable && v.op.LateShare == 0 && p.inHand > 0 &&
 			float64(p.now)+p.callTime.Mean(0)*p.tightest > p.objective(v):
 			p.giveUp(i)
 		case room > 0 && until > p.now:
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -170,6 +170,7 @@
 	assert.Equal(t, []node.ActionKind{node.Throttle}, kinds(p))
 	p.out = p.out[:0]
 	p.now += 900 * ms
+	put(p, 0, calling)
 	p.makeCalls()
 	assert.Equal(t, node.Fail, p.out[0].Kind)
 }
@@ -502,3 +503,16 @@
 	p.adjustHealth()
 	assert.False(t, p.unhealthy)
 }
+
+// The service day on which, after some seconds of a slow dependency, no call was made any more.
+func TestOneCallIsAlwaysMadeHoweverLongCallsTookOfLate(t *testing.T) {
+	p := post()
+	for range 12 {
+		p.callTime.Add(2) // of the shortest objective
+	}
+	put(p, 0, standing)
+	put(p, 0, standing)
+	p.makeCalls()
+	assert.Equal(t, []node.ActionKind{node.Call, node.Fail}, kinds(p))
+	assert.Equal(t, calling, p.invs[0].state)
+}
