Drain: callers are asked away only a second before intake ends

Ruled out: health, which those dispatchers that check it hear in any case; the list, which changes 4.5 s after the notice.

Cause: the free value said 'nothing here' from the notice on (control/control.go, adjustAdvice), so the delay, kept open for callers that hear late, was hardly used by those that hear at once. Harm: where all callers heed health alone it changes nothing; where others are idle, those asked away a second later.

--- a/control/control.go
+++ b/control/control.go
@@ -24,6 +24,7 @@
 	preDrain     = 5_000 * ms  // ns of the paper's pre-drain delay
 	drainBudget  = 20_000 * ms // ns of the paper's drain timeout
 	killMargin   = 300 * ms    // ns kept free before the kill, room for a pause
+	awayLead     = 1_000 * ms  // ns before the end of intake at which callers are asked away: long enough to hear
 
 	binCount     = 28   // bins: ratios of 1/128 to 128
 	binsAnOctave = 2.0  // bins to a factor of two: coarse, yet within a fifth
@@ -456,8 +457,6 @@
 	return inside + (1-inside)*p.plate.OverShare
 }
 
-// Running limit.
-
 // survivable is the crowd on the cores that is safe now, at the slowest warm-up that is guaranteed.
 func (p *Post) survivable() float64 {
 	warm := 1.0
@@ -732,7 +731,7 @@
 	} else if p.plate.Advice == node.CreditAdvice { // for each caller that counts, unequal as they are
 		value *= creditTop * p.cores / max(1, sum*sum/squares)
 	}
-	if p.noticed != 0 {
+	if p.noticed != 0 && p.now >= p.intakeEnd-awayLead {
 		value = away
 	}
 	value = math.Ceil(value*100) / 100 // never rounded to nothing
