--- a/control/control.go
+++ b/control/control.go
@@ -24,7 +24,7 @@
 	preDrain     = 5_000 * ms  // ns of the paper's pre-drain delay
 	drainBudget  = 20_000 * ms // ns of the paper's drain timeout
 	killMargin   = 300 * ms    // ns kept free before the kill, room for a pause
-	awayLead     = 1_000 * ms  // ns before the end of intake at which callers are asked away: long enough to hear
+	awayLead     = 1_000 * ms  // ns before the end of intake at which callers are asked away: time to hear
 
 	binCount     = 28   // bins: ratios of 1/128 to 128
 	binsAnOctave = 2.0  // bins to a factor of two: coarse, yet within a fifth
