--- a/control/control.go
+++ b/control/control.go
@@ -731,7 +731,7 @@
 	} else if p.plate.Advice == node.CreditAdvice { // for each caller that counts, unequal as they are
 		value *= creditTop * p.cores / max(1, sum*sum/squares)
 	}
-	if p.noticed != 0 && p.now >= p.intakeEnd-awayLead || p.lag*min(1, p.reading) > p.tightest {
+	if p.noticed != 0 && p.now >= p.intakeEnd-awayLead {
 		value = away
 	}
 	value = math.Ceil(value*100) / 100 // never rounded to nothing
