--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -93,7 +93,7 @@
 
 func main() {
 	var line struct {
-		Serve   serve   `cmd:"" help:"Serve as one node until it is told to drain."`
+		Serve   serve   `cmd:"" help:"Serve as one node: SIGTERM drains, a second one stops, SIGHUP reads the configuration anew."`
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
