--- a/control/control.go
+++ b/control/control.go
@@ -66,7 +66,7 @@
 	soundPace    = 1.4   // times the usual cost under which it counts as sound again
 	echoShare    = 0.3   // of arrivals that are further tries past which other nodes turn work away too
 	callTries    = 4     // calls made for one need; one that may have run counts for two
-	callLong     = 20.0  // times its usual length past which a reply hardly comes, where a call may be repeated
+	callLong     = 6.0   // times its usual length past which a reply hardly comes, where a call may be repeated
 )
 
 type state uint8
@@ -618,7 +618,7 @@
 	p.callFails.Add(1)
 	p.shift(v, standing)
 	if outcome != node.Overloaded && outcome != node.Unreachable {
-		v.tries += 1 + callTries*int(v.op.Effect) + int(callTries*p.callFails.Mean(0)) // none while half fail
+		v.tries += 1 + callTries*int(v.op.Effect) // no more, unless it is idempotent
 		p.callUsed.Add(p.now, float64(p.plate.Linger))
 	}
 }
