--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -28,7 +28,7 @@
 	diagWait    = 900 * ms    // ns that a deep check may take: dispatchers wait little longer
 	redialFirst = 2 * ms      // ns to the first new try at a link that ended
 	redialMost  = 500 * ms    // ns to any further try
-	idleTrust   = 100 * ms   // ns of standing idle past which a link to the catalogue is left: it may be forgotten there
+	idleTrust   = 100 * ms    // ns of standing idle past which a link to the catalogue is left: it may be forgotten there
 	idleMost    = 8           // links to the catalogue that may stand idle: those of a burst are not kept
 	commandMost = 65_536      // commands not known to be read: two for each invocation that connections can hold
 	silentMost  = 2_000 * ms  // ns without a line of the executor, asked for gauges each beat, past which its link is opened anew
