One connection may have 64 frames waiting for the reducer at the most

Now a reader takes a turn for each frame and gets it back once the reducer took it; 64 are twice what may be open.

--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -20,6 +20,7 @@
 	acceptAgain = 20 * time.Millisecond
 	acceptLast  = 5 * time.Millisecond   // for what waits to be accepted when intake stops
 	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
+	turnsMost   = 64                     // frames of one connection that may wait for the reducer: twice its streams
 	halfWait    = 2 * time.Second        // for the rest of a frame that has begun: it is written with one call
 	ignorePause = 20 * time.Millisecond  // between reads of what is of no use: never at the peer's full speed
 	ignoredOnce = 4 << 10                // bytes of it taken with one read
@@ -46,6 +47,7 @@
 	ending   bool // all is written, and the peer's end is waited for
 	over     bool
 	ignored  atomic.Bool
+	turns    chan struct{} // one for each of its frames that wait for the reducer
 }
 
 // due is when the next read is to end at the latest; at its end a connection has a time of its own.
@@ -93,7 +95,7 @@
 			time.Sleep(acceptAgain)
 			conn, err = c.s.listener.Accept()
 		}
-		k := &connection{link: next, net: conn.(*net.TCPConn)}
+		k := &connection{link: next, net: conn.(*net.TCPConn), turns: make(chan struct{}, turnsMost)}
 		c.mu.Lock()
 		c.open[next] = k
 		c.mu.Unlock()
@@ -169,6 +171,11 @@
 				return errIgnored
 			}
 			f.Payload = append([]byte(nil), f.Payload...)
+			select {
+			case k.turns <- struct{}{}:
+			case <-c.s.ctx.Done():
+				return c.s.ctx.Err()
+			}
 			if !c.s.put(reducer.Input{Kind: reducer.Read, Link: k.link, Frame: f}) {
 				return c.s.ctx.Err()
 			}
@@ -183,6 +190,19 @@
 	}
 }
 
+// taken gives a connection the turns back of its frames that the reducer took. Guards against one that floods and
+// keeps those of others waiting behind its own; does harm to none that keeps to its streams.
+func (c *connections) taken(inputs []reducer.Input) {
+	for i := range inputs {
+		if inputs[i].Kind != reducer.Read {
+			continue
+		}
+		if k := c.get(inputs[i].Link); k != nil {
+			<-k.turns
+		}
+	}
+}
+
 // drop frees what a connection held.
 func (c *connections) drop(k *connection) {
 	k.mu.Lock()
--- a/server/server.go
+++ b/server/server.go
@@ -208,6 +208,7 @@
 			}
 		}
 		s.forget(inputs)
+		s.conns.taken(inputs)
 		clear(inputs)
 		s.conns.flush()
 		timer.Reset(time.Duration(max(0, wake-now)))
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -8,6 +8,9 @@
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"topazpost/frame"
+	"topazpost/reducer"
 )
 
 const config = `{"name":"n1","listen":"127.0.0.1:0","executor":"127.0.0.1:1","control":"127.0.0.1:1",
@@ -28,6 +31,34 @@
 	assert.NoError(t, s.Run(context.Background()))
 }
 
+func TestOneConnectionCannotFillTheQueue(t *testing.T) {
+	s := server(t)
+	s.ctx, s.conns = context.Background(), newConnections(s)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer peer.Close()
+	own, err := listener.Accept()
+	require.NoError(t, err)
+	k := &connection{link: 1, net: own.(*net.TCPConn), turns: make(chan struct{}, turnsMost)}
+	s.conns.open[1] = k
+	go s.conns.frames(k)
+	for range turnsMost + 1 {
+		_, err = peer.Write(frame.Append(nil, frame.Check, 1, []byte{0}))
+		require.NoError(t, err)
+	}
+	var inputs []reducer.Input
+	for range turnsMost {
+		inputs = append(inputs, <-s.inputs)
+	}
+	assert.Len(t, k.turns, turnsMost, "no turn is left for a further one")
+	assert.Empty(t, s.inputs)
+	s.conns.taken(inputs[:1])
+	assert.Equal(t, reducer.Read, (<-s.inputs).Kind)
+}
+
 func TestEndOfTheContextStopsAtOnce(t *testing.T) {
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
