One state line a second at level debug, and a reason with each invocation given up

Change: Post.State and the reducer's sample, logged at level debug; throttles and failures carry why. Measured: tests pass; behaviour unchanged.

--- a/control/control.go
+++ b/control/control.go
@@ -285,7 +285,7 @@
 	v.ran = e.Repeats == node.EndedRepeat || e.Repeats >= 0 && p.invs[e.Repeats].ran
 	switch {
 	case p.noticed != 0 && p.now >= p.intakeEnd:
-		p.giveUp(e.Inv)
+		p.giveUp(e.Inv, node.Draining)
 	case e.Repeats != node.NoRepeat:
 		p.do(node.Action{Kind: node.Reuse, Inv: e.Inv})
 		p.shift(v, joined)
@@ -302,14 +302,14 @@
 		p.do(node.Action{Kind: node.Record, Inv: i, For: until - p.now})
 		p.records = append(p.records, until)
 	} else if p.invs[i].op.Effect == node.Tokened {
-		p.giveUp(i)
+		p.giveUp(i, node.Crowded)
 	}
 }
 
 func (p *Post) recordKB() float64 { return float64(len(p.records)) * p.plate.EntryKB }
 
 // giveUp gives the final answer to what will not be served, at once.
-func (p *Post) giveUp(i int32) {
+func (p *Post) giveUp(i int32, why node.Why) {
 	v := &p.invs[i]
 	if v.answered {
 		return
@@ -319,9 +319,9 @@
 		if p.throttled++; !p.plate.RetriesMarked {
 			p.echoes++ // where they bear no mark, what is turned away here tells of those to come
 		}
-		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: v.further || p.allFull})
+		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: v.further || p.allFull, Why: why})
 	} else {
-		p.do(node.Action{Kind: node.Fail, Inv: i})
+		p.do(node.Action{Kind: node.Fail, Inv: i, Why: why})
 	}
 	p.letGo(i)
 }
@@ -417,7 +417,7 @@
 			end += ahead / p.freeCores()
 		}
 		if end-skew*p.expected(v) > p.objective(v) && (v.op.LateShare == 0 || end > p.left(v)) {
-			p.giveUp(i)
+			p.giveUp(i, node.Hopeless)
 			return true
 		}
 		ahead += p.expected(v)
@@ -571,7 +571,7 @@
 			p.shift(v, running)
 		case failed, !skippable && v.op.LateShare == 0 && p.inHand > 0 &&
 			float64(p.now)+p.callTime.Mean(0)*p.tightest > p.objective(v):
-			p.giveUp(i)
+			p.giveUp(i, node.Callless)
 		case room > 0 && until > p.now:
 			v.callAt, v.callUntil, v.tries = p.now, until, v.tries+1
 			p.do(node.Action{Kind: node.Call, Inv: i, At: until})
@@ -629,7 +629,7 @@
 		v := &p.invs[i]
 		futile := v.state == running && p.plate.Halting != node.NoHalt && v.op.LateShare == 0
 		if v.state != ended && (futile && float64(p.now) > p.objective(v) || p.now >= v.due-answerMargin) {
-			p.giveUp(i)
+			p.giveUp(i, node.Overdue)
 		}
 		if v.state == running && v.answered {
 			p.letGo(i) // again: a stop has no effect while the cores stand still
@@ -642,7 +642,7 @@
 	p.records = slices.DeleteFunc(p.records, func(until int64) bool { return until < p.now })
 	for k := len(p.order) - 1; k >= 0 && p.memory+p.recordKB() > (1+memoryRoom)/2*p.plate.MemoryKB; k-- {
 		if p.invs[p.order[k]].state == held {
-			p.giveUp(p.order[k])
+			p.giveUp(p.order[k], node.Crowded)
 		}
 	}
 }
@@ -676,7 +676,7 @@
 				return
 			}
 			abandoned++
-			p.giveUp(i)
+			p.giveUp(i, node.Draining)
 		}
 	}
 	p.drained = true
@@ -740,3 +740,20 @@
 	}
 	p.said = value
 }
+
+// State is what decisions stand on now; it changes nothing.
+func (p *Post) State() node.State {
+	waiting := 0
+	for _, i := range p.live {
+		if p.invs[i].state == held {
+			waiting++
+		}
+	}
+	return node.State{Limit: p.limit, OnCores: p.onCores, Held: waiting, Standing: p.standing, InHand: p.inHand, Away: p.away,
+		Wait: p.wait(), CallWait: p.callWait(), Lag: p.lag, Reading: p.reading, MeanReading: p.meanReading,
+		Pace: p.pace.Mean(1), Stall: p.stall, Patient: p.patient, CallTime: p.callTime.Mean(0) * p.tightest,
+		CallFails: p.callFails.Mean(0), CallRoom: float64(p.callRoom()), Open: p.open, Said: p.said,
+		CallUsed: p.callUsed.Sum() / max(1, p.plate.CallShare*float64(p.plate.CallSpan)),
+		Arrivals: p.arrivals, Echoes: p.echoes, Throttled: p.throttled, Callers: len(p.callers),
+		Memory: p.memory, AllFull: p.allFull, Unhealthy: p.unhealthy, Free: p.free}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -178,5 +178,6 @@
 	Good    bool
 	Stored  bool
 	NoRetry bool
+	Why     Why // Throttle, Fail
 	Text    string
 }
--- a/reducer/helpers_test.go
+++ b/reducer/helpers_test.go
@@ -35,12 +35,12 @@
 	return r
 }
 
-// step moves the clock on by a millisecond and returns the effects but for those that only wake, remark,
+// step moves the clock on by a millisecond and returns the effects but for those that only wake, remark, sample,
 // report or ask for gauges.
 func step(r *Reducer, inputs ...Input) (got []Effect) {
 	for _, e := range r.Step(r.now+ms, r.now+ms+1_000_000*ms, inputs) {
 		proof := e.Kind == Tell && strings.HasPrefix(string(e.Bytes), "METER m")
-		if e.Kind != Wake && e.Kind != Remark && e.Kind != Report && !proof {
+		if e.Kind != Wake && e.Kind != Remark && e.Kind != Report && e.Kind != Sample && !proof {
 			got = append(got, e)
 		}
 	}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -39,6 +39,7 @@
 	endWait     = 1_000 * ms  // ns that what is open on a connection that can't be understood may still take
 	faultsMost  = 16          // invocations that can't be used on one connection, past which it is not heard any more
 	reportEvery = 1_000 * ms  // ns between reports, three to the time after which an entry lapses
+	stateEvery  = 1_000 * ms  // ns between samples of the state: fine beside what operators act on, a line a second
 	reportAgain = 200 * ms    // ns to the next try after one that failed
 	never       = math.MaxInt64
 )
@@ -151,6 +152,10 @@
 	reportAt            int64
 	reporting           int // the report that is under way, 0 where none is
 	noticed, shut, left bool
+
+	stateAt int64          // when the next sample of the state is due
+	givenUp [node.Whys]int // invocations given up by reason since the last one
+	counted Counters       // the counters at the last one
 }
 
 // New is the state of a node that has just started. Settings are those of its configuration, connections and
@@ -192,6 +197,7 @@
 		}
 	}
 	r.prove()
+	r.keepState()
 	r.keepLeaving()
 	wake := r.wake()
 	r.Guard.Hold(wake > now, "the next wake lies ahead")
@@ -282,8 +288,10 @@
 	case node.Run:
 		r.run(a.Inv)
 	case node.Throttle:
+		r.givenUp[a.Why]++
 		r.throttle(a)
 	case node.Fail:
+		r.givenUp[a.Why]++
 		r.fail(a.Inv)
 	case node.Call:
 		r.call(a.Inv, a.At)
--- /dev/null
+++ b/reducer/state.go
@@ -0,0 +1,53 @@
+package reducer
+
+import "topazpost/node"
+
+// State is what the whole node stands on at a moment: what its module goes by, and what its doors hold. Counts
+// with a name in the past are of the time since the last sample. Times are nanoseconds.
+type State struct {
+	node.State
+	Succeeded   int            `json:"succeeded"`
+	Refused     int            `json:"refused"` // answered by a throttle
+	Errored     int            `json:"errored"`
+	Gone        int            `json:"gone"` // the caller left
+	GivenUp     map[string]int `json:"given_up,omitempty"`
+	Connections int            `json:"connections"` // of dispatchers
+	Links       int            `json:"links"`       // to the catalogue, open or being opened
+	Idle        int            `json:"idle"`        // of them
+	Waiting     int            `json:"waiting"`     // calls without a link
+	Unread      int            `json:"unread"`      // commands that the executor may not have read
+	GaugeAge    int64          `json:"gauge_age_ns"`
+	Synced      bool           `json:"synced"` // the executor's link carries commands
+}
+
+// keepState samples the state once a second while the module decides; the beat keeps the node awake for it.
+func (r *Reducer) keepState() {
+	if r.post == nil || r.now < r.stateAt {
+		return
+	}
+	s := r.state()
+	r.stateAt, r.counted, r.givenUp = r.now+stateEvery, r.Counters, [node.Whys]int{}
+	r.do(Effect{Kind: Sample, State: s})
+}
+
+// state is the state now.
+func (r *Reducer) state() *State {
+	s := &State{State: r.post.State(), Succeeded: r.Counters.Succeeded - r.counted.Succeeded,
+		Refused: r.Counters.Throttled - r.counted.Throttled, Errored: r.Counters.Errored - r.counted.Errored,
+		Gone: r.Counters.Gone - r.counted.Gone, Connections: len(r.conns), Links: len(r.supplies),
+		Waiting: len(r.waiting), Unread: len(r.unread), GaugeAge: r.now - r.metered, Synced: r.synced}
+	for why, n := range r.givenUp {
+		if n > 0 {
+			if s.GivenUp == nil {
+				s.GivenUp = make(map[string]int)
+			}
+			s.GivenUp[node.Names[why]] = n
+		}
+	}
+	for k := range r.supplies {
+		if r.supplies[k].up && r.supplies[k].inv < 0 {
+			s.Idle++
+		}
+	}
+	return s
+}
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -63,6 +63,7 @@
 	Leave                     // all is done: flush and end
 	Wake                      // step again at this time at the latest
 	Remark                    // log
+	Sample                    // show the state
 )
 
 // Level is how loud a remark is.
@@ -87,4 +88,5 @@
 	Text    string
 	ID      string
 	Err     error
+	State   *State // Sample
 }
--- a/server/server.go
+++ b/server/server.go
@@ -262,6 +262,8 @@
 		s.report(e)
 	case reducer.Shut:
 		s.conns.shut()
+	case reducer.Sample:
+		s.log.Debug().Interface("state", e.State).Msg("state")
 	case reducer.Remark:
 		level := [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel}[e.Level]
 		line := s.loud.WithLevel(level).Err(e.Err)
