--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -12,16 +12,21 @@
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 
+	"topazpost/plan"
 	"topazpost/server"
 )
 
 type serve struct {
 	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
+	Plan  string `help:"Plan of levels of reduced service, a Jsonnet file; none without it." type:"path" placeholder:"FILE"`
 	where
 }
 
-type check struct{ where }
+type check struct {
+	Plan string `help:"Plan of levels to check beside the configuration." type:"path" placeholder:"FILE"`
+	where
+}
 
 type version struct{}
 
@@ -57,6 +62,13 @@
 	}
 	log = log.Level(level).With().Timestamp().Logger()
 	node := server.New(nameplate, log, server.SystemClock())
+	if c.Plan != "" {
+		ladder, err := readPlan(c.Plan, nameplate)
+		if err != nil {
+			return err
+		}
+		node.Adopt(ladder)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go c.heed(node, log, stop)
@@ -72,7 +84,14 @@
 	fmt.Printf("%s listens on %s; executor %s, catalogue %s, control plane %s; %d operations, %g cores, %d MB, "+
 		"%d descriptors, %g ms from the notice to the kill\n", n.Name, n.Listen, n.Executor, n.Catalog, n.Control,
 		len(n.Settings.Operations), n.Cores, n.MemoryMB, n.Sockets, n.StopMS)
-	return nil
+	if c.Plan == "" {
+		return nil
+	}
+	ladder, err := plan.Read(c.Plan, n.Settings.Operations)
+	if err == nil {
+		fmt.Printf("plan %s: %d levels above full service\n", ladder.Name, len(ladder.Rungs))
+	}
+	return err
 }
 
 // Run says what was built.
@@ -95,6 +114,8 @@
 	var line struct {
 		Serve   serve   `cmd:"" help:"Serve as one node: SIGTERM drains, a second one stops, SIGHUP reads the configuration anew."`
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
+		Plan    plans   `cmd:"" help:"Look at plans of levels of reduced service."`
+		Levels  ladders `cmd:"" help:"Look at what levels nodes were at."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
 	signal.Notify(hups, syscall.SIGHUP) // before all else: it must never end the process
--- /dev/null
+++ b/cmd/topazpost/plans.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"runtime"
+	"time"
+
+	"topazpost/history"
+	"topazpost/plan"
+	"topazpost/reducer"
+	"topazpost/server"
+	"topazpost/settings"
+)
+
+const (
+	renderWait = 4 * time.Second       // for a plan to be evaluated: past what settings allows, and a start of the program
+	renderMost = 1 << 20               // bytes that it may come to
+	heapMost   = 64 << 20              // bytes of memory past which an evaluation ends itself
+	heapLook   = 10 * time.Millisecond // between looks at it
+)
+
+// plans are the commands about files.
+type plans struct {
+	Show   planShow   `cmd:"" help:"Print the ladder of a plan as a table."`
+	Render planRender `cmd:"" help:"Evaluate a plan and print what it comes to, as JSON."`
+}
+
+type planShow struct {
+	File   string             `arg:"" help:"The plan." type:"path"`
+	Config string             `arg:"" optional:"" env:"GW_CONFIG" help:"Configuration whose operations it speaks of." type:"path"`
+	Mix    map[string]float64 `help:"Share of each operation in the work, NAME=SHARE;...; even without it."`
+}
+
+type planRender struct {
+	File string `arg:"" help:"The plan." type:"path"`
+}
+
+// Run prints the ladder.
+func (c *planShow) Run() error {
+	w := where{c.Config}
+	nameplate, err := w.read()
+	if err != nil {
+		return err
+	}
+	ladder, err := plan.Read(c.File, nameplate.Settings.Operations)
+	if err != nil {
+		return err
+	}
+	if len(c.Mix) == 0 {
+		c.Mix = make(map[string]float64)
+		for name := range nameplate.Settings.Operations {
+			c.Mix[name] = 1
+		}
+	}
+	return plan.Show(os.Stdout, ladder, nameplate.Settings, c.Mix)
+}
+
+// Run evaluates a plan within bounds of its own: it ends itself where a template takes too much memory.
+func (c *planRender) Run() error {
+	go func() {
+		for {
+			var m runtime.MemStats
+			if runtime.ReadMemStats(&m); m.HeapAlloc > heapMost {
+				fmt.Fprintf(os.Stderr, "%s: takes more than %d MB to evaluate; build less in templates\n", c.File, heapMost>>20)
+				os.Exit(1)
+			}
+			time.Sleep(heapLook)
+		}
+	}()
+	file, err := settings.Read(c.File)
+	if err != nil {
+		return err
+	}
+	_, err = os.Stdout.Write(file.JSON)
+	return err
+}
+
+// readPlan has a process of its own evaluate a plan, so that no template can slow down or fill up the node.
+func readPlan(path string, nameplate *server.Nameplate) (*reducer.Plan, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	ctx, end := context.WithTimeout(context.Background(), renderWait)
+	defer end()
+	var told, failed bytes.Buffer
+	command := exec.CommandContext(ctx, program, "plan", "render", path)
+	command.Stdout, command.Stderr = &bounded{&told, renderMost}, &bounded{&failed, renderMost}
+	if err := command.Run(); err != nil {
+		if text := bytes.TrimSpace(failed.Bytes()); len(text) > 0 {
+			return nil, errors.New(string(bytes.TrimPrefix(text, []byte("topazpost: error: "))))
+		}
+		return nil, fmt.Errorf("%s: can't be evaluated: %w", path, err)
+	}
+	file, err := settings.Rendered(path, told.Bytes())
+	if err != nil {
+		return nil, err
+	}
+	return plan.From(file, nameplate.Settings.Operations)
+}
+
+// bounded keeps the first bytes of what is written.
+type bounded struct {
+	to   *bytes.Buffer
+	left int
+}
+
+func (b *bounded) Write(p []byte) (int, error) {
+	n := min(len(p), b.left)
+	b.left -= n
+	b.to.Write(p[:n])
+	return len(p), nil
+}
+
+// ladders are the commands about logs.
+type ladders struct {
+	History levelsHistory `cmd:"" help:"Rebuild from logs of nodes what level each was at, and when."`
+}
+
+type levelsHistory struct {
+	Logs []string `arg:"" help:"Logs of nodes; a line that was cut is passed over." type:"path"`
+}
+
+// Run prints the timeline of all logs, earliest first.
+func (c *levelsHistory) Run() error {
+	var all history.Timeline
+	for _, path := range c.Logs {
+		file, err := os.Open(path)
+		if err != nil {
+			return err
+		}
+		err = all.Read(path, io.Reader(file))
+		file.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	return all.Print(os.Stdout)
+}
--- a/cmd/topazpost/signals.go
+++ b/cmd/topazpost/signals.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"topazpost/reducer"
 	"topazpost/server"
 )
 
@@ -38,6 +39,12 @@
 		}
 		again = nil
 		nameplate, err := c.read()
+		if err == nil && c.Plan != "" {
+			var ladder *reducer.Plan
+			if ladder, err = readPlan(c.Plan, nameplate); err == nil {
+				node.Adopt(ladder)
+			}
+		}
 		if err == nil {
 			node.Reload(nameplate)
 			continue
--- a/control/control.go
+++ b/control/control.go
@@ -26,21 +26,23 @@
 	killMargin   = 300 * ms    // ns kept free before the kill, room for a pause
 	awayLead     = 1_000 * ms  // ns before the end of intake at which callers are asked away: time to hear
 
-	binCount     = 28   // bins: ratios of 1/128 to 128
-	binsAnOctave = 2.0  // bins to a factor of two: coarse, yet within a fifth
-	longMemory   = 96.0 // samples kept of an operation's usual cost: some ten seconds of a small node
-	fade         = 0.98 // of what is remembered of arrivals kept for each beat: two and a half seconds of them
-	lagMemory    = 8.0  // arrivals over which the time unread is taken: a second or two
-	gaugePart    = 0.2  // of the shortest objective, over which the gauge of others is taken: short beside a run
-	gaugeLong    = 2.0  // the same for their mean, by which the hold is reckoned to clear: bursts pass
-	paceMemory   = 24.0 // samples of the pace: fewer and a few skewed runs look like a slow node
-	awayTimes    = 2.0  // times the mean number off the cores that may be off them: calls come in waves
-	callerGone   = 0.05 // arrivals of late under which a caller is forgotten: what it heard has lapsed
-	callPart     = 3.0  // one call may take one of so many parts of the share left: some more must fit
-	awayMemory   = 1e9  // ns over which the mean number off the cores is taken: some runs
-	patienceBins = 24   // parts of a client timeout: fine beside the spread of run times
-	patienceMost = 0.67 // of callers that must still wait for an answer to be worth a run: notices get lost
-	shortMemory  = 8.0  // samples kept of the present: a second of a small node
+	binCount     = 28         // bins: ratios of 1/128 to 128
+	binsAnOctave = 2.0        // bins to a factor of two: coarse, yet within a fifth
+	longMemory   = 96.0       // samples kept of an operation's usual cost: some ten seconds of a small node
+	fade         = 0.98       // of what is remembered of arrivals kept for each beat: two and a half seconds of them
+	lagMemory    = 8.0        // arrivals over which the time unread is taken: a second or two
+	gaugePart    = 0.2        // of the shortest objective, over which the gauge of others is taken: short beside a run
+	gaugeLong    = 2.0        // the same for their mean, by which the hold is reckoned to clear: bursts pass
+	paceMemory   = 24.0       // samples of the pace: fewer and a few skewed runs look like a slow node
+	awayTimes    = 2.0        // times the mean number off the cores that may be off them: calls come in waves
+	callerGone   = 0.05       // arrivals of late under which a caller is forgotten: what it heard has lapsed
+	callPart     = 3.0        // one call may take one of so many parts of the share left: some more must fit
+	awayMemory   = 1e9        // ns over which the mean number off the cores is taken: some runs
+	patienceBins = 24         // parts of a client timeout: fine beside the spread of run times
+	patienceMost = 0.67       // of callers that must still wait for an answer to be worth a run: notices get lost
+	askedSpan    = 2_000 * ms // ns over which what is asked for is taken: some runs, yet a drop is seen at once
+	askedSlices  = 8          // slices of it
+	shortMemory  = 8.0        // samples kept of the present: a second of a small node
 
 	crowdRoom    = 0.75 // of the survivable crowd: the rest is room for returns from calls and for pauses
 	memoryRoom   = 0.85 // of the memory that runs and records may take; the hold may take half of the rest
@@ -92,6 +94,7 @@
 	callAt, callUntil int64
 	kb, key           float64 // its memory while held, its place in the order of the hold
 	base              float64 // ns: the hint, or the operation's unit where there is none
+	part, worth       float64 // of the work and of the billed value, below 1 for a reduced form
 	spent, since      float64 // ns of one whole core so far, core clock when it last came on
 }
 
@@ -100,6 +103,9 @@
 	*node.Operation
 	usual tally.Ratios // own core time of runs, over their base
 	away  tally.Ratios // time a run spent off the cores, over the objective
+	asked tally.Window // ns of core time that first tries of late asked for, were all run whole
+
+	service node.Service // what the level of reduced service leaves of it
 }
 
 // Post decides for one node.
@@ -115,6 +121,7 @@
 	slowest         int64   // ns of the longest latency objective
 
 	onCores, standing, inHand  int     // on the cores, off them with no call made, off them with a call in hand
+	waiting                    int     // held
 	records                    []int64 // when kept records end
 	memory                     float64 // kB of what is held and run
 	coreClock                  float64 // ns that a run on the cores has had of one whole core since birth
@@ -133,6 +140,7 @@
 	opened, closed                                 int   // invocations ever read, and ended
 	atNotice, closedBefore                         int   // in flight and ended at the notice
 	unhealthy, free, drained                       bool  // free: a core was idle at the last beat
+	spare                                          bool  // all is served whole while a core is idle, none waits
 
 	open, said                  float64           // open is the part of all that could be asked for
 	allFull                     bool              // other nodes seem to turn work away too
@@ -152,7 +160,8 @@
 		windowAt: now, cores: cores, limit: cores, open: 1, tightest: math.Inf(1), said: -1,
 		patient: 1, callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)+1)}
 	for i := range plate.Operations {
-		p.ops = append(p.ops, operation{&plate.Operations[i], ratios(longMemory), ratios(longMemory)})
+		p.ops = append(p.ops, operation{Operation: &plate.Operations[i], usual: ratios(longMemory),
+			away: ratios(longMemory), asked: tally.NewWindow(askedSpan, askedSlices)})
 		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
 		p.slowest = max(p.slowest, plate.Operations[i].Objective)
 	}
@@ -218,6 +227,8 @@
 			p.reading, p.gauged = p.reading+(others-p.reading)*min(1, part/gaugePart), p.now
 			p.meanReading += (others - p.meanReading) * min(1, part/gaugeLong)
 		}
+	case e.Kind == node.LevelSet:
+		p.setLevel(e.Services, e.Spare)
 	case p.invs[i].state == ended:
 	case e.Kind == node.CallerGone:
 		p.watch(&p.invs[i], true)
@@ -251,6 +262,8 @@
 	switch v.state {
 	case ended:
 		return
+	case held:
+		p.waiting += by
 	case running:
 		p.onCores += by
 	case calling:
@@ -271,7 +284,7 @@
 	p.invs = append(p.invs, make([]invocation, max(0, int(e.Inv)+1-len(p.invs)))...)
 	v, op, arrived := &p.invs[e.Inv], &p.ops[e.Operation], p.now-e.Age
 	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: arrived, kb: e.HeldKB,
-		due: cmp.Or(e.Due, arrived+op.ClientTimeout), base: float64(cmp.Or(e.Hint, op.Objective/8))}
+		due: cmp.Or(e.Due, arrived+op.ClientTimeout), base: float64(cmp.Or(e.Hint, op.Objective/8)), part: 1, worth: 1}
 	p.live = append(p.live, e.Inv)
 	p.opened++
 	p.shift(v, held)
@@ -280,6 +293,8 @@
 	p.callers[e.Caller]++
 	if e.Further {
 		p.echoes++
+	} else {
+		op.asked.Add(p.now, v.base*op.usual.Mean(1)*p.slowness())
 	}
 	p.tenants[e.Tenant+1]++
 	v.ran = e.Repeats == node.EndedRepeat || e.Repeats >= 0 && p.invs[e.Repeats].ran
@@ -289,6 +304,8 @@
 	case e.Repeats != node.NoRepeat:
 		p.do(node.Action{Kind: node.Reuse, Inv: e.Inv})
 		p.shift(v, joined)
+	case op.service.Form == node.Refused && !p.roomy(1):
+		p.giveUp(e.Inv, node.Levelled)
 	case op.Effect == node.Tokened:
 		p.record(e.Inv, v.arrived+op.Window)
 	case op.Effect == node.Idempotent && p.plate.ReuseFor > 0 && e.Subject && !e.Write:
@@ -296,6 +313,29 @@
 	}
 }
 
+// setLevel applies a level of reduced service: what waits unrun and is refused now goes at once, unless it fits.
+func (p *Post) setLevel(services []node.Service, spare bool) {
+	p.spare = spare
+	for k := range p.ops {
+		if p.ops[k].service = (node.Service{}); services != nil {
+			p.ops[k].service = services[k]
+		}
+	}
+	for _, i := range p.live {
+		v := &p.invs[i]
+		if v.state == held && !v.ran {
+			if v.part, v.worth = 1, 1; v.op.service.Form == node.Refused {
+				p.giveUp(i, node.Levelled)
+			}
+		}
+	}
+}
+
+// roomy says whether a level need not bind: a core is idle and none waits but so many that are looked at now.
+func (p *Post) roomy(looked int) bool {
+	return p.spare && p.waiting <= max(1, looked) && float64(p.onCores)+p.reading < p.cores
+}
+
 // record guards against a second effect; a tokened invocation that finds no room is turned away unrun.
 func (p *Post) record(i int32, until int64) {
 	if p.recordKB()+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
@@ -316,7 +356,10 @@
 	}
 	p.watch(v, false)
 	if v.answered = true; v.state == held && !v.ran {
-		if p.throttled++; !p.plate.RetriesMarked {
+		if why != node.Levelled {
+			p.throttled++
+		}
+		if !p.plate.RetriesMarked {
 			p.echoes++ // where they bear no mark, what is turned away here tells of those to come
 		}
 		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: v.further || p.allFull, Why: why})
@@ -357,7 +400,7 @@
 
 // expected is the core time that an invocation is still to take.
 func (p *Post) expected(v *invocation) float64 {
-	cost, spent := v.base*v.op.usual.Mean(1)*p.slowness(), v.spent
+	cost, spent := v.base*v.part*v.op.usual.Mean(1)*p.slowness(), v.spent
 	if v.state == running {
 		spent += p.coreClock - v.since
 	}
@@ -404,6 +447,9 @@
 	p.order = p.order[:0]
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == held || v.state == paused {
+			if !v.ran && v.op.service.Form == node.Reduced {
+				v.part, v.worth = v.op.service.Work, v.op.service.Value
+			}
 			p.rank(v)
 			p.order = append(p.order, i)
 		}
@@ -427,7 +473,7 @@
 
 // rank sets the place in the order: billed value for each unit of core time, by the chance to end in time.
 func (p *Post) rank(v *invocation) {
-	v.key = v.op.BilledValue * p.withinShare(v.tenant)
+	v.key = v.op.BilledValue * v.worth * p.withinShare(v.tenant)
 	if !p.plate.ByWork {
 		v.key /= p.expected(v)
 	}
@@ -483,8 +529,14 @@
 		if v.state == held && p.memory+p.recordKB()+v.kb*(p.plate.Blowup-1) > memoryRoom*p.plate.MemoryKB {
 			continue
 		}
+		form := node.Whole
+		if v.part < 1 && !v.ran && p.roomy(0) {
+			v.part, v.worth = 1, 1
+		} else if v.part < 1 {
+			form = node.Reduced
+		}
 		v.ran = true
-		p.do(node.Action{Kind: node.Run, Inv: i})
+		p.do(node.Action{Kind: node.Run, Inv: i, Form: form})
 		p.shift(v, running)
 	}
 }
@@ -536,10 +588,10 @@
 		p.callUsed.Add(p.now, float64(p.plate.Linger))
 	}
 	p.watch(v, false)
-	own, usual := v.state != joined, v.base*v.op.usual.Mean(1)
+	own, usual := v.state != joined, v.base*v.part*v.op.usual.Mean(1)
 	if p.end(i); own && (outcome == node.Succeeded || v.spent > usual) {
 		p.pace.Add(v.spent / usual)
-		v.op.usual.Add(v.spent / v.base)
+		v.op.usual.Add(v.spent / (v.base * v.part))
 		p.workDone += usual
 	}
 }
@@ -551,7 +603,7 @@
 	p.order = p.order[:0]
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == standing && !v.answered {
-			v.key = v.op.BilledValue
+			v.key = v.op.BilledValue * v.worth
 			p.order = append(p.order, i)
 		}
 	}
@@ -691,7 +743,7 @@
 	}
 	for _, i := range p.live {
 		v := &p.invs[i]
-		stay := (v.spent + p.coreClock - v.since) / (v.base * v.op.usual.Mean(1)) / (1 + fewRuns/float64(p.onCores))
+		stay := (v.spent + p.coreClock - v.since) / (v.base * v.part * v.op.usual.Mean(1)) / (1 + fewRuns/float64(p.onCores))
 		if v.state == running && 2*float64(p.onCores) > p.cores && (p.stall == 0 || stay < p.stall) {
 			p.stall = stay
 		}
@@ -743,13 +795,7 @@
 
 // State is what decisions stand on now; it changes nothing.
 func (p *Post) State() node.State {
-	waiting := 0
-	for _, i := range p.live {
-		if p.invs[i].state == held {
-			waiting++
-		}
-	}
-	return node.State{Limit: p.limit, OnCores: p.onCores, Held: waiting, Standing: p.standing, InHand: p.inHand, Away: p.away,
+	return node.State{Limit: p.limit, OnCores: p.onCores, Held: p.waiting, Standing: p.standing, InHand: p.inHand, Away: p.away,
 		Wait: p.wait(), CallWait: p.callWait(), Lag: p.lag, Reading: p.reading, MeanReading: p.meanReading,
 		Pace: p.pace.Mean(1), Stall: p.stall, Patient: p.patient, CallTime: p.callTime.Mean(0) * p.tightest,
 		CallFails: p.callFails.Mean(0), CallRoom: float64(p.callRoom()), Open: p.open, Said: p.said,
@@ -757,3 +803,15 @@
 		Arrivals: p.arrivals, Echoes: p.echoes, Throttled: p.throttled, Callers: len(p.callers),
 		Memory: p.memory, AllFull: p.allFull, Unhealthy: p.unhealthy, Free: p.free}
 }
+
+// Measure tells of the present what concerns more than one invocation, into m.
+func (p *Post) Measure(m *node.Measures) {
+	m.Asked = m.Asked[:0]
+	for k := range p.ops {
+		p.ops[k].asked.Add(p.now, 0)
+		m.Asked = append(m.Asked, p.ops[k].asked.Sum()/(float64(askedSpan)*p.cores))
+	}
+	m.Reading = min(p.meanReading, p.cores) / max(p.cores, float64(p.onCores)+p.meanReading)
+	m.Wait, m.Lag, m.Calls = p.wait()/p.tightest, p.lag/p.tightest, p.callWait()/p.tightest
+	m.Throttled, m.Memory = p.throttled/max(1, p.arrivals), p.memory/p.plate.MemoryKB
+}
--- /dev/null
+++ b/lab/fleet/day.go
@@ -0,0 +1,273 @@
+// Package fleet plays days of a fleet in virtual time: emulated machines around the real reducer and decisions,
+// dispatchers with habits, and the one ledger that all nodes call. The figures that it gives are simulated.
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"strings"
+
+	"topazpost/lab/world"
+	"topazpost/node"
+	"topazpost/plate"
+	"topazpost/reducer"
+)
+
+const (
+	ms      = int64(1_000_000)
+	second  = 1_000 * ms
+	hop     = 300_000 // ns from one machine to another
+	meter   = 100_000 // ns in which the executor answers for its gauges
+	epoch   = 1_000_000_000_000 * ms
+	slack   = 80 * ms    // ns past its due time at which an unanswered invocation counts as lost
+	sampled = 100 * ms   // ns between looks at the crowd on the cores
+	crowdOf = 20         // looks over which the crowd is taken as a mean
+	listed  = 2 * second // ns until dispatchers hear of a node that comes or goes
+	heeded  = 1 * second // ns for which a dispatcher bears in mind what a node said
+	streams = 32         // invocations open on one connection
+	stopAt  = 5 * second // ns from the notice to the kill
+	grace   = 2 * second // ns after the notice past which nothing that arrives may run
+	unread  = 256        // invocations that a machine keeps unread; more are turned away by its system
+)
+
+// Operation is one kind of invocation. Times are nanoseconds on a core of speed 1.
+type Operation struct {
+	Name                string
+	Share               float64 // of the invocations
+	Work, Call          float64 // mean of its own, and of one call at the ledger
+	Calls               float64 // a run makes on average
+	Objective, Timeout  int64
+	LateShare, Value    float64
+	Reduced             string  // the form that the executor knows, empty for none
+	ReducedWork, Reduce float64 // its parts of work and value
+}
+
+// Model is a kind of machine.
+type Model struct {
+	Cores                   int
+	Speed, ColdFrom         float64
+	WarmAfter               int64
+	CrowdFrom, Crowding, By float64 // runs a core from which they hinder each other, how much; runs a core that it survives
+}
+
+// Dispatcher is a habit of callers.
+type Dispatcher struct {
+	Tries     int   // of one invocation at the most
+	Backoff   int64 // ns before another one
+	Heeds     bool  // what nodes say: level, time to come back, no other try
+	BySubject bool
+}
+
+// Fault is a trouble of the day.
+type Fault struct {
+	Kind    string // kill, slow, pause, ledger, release, adopt
+	At, For int64
+	Part    float64 // of the machines that it strikes
+	By      float64 // slow, ledger: times slower
+}
+
+// Day is what is played. Load gives the share of the fleet's capacity that is asked for at a time since the start.
+type Day struct {
+	Seed        int64
+	Nodes       int
+	Length      int64
+	Models      []Model
+	Operations  []Operation
+	Reading     float64 // of the mean work
+	Dispatchers []Dispatcher
+	Load        func(at int64) float64
+	Rate        float64 // invocations a second at load 1, 0 to have it reckoned from what the cores can do
+	Mix         func(at int64, op int) float64
+	Slots       float64 // of the ledger for each core of the fleet
+	Subjects    int
+	Faults      []Fault
+
+	Plan  *reducer.Plan // nil for none
+	Next  *reducer.Plan // that a fault of the kind adopt brings
+	Make  func(*node.Nameplate, int64) reducer.Decider
+	Watch func(at int64, s *Second)
+}
+
+// fleet is a day being played.
+type fleet struct {
+	*world.World
+	day      *Day
+	start    int64
+	machines []*machine
+	callers  []*dispatcher
+	ledger   *world.Resource
+	settings string
+	mean     float64 // ns of work of a mean invocation
+	rate     float64 // invocations a ns at load 1
+	total    *Outcome
+	second   Second
+	ids      uint64
+	slots    float64
+}
+
+// Play plays a day.
+func Play(day *Day) (*Outcome, error) {
+	f := &fleet{World: world.New(day.Seed, epoch), day: day, start: epoch, total: newOutcome(day)}
+	f.settings = f.plate()
+	cores, power := 0, 0.0
+	for k := range day.Nodes {
+		model := day.Models[k%len(day.Models)]
+		cores, power = cores+model.Cores, power+float64(model.Cores)*model.Speed
+		m := &machine{fleet: f, index: k, model: model}
+		f.machines = append(f.machines, m)
+		if err := m.boot("old"); err != nil {
+			return nil, err
+		}
+		m.known = true
+	}
+	shares := 0.0
+	for _, op := range day.Operations {
+		f.mean, shares = f.mean+op.Share*op.Work, shares+op.Share
+	}
+	f.mean /= shares
+	if f.rate = power / (f.mean * (1 + day.Reading)); day.Rate > 0 {
+		f.rate = day.Rate / 1e9
+	}
+	f.slots = max(1, day.Slots*float64(cores))
+	f.ledger = world.NewResource(f.World, func(n int) float64 {
+		return min(1, f.slots/float64(max(1, n))) / (1 + 0.3*max(0, float64(n)/f.slots-1))
+	})
+	for k := range day.Dispatchers {
+		d := &dispatcher{fleet: f, index: k, habit: day.Dispatchers[k], heard: make([]heard, day.Nodes),
+			conns: make([][]*conn, day.Nodes)}
+		f.callers = append(f.callers, d)
+	}
+	for k := range day.Faults {
+		f.plan(&day.Faults[k])
+	}
+	f.After(f.gap(), f.arrive)
+	f.every(sampled, f.sample)
+	f.every(second, f.tick)
+	f.Run(f.start + day.Length)
+	f.Run(f.Now + 15*second) // what is open ends; nothing new arrives
+	f.total.finish(f)
+	return f.total, nil
+}
+
+func (f *fleet) every(ns int64, do func()) {
+	f.After(ns, func() {
+		do()
+		f.every(ns, do)
+	})
+}
+
+// gap is the time to the next invocation, by thinning a stream of the highest load.
+func (f *fleet) gap() int64 {
+	return int64(f.Chance.ExpFloat64()/(f.rate*loadMost)) + 1
+}
+
+const loadMost = 2.5 // of the capacity, that a load shape may ask for
+
+func (f *fleet) arrive() {
+	at := f.Now - f.start
+	if at >= f.day.Length {
+		return
+	}
+	f.After(f.gap(), f.arrive)
+	if f.Chance.Float64()*loadMost > f.day.Load(at) {
+		return
+	}
+	shares := make([]float64, len(f.day.Operations))
+	sum := 0.0
+	for k, op := range f.day.Operations {
+		shares[k] = op.Share
+		if f.day.Mix != nil {
+			shares[k] *= f.day.Mix(at, k)
+		}
+		sum += shares[k]
+	}
+	pick, k := f.Chance.Float64()*sum, 0
+	for ; k < len(shares)-1 && pick >= shares[k]; k++ {
+		pick -= shares[k]
+	}
+	op := &f.day.Operations[k]
+	v := &invocation{op: op, kind: k, asked: f.Now, rank: (float64(k) + f.Chance.Float64()) / float64(len(shares)),
+		work: op.Work * f.skewed(), subject: f.Chance.Intn(max(1, f.day.Subjects))}
+	for calls := op.Calls; calls > 0; calls-- {
+		if f.Chance.Float64() < calls {
+			v.calls++
+		}
+	}
+	f.total.asked(v)
+	f.second.Asked += op.Value
+	f.callers[f.Chance.Intn(len(f.callers))].send(v, nil)
+}
+
+// skewed is a lognormal factor of mean 1 and a spread of half of it.
+func (f *fleet) skewed() float64 {
+	const sigma = 0.47
+	return math.Exp(sigma*f.Chance.NormFloat64() - sigma*sigma/2)
+}
+
+// plate writes the settings of a node as an installation would.
+func (f *fleet) plate() string {
+	var ops, calls []string
+	for _, op := range f.day.Operations {
+		ops = append(ops, fmt.Sprintf(`{"name":%q,"aim":%g,"give_up":%g,"importance":%g,"late_share":%g,"effect":"idempotent","window":5000}`,
+			op.Name, float64(op.Objective)/1e6, float64(op.Timeout)/1e6, op.Value, op.LateShare))
+		calls = append(calls, fmt.Sprint(op.Calls > 0))
+	}
+	m := f.day.Models[0]
+	share := f.day.Slots * float64(m.Cores) * 4
+	return fmt.Sprintf(`{"grades":[%s],"counted_by":"work","family_info":{"n_cores":%d,"memory_kb":200000,"blowup":4,`+
+		`"class_calls":[%s],"below":"common","calls_out":%g,"calls_over":5000,"linger":100,"advert":"min_rank",`+
+		`"gauges":["cpu_busy","runnable","mem_used","sockets"],"said_for":1000},"guarantees":{"tip_multiple":%g,`+
+		`"drain_grace":%g,"cold_from":%g,"warm_after":%g},"limits":{"retry_after":true,"max_retry_after":1000},`+
+		`"client_habits":{"marks_retry":true},"group_size":%d}`, strings.Join(ops, ","), m.Cores, strings.Join(calls, ","),
+		share, m.By, float64(grace)/1e6, m.ColdFrom, float64(m.WarmAfter)/1e6, f.day.Nodes)
+}
+
+func (f *fleet) brain(seed int64) (*reducer.Reducer, error) {
+	p, err := plate.FromJSON(seed, []byte(f.settings))
+	if err != nil {
+		return nil, err
+	}
+	r := reducer.New(p, reducer.Addresses{Executor: "executor:1", Catalogue: "ledger:1", Control: "control:1"}, stopAt, 4000, 400)
+	if f.day.Make != nil {
+		r.Decisions = f.day.Make
+	}
+	return r, nil
+}
+
+// plan has a fault strike at its time.
+func (f *fleet) plan(x *Fault) {
+	struck := max(1, int(math.Round(x.Part*float64(len(f.machines)))))
+	first := f.Chance.Intn(len(f.machines))
+	each := func(do func(k int, m *machine)) func() {
+		return func() {
+			for k := range struck {
+				do(k, f.machines[(first+k)%len(f.machines)])
+			}
+		}
+	}
+	f.At(f.start+x.At, func() {
+		f.total.Troubles = append(f.total.Troubles, fmt.Sprintf("%.1f s: %s", float64(x.At)/1e9, x.Kind))
+	})
+	switch x.Kind {
+	case "kill":
+		f.At(f.start+x.At, each(func(_ int, m *machine) { m.kill() }))
+		f.At(f.start+x.At+x.For, each(func(_ int, m *machine) { m.reboot() }))
+	case "slow":
+		f.At(f.start+x.At, each(func(_ int, m *machine) { m.cores.Slow(1 / x.By) }))
+		f.At(f.start+x.At+x.For, each(func(_ int, m *machine) { m.cores.Slow(1) }))
+	case "pause":
+		f.At(f.start+x.At, each(func(_ int, m *machine) { m.cores.Slow(0) }))
+		f.At(f.start+x.At+x.For, each(func(_ int, m *machine) { m.cores.Slow(1) }))
+	case "ledger":
+		f.At(f.start+x.At, func() { f.ledger.Slow(1 / x.By) })
+		f.At(f.start+x.At+x.For, func() { f.ledger.Slow(1) })
+	case "adopt":
+		f.At(f.start+x.At, each(func(_ int, m *machine) {
+			m.put(reducer.Input{Kind: reducer.Adopt, Plan: f.day.Next})
+		}))
+	case "release":
+		f.At(f.start+x.At, each(func(k int, m *machine) {
+			f.After(x.For*int64(k)/int64(struck), m.release)
+		}))
+	}
+}
--- /dev/null
+++ b/lab/fleet/outcome.go
@@ -0,0 +1,219 @@
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"topazpost/reducer"
+)
+
+type ending uint8
+
+const (
+	outcomeServed ending = iota
+	outcomeThrottled
+	outcomeErrored
+	outcomeUnanswered
+)
+
+// Tally is what became of invocations of one kind. Values are billed values.
+type Tally struct {
+	Name                              string
+	Asked, Whole, Reduced, Late       int
+	Throttled, Errored, Unanswered    int
+	Value, Served, ByWhole, ByReduced float64
+	inTime                            *hdrhistogram.Histogram // microseconds of answers
+	P50, P99                          float64                 // ms
+	InObjective                       float64                 // of the answers
+}
+
+// Second is what went on in one second of the day.
+type Second struct {
+	At                                 float64 // s
+	Load                               float64 // asked for, of the capacity
+	Asked, Served, ServedReduced       float64 // billed value
+	Throttled, Errored, Declined, Read int
+	Levels                             []int // of each node
+	Held, OnCores, InHand              int   // over all nodes
+	Wait                               float64
+}
+
+// Turn is a change of level on a node.
+type Turn struct {
+	At       float64 // s
+	Node     int
+	From, To int
+	Cause    string
+}
+
+// Outcome is what a day came to.
+type Outcome struct {
+	Operations []Tally
+	Seconds    []Second
+	Turns      []Turn
+	Troubles   []string
+	Breaches   map[string]int // what broke a rule, how often
+	Attempts   int
+	Calls      int
+	MostCalls  float64 // in hand at the ledger, over its slots
+	MostCrowd  float64 // on the cores of one node in a mean of 2 s, for each core
+	Value      float64 // served, over what was asked for
+	ByReduced  float64 // part of Value that reduced answers brought
+	levels     map[int]int
+	nodes      int
+	length     int64
+	start      int64
+}
+
+func newOutcome(day *Day) *Outcome {
+	o := &Outcome{Breaches: map[string]int{}, levels: map[int]int{}, nodes: day.Nodes, length: day.Length, start: epoch}
+	for _, op := range day.Operations {
+		o.Operations = append(o.Operations, Tally{Name: op.Name, inTime: hdrhistogram.New(1, 120_000_000, 3)})
+	}
+	return o
+}
+
+func (o *Outcome) breach(what string) { o.Breaches[what]++ }
+
+// Broken is how often a rule was broken.
+func (o *Outcome) Broken() (n int) {
+	for _, times := range o.Breaches {
+		n += times
+	}
+	return n
+}
+
+// Breach names what was broken, for a report.
+func (o *Outcome) Breach() []string {
+	var list []string
+	for _, what := range slices.Sorted(maps.Keys(o.Breaches)) {
+		list = append(list, fmt.Sprintf("%s (%d)", what, o.Breaches[what]))
+	}
+	return list
+}
+
+func (o *Outcome) asked(v *invocation) {
+	t := &o.Operations[v.kind]
+	t.Asked++
+	t.Value += v.op.Value
+}
+
+// end is the end of an invocation for its client.
+func (f *fleet) end(v *invocation, how ending, reduced bool) {
+	if v.over {
+		return
+	}
+	v.over = true
+	t, s := &f.total.Operations[v.kind], f
+	took := s.Now - v.asked
+	switch how {
+	case outcomeServed:
+		value := v.op.Value
+		if reduced {
+			t.Reduced++
+			value *= v.op.Reduce
+		} else {
+			t.Whole++
+		}
+		if took > v.op.Objective {
+			t.Late++
+			value *= v.op.LateShare
+		}
+		if t.Served += value; reduced {
+			t.ByReduced += value
+			s.second.ServedReduced += value
+		} else {
+			t.ByWhole += value
+		}
+		s.second.Served += value
+		t.inTime.RecordValue(took / 1_000)
+	case outcomeThrottled:
+		t.Throttled++
+		s.second.Throttled++
+	case outcomeErrored:
+		t.Errored++
+		s.second.Errored++
+	default:
+		t.Unanswered++
+	}
+}
+
+func (o *Outcome) turned(m *machine, t *reducer.Turn) {
+	if t.From != t.To {
+		o.Turns = append(o.Turns, Turn{float64(m.Now-o.start) / 1e9, m.index, t.From, t.To, t.String()})
+	}
+	o.levels[m.index] = t.To
+}
+
+// sample looks at the crowd on the cores, which a machine survives up to its bound in a mean of two seconds.
+func (f *fleet) sample() {
+	for _, m := range f.machines {
+		if m.brain == nil {
+			continue
+		}
+		m.crowd = append(m.crowd, m.onCores())
+		if len(m.crowd) > crowdOf {
+			m.crowd = m.crowd[1:]
+		}
+		sum := 0
+		for _, n := range m.crowd {
+			sum += n
+		}
+		crowd := float64(sum) / crowdOf / float64(m.model.Cores)
+		f.total.MostCrowd = max(f.total.MostCrowd, crowd)
+		if crowd > m.model.By {
+			f.total.breach("a node fell over by the crowd on its cores")
+		}
+	}
+}
+
+// tick closes a second.
+func (f *fleet) tick() {
+	at := f.Now - f.start
+	if at > f.day.Length {
+		return
+	}
+	s := &f.second
+	s.At, s.Load = float64(at)/1e9, f.day.Load(at-second/2)
+	for _, m := range f.machines {
+		level := -1
+		if m.brain != nil {
+			level = f.total.levels[m.index]
+			s.OnCores += m.onCores()
+			s.InHand += len(m.ledgers)
+			s.Held += len(m.open) - len(m.runs)
+		}
+		s.Levels = append(s.Levels, level)
+	}
+	f.total.Seconds = append(f.total.Seconds, *s)
+	if f.day.Watch != nil {
+		f.day.Watch(at, s)
+	}
+	f.second = Second{}
+}
+
+func (o *Outcome) finish(f *fleet) {
+	asked := 0.0
+	for k := range o.Operations {
+		t := &o.Operations[k]
+		asked += t.Value
+		o.Value += t.Served
+		o.ByReduced += t.ByReduced
+		t.P50, t.P99 = float64(t.inTime.ValueAtQuantile(50))/1e3, float64(t.inTime.ValueAtQuantile(99))/1e3
+		if answers := t.Whole + t.Reduced; answers > 0 {
+			t.InObjective = 1 - float64(t.Late)/float64(answers)
+		}
+	}
+	o.Value, o.ByReduced = o.Value/math.Max(1, asked), o.ByReduced/math.Max(1, asked)
+	for _, m := range f.machines {
+		if m.brain != nil {
+			for what, times := range m.brain.Guard.All() {
+				o.Breaches["did not hold: "+what] += times
+			}
+		}
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -97,6 +97,7 @@
 	CallEnded
 	TimerDue
 	RunEnded
+	LevelSet // what is left of each operation from now on
 )
 
 // Outcome is how a run or a call ended.
@@ -142,6 +143,10 @@
 	// DrainNotice
 	Kill int64
 
+	// LevelSet
+	Services []Service // by index of the operation, nil for full service; the sender's
+	Spare    bool      // all is served whole while a core is idle and nothing waits
+
 	// TimerDue; a gauge that the site lacks is negative
 	Busy     float64
 	Runnable float64
@@ -178,6 +183,47 @@
 	Good    bool
 	Stored  bool
 	NoRetry bool
-	Why     Why // Throttle, Fail
+	Why     Why  // Throttle, Fail
+	Form    Form // Run: Whole or Reduced
 	Text    string
 }
+
+// Form is what a level of reduced service leaves of an operation.
+type Form uint8
+
+// The forms, in the order of what they leave.
+const (
+	Whole Form = iota
+	Reduced
+	Refused
+)
+
+// Service is what a level leaves of one operation: the form, and for a reduced one its parts of the work and of
+// the billed value.
+type Service struct {
+	Form        Form
+	Work, Value float64
+}
+
+// Left is the part of the work that a service leaves.
+func (s Service) Left() float64 {
+	switch s.Form {
+	case Reduced:
+		return s.Work
+	case Refused:
+		return 0
+	}
+	return 1
+}
+
+// Measures are what the module tells of the present, for those that decide about more than one invocation.
+// Parts are of all cores, of the shortest latency objective, of arrivals or of memory.
+type Measures struct {
+	Asked     []float64 // by operation: core time that first tries of late asked for, whole; a part of the cores
+	Reading   float64   // what reading and checks take of the cores
+	Wait      float64
+	Lag       float64
+	Calls     float64 // how long a run would stand at a call until it is made
+	Throttled float64 // arrivals of late that were turned away, but for those that a level turned away
+	Memory    float64
+}
--- a/node/state.go
+++ b/node/state.go
@@ -11,11 +11,12 @@
 	Callless     // the call it stands at can't be made, or won't end in time
 	Overdue      // its due time is near, or its run can earn nothing more
 	Crowded      // memory, or the table of tokens, has no room for it
+	Levelled     // the level of reduced service leaves nothing of its operation
 	Whys         // how many there are
 )
 
 // Names are the reasons as logs and reports say them.
-var Names = [Whys]string{"none", "draining", "hopeless", "callless", "overdue", "crowded"}
+var Names = [Whys]string{"none", "draining", "hopeless", "callless", "overdue", "crowded", "levelled"}
 
 // State is what the decisions stand on at a moment, for logs and tests. Times are nanoseconds; it decides nothing.
 type State struct {
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,277 @@
+// Package plan reads the ladder of levels that operators write, and shows it. It decides nothing.
+package plan
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"topazpost/levels"
+	"topazpost/node"
+	"topazpost/plate"
+	"topazpost/reducer"
+	"topazpost/settings"
+)
+
+const (
+	holdUsual    = 10_000_000_000  // ns that a rung is kept after it was last needed: some bursts
+	mostUsual    = 120_000_000_000 // ns that it is kept at the most: the lull of a swing of minutes
+	bridgesUsual = 1.25            // times a gap that was learnt: some room over the same gap
+	forgetUsual  = 900_000_000_000 // ns in which half of what was learnt is forgotten: a swing may pause for some periods
+	proofUsual   = 3_000_000_000   // ns in which a rung must show relief: some objectives
+	spreadUsual  = 0.4             // of the times above: nodes that saw the same step within seconds of each other
+	idleLoad     = 0.3             // of the cores under which a node is idle: far below any exit
+	idleUsual    = 1_000_000_000   // ns that it lasts before full service is back
+	rungsMost    = 8               // levels above full service; more than operators can tell apart
+)
+
+// schema is compiled when a plan is first read: most nodes have none.
+var schema = sync.OnceValue(func() *settings.Schema {
+	return settings.Compile("plan.json", strings.NewReplacer("TIME", settings.TimePattern, "PART",
+		settings.PartPattern, "RUNGS", fmt.Sprint(rungsMost)).Replace(`{
+ "$schema": "https://json-schema.org/draft/2020-12/schema", "type": "object", "additionalProperties": false,
+ "required": ["levels"],
+ "$defs": {
+  "time": {"type": "string", "pattern": "TIME"},
+  "part": {"type": "string", "pattern": "PART"},
+  "condition": {"type": "object", "additionalProperties": false, "minProperties": 1, "properties": {
+   "load": {"$ref": "#/$defs/part"}, "wait": {"$ref": "#/$defs/part"}, "lag": {"$ref": "#/$defs/part"},
+   "calls": {"$ref": "#/$defs/part"}, "throttled": {"$ref": "#/$defs/part"}, "memory": {"$ref": "#/$defs/part"},
+   "for": {"$ref": "#/$defs/time"}}}},
+ "properties": {
+  "name": {"type": "string", "minLength": 1},
+  "forms_known": {"type": "boolean"},
+  "spare": {"type": "boolean"},
+  "hold": {"$ref": "#/$defs/time"}, "hold_most": {"$ref": "#/$defs/time"}, "forget": {"$ref": "#/$defs/time"},
+  "proof": {"$ref": "#/$defs/time"}, "spread": {"$ref": "#/$defs/part"}, "bridges": {"type": "number", "minimum": 0, "maximum": 4},
+  "idle": {"$ref": "#/$defs/condition"},
+  "levels": {"type": "array", "minItems": 1, "maxItems": RUNGS, "items": {"type": "object", "additionalProperties": false,
+   "required": ["name", "enter", "exit"], "properties": {
+   "name": {"type": "string", "minLength": 1},
+   "refuse": {"type": "array", "items": {"type": "string"}},
+   "reduce": {"type": "object", "additionalProperties": {"type": "object", "additionalProperties": false,
+    "required": ["form", "work", "value"], "properties": {"form": {"type": "string", "minLength": 1},
+    "work": {"$ref": "#/$defs/part"}, "value": {"$ref": "#/$defs/part"}}}},
+   "enter": {"type": "array", "minItems": 1, "maxItems": 8, "items": {"$ref": "#/$defs/condition"}},
+   "exit": {"$ref": "#/$defs/condition"}}}}}}`))
+})
+
+type condition struct {
+	Load, Wait, Lag, Calls, Throttled, Memory *settings.Part
+	For                                       settings.Time
+}
+
+func (c *condition) bounds() levels.Condition {
+	of := levels.Condition{Bounds: levels.Free(), For: int64(c.For)}
+	for k, p := range []*settings.Part{c.Load, c.Wait, c.Lag, c.Calls, c.Throttled, c.Memory} {
+		if p != nil {
+			of.Bounds[k] = float64(*p)
+		}
+	}
+	return of
+}
+
+type reduced struct {
+	Form        string
+	Work, Value settings.Part
+}
+
+type written struct {
+	Name       string
+	FormsKnown bool `json:"forms_known"`
+	Spare      bool
+	Hold       *settings.Time
+	HoldMost   *settings.Time `json:"hold_most"`
+	Forget     *settings.Time
+	Proof      *settings.Time
+	Spread     *settings.Part
+	Bridges    *float64
+	Idle       *condition
+	Levels     []struct {
+		Name   string
+		Refuse []string
+		Reduce map[string]reduced
+		Enter  []condition
+		Exit   condition
+	}
+}
+
+// Read reads a plan for the operations of a plate, evaluating the file in this process.
+func Read(path string, operations map[string]int32) (*reducer.Plan, error) {
+	file, err := settings.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	return From(file, operations)
+}
+
+// From reads a plan from a file that was evaluated. All that is wrong with it is told at once.
+func From(file *settings.File, operations map[string]int32) (*reducer.Plan, error) {
+	if err := file.Check(schema()); err != nil {
+		return nil, err
+	}
+	var w written
+	if err := file.Into(&w); err != nil {
+		return nil, err
+	}
+	p := &reducer.Plan{Plan: levels.Plan{Name: w.Name, Spare: w.Spare, Hold: holdUsual, Most: mostUsual,
+		Bridges: bridgesUsual, Forget: forgetUsual, Proof: proofUsual, Spread: spreadUsual}}
+	if p.Name == "" {
+		p.Name = file.Path
+	}
+	for _, t := range []struct {
+		from *settings.Time
+		to   *int64
+	}{{w.Hold, &p.Hold}, {w.HoldMost, &p.Most}, {w.Forget, &p.Forget}, {w.Proof, &p.Proof}} {
+		if t.from != nil {
+			*t.to = int64(*t.from)
+		}
+	}
+	if w.Spread != nil {
+		p.Spread = float64(*w.Spread)
+	}
+	if w.Bridges != nil {
+		p.Bridges = *w.Bridges
+	}
+	p.Idle = levels.Condition{Bounds: levels.Free(), For: idleUsual}
+	p.Idle.Bounds[levels.Load] = idleLoad
+	if w.Idle != nil {
+		p.Idle = w.Idle.bounds()
+	}
+	found := settings.Problems{}
+	names := names(operations)
+	for k := range w.Levels {
+		found = append(found, addRung(p, file, &w, k, operations, names)...)
+	}
+	if len(found) == 0 { // else what follows from those would be told beside them
+		for _, fault := range p.Check(len(operations)) {
+			found = append(found, file.At(fault.Path, fault.What, fault.Mend))
+		}
+	}
+	if len(found) > 0 {
+		return nil, found
+	}
+	return p, nil
+}
+
+func names(operations map[string]int32) []string {
+	list := make([]string, len(operations))
+	for name, i := range operations {
+		list[i] = name
+	}
+	return list
+}
+
+func addRung(p *reducer.Plan, file *settings.File, w *written, k int, operations map[string]int32,
+	names []string) (found settings.Problems) {
+	at := func(what ...string) []string { return append([]string{"levels", fmt.Sprint(k)}, what...) }
+	from := &w.Levels[k]
+	rung := levels.Rung{Name: from.Name, Service: make([]node.Service, len(names)), Exit: from.Exit.bounds()}
+	forms := make([]string, len(names))
+	unknown := func(name string, path []string) (int32, bool) {
+		i, known := operations[name]
+		if !known {
+			mend := "the operations are " + strings.Join(names, ", ")
+			if near := settings.Nearest(name, names); near != "" {
+				mend = fmt.Sprintf("did you mean %q?", near)
+			}
+			found = append(found, file.At(path, fmt.Sprintf("no operation is named %q", name), mend))
+		}
+		return i, known
+	}
+	for j, name := range from.Refuse {
+		if i, known := unknown(name, at("refuse", fmt.Sprint(j))); known {
+			rung.Service[i] = node.Service{Form: node.Refused}
+		}
+	}
+	for _, name := range sorted(from.Reduce) {
+		form, path := from.Reduce[name], at("reduce", name)
+		i, known := unknown(name, path)
+		switch {
+		case !known:
+		case rung.Service[i].Form == node.Refused:
+			found = append(found, file.At(path, "is refused by the same level", "take it out of refuse or out of reduce"))
+		case !w.FormsKnown:
+			found = append(found, file.At(path, "needs an executor that knows reduced forms, and callers that know the field "+
+				"\"level\" of answers", "set forms_known: true if this installation does, else refuse instead"))
+		case form.Work <= 0 || form.Work >= 1 || form.Value <= 0 || form.Value > 1:
+			found = append(found, file.At(path, fmt.Sprintf("leaves %g %% of the work and %g %% of the value", 100*form.Work,
+				100*form.Value), "work must lie between 0 % and 100 %, value above 0 % and at 100 % at the most"))
+		case form.Form == name:
+			found = append(found, file.At(path, "names the whole operation as its reduced form", "name the form as the executor "+
+				"knows it"))
+		default:
+			rung.Service[i] = node.Service{Form: node.Reduced, Work: float64(form.Work), Value: float64(form.Value)}
+			forms[i] = form.Form
+		}
+	}
+	for j := range from.Enter {
+		rung.Enter = append(rung.Enter, from.Enter[j].bounds())
+	}
+	p.Rungs, p.Forms = append(p.Rungs, rung), append(p.Forms, forms)
+	return found
+}
+
+func sorted(m map[string]reduced) []string {
+	var list []string
+	for name := range m {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Show prints a plan as a table: what each level leaves, what it saves of the work and gives up of the billed value,
+// and its conditions. The mix tells the share of each operation in the work; one that it lacks has none.
+func Show(w io.Writer, p *reducer.Plan, of *plate.Plate, mix map[string]float64) error {
+	names := names(of.Operations)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(t, "plan %s\n", p.Name)
+	fmt.Fprintf(t, "level\t%s\tsaves of the work\tgives up of the value\tenter\texit\n", strings.Join(names, "\t"))
+	fmt.Fprintf(t, "full%s\t0 %%\t0 %%\t\t\n", strings.Repeat("\twhole", len(names)))
+	for k := range p.Rungs {
+		r := &p.Rungs[k]
+		fmt.Fprint(t, r.Name)
+		work, value, all, allValue := 0.0, 0.0, 0.0, 0.0
+		for i, s := range r.Service {
+			op := of.Nameplate.Operations[i]
+			share := mix[names[i]]
+			billed := share * op.BilledValue
+			all, allValue = all+share, allValue+billed
+			switch s.Form {
+			case node.Whole:
+				fmt.Fprint(t, "\twhole")
+			case node.Refused:
+				fmt.Fprint(t, "\trefused")
+				work, value = work+share, value+billed
+			case node.Reduced:
+				fmt.Fprintf(t, "\t%s (work %g %%, value %g %%)", p.Forms[k][i], 100*s.Work, 100*s.Value)
+				work, value = work+(1-s.Work)*share, value+(1-s.Value)*billed
+			}
+		}
+		var enter []string
+		for c := range r.Enter {
+			enter = append(enter, tell(&r.Enter[c], ">"))
+		}
+		fmt.Fprintf(t, "\t%.0f %%\t%.0f %%\t%s\t%s\n", 100*work/max(all, 1e-9), 100*value/max(allValue, 1e-9), strings.Join(enter, " or "),
+			tell(&r.Exit, "<"))
+	}
+	fmt.Fprintf(t, "held for %s after the last need, %s at the most\n", span(p.Hold), span(p.Most))
+	return t.Flush()
+}
+
+func tell(c *levels.Condition, sign string) string {
+	var list []string
+	for k, b := range c.Bounds {
+		if !math.IsNaN(b) {
+			list = append(list, fmt.Sprintf("%s %s %g %%", levels.Names[k], sign, 100*b))
+		}
+	}
+	return strings.Join(list, " and ") + " for " + span(c.For)
+}
+
+func span(ns int64) string { return fmt.Sprintf("%g s", float64(ns)/1e9) }
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -361,7 +361,15 @@
 	r.answer(a.Inv, frame.Throttled, fields, nil)
 }
 
-func (r *Reducer) succeed(i int32, result []byte) { r.answer(i, frame.Succeeded, nil, result) }
+// succeed answers with a result; one of a reduced form says at which level, so that none takes it for a whole one.
+func (r *Reducer) succeed(i int32, result []byte) {
+	var fields []frame.Field
+	if level := r.invs[i].form; level != "" {
+		fields = append(fields, frame.Field{Name: "level", Value: level})
+	}
+	r.levels.count(true, fields != nil, node.None)
+	r.answer(i, frame.Succeeded, fields, result)
+}
 
 func (r *Reducer) fail(i int32) { r.answer(i, frame.Errored, nil, nil) }
 
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strconv"
 
-	"topazpost/control"
 	"topazpost/lines"
 	"topazpost/node"
 )
@@ -71,10 +70,12 @@
 	}
 }
 
-func (r *Reducer) run(i int32) {
+func (r *Reducer) run(i int32, form node.Form) {
 	v := &r.invs[i]
 	if r.Guard.Hold(v.live && !v.answered, "no run after an answer") {
-		r.order(i, lines.AppendBody(nil, v.body, "EXEC", v.call, v.op))
+		class, level := r.form(v.op, form)
+		v.form = level
+		r.order(i, lines.AppendBody(nil, v.body, "EXEC", v.call, class))
 		v.body = nil
 	}
 }
@@ -156,8 +157,12 @@
 		age = 0
 	}
 	r.plate.Nameplate.Fresh = words[1] == "new"
-	r.post = control.New(&r.plate.Nameplate, r.now-int64(age*float64(ms)))
+	r.post = r.Decisions(&r.plate.Nameplate, r.now-int64(age*float64(ms)))
 	r.good, r.beatAt = true, r.now
+	if r.levels.plan != nil {
+		r.events = append(r.events, node.Event{Kind: node.LevelSet, Spare: r.levels.plan.Spare,
+			Services: r.levels.plan.Services(r.levels.steps.Level())})
+	}
 	r.remark(Info, "executor is up, serving", words[1], nil)
 }
 
--- /dev/null
+++ b/reducer/levels.go
@@ -0,0 +1,190 @@
+package reducer
+
+import (
+	"fmt"
+	"math/rand"
+
+	"topazpost/levels"
+	"topazpost/node"
+)
+
+// Plan is a ladder of levels together with the names that this door needs of it.
+type Plan struct {
+	levels.Plan
+	Forms [][]string // by level above full service and operation: the reduced form as the executor knows it
+}
+
+// Served counts what was answered at one level of service.
+type Served struct {
+	Level     string `json:"level"`
+	Seconds   int64  `json:"seconds"` // in it, whole
+	Whole     int    `json:"whole"`
+	Reduced   int    `json:"reduced"`
+	Levelled  int    `json:"levelled"`  // throttled by the level
+	Throttled int    `json:"throttled"` // throttled for any other reason
+	Entered   int    `json:"entered"`
+}
+
+// Turn tells of a change of level, or of the plan.
+type Turn struct {
+	levels.Change
+	Plan, FromName, ToName string
+	Signals                node.Measures
+	Loads                  []float64 // at each level, full service first
+	Before                 Served    // in the stay that ends
+}
+
+// ladder is the door's state of the levels; the zero value has no plan.
+type ladder struct {
+	plan     *Plan
+	steps    *levels.Ladder
+	chance   *rand.Rand
+	measures node.Measures
+	served   []Served // by level, since the plan was taken
+	stay     Served   // since the last change
+	spent    []int64  // ns in each level
+	since    int64
+}
+
+// adopt takes a plan, or another one; nil ends the levels. A plan that does not fit the operations changes nothing.
+func (r *Reducer) adopt(plan *Plan) {
+	l := &r.levels
+	if plan != nil {
+		if faults := plan.Check(len(r.plate.Nameplate.Operations)); len(faults) > 0 {
+			r.remark(Warn, "plan of levels can't be used, the one of before stays", "",
+				fmt.Errorf("%v: %s", faults[0].Path, faults[0].What))
+			return
+		}
+	}
+	if l.chance == nil {
+		l.chance = rand.New(rand.NewSource(r.plate.Nameplate.Seed ^ 0x6c6576656c73))
+	}
+	change := levels.Change{Cause: levels.Replaced}
+	from := ""
+	var steps *levels.Ladder
+	switch {
+	case plan == nil && l.plan == nil:
+		return
+	case plan == nil:
+		from = l.plan.LevelName(l.steps.Level())
+		change.From, change.Lasted = l.steps.Level(), r.now-l.since
+	case l.steps == nil:
+		steps = levels.New(&plan.Plan, r.now, l.chance)
+	default:
+		from = l.plan.LevelName(l.steps.Level())
+		steps, change = l.steps.Adopt(&plan.Plan, r.now, l.chance)
+	}
+	before := l.stay
+	l.account(r.now)
+	l.plan, l.steps, l.served, l.spent, l.since = plan, steps, nil, nil, r.now
+	t := &Turn{Change: change, FromName: from, Before: before}
+	if plan != nil {
+		l.served, l.spent = make([]Served, len(plan.Rungs)+1), make([]int64, len(plan.Rungs)+1)
+		for k := range l.served {
+			l.served[k].Level = plan.LevelName(k)
+		}
+		t.Plan, t.ToName = plan.Name, plan.LevelName(change.To)
+	}
+	l.begin(r.now)
+	r.setLevel(t)
+}
+
+// account adds the stay that ends to the totals of its level.
+func (l *ladder) account(now int64) {
+	if l.plan == nil {
+		return
+	}
+	level := l.steps.Level()
+	l.accountAt(now, level)
+}
+
+func (l *ladder) accountAt(now int64, level int) {
+	s := &l.served[level]
+	s.Whole, s.Reduced = s.Whole+l.stay.Whole, s.Reduced+l.stay.Reduced
+	s.Levelled, s.Throttled = s.Levelled+l.stay.Levelled, s.Throttled+l.stay.Throttled
+	l.spent[level] += now - l.since
+	s.Seconds = l.spent[level] / (1_000 * ms)
+}
+
+func (l *ladder) begin(now int64) {
+	l.stay, l.since = Served{}, now
+	if l.plan != nil {
+		l.served[l.steps.Level()].Entered++
+		l.stay.Level = l.plan.LevelName(l.steps.Level())
+	}
+}
+
+// keepLevels steps the ladder on the beat, and tells the module of another level.
+func (r *Reducer) keepLevels() {
+	l := &r.levels
+	if l.steps == nil || r.post == nil || r.noticed { // a drain stays at its level: intake ends soon
+		return
+	}
+	r.post.Measure(&l.measures)
+	change, changed := l.steps.Step(r.now, &l.measures)
+	if !changed {
+		return
+	}
+	before := l.stay
+	before.Seconds = change.Lasted / (1_000 * ms)
+	l.accountAt(r.now, change.From)
+	l.begin(r.now)
+	r.setLevel(&Turn{Change: change, Plan: l.plan.Name, FromName: l.plan.LevelName(change.From),
+		ToName: l.plan.LevelName(change.To), Signals: l.measures, Loads: l.steps.Loads(), Before: before})
+}
+
+func (r *Reducer) setLevel(t *Turn) {
+	e := node.Event{Kind: node.LevelSet}
+	if l := &r.levels; l.plan != nil {
+		e.Services, e.Spare = l.plan.Services(l.steps.Level()), l.plan.Spare
+	}
+	if r.post != nil {
+		r.events = append(r.events, e)
+	}
+	r.do(Effect{Kind: Turned, Turn: t})
+}
+
+// form is the name that an operation's run has at the executor, and the level's name where that is a reduced form.
+func (r *Reducer) form(op string, form node.Form) (class, level string) {
+	l := &r.levels
+	if form != node.Reduced || l.steps == nil || l.steps.Level() == 0 {
+		return op, ""
+	}
+	level = l.plan.LevelName(l.steps.Level())
+	class = l.plan.Forms[l.steps.Level()-1][r.plate.Operations[op]]
+	if !r.Guard.Hold(class != "", "a reduced run has a form that the executor knows") {
+		return op, ""
+	}
+	return class, level
+}
+
+// count counts an answer for the level in force.
+func (l *ladder) count(succeeded, reduced bool, why node.Why) {
+	switch {
+	case l.plan == nil:
+	case succeeded && reduced:
+		l.stay.Reduced++
+	case succeeded:
+		l.stay.Whole++
+	case why == node.Levelled:
+		l.stay.Levelled++
+	default:
+		l.stay.Throttled++
+	}
+}
+
+// Levels is what was served at each level since the plan was taken, nil without a plan.
+func (r *Reducer) Levels() []Served {
+	if r.levels.plan == nil {
+		return nil
+	}
+	all := append([]Served(nil), r.levels.served...)
+	l := r.levels
+	l.served, l.spent = all, append([]int64(nil), l.spent...)
+	l.accountAt(r.now, l.steps.Level())
+	return all
+}
+
+func (t *Turn) String() string {
+	return fmt.Sprintf("level %s to %s: %s", t.FromName, t.ToName, levels.Causes[t.Cause])
+}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -55,6 +55,7 @@
 	calling        bool
 	called         bool // a call of its was written to the catalogue, this one or an earlier one
 	until          int64
+	form           string // name of the level whose reduced form runs, empty for the whole operation
 }
 
 // connection is a dispatcher's connection.
@@ -105,16 +106,24 @@
 	ReportsFailed     int `json:"reports_failed"`
 }
 
+// Decider is what decides about invocations: control.Post, or a baseline of the laboratory.
+type Decider interface {
+	Decide(now int64, events []node.Event) []node.Action
+	State() node.State
+	Measure(m *node.Measures)
+}
+
 // Reducer is the state of one node.
 type Reducer struct {
-	Guard    must.Guard
-	Counters Counters
+	Guard     must.Guard
+	Counters  Counters
+	Decisions func(plate *node.Nameplate, born int64) Decider // made once the executor is up
 
 	plate    *plate.Plate
 	stop     int64 // ns from the notice to the kill
 	connMost int
 	linkMost int
-	post     *control.Post
+	post     Decider
 	now      int64
 	wall     int64 // Unix ns at now
 	effects  []Effect
@@ -153,6 +162,7 @@
 	reporting           int // the report that is under way, 0 where none is
 	noticed, shut, left bool
 
+	levels  ladder
 	stateAt int64          // when the next sample of the state is due
 	givenUp [node.Whys]int // invocations given up by reason since the last one
 	counted Counters       // the counters at the last one
@@ -163,7 +173,8 @@
 func New(settings *plate.Plate, to Addresses, stop int64, connections, links int) *Reducer {
 	r := &Reducer{plate: settings, to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
 		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
-		metered: math.MinInt64 / 2, wait: redialFirst}
+		metered: math.MinInt64 / 2, wait: redialFirst,
+		Decisions: func(plate *node.Nameplate, born int64) Decider { return control.New(plate, born) }}
 	r.Guard.Tell = func(what string, times int) {
 		r.do(Effect{Kind: Remark, Level: Warn, Text: fmt.Sprintf("did not hold, %d times so far: %s", times, what)})
 	}
@@ -227,6 +238,8 @@
 		r.drain()
 	case Reload:
 		r.reload(in.To)
+	case Adopt:
+		r.adopt(in.Plan)
 	}
 }
 
@@ -261,6 +274,7 @@
 			e.Busy, e.Runnable = r.busy, r.runnable
 		}
 		r.beatAt = never
+		r.keepLevels()
 		r.events = append(r.events, e)
 	}
 }
@@ -273,7 +287,7 @@
 	}
 	if r.link == 0 && r.dialing == 0 {
 		at = min(at, r.redialAt)
-	} else if r.welcomed == r.link {
+	} else if r.link != 0 && r.welcomed == r.link {
 		at = min(at, r.meterAt, r.heardAt+silentMost)
 	}
 	if r.reporting == 0 && !r.noticed {
@@ -286,9 +300,10 @@
 func (r *Reducer) carry(a *node.Action) {
 	switch a.Kind {
 	case node.Run:
-		r.run(a.Inv)
+		r.run(a.Inv, a.Form)
 	case node.Throttle:
 		r.givenUp[a.Why]++
+		r.levels.count(false, false, a.Why)
 		r.throttle(a)
 	case node.Fail:
 		r.givenUp[a.Why]++
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -6,6 +6,8 @@
 // with a name in the past are of the time since the last sample. Times are nanoseconds.
 type State struct {
 	node.State
+	Level       string         `json:"level,omitempty"` // of reduced service, where there is a plan
+	Loads       []float64      `json:"loads,omitempty"` // what is asked of the cores at each level, full service first
 	Succeeded   int            `json:"succeeded"`
 	Refused     int            `json:"refused"` // answered by a throttle
 	Errored     int            `json:"errored"`
@@ -35,7 +37,10 @@
 	s := &State{State: r.post.State(), Succeeded: r.Counters.Succeeded - r.counted.Succeeded,
 		Refused: r.Counters.Throttled - r.counted.Throttled, Errored: r.Counters.Errored - r.counted.Errored,
 		Gone: r.Counters.Gone - r.counted.Gone, Connections: len(r.conns), Links: len(r.supplies),
-		Waiting: len(r.waiting), Unread: len(r.unread), GaugeAge: r.now - r.metered, Synced: r.synced}
+		Waiting: len(r.waiting), Unread: len(r.unread), GaugeAge: min(r.now-r.metered, never/2), Synced: r.synced}
+	if l := &r.levels; l.plan != nil {
+		s.Level, s.Loads = l.plan.LevelName(l.steps.Level()), l.steps.Loads()
+	}
 	for why, n := range r.givenUp {
 		if n > 0 {
 			if s.GivenUp == nil {
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -27,6 +27,7 @@
 	Reported                   // a report to the control plane ended
 	Notice                     // the node is to drain
 	Reload                     // the peers have new addresses
+	Adopt                      // there is another plan of levels, or none
 )
 
 // Addresses are where the peers of a node are.
@@ -40,6 +41,7 @@
 	Line  lines.Line
 	Err   error
 	To    Addresses // Reload
+	Plan  *Plan     // Adopt; nil for none
 }
 
 // EffectKind names what is to be done.
@@ -64,6 +66,7 @@
 	Wake                      // step again at this time at the latest
 	Remark                    // log
 	Sample                    // show the state
+	Turned                    // tell of a change of level
 )
 
 // Level is how loud a remark is.
@@ -89,4 +92,5 @@
 	ID      string
 	Err     error
 	State   *State // Sample
+	Turn    *Turn  // Turned
 }
--- a/server/server.go
+++ b/server/server.go
@@ -50,6 +50,7 @@
 	heard  chan reducer.Input // of the node's own peers; they never wait behind dispatchers
 	notice chan struct{}
 	reload chan *Nameplate
+	plans  chan *reducer.Plan
 	ctx    context.Context
 	group  *errgroup.Group
 
@@ -64,7 +65,7 @@
 	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1),
-		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}}
+		reload: make(chan *Nameplate, 1), plans: make(chan *reducer.Plan, 1), links: make(map[int]*link), endReport: func() {}}
 	connections, _, links := nameplate.shares()
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	return s
@@ -90,6 +91,18 @@
 	}
 }
 
+// Adopt goes on with a plan of levels of reduced service, or with none; at any time of the node's life. One that
+// does not fit the operations changes nothing and is logged.
+func (s *Server) Adopt(plan *reducer.Plan) {
+	for {
+		select {
+		case s.plans <- plan:
+			return
+		case <-s.plans: // an older one that was not taken yet
+		}
+	}
+}
+
 // shares says how the descriptors are parted: among dispatchers' connections, those of them that are about to
 // close, and links to the catalogue.
 func (n *Nameplate) shares() (connections, closing, links int) {
@@ -189,6 +202,8 @@
 				s.log.Warn().Str("field", field).Msg("configuration: a new value here takes a new start")
 			}
 			inputs = append(inputs, reducer.Input{Kind: reducer.Reload, To: next.peers()})
+		case plan := <-s.plans:
+			inputs = append(inputs, reducer.Input{Kind: reducer.Adopt, Plan: plan})
 		}
 		inputs = takeAll(inputs, s.heard)
 		inputs = takeAll(inputs, s.inputs)
@@ -199,7 +214,7 @@
 			case e.Kind == reducer.Wake:
 				wake = e.At
 			case e.Kind == reducer.Leave:
-				s.log.Info().Interface("counters", s.state.Counters).
+				s.log.Info().Interface("counters", s.state.Counters).Interface("levels", s.state.Levels()).
 					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
 				s.conns.flushAll()
 				return errLeft
@@ -264,6 +279,8 @@
 		s.conns.shut()
 	case reducer.Sample:
 		s.log.Debug().Interface("state", e.State).Msg("state")
+	case reducer.Turned:
+		s.turned(e.Turn)
 	case reducer.Remark:
 		level := [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel}[e.Level]
 		line := s.loud.WithLevel(level).Err(e.Err)
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,358 @@
+// Package settings reads files of the project's own: Jsonnet templates that are evaluated within bounds, checked
+// against a JSON Schema and decoded once. It knows no file's meaning; what it finds wrong names file, line and mend.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/go-jsonnet"
+	"github.com/google/go-jsonnet/ast"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+)
+
+const (
+	fileMost    = 256 << 10       // bytes of one file: some thousand lines
+	importsMost = 32              // files that one may import, those of imports included
+	stackMost   = 200             // calls deep that a template may go
+	evaluated   = 2 * time.Second // that an evaluation may take
+	resultMost  = 1 << 20         // bytes of what a template may come to
+	problemsMax = 20              // that are told of one file; the rest is counted
+)
+
+// Problem is one thing wrong with a file.
+type Problem struct {
+	File string
+	Line int    // 0 where a template made the value
+	Path string // to the value, empty for the file itself
+	What string
+	Mend string
+}
+
+func (p *Problem) Error() string {
+	s := p.File
+	if p.Line > 0 {
+		s += ":" + strconv.Itoa(p.Line)
+	}
+	if p.Path != "" {
+		s += ": " + p.Path
+	}
+	s += ": " + p.What
+	if p.Mend != "" {
+		s += "; " + p.Mend
+	}
+	return s
+}
+
+// Problems are all things wrong with a file, as one error.
+type Problems []*Problem
+
+func (p Problems) Error() string {
+	all := make([]string, 0, len(p))
+	for i, problem := range p {
+		if i == problemsMax {
+			all = append(all, fmt.Sprintf("and %d more", len(p)-i))
+			break
+		}
+		all = append(all, problem.Error())
+	}
+	return strings.Join(all, "\n")
+}
+
+// File is one that was evaluated.
+type File struct {
+	Path string
+	JSON []byte
+	tree any
+	ast  ast.Node
+}
+
+// Read evaluates a file. Imports stay below its folder; there is no environment and no network. An evaluation that
+// takes too long is left behind, so a program that must not be slowed down has another process call this.
+func Read(path string) (*File, error) {
+	text, err := readBounded(path)
+	if err != nil {
+		return nil, &Problem{File: path, What: err.Error(), Mend: "name a readable file"}
+	}
+	root, err := filepath.Abs(filepath.Dir(path))
+	if err != nil {
+		return nil, &Problem{File: path, What: err.Error()}
+	}
+	vm := jsonnet.MakeVM()
+	vm.MaxStack = stackMost
+	vm.SetTraceOut(io.Discard)
+	vm.ErrorFormatter.SetMaxStackTraceSize(1)
+	vm.Importer(&importer{root: root, first: path, files: map[string]jsonnet.Contents{}})
+	type result struct {
+		json string
+		err  error
+	}
+	done := make(chan result, 1)
+	go func() {
+		out, err := vm.EvaluateAnonymousSnippet(path, string(text))
+		done <- result{out, err}
+	}()
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return nil, evaluation(path, r.err)
+		}
+		return Rendered(path, []byte(r.json))
+	case <-time.After(evaluated):
+		return nil, &Problem{File: path, What: fmt.Sprintf("takes more than %s to evaluate", evaluated),
+			Mend: "look for a template that calls itself or builds a huge array"}
+	}
+}
+
+// Rendered takes what a file came to elsewhere; the file itself is read for the lines of its values only.
+func Rendered(path string, result []byte) (*File, error) {
+	if len(result) > resultMost {
+		return nil, &Problem{File: path, What: fmt.Sprintf("comes to %d bytes, %d at most", len(result), resultMost),
+			Mend: "build less in templates"}
+	}
+	f := &File{Path: path, JSON: result}
+	tree, err := jsonschema.UnmarshalJSON(bytes.NewReader(result))
+	if err != nil {
+		return nil, &Problem{File: path, What: err.Error()}
+	}
+	f.tree = tree
+	if text, err := readBounded(path); err == nil {
+		f.ast, _ = jsonnet.SnippetToAST(path, string(text))
+	}
+	return f, nil
+}
+
+func readBounded(path string) ([]byte, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, errors.Unwrap(err)
+	}
+	defer file.Close()
+	text, err := io.ReadAll(io.LimitReader(file, fileMost+1))
+	if err == nil && len(text) > fileMost {
+		err = fmt.Errorf("has more than %d bytes", fileMost)
+	}
+	return text, err
+}
+
+// importer opens files below a folder only, links out of it not followed.
+type importer struct {
+	root, first string
+	files       map[string]jsonnet.Contents
+}
+
+func (i *importer) Import(from, path string) (jsonnet.Contents, string, error) {
+	base := filepath.Dir(from)
+	if from == "" {
+		base = filepath.Dir(i.first)
+	}
+	full, err := filepath.Abs(filepath.Join(base, path))
+	if filepath.IsAbs(path) {
+		full = path
+	}
+	if err != nil {
+		return jsonnet.Contents{}, "", err
+	}
+	if c, ok := i.files[full]; ok {
+		return c, full, nil
+	}
+	real, err := filepath.EvalSymlinks(full)
+	root, rootErr := filepath.EvalSymlinks(i.root)
+	if err != nil || rootErr != nil {
+		return jsonnet.Contents{}, "", fmt.Errorf("there is no file %q", path)
+	}
+	if !strings.HasPrefix(real, root+string(filepath.Separator)) {
+		return jsonnet.Contents{}, "", fmt.Errorf("%q lies outside the folder of the file", path)
+	}
+	if len(i.files) >= importsMost {
+		return jsonnet.Contents{}, "", fmt.Errorf("more than %d files are imported", importsMost)
+	}
+	text, err := readBounded(real)
+	if err != nil {
+		return jsonnet.Contents{}, "", fmt.Errorf("%q: %w", path, err)
+	}
+	i.files[full] = jsonnet.MakeContents(string(text))
+	return i.files[full], full, nil
+}
+
+var (
+	position = regexp.MustCompile(`([^\s:()]+):\(?(\d+)[:)]`)
+	prefixes = regexp.MustCompile(`^(RUNTIME ERROR|STATIC ERROR): `)
+)
+
+// evaluation turns what the language says into a problem.
+func evaluation(path string, err error) error {
+	text := strings.TrimSpace(err.Error())
+	p := &Problem{File: path, Mend: "mend the template"}
+	first, rest, _ := strings.Cut(text, "\n")
+	if at := position.FindStringSubmatch(text); at != nil {
+		p.File = at[1]
+		p.Line, _ = strconv.Atoi(at[2])
+		if strings.HasPrefix(prefixes.ReplaceAllString(first, ""), at[0]) {
+			first = first[strings.Index(first, at[0])+len(at[0]):]
+			if _, after, found := strings.Cut(first, " "); found {
+				first = after
+			}
+		}
+	}
+	_ = rest
+	first = strings.TrimSpace(prefixes.ReplaceAllString(first, ""))
+	if strings.Contains(first, "max stack frames exceeded") {
+		p.Mend = "look for a template or an import that calls itself"
+	}
+	if strings.Contains(first, "couldn't open import") {
+		p.Mend = "import files below the folder of this one"
+	}
+	p.What = first
+	return p
+}
+
+// Schema is what a kind of file may hold.
+type Schema struct{ compiled *jsonschema.Schema }
+
+// Compile reads a schema; it panics on one that is not sound, as a schema is part of the program.
+func Compile(name, text string) *Schema {
+	doc, err := jsonschema.UnmarshalJSON(strings.NewReader(text))
+	if err != nil {
+		panic("settings: schema " + name + ": " + err.Error())
+	}
+	c := jsonschema.NewCompiler()
+	if err := c.AddResource(name, doc); err != nil {
+		panic("settings: schema " + name + ": " + err.Error())
+	}
+	return &Schema{c.MustCompile(name)}
+}
+
+// Check names all that a schema does not allow.
+func (f *File) Check(s *Schema) error {
+	err := s.compiled.Validate(f.tree)
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	var found Problems
+	f.collect(invalid, &found)
+	slices.SortStableFunc(found, func(a, b *Problem) int { return a.Line - b.Line })
+	return found
+}
+
+// At makes a problem of the value at a path.
+func (f *File) At(path []string, what, mend string) *Problem {
+	return &Problem{File: f.Path, Line: f.line(path), Path: strings.Join(path, "."), What: what, Mend: mend}
+}
+
+func (f *File) collect(e *jsonschema.ValidationError, found *Problems) {
+	if len(e.Causes) > 0 {
+		for _, cause := range e.Causes {
+			f.collect(cause, found)
+		}
+		return
+	}
+	at := e.InstanceLocation
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		for _, name := range k.Properties {
+			*found = append(*found, f.At(append(slices.Clone(at), name), "no such setting here", "drop it, or look at its spelling"))
+		}
+	case *kind.Required:
+		*found = append(*found, f.At(at, "misses "+strings.Join(k.Missing, ", "), "add it"))
+	case *kind.Type:
+		mend := "write a " + strings.Join(k.Want, " or ")
+		if slices.Equal(k.Want, []string{"string"}) && (k.Got == "number" || k.Got == "integer") {
+			mend = `write it with its unit: "250 ms", "30 %", "64 kB"`
+		}
+		*found = append(*found, f.At(at, "is a "+k.Got, mend))
+	case *kind.Pattern:
+		*found = append(*found, f.At(at, fmt.Sprintf("%q has no unit that is known here", k.Got),
+			`write a number and its unit: "250 ms", "30 %", "64 kB"`))
+	case *kind.Enum:
+		*found = append(*found, f.At(at, fmt.Sprintf("%v is not one of %v", k.Got, k.Want), "choose one of them"))
+	case *kind.MinItems:
+		*found = append(*found, f.At(at, fmt.Sprintf("has %d, %d at the least", k.Got, k.Want), "add one"))
+	case *kind.MinLength:
+		*found = append(*found, f.At(at, "is empty", "name it"))
+	case *kind.MinProperties:
+		*found = append(*found, f.At(at, "is empty", "add what it is to hold"))
+	default:
+		text := e.Error()
+		if _, after, cut := strings.Cut(text, "': "); cut {
+			text = after
+		}
+		*found = append(*found, f.At(at, text, "mend the value"))
+	}
+}
+
+// line finds where the value at a path is written, or the nearest one around it that is written out; 0 where a
+// template made all of it.
+func (f *File) line(path []string) int {
+	at := f.ast
+	line := 0
+	for depth := 0; at != nil; {
+		switch n := at.(type) {
+		case *ast.Local:
+			at = n.Body
+			continue
+		case *ast.Parens:
+			at = n.Inner
+			continue
+		case *ast.DesugaredObject:
+			if line == 0 {
+				line = n.Loc().Begin.Line
+			}
+			if depth == len(path) {
+				return line
+			}
+			var body ast.Node
+			for _, field := range n.Fields {
+				if name, ok := field.Name.(*ast.LiteralString); ok && name.Value == path[depth] {
+					body, line = field.Body, field.LocRange.Begin.Line
+				}
+			}
+			at = body
+		case *ast.Array:
+			k, err := strconv.Atoi(at2(path, depth))
+			if err != nil || k < 0 || k >= len(n.Elements) {
+				return line
+			}
+			at = n.Elements[k].Expr
+			if loc := at.Loc(); loc != nil && loc.Begin.Line > 0 {
+				line = loc.Begin.Line
+			}
+		default:
+			return line
+		}
+		depth++
+		if depth >= len(path) {
+			return line
+		}
+	}
+	return line
+}
+
+func at2(path []string, depth int) string {
+	if depth < len(path) {
+		return path[depth]
+	}
+	return ""
+}
+
+// Into decodes the file.
+func (f *File) Into(v any) error {
+	d := json.NewDecoder(bytes.NewReader(f.JSON))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return &Problem{File: f.Path, What: err.Error(), Mend: "mend the value"}
+	}
+	return nil
+}
