Laboratory: experiments on levels played side by side, with claims, series and plots

Need: what a ladder of levels does has to be shown before it is turned on. Change: package lab/experiment and command topazlab; refused operations may be served last from spare room.

--- /dev/null
+++ b/cmd/topazlab/main.go
@@ -0,0 +1,75 @@
+// Command topazlab plays experiments of the laboratory.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/mattn/go-isatty"
+
+	"topazpost/lab/experiment"
+)
+
+type run struct {
+	File  string            `arg:"" help:"The experiment, a Jsonnet file." type:"path"`
+	Seed  int64             `help:"First seed." default:"1"`
+	Seeds int               `help:"How many seeds are played; those of the experiment without it."`
+	Set   map[string]string `help:"Values to change, by path: day.load.period=60 s;day.nodes=8."`
+	JSON  bool              `help:"Print one object as the last line."`
+	Out   string            `help:"Folder for the series as Parquet and for plots." type:"path" placeholder:"DIR"`
+}
+
+var errBroken = errors.New("a claim did not hold")
+
+// Run plays an experiment and fails where a claim does not hold.
+func (c *run) Run() error {
+	x, err := experiment.Read(c.File, c.Set)
+	if err != nil {
+		return err
+	}
+	if c.Seeds > 0 {
+		x.Seeds = c.Seeds
+	}
+	var seeds []int64
+	for k := range x.Seeds {
+		seeds = append(seeds, c.Seed+int64(k))
+	}
+	var progress func(done, all int)
+	if isatty.IsTerminal(os.Stderr.Fd()) {
+		progress = func(done, all int) { fmt.Fprintf(os.Stderr, "\r%d of %d days played", done, all) }
+	}
+	result, err := x.Run(seeds, progress)
+	if err != nil {
+		return err
+	}
+	if progress != nil {
+		fmt.Fprintln(os.Stderr)
+	}
+	if c.Out != "" {
+		if err := result.Save(c.Out); err != nil {
+			return err
+		}
+	}
+	if err := result.Print(os.Stdout); err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := result.JSON(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if !result.Held() {
+		return errBroken
+	}
+	return nil
+}
+
+func main() {
+	var line struct {
+		Run run `cmd:"" help:"Play the variants of an experiment side by side, and say of each claim whether it held."`
+	}
+	c := kong.Parse(&line, kong.Name("topazlab"), kong.Description("Plays fleets in virtual time. Its figures are simulated."))
+	c.FatalIfErrorf(c.Run())
+}
--- a/control/control.go
+++ b/control/control.go
@@ -57,6 +57,8 @@
 	makeWayFrom  = 1.5   // times the rank of a run from which one that waits takes its place
 	skew         = 0.4   // of its expected cost that half of all runs do without, and one past it still needs
 	pressureHigh = 0.5   // of the shortest objective: a longer wait asks callers for less
+	servedLast   = 1e-3  // of its rank, where a level would refuse it but leaves it what the others don't take
+	spareWait    = 0.15  // of the shortest objective: work that is held under which a level need not bind
 	pressureLow  = 0.25  // of the shortest objective: a shorter wait asks them for more
 	adviceUp     = 0.02  // of all that could be asked for, given back for each beat of low pressure
 	creditTop    = 4.0   // outstanding invocations a core that credits start from
@@ -140,11 +142,12 @@
 	opened, closed                                 int   // invocations ever read, and ended
 	atNotice, closedBefore                         int   // in flight and ended at the notice
 	unhealthy, free, drained                       bool  // free: a core was idle at the last beat
-	spare                                          bool  // all is served whole while a core is idle, none waits
+	spare                                          bool  // what a level refuses is served last, what it reduces whole while little is held
 
 	open, said                  float64           // open is the part of all that could be asked for
 	allFull                     bool              // other nodes seem to turn work away too
 	arrivals, echoes, throttled float64           // of late; echoes are further tries among the arrivals
+	levelled                    float64           // of late, throttled as their level leaves nothing of them
 	callers                     map[int64]float64 // arrivals from each caller of late
 	tenants                     []float64         // arrivals of late, first those of none
 }
@@ -304,7 +307,7 @@
 	case e.Repeats != node.NoRepeat:
 		p.do(node.Action{Kind: node.Reuse, Inv: e.Inv})
 		p.shift(v, joined)
-	case op.service.Form == node.Refused && !p.roomy(1):
+	case op.service.Form == node.Refused && !p.spare:
 		p.giveUp(e.Inv, node.Levelled)
 	case op.Effect == node.Tokened:
 		p.record(e.Inv, v.arrived+op.Window)
@@ -313,7 +316,8 @@
 	}
 }
 
-// setLevel applies a level of reduced service: what waits unrun and is refused now goes at once, unless it fits.
+// setLevel applies a level of reduced service: what waits unrun and is refused now goes at once, unless the plan
+// leaves it the spare room.
 func (p *Post) setLevel(services []node.Service, spare bool) {
 	p.spare = spare
 	for k := range p.ops {
@@ -324,17 +328,15 @@
 	for _, i := range p.live {
 		v := &p.invs[i]
 		if v.state == held && !v.ran {
-			if v.part, v.worth = 1, 1; v.op.service.Form == node.Refused {
+			if v.part, v.worth = 1, 1; v.op.service.Form == node.Refused && !p.spare {
 				p.giveUp(i, node.Levelled)
 			}
 		}
 	}
 }
 
-// roomy says whether a level need not bind: a core is idle and none waits but so many that are looked at now.
-func (p *Post) roomy(looked int) bool {
-	return p.spare && p.waiting <= max(1, looked) && float64(p.onCores)+p.reading < p.cores
-}
+// roomy says whether a level need not reduce: the plan allows that, and what is held is gone within a moment.
+func (p *Post) roomy() bool { return p.spare && p.work(held) < spareWait*p.tightest*p.freeCores() }
 
 // record guards against a second effect; a tokened invocation that finds no room is turned away unrun.
 func (p *Post) record(i int32, until int64) {
@@ -356,10 +358,10 @@
 	}
 	p.watch(v, false)
 	if v.answered = true; v.state == held && !v.ran {
-		if why != node.Levelled {
-			p.throttled++
+		if why == node.Levelled {
+			p.levelled++
 		}
-		if !p.plate.RetriesMarked {
+		if p.throttled++; !p.plate.RetriesMarked {
 			p.echoes++ // where they bear no mark, what is turned away here tells of those to come
 		}
 		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: v.further || p.allFull, Why: why})
@@ -447,7 +449,7 @@
 	p.order = p.order[:0]
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == held || v.state == paused {
-			if !v.ran && v.op.service.Form == node.Reduced {
+			if !v.ran && v.op.service.Work > 0 {
 				v.part, v.worth = v.op.service.Work, v.op.service.Value
 			}
 			p.rank(v)
@@ -463,7 +465,7 @@
 			end += ahead / p.freeCores()
 		}
 		if end-skew*p.expected(v) > p.objective(v) && (v.op.LateShare == 0 || end > p.left(v)) {
-			p.giveUp(i, node.Hopeless)
+			p.giveUp(i, map[bool]node.Why{false: node.Hopeless, true: node.Levelled}[v.op.service.Form == node.Refused])
 			return true
 		}
 		ahead += p.expected(v)
@@ -477,6 +479,9 @@
 	if !p.plate.ByWork {
 		v.key /= p.expected(v)
 	}
+	if v.op.service.Form == node.Refused && !v.ran {
+		v.key *= servedLast
+	}
 	if need, slack := p.ends(v)-float64(p.now), p.objective(v)-float64(p.now); need > slack {
 		v.key *= v.op.LateShare
 	} else {
@@ -530,7 +535,7 @@
 			continue
 		}
 		form := node.Whole
-		if v.part < 1 && !v.ran && p.roomy(0) {
+		if v.op.service.Form == node.Reduced && !v.ran && p.roomy() {
 			v.part, v.worth = 1, 1
 		} else if v.part < 1 {
 			form = node.Reduced
@@ -760,7 +765,8 @@
 
 // adjustAdvice tells callers how much to send: less while the wait is long, more while it is short.
 func (p *Post) adjustAdvice() {
-	p.arrivals, p.echoes, p.throttled = p.arrivals*fade, p.echoes*fade, p.throttled*fade
+	p.arrivals, p.echoes = p.arrivals*fade, p.echoes*fade
+	p.throttled, p.levelled = p.throttled*fade, p.levelled*fade
 	sum, squares := 0.0, 1e-9
 	for caller, n := range p.callers {
 		if p.callers[caller] = n * fade; n < callerGone {
@@ -813,5 +819,5 @@
 	}
 	m.Reading = min(p.meanReading, p.cores) / max(p.cores, float64(p.onCores)+p.meanReading)
 	m.Wait, m.Lag, m.Calls = p.wait()/p.tightest, p.lag/p.tightest, p.callWait()/p.tightest
-	m.Throttled, m.Memory = p.throttled/max(1, p.arrivals), p.memory/p.plate.MemoryKB
+	m.Throttled, m.Memory = (p.throttled-p.levelled)/max(1, p.arrivals), p.memory/p.plate.MemoryKB
 }
--- /dev/null
+++ b/lab/baselines/pool.go
@@ -0,0 +1,143 @@
+// Package baselines holds plain policies that the decisions are compared with. None of them is for service.
+package baselines
+
+import (
+	"slices"
+
+	"topazpost/node"
+	"topazpost/reducer"
+)
+
+const (
+	runsACore = 2           // of the pool
+	lineACore = 4           // that wait for it; more are turned away
+	beat      = 50_000_000  // ns
+	margin    = 100_000_000 // ns before the due time at which a final answer is given
+)
+
+type entry struct {
+	due      int64
+	live     bool
+	runs     bool
+	answered bool
+}
+
+// pool runs so many for each core and keeps a short line; it rejects the rest.
+type pool struct {
+	plate   *node.Nameplate
+	entries []entry
+	line    []int32
+	running int
+	intake  int64 // when it ends, 0 while there was no notice
+	out     []node.Action
+	said    bool
+}
+
+// Pool is a plain pool with a short queue that rejects.
+func Pool(plate *node.Nameplate, _ int64) reducer.Decider { return &pool{plate: plate} }
+
+func (p *pool) do(a node.Action) { p.out = append(p.out, a) }
+
+// Decide takes what happened and returns what to do.
+func (p *pool) Decide(now int64, events []node.Event) []node.Action {
+	p.out = p.out[:0]
+	var over []int32
+	if !p.said {
+		p.said = true
+		p.do(node.Action{Kind: node.Health, Good: true, Stored: true})
+	}
+	for i := range events {
+		switch e := &events[i]; e.Kind {
+		case node.Arrived:
+			p.arrived(now, e, &over)
+		case node.DrainNotice:
+			p.intake = now + min(p.plate.DrainGrace, e.Kill-now)
+		case node.CallWanted:
+			p.do(node.Action{Kind: node.Call, Inv: e.Inv, At: max(now+1, p.entries[e.Inv].due-margin)})
+		case node.CallEnded:
+			if e.Outcome != node.Succeeded {
+				p.answer(e.Inv, node.Fail)
+			}
+		case node.CallerGone:
+			p.entries[e.Inv].answered = true
+			if !p.entries[e.Inv].runs {
+				over = append(over, e.Inv)
+			}
+		case node.RunEnded:
+			p.running--
+			p.entries[e.Inv].answered = true
+			over = append(over, e.Inv)
+		case node.TimerDue:
+			p.keep(now, &over)
+			p.do(node.Action{Kind: node.Timer, At: now + beat})
+		}
+	}
+	p.line = slices.DeleteFunc(p.line, func(i int32) bool { return p.entries[i].answered })
+	for len(p.line) > 0 && p.running < runsACore*p.plate.Cores {
+		i := p.line[0]
+		p.line = p.line[1:]
+		if x := &p.entries[i]; x.live && !x.answered {
+			x.runs = true
+			p.running++
+			p.do(node.Action{Kind: node.Run, Inv: i})
+		}
+	}
+	if len(over) > 0 { // an index may stand for another one once it is released
+		p.line = slices.DeleteFunc(p.line, func(i int32) bool { return slices.Contains(over, i) })
+	}
+	for _, i := range over {
+		if p.entries[i].live {
+			p.entries[i].live = false
+			p.do(node.Action{Kind: node.Release, Inv: i})
+		}
+	}
+	return p.out
+}
+
+func (p *pool) arrived(now int64, e *node.Event, over *[]int32) {
+	p.entries = append(p.entries, make([]entry, max(0, int(e.Inv)+1-len(p.entries)))...)
+	p.entries[e.Inv] = entry{due: now - e.Age + p.plate.Operations[e.Operation].ClientTimeout, live: true}
+	if p.running+len(p.line) >= (runsACore+lineACore)*p.plate.Cores || p.intake > 0 && now >= p.intake {
+		p.answer(e.Inv, node.Throttle)
+		*over = append(*over, e.Inv)
+		return
+	}
+	p.line = append(p.line, e.Inv)
+}
+
+func (p *pool) answer(i int32, kind node.ActionKind) {
+	if x := &p.entries[i]; !x.answered {
+		x.answered = true
+		p.do(node.Action{Kind: kind, Inv: i})
+	}
+}
+
+// keep answers what is due.
+func (p *pool) keep(now int64, over *[]int32) {
+	open := false
+	for i := range p.entries {
+		x := &p.entries[i]
+		if !x.live || x.answered {
+			continue
+		}
+		if open = true; now >= x.due-margin {
+			if p.answer(int32(i), map[bool]node.ActionKind{true: node.Fail, false: node.Throttle}[x.runs]); !x.runs {
+				*over = append(*over, int32(i))
+			}
+		}
+	}
+	if p.intake > 0 && now >= p.intake {
+		p.do(node.Action{Kind: node.StopIntake})
+		if !open {
+			p.do(node.Action{Kind: node.Leave, Text: "pool: drained"})
+		}
+	}
+}
+
+// State tells nothing.
+func (p *pool) State() node.State { return node.State{Held: len(p.line), OnCores: p.running} }
+
+// Measure tells nothing: a pool has no levels.
+func (p *pool) Measure(m *node.Measures) {
+	*m = node.Measures{Asked: append(m.Asked[:0], make([]float64, len(p.plate.Operations))...)}
+}
--- a/lab/fleet/dispatcher.go
+++ b/lab/fleet/dispatcher.go
@@ -178,7 +178,7 @@
 	v := a.inv
 	fields := []frame.Field{{Name: "op", Value: v.op.Name}, {Name: "call", Value: a.id},
 		{Name: "recv", Value: strconv.FormatInt(a.arrived/ms, 10)}, {Name: "src", Value: strconv.Itoa(d.index)},
-		{Name: "work", Value: fmt.Sprintf("%.2f", v.op.Work*m.skewed()/1e6)}, {Name: "heap", Value: "24"},
+		{Name: "work", Value: fmt.Sprintf("%.2f", v.op.Work*skewed(m.Chance)/1e6)}, {Name: "heap", Value: "24"},
 		{Name: "crit", Value: fmt.Sprintf("%.4f", v.rank*0.9999)}, {Name: "row", Value: fmt.Sprintf("%016x", v.subject)}}
 	if v.tries > 1 {
 		fields = append(fields, frame.Field{Name: "rep", Value: "1"})
@@ -199,6 +199,7 @@
 			delete(c.open, a.stream)
 			delete(m.open, a.id)
 			m.put(reducer.Input{Kind: reducer.Read, Link: c.link, Frame: frame.Frame{Type: frame.Gone, Stream: a.stream}})
+			m.over(a)
 		}
 	})
 }
@@ -212,6 +213,7 @@
 	a.answered = true
 	delete(a.conn.open, a.stream)
 	delete(a.to.open, a.id)
+	a.to.over(a)
 	d, now := a.by, a.to.Now
 	stop, level := false, ""
 	h := &d.heard[a.to.index]
--- a/lab/fleet/machine.go
+++ b/lab/fleet/machine.go
@@ -343,6 +343,17 @@
 	})
 }
 
+// over ends a run that waits at a call for an invocation that nobody waits for any more.
+func (m *machine) over(a *attempt) {
+	if !a.waiting {
+		return
+	}
+	a.waiting = false
+	delete(m.runs, a.id)
+	m.notice++
+	m.tell(fmt.Sprintf("EXIT %d %s cut %d 0", m.notice, a.id, (m.Now-a.started)/ms), nil)
+}
+
 // ask is the ledger.
 func (m *machine) ask(link int, words []string, body []byte) {
 	if words[0] != "FETCH" {
@@ -354,7 +365,7 @@
 	}
 	m.ledgers[link] = a
 	m.total.Calls++
-	a.call = m.ledger.Add(a.inv.op.Call*m.skewed(), func() {
+	a.call = m.ledger.Add(a.inv.op.Call*skewed(m.Chance), func() {
 		if m.ledgers[link] != a {
 			return
 		}
--- a/levels/levels.go
+++ b/levels/levels.go
@@ -60,7 +60,7 @@
 type Plan struct {
 	Name    string
 	Rungs   []Rung // lowest first
-	Spare   bool   // what a rung reduces or refuses is served whole while a core is idle and nothing waits
+	Spare   bool   // what a rung refuses is served last, what it reduces whole while next to nothing is held
 	Idle    Condition
 	Hold    int64   // that a rung is kept at the least after it was last needed
 	Most    int64   // that it is kept at the most
--- a/node/node.go
+++ b/node/node.go
@@ -145,7 +145,7 @@
 
 	// LevelSet
 	Services []Service // by index of the operation, nil for full service; the sender's
-	Spare    bool      // all is served whole while a core is idle and nothing waits
+	Spare    bool      // what is refused is served last, what is reduced whole while next to nothing is held
 
 	// TimerDue; a gauge that the site lacks is negative
 	Busy     float64
@@ -199,7 +199,7 @@
 )
 
 // Service is what a level leaves of one operation: the form, and for a reduced one its parts of the work and of
-// the billed value.
+// the billed value; for a refused one those of the form in which the spare room serves it, 0 for the whole.
 type Service struct {
 	Form        Form
 	Work, Value float64
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -186,6 +186,10 @@
 	for j, name := range from.Refuse {
 		if i, known := unknown(name, at("refuse", fmt.Sprint(j))); known {
 			rung.Service[i] = node.Service{Form: node.Refused}
+			if k > 0 && w.Spare { // the spare room goes to the form of the level before
+				before := p.Rungs[k-1].Service[i]
+				rung.Service[i].Work, rung.Service[i].Value, forms[i] = before.Work, before.Value, p.Forms[k-1][i]
+			}
 		}
 	}
 	for _, name := range sorted(from.Reduce) {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -347,6 +347,42 @@
 	return ""
 }
 
+// Set puts another value at a path of names and indices, "day.load.period"; the value is JSON, or else a text.
+func (f *File) Set(path, value string) error {
+	var to any = value
+	if json.Unmarshal([]byte(value), &to) != nil {
+		to = value
+	}
+	names := strings.Split(path, ".")
+	at := f.tree
+	for depth, name := range names {
+		last := depth == len(names)-1
+		switch of := at.(type) {
+		case map[string]any:
+			if last {
+				of[name] = to
+			} else if _, there := of[name]; !there {
+				of[name] = map[string]any{}
+			}
+			at = of[name]
+		case []any:
+			k, err := strconv.Atoi(name)
+			if err != nil || k < 0 || k >= len(of) {
+				return f.At(names[:depth+1], "there is no such item", fmt.Sprintf("items are 0 to %d", len(of)-1))
+			}
+			if last {
+				of[k] = to
+			}
+			at = of[k]
+		default:
+			return f.At(names[:depth], "holds a plain value", "set a path that leads to one")
+		}
+	}
+	text, err := json.Marshal(f.tree)
+	f.JSON = text
+	return err
+}
+
 // Into decodes the file.
 func (f *File) Into(v any) error {
 	d := json.NewDecoder(bytes.NewReader(f.JSON))
