--- /dev/null
+++ b/lab/experiment/experiment_test.go
@@ -0,0 +1,91 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/json"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/parquet-go/parquet-go"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestEveryExperimentCanBeReadWithItsPlans(t *testing.T) {
+	files, err := filepath.Glob("../experiments/*.jsonnet")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, path := range files {
+		x, err := Read(path, nil)
+		require.NoError(t, err, path)
+		assert.NotEmpty(t, x.Claims, path)
+		for name, v := range x.Variants {
+			_, err := x.day(1, v)
+			assert.NoError(t, err, "%s, %s", path, name)
+		}
+	}
+}
+
+func short(t *testing.T, changed map[string]string) *Result {
+	changed["day.length"] = "6 s"
+	x, err := Read("../experiments/levels-constant.jsonnet", changed)
+	require.NoError(t, err)
+	r, err := x.Run([]int64{1, 2}, nil)
+	require.NoError(t, err)
+	return r
+}
+
+func TestClaimsAreJudgedOnEachSeedAndAgainstOtherVariants(t *testing.T) {
+	r := short(t, map[string]string{"claims": `[
+		{"name": "a", "variant": "module", "measure": "value", "least": 0.2},
+		{"name": "b", "variant": "module", "measure": "value", "most": 0.2},
+		{"name": "c", "variant": "module", "over": "module", "measure": "value", "least": 0, "most": 0},
+		{"name": "d", "variant": "ladder", "over": "pool", "measure": "value", "least": 0.05},
+		{"name": "e", "variant": "pool", "measure": "top", "most": 0, "mean": true}]`})
+	var held []bool
+	for _, v := range r.Verdicts {
+		held = append(held, v.Held)
+	}
+	assert.Equal(t, []bool{true, false, true, true, true}, held)
+	assert.False(t, r.Held())
+}
+
+func TestReportIsOneObjectOnItsLastLine(t *testing.T) {
+	r := short(t, map[string]string{})
+	var b bytes.Buffer
+	require.NoError(t, r.Print(&b))
+	require.NoError(t, r.JSON(&b))
+	lines := strings.Split(strings.TrimSpace(b.String()), "\n")
+	var got struct {
+		Experiment string
+		Seeds      []int64
+		Claims     []Verdict
+		Variants   map[string]struct{ Value float64 }
+	}
+	require.NoError(t, json.Unmarshal([]byte(lines[len(lines)-1]), &got))
+	assert.Equal(t, "levels-constant", got.Experiment)
+	assert.Equal(t, []int64{1, 2}, got.Seeds)
+	assert.Len(t, got.Claims, len(r.Experiment.Claims))
+	assert.Positive(t, got.Variants["module"].Value)
+}
+
+func TestSeriesAreSavedAsParquetAndPlots(t *testing.T) {
+	r := short(t, map[string]string{})
+	folder := t.TempDir()
+	require.NoError(t, r.Save(folder))
+	rows, err := parquet.ReadFile[row](filepath.Join(folder, "levels-constant.parquet"))
+	require.NoError(t, err)
+	assert.Len(t, rows, 6*2*len(r.Experiment.Variants))
+	assert.Len(t, rows[0].Levels, 4)
+	plots, err := filepath.Glob(filepath.Join(folder, "*.svg"))
+	require.NoError(t, err)
+	assert.Len(t, plots, len(r.Experiment.Variants))
+}
+
+func TestUnknownNamesAreTold(t *testing.T) {
+	for path, text := range map[string]string{"claims.0.variant": "no variant is named", "claims.0.measure": "no measure is named"} {
+		_, err := Read("../experiments/levels-constant.jsonnet", map[string]string{path: "zz"})
+		assert.ErrorContains(t, err, text)
+	}
+}
--- a/lab/fleet/day.go
+++ b/lab/fleet/day.go
@@ -15,20 +15,21 @@
 )
 
 const (
-	ms      = int64(1_000_000)
-	second  = 1_000 * ms
-	hop     = 300_000 // ns from one machine to another
-	meter   = 100_000 // ns in which the executor answers for its gauges
-	epoch   = 1_000_000_000_000 * ms
-	slack   = 80 * ms    // ns past its due time at which an unanswered invocation counts as lost
-	sampled = 100 * ms   // ns between looks at the crowd on the cores
-	crowdOf = 20         // looks over which the crowd is taken as a mean
-	listed  = 2 * second // ns until dispatchers hear of a node that comes or goes
-	heeded  = 1 * second // ns for which a dispatcher bears in mind what a node said
-	streams = 32         // invocations open on one connection
-	stopAt  = 5 * second // ns from the notice to the kill
-	grace   = 2 * second // ns after the notice past which nothing that arrives may run
-	unread  = 256        // invocations that a machine keeps unread; more are turned away by its system
+	ms       = int64(1_000_000)
+	second   = 1_000 * ms
+	hop      = 300_000 // ns from one machine to another
+	meter    = 100_000 // ns in which the executor answers for its gauges
+	epoch    = 1_000_000_000_000 * ms
+	slack    = 80 * ms    // ns past its due time at which an unanswered invocation counts as lost
+	sampled  = 100 * ms   // ns between looks at the crowd on the cores
+	crowdOf  = 20         // looks over which the crowd is taken as a mean
+	listed   = 2 * second // ns until dispatchers hear of a node that comes or goes
+	heeded   = 1 * second // ns for which a dispatcher bears in mind what a node said
+	streams  = 32         // invocations open on one connection
+	stopAt   = 5 * second // ns from the notice to the kill
+	grace    = 2 * second // ns after the notice past which nothing that arrives may run
+	toldPart = 0.5        // of clients that leave, of which the node is told
+	unread   = 256        // invocations that a machine keeps unread; more are turned away by its system
 )
 
 // Operation is one kind of invocation. Times are nanoseconds on a core of speed 1.
--- a/lab/fleet/dispatcher.go
+++ b/lab/fleet/dispatcher.go
@@ -51,6 +51,7 @@
 type conn struct {
 	to     *machine
 	link   int
+	born   int64
 	open   map[uint32]*attempt
 	last   uint32
 	noMore bool
@@ -164,7 +165,7 @@
 	}
 	if c == nil {
 		m.lastID++
-		c = &conn{to: m, link: m.lastID, open: map[uint32]*attempt{}}
+		c = &conn{to: m, link: m.lastID, born: m.Now, open: map[uint32]*attempt{}}
 		m.conns[c.link] = c
 		d.conns[m.index] = append(slices.DeleteFunc(d.conns[m.index], func(old *conn) bool {
 			return m.conns[old.link] != old
@@ -185,15 +186,23 @@
 	}
 	const head = 9 // bytes of a frame before its payload
 	b := frame.AppendInvocation(nil, a.stream, fields, []byte(a.id))
-	m.put(reducer.Input{Kind: reducer.Read, Link: c.link,
-		Frame: frame.Frame{Type: frame.Invocation, Stream: a.stream, Payload: b[head:]}})
+	in := reducer.Input{Kind: reducer.Read, Link: c.link,
+		Frame: frame.Frame{Type: frame.Invocation, Stream: a.stream, Payload: b[head:]}}
+	if c.born == m.Now { // nothing is read from a connection before the node has taken it on
+		m.later(0, func() { m.put(in) })
+	} else {
+		m.put(in)
+	}
 	m.fleet.second.Read++
 	m.At(a.arrived+v.op.Timeout+slack, func() {
 		if !a.answered && !a.told && !a.lost {
 			m.total.breach("an invocation that was read had no answer in time")
 		}
 	})
-	m.At(v.asked+v.op.Timeout, func() { // the client leaves; the node is told
+	if m.Chance.Float64() > toldPart {
+		return
+	}
+	m.At(v.asked+v.op.Timeout, func() { // the client leaves
 		if !a.answered && !a.lost && m.conns[c.link] == c {
 			a.told = true
 			delete(c.open, a.stream)
--- /dev/null
+++ b/levels/helpers_test.go
@@ -0,0 +1,56 @@
+package levels
+
+import (
+	"math/rand"
+
+	"topazpost/node"
+)
+
+const second = int64(1_000_000_000)
+
+// above is a condition of entry on one signal.
+func above(signal Signal, bound float64, ns int64) Condition {
+	c := Condition{Bounds: Free(), For: ns}
+	c.Bounds[signal] = bound
+	return c
+}
+
+// plan has three operations, which ask for 50, 40 and 10 % of the work: the first is halved, then refused, then the
+// second is refused too.
+func plan(change ...func(*Plan)) *Plan {
+	whole, refused := node.Service{}, node.Service{Form: node.Refused}
+	p := &Plan{Hold: 10 * second, Most: 120 * second, Bridges: 1.25, Forget: 900 * second, Proof: 3 * second,
+		Idle: above(Load, 0.3, second)}
+	for _, s := range [][]node.Service{{{Form: node.Reduced, Work: 0.5, Value: 0.8}, whole, whole},
+		{refused, whole, whole}, {refused, refused, whole}} {
+		p.Rungs = append(p.Rungs, Rung{Name: string(rune('a' + len(p.Rungs))), Service: s,
+			Enter: []Condition{above(Load, 1, second/2)}, Exit: above(Load, 0.85, 5*second)})
+	}
+	for _, c := range change {
+		c(p)
+	}
+	return p
+}
+
+func ladder(change ...func(*Plan)) *Ladder {
+	return New(plan(change...), 0, rand.New(rand.NewSource(1)))
+}
+
+// asked are measures of a load.
+func asked(load float64) *node.Measures {
+	return &node.Measures{Asked: []float64{0.5 * load, 0.4 * load, 0.1 * load}}
+}
+
+// follow steps on every beat and gives the changes.
+func follow(l *Ladder, from, to int64, of func(at int64) *node.Measures) (turns []Change, at []int64) {
+	for now := from; now < to; now += second / 20 {
+		if c, changed := l.Step(now, of(now)); changed {
+			turns, at = append(turns, c), append(at, now)
+		}
+	}
+	return turns, at
+}
+
+func steady(m *node.Measures) func(int64) *node.Measures {
+	return func(int64) *node.Measures { return m }
+}
--- a/levels/levels.go
+++ b/levels/levels.go
@@ -233,6 +233,9 @@
 				r.holds[c] = never
 				continue
 			}
+			if lull := now - r.needed; k < l.level && r.needed != never && lull > l.plan.Hold {
+				l.learn(now, k+1, lull) // it was bridged: what is known of it is true still
+			}
 			if r.needed = now; r.holds[c] == never {
 				r.holds[c] = now
 			}
@@ -292,10 +295,8 @@
 // enter climbs to a rung, learning from the time since it was last needed how long it should have been kept.
 func (l *Ladder) enter(now int64, to int, s *node.Measures) Change {
 	for k := l.level; k < to; k++ {
-		r := &l.rungs[k]
-		gap := float64(now - r.left)
-		if r.left != never && gap < 2*float64(l.plan.Most) {
-			r.gap, r.learnt = max(l.gap(now, k+1), gap), now
+		if left := l.rungs[k].left; left != never && now-left < 2*l.plan.Most {
+			l.learn(now, k+1, now-left)
 		}
 	}
 	r, of := &l.rungs[to-1], &l.plan.Rungs[to-1]
@@ -359,6 +360,12 @@
 	return r.gap * math.Exp2(-float64(now-r.learnt)/float64(max(1, l.plan.Forget)))
 }
 
+// learn takes a time between two needs of a rung.
+func (l *Ladder) learn(now int64, rung int, lull int64) {
+	r := &l.rungs[rung-1]
+	r.gap, r.learnt = max(l.gap(now, rung), float64(lull)), now
+}
+
 func (l *Ladder) held(ns int64) int64 { return int64(float64(ns) * l.spread) }
 
 // HoldDown is for how long the present rung is kept after it was last needed: the plan's own time, or as long as
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,77 @@
+package plan
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/levels"
+	"topazpost/node"
+	"topazpost/plate"
+	"topazpost/settings"
+)
+
+var operations = map[string]int32{"catalogue": 0, "delivery-quote": 1, "hold": 2}
+
+var header = regexp.MustCompile(`^// line (\d+) \| (.*) \| (.*)\n`)
+
+// Each file of the corpus says in its first line where it is broken, in which words, and what mends it.
+func TestEachBrokenPlanIsCaughtAtItsLineWithItsMend(t *testing.T) {
+	files, err := filepath.Glob("testdata/broken/*.jsonnet")
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, len(files), 30)
+	for _, path := range files {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			text, err := os.ReadFile(path)
+			require.NoError(t, err)
+			want := header.FindStringSubmatch(string(text))
+			require.NotNil(t, want)
+			line, _ := strconv.Atoi(want[1])
+			_, err = Read(path, operations)
+			require.Error(t, err)
+			first := &settings.Problem{}
+			if all := (settings.Problems{}); errors.As(err, &all) {
+				first = all[0]
+			} else {
+				require.ErrorAs(t, err, &first)
+			}
+			assert.Equal(t, filepath.Base(path), filepath.Base(first.File))
+			assert.Equal(t, line, first.Line, err)
+			assert.Contains(t, first.What, want[2])
+			assert.Contains(t, first.Mend, want[3])
+		})
+	}
+}
+
+func TestSoundPlansAreRead(t *testing.T) {
+	for _, name := range []string{"plain", "template", "imported"} {
+		p, err := Read("testdata/sound/"+name+".jsonnet", operations)
+		require.NoError(t, err)
+		assert.Len(t, p.Rungs, 2)
+		assert.Equal(t, []node.Service{{Form: node.Refused}, {Form: node.Refused}, {}}, p.Rungs[1].Service)
+	}
+	p, err := Read("testdata/sound/imported.jsonnet", operations)
+	require.NoError(t, err)
+	assert.Equal(t, int64(20e9), p.Hold)
+	assert.Equal(t, 0.1, p.Spread)
+	assert.Equal(t, 1.0, p.Rungs[0].Enter[0].Bounds[levels.Load])
+	assert.Equal(t, int64(1e9), p.Rungs[0].Enter[0].For)
+}
+
+func TestTableShowsWhatEachRungSaves(t *testing.T) {
+	p, err := Read("testdata/sound/plain.jsonnet", operations)
+	require.NoError(t, err)
+	of := &plate.Plate{Operations: operations, Nameplate: node.Nameplate{Operations: []node.Operation{
+		{BilledValue: 1}, {BilledValue: 2}, {BilledValue: 5}}}}
+	var b strings.Builder
+	require.NoError(t, Show(&b, p, of, map[string]float64{"catalogue": 50, "delivery-quote": 40, "hold": 10}))
+	assert.Regexp(t, `hold-only +refused +refused +whole +90 % +72 % +load > 100 % for 1 s or wait > 80 % for 0.5 s +load < 85 % for 5 s`,
+		b.String())
+}
--- /dev/null
+++ b/plan/testdata/broken/form-of-no-value.jsonnet
@@ -0,0 +1,18 @@
+// line 7 | and 0 % of the value | value above 0 %
+{
+  forms_known: true,
+  levels: [
+    {
+      name: 'no-photos',
+      reduce: { catalogue: { form: 'plain', work: '40 %', value: '0 %' } },
+      enter: [{ load: '100 %', 'for': '1 s' }],
+      exit: { load: '85 %', 'for': '5 s' },
+    },
+    {
+      name: 'hold-only',
+      refuse: ['catalogue', 'delivery-quote'],
+      enter: [{ load: '100 %', 'for': '1 s' }, { wait: '80 %', 'for': '500 ms' }],
+      exit: { load: '85 %', 'for': '5 s' },
+    },
+  ],
+}
--- /dev/null
+++ b/plan/testdata/broken/import-outside.jsonnet
@@ -0,0 +1,18 @@
+// line 3 | lies outside the folder | import files below the folder
+{
+  name: import '../outside.libsonnet',
+  levels: [
+    {
+      name: 'no-photos',
+      refuse: ['catalogue'],
+      enter: [{ load: '100 %', 'for': '1 s' }],
+      exit: { load: '85 %', 'for': '5 s' },
+    },
+    {
+      name: 'hold-only',
+      refuse: ['catalogue', 'delivery-quote'],
+      enter: [{ load: '100 %', 'for': '1 s' }, { wait: '80 %', 'for': '500 ms' }],
+      exit: { load: '85 %', 'for': '5 s' },
+    },
+  ],
+}
--- /dev/null
+++ b/plan/testdata/broken/no-levels.jsonnet
@@ -0,0 +1,4 @@
+// line 2 | misses levels | add it
+{
+  name: 'sound',
+}
--- /dev/null
+++ b/plan/testdata/broken/same-name.jsonnet
@@ -0,0 +1,18 @@
+// line 12 | "no-photos" is the name of levels.0 too | name each level once
+{
+  name: 'sound',
+  levels: [
+    {
+      name: 'no-photos',
+      refuse: ['catalogue'],
+      enter: [{ load: '100 %', 'for': '1 s' }],
+      exit: { load: '85 %', 'for': '5 s' },
+    },
+    {
+      name: 'no-photos',
+      refuse: ['catalogue', 'delivery-quote'],
+      enter: [{ load: '100 %', 'for': '1 s' }, { wait: '80 %', 'for': '500 ms' }],
+      exit: { load: '85 %', 'for': '5 s' },
+    },
+  ],
+}
--- /dev/null
+++ b/reducer/levels_test.go
@@ -0,0 +1,169 @@
+package reducer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/frame"
+	"topazpost/levels"
+	"topazpost/node"
+)
+
+// ladderOf reduces the catalogue, then refuses it; its load is above any threshold.
+func ladderOf(enter float64) *Plan {
+	p := &Plan{Forms: [][]string{{"catalogue-plain", ""}, {"", ""}}}
+	p.Name, p.Hold, p.Most, p.Idle = "test", 10_000*ms, 60_000*ms, levels.Condition{Bounds: levels.Free()}
+	p.Idle.Bounds[levels.Load] = -1
+	for k, s := range []node.Service{{Form: node.Reduced, Work: 0.5, Value: 0.8}, {Form: node.Refused}} {
+		c := levels.Condition{Bounds: levels.Free()}
+		c.Bounds[levels.Load] = enter
+		exit := levels.Condition{Bounds: levels.Free()}
+		exit.Bounds[levels.Load] = enter - 1
+		p.Rungs = append(p.Rungs, levels.Rung{Name: []string{"plain", "none"}[k], Service: []node.Service{s, {}},
+			Enter: []levels.Condition{c}, Exit: exit})
+	}
+	return p
+}
+
+// at is a node at a level of the plan.
+func at(t *testing.T, level int) *Reducer {
+	r := up(t)
+	step(r, Input{Kind: Adopt, Plan: ladderOf(1e9)})
+	next := ladderOf(-1)
+	next.Rungs = next.Rungs[:level]
+	next.Forms = next.Forms[:level]
+	step(r, Input{Kind: Adopt, Plan: next})
+	r.now = r.beatAt
+	step(r)
+	require.Equal(t, level, r.levels.steps.Level())
+	return r
+}
+
+func TestReducedRunNamesItsFormAndItsAnswerTheLevel(t *testing.T) {
+	r := at(t, 1)
+	assert.Contains(t, text(step(r, invoke(1)), Tell), "EXEC "+callID+" catalogue-plain 4")
+	effects := told(r, "EXIT 1 "+callID+" good 5 2|ok")
+	var p frame.Parser
+	p.Wrote(copy(p.Space(), text(effects, Send)))
+	f, _, _ := p.Next()
+	fields, body, err := frame.Fields(f.Payload[1:])
+	require.NoError(t, err)
+	assert.Equal(t, "ok", string(body))
+	assert.Contains(t, fields, frame.Field{Name: "level", Value: "plain"})
+	assert.Equal(t, 1, r.levels.stay.Reduced)
+}
+
+func TestWholeAnswerNamesNoLevel(t *testing.T) {
+	r := at(t, 1)
+	effects := step(r, invoke(1, "op", "hold"))
+	assert.Contains(t, text(effects, Tell), "EXEC "+callID+" hold 4")
+	assert.NotContains(t, text(told(r, "EXIT 1 "+callID+" good 5 2|ok"), Send), "level")
+	assert.Equal(t, 1, r.levels.stay.Whole)
+}
+
+func TestRefusedByTheLevelIsCountedApart(t *testing.T) {
+	r := at(t, 2)
+	assert.Equal(t, []string{"50 on 1"}, answers(t, step(r, invoke(1))))
+	assert.Equal(t, Served{Level: "none", Levelled: 1}, r.levels.stay)
+	all := r.Levels()
+	assert.Equal(t, 1, all[2].Levelled)
+	assert.Equal(t, 0, r.levels.served[2].Levelled, "to look changes nothing")
+}
+
+func TestChangeOfLevelIsToldWithItsCause(t *testing.T) {
+	r := up(t)
+	step(r, Input{Kind: Adopt, Plan: ladderOf(-1)})
+	r.now = r.beatAt
+	var turn *Turn
+	for _, e := range step(r) {
+		if e.Kind == Turned {
+			turn = e.Turn
+		}
+	}
+	require.NotNil(t, turn)
+	assert.Equal(t, "level full to none: entered", turn.String())
+	assert.Equal(t, levels.Load, turn.Signal)
+	assert.Equal(t, -1.0, turn.Bound)
+}
+
+func TestPlanThatDoesNotFitChangesNothing(t *testing.T) {
+	r := at(t, 1)
+	bad := ladderOf(1)
+	bad.Rungs[0].Service = bad.Rungs[0].Service[:1]
+	before := r.levels
+	step(r, Input{Kind: Adopt, Plan: bad})
+	assert.Equal(t, before, r.levels)
+}
+
+func TestPlanTakenAwayGivesFullServiceBack(t *testing.T) {
+	r := at(t, 2)
+	step(r, Input{Kind: Adopt})
+	assert.Contains(t, text(step(r, invoke(1)), Tell), "EXEC "+callID+" catalogue 4")
+	assert.Nil(t, r.Levels())
+}
+
+func TestPlanTakenBeforeTheExecutorIsUpCountsOnceItIs(t *testing.T) {
+	r := fresh(t)
+	step(r, Input{Kind: Adopt, Plan: ladderOf(-1)})
+	told(r, "WELCOME old 0")
+	told(r, "METERS j1 0.1 1 0.1 3")
+	r.now = r.beatAt
+	step(r)
+	assert.Equal(t, 2, r.levels.steps.Level())
+	assert.Equal(t, []string{"50 on 1"}, answers(t, step(r, invoke(1))))
+}
+
+func TestDrainStaysAtItsLevel(t *testing.T) {
+	r := at(t, 2)
+	step(r, Input{Kind: Notice})
+	next := ladderOf(1e9)
+	r.levels.plan, r.levels.steps = next, levels.New(&next.Plan, r.now, r.levels.chance)
+	for range 10 {
+		r.now = r.beatAt
+		for _, e := range step(r) {
+			assert.NotEqual(t, Turned, e.Kind)
+		}
+	}
+}
+
+// A link to the executor that takes long to open must not keep the node awake.
+func TestWakeLiesAheadWhileTheExecutorIsDialled(t *testing.T) {
+	r := up(t)
+	step(r, Input{Kind: Parted, Link: r.link})
+	r.now = r.redialAt
+	step(r)
+	r.now += 10_000 * ms
+	step(r)
+	assert.NotZero(t, r.dialing)
+	assert.Zero(t, r.Guard.Broken("the next wake lies ahead"))
+}
+
+func TestStateIsSampledOnceASecond(t *testing.T) {
+	r := up(t)
+	step(r, invoke(1))
+	samples := 0
+	for range 100 {
+		r.now = r.beatAt
+		for _, e := range r.Step(r.now, r.now, nil) {
+			if e.Kind == Sample {
+				samples++
+				assert.Equal(t, 1, e.State.OnCores)
+				assert.Equal(t, 1, e.State.Connections)
+			}
+		}
+	}
+	assert.InDelta(t, 5, samples, 1)
+}
+
+func BenchmarkState(b *testing.B) {
+	r := up(&testing.T{})
+	for k := range 20 {
+		step(r, invoke(uint32(k+1), "call", "9b1f03aa5c7e2d"+string(rune('a'+k/16))+"0123456789abcdef"[k%16:k%16+1]))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.state()
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,7 +92,7 @@
 	vm := jsonnet.MakeVM()
 	vm.MaxStack = stackMost
 	vm.SetTraceOut(io.Discard)
-	vm.ErrorFormatter.SetMaxStackTraceSize(1)
+	vm.ErrorFormatter.SetMaxStackTraceSize(4) // one at the least is needed to name the line
 	vm.Importer(&importer{root: root, first: path, files: map[string]jsonnet.Contents{}})
 	type result struct {
 		json string
@@ -186,35 +186,25 @@
 	return i.files[full], full, nil
 }
 
-var (
-	position = regexp.MustCompile(`([^\s:()]+):\(?(\d+)[:)]`)
-	prefixes = regexp.MustCompile(`^(RUNTIME ERROR|STATIC ERROR): `)
-)
+var position = regexp.MustCompile(`([^\s:()]+):\(?(\d+):[-\d:()]+ ?`)
 
 // evaluation turns what the language says into a problem.
 func evaluation(path string, err error) error {
 	text := strings.TrimSpace(err.Error())
 	p := &Problem{File: path, Mend: "mend the template"}
-	first, rest, _ := strings.Cut(text, "\n")
 	if at := position.FindStringSubmatch(text); at != nil {
 		p.File = at[1]
 		p.Line, _ = strconv.Atoi(at[2])
-		if strings.HasPrefix(prefixes.ReplaceAllString(first, ""), at[0]) {
-			first = first[strings.Index(first, at[0])+len(at[0]):]
-			if _, after, found := strings.Cut(first, " "); found {
-				first = after
-			}
-		}
+		text = strings.TrimPrefix(text, at[0])
 	}
-	_ = rest
-	first = strings.TrimSpace(prefixes.ReplaceAllString(first, ""))
-	if strings.Contains(first, "max stack frames exceeded") {
+	text, _, _ = strings.Cut(text, "\n")
+	p.What = strings.TrimPrefix(text, "RUNTIME ERROR: ")
+	switch {
+	case strings.Contains(text, "max stack frames exceeded"):
 		p.Mend = "look for a template or an import that calls itself"
-	}
-	if strings.Contains(first, "couldn't open import") {
+	case strings.Contains(text, "there is no file"), strings.Contains(text, "outside the folder"):
 		p.Mend = "import files below the folder of this one"
 	}
-	p.What = first
 	return p
 }
 
