SIGHUP takes addresses and plan of levels as one input

Need: a reload must not apply half of what it read, nor forget what was learnt of an unchanged plan. Change: the nameplate carries the plan; one of the same text is no other plan. A child process evaluates it within bounds of time and memory. Measured: integration tests with a broken plan, a repaired one and a template without end.

--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -19,12 +19,12 @@
 type serve struct {
 	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
-	Plan  string `help:"Plan of levels of reduced service, a Jsonnet file; none without it." type:"path" placeholder:"FILE"`
+	Plan  string `help:"Plan of levels of reduced service, a Jsonnet file; none without it." type:"path" env:"TOPAZPOST_PLAN" placeholder:"FILE"`
 	where
 }
 
 type check struct {
-	Plan string `help:"Plan of levels to check beside the configuration." type:"path" placeholder:"FILE"`
+	Plan string `help:"Plan of levels to check beside the configuration." env:"TOPAZPOST_PLAN" type:"path" placeholder:"FILE"`
 	where
 }
 
@@ -61,14 +61,10 @@
 		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
 	}
 	log = log.Level(level).With().Timestamp().Logger()
-	node := server.New(nameplate, log, server.SystemClock())
-	if c.Plan != "" {
-		ladder, err := readPlan(c.Plan, nameplate)
-		if err != nil {
-			return err
-		}
-		node.Adopt(ladder)
+	if err := c.readLevels(nameplate); err != nil {
+		return err
 	}
+	node := server.New(nameplate, log, server.SystemClock())
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go c.heed(node, log, stop)
--- a/cmd/topazpost/plans.go
+++ b/cmd/topazpost/plans.go
@@ -13,7 +13,6 @@
 
 	"topazpost/history"
 	"topazpost/plan"
-	"topazpost/reducer"
 	"topazpost/server"
 	"topazpost/settings"
 )
@@ -81,28 +80,33 @@
 	return err
 }
 
-// readPlan has a process of its own evaluate a plan, so that no template can slow down or fill up the node.
-func readPlan(path string, nameplate *server.Nameplate) (*reducer.Plan, error) {
+// readLevels reads the plan of levels, if there is one. A process of its own evaluates it, so that no template can
+// slow down or fill up the node.
+func (c *serve) readLevels(into *server.Nameplate) error {
+	if c.Plan == "" {
+		return nil
+	}
 	program, err := os.Executable()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	ctx, end := context.WithTimeout(context.Background(), renderWait)
 	defer end()
 	var told, failed bytes.Buffer
-	command := exec.CommandContext(ctx, program, "plan", "render", path)
+	command := exec.CommandContext(ctx, program, "plan", "render", c.Plan)
 	command.Stdout, command.Stderr = &bounded{&told, renderMost}, &bounded{&failed, renderMost}
 	if err := command.Run(); err != nil {
 		if text := bytes.TrimSpace(failed.Bytes()); len(text) > 0 {
-			return nil, errors.New(string(bytes.TrimPrefix(text, []byte("topazpost: error: "))))
+			return errors.New(string(bytes.TrimPrefix(text, []byte("topazpost: error: "))))
 		}
-		return nil, fmt.Errorf("%s: can't be evaluated: %w", path, err)
+		return fmt.Errorf("%s: can't be evaluated: %w", c.Plan, err)
 	}
-	file, err := settings.Rendered(path, told.Bytes())
+	file, err := settings.Rendered(c.Plan, told.Bytes())
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return plan.From(file, nameplate.Settings.Operations)
+	into.Levels, err = plan.From(file, into.Settings.Operations)
+	return err
 }
 
 // bounded keeps the first bytes of what is written.
--- a/cmd/topazpost/signals.go
+++ b/cmd/topazpost/signals.go
@@ -7,7 +7,6 @@
 
 	"github.com/rs/zerolog"
 
-	"topazpost/reducer"
 	"topazpost/server"
 )
 
@@ -39,11 +38,8 @@
 		}
 		again = nil
 		nameplate, err := c.read()
-		if err == nil && c.Plan != "" {
-			var ladder *reducer.Plan
-			if ladder, err = readPlan(c.Plan, nameplate); err == nil {
-				node.Adopt(ladder)
-			}
+		if err == nil {
+			err = c.readLevels(nameplate)
 		}
 		if err == nil {
 			node.Reload(nameplate)
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -347,3 +348,41 @@
 		await(t, ended)
 	}
 }
+
+const refusing = `{ name: 'p', levels: [{ name: 'none', refuse: ['catalogue'], enter: [{ memory: '0.1 %', 'for': '1 ms' }],
+	exit: { memory: '0.05 %', 'for': '1 s' } }], idle: { wait: '0 %' } }`
+
+func TestPlanIsCheckedServedAndReadAnewAndABrokenOneChangesNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan.jsonnet")
+	write := func(text string) { require.NoError(t, os.WriteFile(path, []byte(text), 0o600)) }
+	write(refusing)
+	t.Setenv("TOPAZPOST_PLAN", path)
+	s := start(t, false, nil)
+	d := s.dial()
+	d.invoke(1, "hold") // it fills more of the memory than the plan allows
+	assert.Contains(t, s.line("level changed"), `"to":"none","cause":"entered","signal":"memory"`)
+	d.invoke(2, "refused")
+	assert.Equal(t, "50 on 2 ", d.answer())
+	write("{ levels: 3 }")
+	s.signal(syscall.SIGHUP)
+	assert.Contains(t, s.line("the one of before stays"), "plan.jsonnet:1: levels: is a number")
+	d.invoke(3, "still refused")
+	assert.Equal(t, "50 on 3 ", d.answer())
+	write(strings.Replace(refusing, "0.1 %", "90 %", 1))
+	assert.Contains(t, s.line("level changed"), `"cause":"plan"`)
+	s.signal(syscall.SIGHUP)
+	out, err := exec.Command(program, "check", "--plan", path, s.path).CombinedOutput()
+	assert.NoError(t, err)
+	assert.Contains(t, string(out), "plan p: 1 levels above full service")
+	out, err = exec.Command(program, "plan", "show", path, s.path).CombinedOutput()
+	assert.NoError(t, err)
+	assert.Contains(t, string(out), "memory > 90 %")
+}
+
+func TestTemplateWithoutEndIsEnded(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plan.jsonnet")
+	require.NoError(t, os.WriteFile(path, []byte("std.foldl(function(a, b) a + a, std.range(1, 60), 'x')"), 0o600))
+	out, err := exec.Command(program, "plan", "render", path).CombinedOutput()
+	require.Error(t, err)
+	assert.Regexp(t, "takes more than|max stack", string(out))
+}
--- a/reducer/levels.go
+++ b/reducer/levels.go
@@ -12,6 +12,7 @@
 type Plan struct {
 	levels.Plan
 	Forms [][]string // by level above full service and operation: the reduced form as the executor knows it
+	Text  string     // what it was read from; one of the same text is no other plan
 }
 
 // Served counts what was answered at one level of service.
@@ -49,6 +50,9 @@
 // adopt takes a plan, or another one; nil ends the levels. A plan that does not fit the operations changes nothing.
 func (r *Reducer) adopt(plan *Plan) {
 	l := &r.levels
+	if plan != nil && l.plan != nil && plan.Text != "" && plan.Text == l.plan.Text {
+		return // what was learnt of it stays
+	}
 	if plan != nil {
 		if faults := plan.Check(len(r.plate.Nameplate.Operations)); len(faults) > 0 {
 			r.remark(Warn, "plan of levels can't be used, the one of before stays", "",
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -238,6 +238,7 @@
 		r.drain()
 	case Reload:
 		r.reload(in.To)
+		r.adopt(in.Plan)
 	case Adopt:
 		r.adopt(in.Plan)
 	}
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -26,8 +26,8 @@
 	Broke                      // it ended
 	Reported                   // a report to the control plane ended
 	Notice                     // the node is to drain
-	Reload                     // the peers have new addresses
-	Adopt                      // there is another plan of levels, or none
+	Reload                     // the peers have new addresses, and there may be another plan of levels
+	Adopt                      // there is a plan of levels, another one, or none any more
 )
 
 // Addresses are where the peers of a node are.
@@ -41,7 +41,7 @@
 	Line  lines.Line
 	Err   error
 	To    Addresses // Reload
-	Plan  *Plan     // Adopt; nil for none
+	Plan  *Plan     // Adopt, Reload; nil for none
 }
 
 // EffectKind names what is to be done.
--- a/server/config.go
+++ b/server/config.go
@@ -20,7 +20,8 @@
 	MemoryMB                                 int
 	Sockets                                  int
 	Settings                                 *plate.Plate
-	settings                                 []byte // as they were read
+	Levels                                   *reducer.Plan // of reduced service, nil for none; from a file of its own
+	settings                                 []byte        // as they were read
 }
 
 func (n *Nameplate) peers() reducer.Addresses {
--- a/server/server.go
+++ b/server/server.go
@@ -50,7 +50,6 @@
 	heard  chan reducer.Input // of the node's own peers; they never wait behind dispatchers
 	notice chan struct{}
 	reload chan *Nameplate
-	plans  chan *reducer.Plan
 	ctx    context.Context
 	group  *errgroup.Group
 
@@ -65,7 +64,7 @@
 	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1),
-		reload: make(chan *Nameplate, 1), plans: make(chan *reducer.Plan, 1), links: make(map[int]*link), endReport: func() {}}
+		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}}
 	connections, _, links := nameplate.shares()
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	return s
@@ -79,8 +78,8 @@
 	}
 }
 
-// Reload goes on with the peers' addresses of another nameplate, at any time of the node's life. All else in it
-// takes a new start; what differs there is logged.
+// Reload goes on with the peers' addresses and the levels of another nameplate, at any time of the node's life. All
+// else in it takes a new start; what differs there is logged.
 func (s *Server) Reload(next *Nameplate) {
 	for {
 		select {
@@ -91,18 +90,6 @@
 	}
 }
 
-// Adopt goes on with a plan of levels of reduced service, or with none; at any time of the node's life. One that
-// does not fit the operations changes nothing and is logged.
-func (s *Server) Adopt(plan *reducer.Plan) {
-	for {
-		select {
-		case s.plans <- plan:
-			return
-		case <-s.plans: // an older one that was not taken yet
-		}
-	}
-}
-
 // shares says how the descriptors are parted: among dispatchers' connections, those of them that are about to
 // close, and links to the catalogue.
 func (n *Nameplate) shares() (connections, closing, links int) {
@@ -180,6 +167,9 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	inputs := make([]reducer.Input, 0, inputsAStep)
+	if s.plate.Levels != nil {
+		s.heard <- reducer.Input{Kind: reducer.Adopt, Plan: s.plate.Levels}
+	}
 	notice, wake := s.notice, int64(math.MaxInt64)
 	for {
 		inputs = inputs[:0]
@@ -201,9 +191,7 @@
 			for _, field := range s.plate.differs(next) {
 				s.log.Warn().Str("field", field).Msg("configuration: a new value here takes a new start")
 			}
-			inputs = append(inputs, reducer.Input{Kind: reducer.Reload, To: next.peers()})
-		case plan := <-s.plans:
-			inputs = append(inputs, reducer.Input{Kind: reducer.Adopt, Plan: plan})
+			inputs = append(inputs, reducer.Input{Kind: reducer.Reload, To: next.peers(), Plan: next.Levels})
 		}
 		inputs = takeAll(inputs, s.heard)
 		inputs = takeAll(inputs, s.inputs)
