--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -3,12 +3,16 @@
 package experiment
 
 import (
+	"encoding/csv"
 	"fmt"
 	"maps"
 	"math"
+	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
+	"sort"
+	"strconv"
 
 	"golang.org/x/sync/errgroup"
 
@@ -84,6 +88,7 @@
 	Low, High settings.Part
 	Period    settings.Time
 	At        settings.Time
+	File      string // recorded: lines of seconds and load as a part of the capacity, the first one their names
 }
 
 // Flood multiplies the share of one operation for a while.
@@ -145,7 +150,18 @@
 }
 
 // shape is the load over time.
-func (l *Load) shape(length int64) func(int64) float64 {
+func (l *Load) shape(folder string, length int64) (func(int64) float64, error) {
+	if l.Shape == "recorded" {
+		return recorded(filepath.Join(folder, l.File))
+	}
+	of := l.drawn(length)
+	if of == nil {
+		return nil, fmt.Errorf("no load has the shape %q: choose constant, step, drop, ramp, swing or recorded", l.Shape)
+	}
+	return of, nil
+}
+
+func (l *Load) drawn(length int64) func(int64) float64 {
 	low, high, at := float64(l.Low), float64(l.High), int64(l.At)
 	switch l.Shape {
 	case "swing":
@@ -158,14 +174,56 @@
 		return func(t int64) float64 { return map[bool]float64{true: low, false: high}[t >= at] }
 	case "ramp":
 		return func(t int64) float64 { return low + (high-low)*float64(t)/float64(length) }
+	case "constant":
+		return func(int64) float64 { return high }
 	}
-	return func(int64) float64 { return high }
+	return nil
+}
+
+// recorded reads a load from a file, straight lines between its points and the last one to the end.
+func recorded(path string) (func(int64) float64, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	rows, err := csv.NewReader(file).ReadAll()
+	if err != nil {
+		return nil, err
+	}
+	var at, load []float64
+	for k, row := range rows[min(1, len(rows)):] {
+		var point [2]float64
+		for c := range point {
+			if len(row) != len(point) {
+				return nil, fmt.Errorf("%s:%d: has %d columns: write seconds and load", path, k+2, len(row))
+			}
+			if point[c], err = strconv.ParseFloat(row[c], 64); err != nil {
+				return nil, fmt.Errorf("%s:%d: %q is no number", path, k+2, row[c])
+			}
+		}
+		if k > 0 && point[0] <= at[k-1] {
+			return nil, fmt.Errorf("%s:%d: %g s does not come after %g s: put lines in order of time", path, k+2, point[0], at[k-1])
+		}
+		at, load = append(at, point[0]), append(load, point[1])
+	}
+	if len(at) == 0 {
+		return nil, fmt.Errorf("%s: has no load: write a line of names, then lines of seconds and load", path)
+	}
+	return func(t int64) float64 {
+		s := float64(t) / 1e9
+		k := sort.SearchFloat64s(at, s)
+		if k == 0 || k == len(at) {
+			return load[min(k, len(at)-1)]
+		}
+		return load[k-1] + (load[k]-load[k-1])*(s-at[k-1])/(at[k]-at[k-1])
+	}, nil
 }
 
 func (x *Experiment) day(seed int64, v Variant) (*fleet.Day, error) {
 	d := &x.Day
 	day := &fleet.Day{Seed: seed, Nodes: d.Nodes, Length: int64(d.Length), Reading: float64(d.Reading), Rate: d.Rate,
-		Load: d.Load.shape(int64(d.Length)), Slots: d.Slots, Subjects: d.Subjects}
+		Slots: d.Slots, Subjects: d.Subjects}
 	index := map[string]int32{}
 	for k, op := range d.Operations {
 		index[op.Name] = int32(k)
@@ -200,6 +258,9 @@
 		return plan.Read(filepath.Join(x.folder, name), index)
 	}
 	var err error
+	if day.Load, err = d.Load.shape(x.folder, int64(d.Length)); err != nil {
+		return nil, err
+	}
 	if day.Plan, err = read(v.Plan); err != nil {
 		return nil, err
 	}
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -89,3 +90,18 @@
 		assert.ErrorContains(t, err, text)
 	}
 }
+
+func TestRecordedLoadIsReadAndItsMistakesNamed(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "a.csv")
+	for text, mistake := range map[string]string{"at_s,load\n0,0.5\n10,1.5\n": "", "at_s,load\n0,x\n": "a.csv:2", "at_s,load\n": "has no load",
+		"at_s,load\n5,1\n5,1\n": "a.csv:3: 5 s does not come after 5 s", "at_s\n1\n": "write seconds and load"} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		load, err := recorded(path)
+		if mistake != "" {
+			assert.ErrorContains(t, err, mistake)
+			continue
+		}
+		require.NoError(t, err)
+		assert.Equal(t, []float64{0.5, 1, 1.5}, []float64{load(0), load(5e9), load(99e9)})
+	}
+}
