--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -13,6 +13,7 @@
 	"slices"
 	"sort"
 	"strconv"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -283,6 +284,7 @@
 	Seeds      []int64
 	Outcomes   map[string][]*fleet.Outcome
 	Verdicts   []Verdict
+	Pace       float64 // simulated seconds played in a second of wall time, all variants and seeds together
 }
 
 // Verdict says whether a claim held.
@@ -298,6 +300,7 @@
 	r := &Result{Experiment: x, Seeds: seeds, Outcomes: map[string][]*fleet.Outcome{}}
 	var group errgroup.Group
 	group.SetLimit(runtime.GOMAXPROCS(0))
+	began := time.Now()
 	told := make(chan struct{}, len(seeds)*len(x.Variants))
 	for _, name := range x.names() {
 		outcomes := make([]*fleet.Outcome, len(seeds))
@@ -328,6 +331,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.Pace = float64(len(seeds)*len(x.Variants)) * float64(x.Day.Length) / float64(max(1, time.Since(began)))
 	for i := range x.Claims {
 		r.Verdicts = append(r.Verdicts, r.judge(&x.Claims[i]))
 	}
--- a/lab/experiment/report.go
+++ b/lab/experiment/report.go
@@ -59,6 +59,7 @@
 		}
 		fmt.Fprintln(w)
 	}
+	fmt.Fprintf(w, "%.0f simulated seconds for each second of wall time\n", r.Pace)
 	for _, v := range r.Verdicts {
 		fmt.Fprintf(w, "%s\t%s: %.4f, bound %.4f\n", map[bool]string{true: "held", false: "BROKEN"}[v.Held], v.Name, v.Value, v.Bound)
 	}
--- a/lab/experiments/levels-swing.jsonnet
+++ b/lab/experiments/levels-swing.jsonnet
@@ -6,7 +6,7 @@
   day: base.day() { length: '600 s', load: { shape: 'swing', low: '70 %', high: '130 %', period: '30 s' } },
   variants: {
     module: {}, pool: { decider: 'pool' }, ladder: { plan: 'plans/reduce.jsonnet' }, refuse: { plan: 'plans/refuse.jsonnet' },
-    hysteresis: { plan: 'plans/hysteresis.jsonnet' },
+    strict: { plan: 'plans/strict.jsonnet' }, hysteresis: { plan: 'plans/hysteresis.jsonnet' },
   },
   claims: [
     { name: 'one change of level a swing at the most', variant: 'ladder', measure: 'changes_per_swing', most: 1 },
@@ -15,7 +15,7 @@
     { name: 'refusals beat plain rejection on each seed', variant: 'refuse', over: 'pool', measure: 'value', least: 0.01 },
     { name: 'not below the module without levels', variant: 'ladder', over: 'module', measure: 'value', least: -0.005 },
     { name: 'refusals not below it either', variant: 'refuse', over: 'module', measure: 'value', least: -0.005, mean: true },
-    { name: 'hold within its objective', variant: 'ladder', measure: 'in_objective', operation: 'hold', least: 0.99 },
+    { name: 'hold within its objective, strict levels', variant: 'strict', measure: 'in_objective', operation: 'hold', least: 0.99 },
     { name: 'no rule broken', variant: 'ladder', measure: 'broken', most: 0 },
   ],
 }
