--- a/example/main.go
+++ b/example/main.go
@@ -51,7 +51,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	}))
 
-	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr})
+	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr}).Level(zerolog.InfoLevel)
 	node := server.New(nameplate, log, server.SystemClock())
 	if err := node.Listen(); err != nil {
 		return err
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -13,13 +13,13 @@
 	Errored     int            `json:"errored"`
 	Gone        int            `json:"gone"` // the caller left
 	GivenUp     map[string]int `json:"given_up,omitempty"`
-	Connections int            `json:"connections"` // of dispatchers
-	Links       int            `json:"links"`       // to the catalogue, open or being opened
-	Idle        int            `json:"idle"`        // of them
-	Waiting     int            `json:"waiting"`     // calls without a link
-	Unread      int            `json:"unread"`      // commands that the executor may not have read
-	GaugeAge    int64          `json:"gauge_age_ns"`
-	Synced      bool           `json:"synced"` // the executor's link carries commands
+	Connections int            `json:"connections"`  // of dispatchers
+	Links       int            `json:"links"`        // to the catalogue, open or being opened
+	Idle        int            `json:"idle"`         // of them
+	Waiting     int            `json:"waiting"`      // calls without a link
+	Unread      int            `json:"unread"`       // commands that the executor may not have read
+	GaugeAge    int64          `json:"gauge_age_ns"` // -1 before the first
+	Synced      bool           `json:"synced"`       // the executor's link carries commands
 }
 
 // keepState samples the state once a second while the module decides; the beat keeps the node awake for it.
@@ -37,7 +37,10 @@
 	s := &State{State: r.post.State(), Succeeded: r.Counters.Succeeded - r.counted.Succeeded,
 		Refused: r.Counters.Throttled - r.counted.Throttled, Errored: r.Counters.Errored - r.counted.Errored,
 		Gone: r.Counters.Gone - r.counted.Gone, Connections: len(r.conns), Links: len(r.supplies),
-		Waiting: len(r.waiting), Unread: len(r.unread), GaugeAge: min(r.now-r.metered, never/2), Synced: r.synced}
+		Waiting: len(r.waiting), Unread: len(r.unread), GaugeAge: r.now - r.metered, Synced: r.synced}
+	if r.metered < 0 {
+		s.GaugeAge = -1
+	}
 	if l := &r.levels; l.plan != nil {
 		s.Level, s.Loads = l.plan.LevelName(l.steps.Level()), l.steps.Loads()
 	}
