--- /dev/null
+++ b/store/segment_test.go
@@ -0,0 +1,105 @@
+package store
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// segment is one of so many groups of two records each, with room behind them.
+func segment(t testing.TB, groups int) (data []byte, records []Record) {
+	const size = 2048
+	data = Head(7, size)
+	for g := range groups {
+		start := int64(len(data))
+		for k, kind := range []Kind{Begun, Ended} {
+			r := Record{Kind: kind, Operation: int32(g), Tenant: -1, Token: fmt.Sprint("token-", g), Body: 9, Until: 1e18}
+			if k == 1 {
+				r.Ending, r.Result = 1, []byte("a result")
+			}
+			var err error
+			data, err = Append(data, &r)
+			require.NoError(t, err)
+			records = append(records, r)
+		}
+		data = Foot(data, start, 2)
+	}
+	return append(data, make([]byte, size-len(data))...), records
+}
+
+func TestSegmentGivesBackWhatWasWritten(t *testing.T) {
+	data, records := segment(t, 4)
+	s, err := Scan(data)
+	require.NoError(t, err)
+	assert.Equal(t, records, s.Records)
+	assert.Equal(t, uint64(7), s.Number)
+	assert.Zero(t, s.Dropped)
+}
+
+func TestCutAtAnyOffsetIsRefusedWithTheOffset(t *testing.T) {
+	data, _ := segment(t, 4)
+	for n := range len(data) {
+		_, err := Scan(data[:n])
+		broken := &Broken{}
+		require.ErrorAs(t, err, &broken, "%d bytes", n)
+	}
+}
+
+// A flipped bit anywhere gives all records, or an error; never fewer or others without one.
+func TestAnyFlippedBitIsHarmlessOrTold(t *testing.T) {
+	data, records := segment(t, 3)
+	told := 0
+	for bit := range 8 * len(data) {
+		data[bit/8] ^= 1 << (bit % 8)
+		if s, err := Scan(data); err != nil {
+			told++
+		} else {
+			require.Equal(t, records, s.Records, "bit %d", bit)
+		}
+		data[bit/8] ^= 1 << (bit % 8)
+	}
+	assert.Greater(t, told, 8*headBytes)
+}
+
+// A crash leaves any part of the group that was being written; what was acknowledged before is whole.
+func TestTornGroupLosesNothingThatWasAcknowledged(t *testing.T) {
+	before, acknowledged := segment(t, 2)
+	after, all := segment(t, 3)
+	scanned, err := Scan(before)
+	require.NoError(t, err)
+	last, err := Scan(after)
+	require.NoError(t, err)
+	for n := scanned.End; n <= last.End; n++ {
+		torn := append(append([]byte(nil), after[:n]...), before[n:]...)
+		s, err := Scan(torn)
+		require.NoError(t, err, "torn at %d", n)
+		require.GreaterOrEqual(t, len(s.Records), len(acknowledged))
+		require.Equal(t, all[:len(s.Records)], s.Records)
+	}
+}
+
+func TestVersionThatIsNotKnownIsRefused(t *testing.T) {
+	data, _ := segment(t, 1)
+	copy(data, head(9, 2048, 7))
+	_, err := Scan(data)
+	assert.ErrorIs(t, err, ErrVersion)
+}
+
+func TestRecordTooLargeIsRefused(t *testing.T) {
+	_, err := Append(nil, &Record{Kind: Ended, Result: make([]byte, bodyMost)})
+	assert.ErrorIs(t, err, ErrLarge)
+}
+
+func FuzzScan(f *testing.F) {
+	data, _ := segment(f, 2)
+	f.Add(data)
+	f.Add(Head(1, headBytes))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := Scan(data)
+		if err == nil && (s.End < headBytes || s.End+s.Dropped > int64(len(data))) {
+			t.Fatalf("end %d and %d dropped of %d bytes", s.End, s.Dropped, len(data))
+		}
+	})
+}
