--- /dev/null
+++ b/wheel/wheel.go
@@ -0,0 +1,200 @@
+// Package wheel is a hierarchical timing wheel: timers by whole ticks, each put in and taken out in a time that does not
+// depend on how many there are. It has no clock and decides nothing.
+package wheel
+
+import "math/bits"
+
+const (
+	levelBits = 6              // slots of a level: 64, one word to find the next one that is in use
+	slots     = 1 << levelBits // of a level
+	levels    = 6              // 64^6 ticks ahead: two years of milliseconds; later timers wait at the last slot
+	none      = int32(-1)
+)
+
+// Timer names a timer that was added, until it is due or taken out.
+type Timer struct {
+	index      int32
+	generation uint32
+}
+
+type node struct {
+	at         int64 // tick
+	value      int64
+	next, prev int32
+	generation uint32
+	slot       int32 // level and slot, none where it is free
+}
+
+// Wheel is timers ahead of a tick. New makes one.
+type Wheel struct {
+	now   int64 // the last tick that was gone through
+	nodes []node
+	free  int32
+	heads [levels * slots]int32
+	used  [levels]uint64 // which slots hold timers
+	count int
+}
+
+// New is a wheel without timers at a tick.
+func New(now int64) *Wheel {
+	w := &Wheel{now: now, free: none}
+	for i := range w.heads {
+		w.heads[i] = none
+	}
+	return w
+}
+
+// Len is how many timers there are.
+func (w *Wheel) Len() int { return w.count }
+
+// Add has a value come due at a tick, or at the next one where that has gone by.
+func (w *Wheel) Add(at, value int64) Timer {
+	i := w.free
+	if i == none {
+		i = int32(len(w.nodes))
+		w.nodes = append(w.nodes, node{})
+	} else {
+		w.free = w.nodes[i].next
+	}
+	n := &w.nodes[i]
+	n.at, n.value = max(at, w.now+1), value
+	n.generation++
+	w.count++
+	w.place(i)
+	return Timer{i, n.generation}
+}
+
+// Remove takes a timer out; false where it was due or taken out before.
+func (w *Wheel) Remove(t Timer) bool {
+	if t.index < 0 || int(t.index) >= len(w.nodes) {
+		return false
+	}
+	n := &w.nodes[t.index]
+	if n.generation != t.generation || n.slot == none {
+		return false
+	}
+	w.unlink(t.index)
+	w.release(t.index)
+	return true
+}
+
+// Advance goes on to a tick and gives the value of each timer that is due, in order of their ticks. The function may
+// add and remove timers; what it adds for a tick gone by comes due at the next one.
+func (w *Wheel) Advance(to int64, due func(value int64)) {
+	for w.now < to {
+		next := w.nextTick(to)
+		if next > to {
+			w.now = to
+			return
+		}
+		w.now = next
+		w.cascade()
+		slot := int32(w.now & (slots - 1))
+		for i := w.heads[slot]; i != none; i = w.heads[slot] {
+			value := w.nodes[i].value
+			w.unlink(i)
+			w.release(i)
+			due(value)
+		}
+	}
+}
+
+// Next is a tick at or before which no timer comes due earlier: that of the next timer, or of the next slot that has to
+// be looked at; false where there are none.
+func (w *Wheel) Next() (int64, bool) {
+	if w.count == 0 {
+		return 0, false
+	}
+	return w.nextTick(1<<62 - 1), true
+}
+
+// place puts a node into the slot of the lowest level whose span reaches its tick.
+func (w *Wheel) place(i int32) {
+	n := &w.nodes[i]
+	level, at := 0, n.at
+	for level < levels-1 && at>>(levelBits*(level+1)) != w.now>>(levelBits*(level+1)) {
+		level++
+	}
+	if level == levels-1 && at>>(levelBits*levels) != w.now>>(levelBits*levels) {
+		at = w.now | (1<<(levelBits*levels) - 1) // past the last level: looked at again when that comes round
+	}
+	slot := int32(level*slots) + int32(at>>(levelBits*level))&(slots-1)
+	n.slot, n.prev, n.next = slot, none, w.heads[slot]
+	if n.next != none {
+		w.nodes[n.next].prev = i
+	}
+	w.heads[slot] = i
+	w.used[level] |= 1 << (slot & (slots - 1))
+}
+
+func (w *Wheel) unlink(i int32) {
+	n := &w.nodes[i]
+	if n.prev != none {
+		w.nodes[n.prev].next = n.next
+	} else {
+		w.heads[n.slot] = n.next
+		if n.next == none {
+			w.used[n.slot/slots] &^= 1 << (n.slot & (slots - 1))
+		}
+	}
+	if n.next != none {
+		w.nodes[n.next].prev = n.prev
+	}
+}
+
+func (w *Wheel) release(i int32) {
+	n := &w.nodes[i]
+	n.slot, n.next = none, w.free
+	n.generation++
+	w.free = i
+	w.count--
+}
+
+// nextTick is the next tick after now at which a slot is due or has to be spread over the level below, to at the most
+// one past it.
+func (w *Wheel) nextTick(to int64) int64 {
+	best := to + 1
+	for level := range levels {
+		at := w.now >> (levelBits * level)
+		ahead := w.used[level] >> (at & (slots - 1)) >> 1 << 1 // slots behind the present one of this turn
+		if ahead != 0 {
+			step := int64(bits.TrailingZeros64(ahead))
+			if tick := (at + step) << (levelBits * level); tick < best {
+				best = tick
+			}
+		}
+		if level == levels-1 && w.used[level] != 0 { // those past the last level
+			if tick := ((w.now >> (levelBits * levels)) + 1) << (levelBits * levels); tick < best {
+				best = tick
+			}
+		}
+	}
+	return best
+}
+
+// cascade spreads the slots that begin at now over the levels below, from the top.
+func (w *Wheel) cascade() {
+	for level := levels - 1; level > 0; level-- {
+		if w.now&(1<<(levelBits*level)-1) != 0 {
+			continue
+		}
+		slot := int32(level*slots) + int32(w.now>>(levelBits*level))&(slots-1)
+		w.spread(slot)
+		if level == levels-1 && w.now&(1<<(levelBits*levels)-1) == 0 {
+			for s := range int32(slots) {
+				w.spread(int32(level*slots) + s)
+			}
+		}
+	}
+}
+
+func (w *Wheel) spread(slot int32) {
+	i := w.heads[slot]
+	w.heads[slot] = none
+	w.used[slot/slots] &^= 1 << (slot & (slots - 1))
+	for i != none {
+		next := w.nodes[i].next
+		w.place(i)
+		i = next
+	}
+}
