--- a/control/control.go
+++ b/control/control.go
@@ -42,7 +42,6 @@
 	patienceMost = 0.67       // of callers that must still wait for an answer to be worth a run: notices get lost
 	askedSpan    = 2_000 * ms // ns over which what is asked for is taken: some runs, yet a drop is seen at once
 	askedSlices  = 8          // slices of it
-	patienceMore = 4.0        // callers taken to wait on beside those seen: one that left is no sign of the others
 	shortMemory  = 8.0        // samples kept of the present: a second of a small node
 
 	crowdRoom    = 0.75 // of the survivable crowd: the rest is room for returns from calls and for pauses
@@ -190,7 +189,7 @@
 	if now >= p.next {
 		p.next = now + beat
 		p.do(node.Action{Kind: node.Timer, At: p.next})
-		p.patient = p.stays.Until(patienceMost, patienceMore)
+		p.patient = p.stays.Until(patienceMost)
 		p.keepDeadlines()
 		p.adjustLimit()
 		p.adjustHealth()
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -377,20 +377,6 @@
 }
 
 // Grown meubles-rennes: a fifth of all runs were for callers that wait about a third of the client timeout.
-// One that leaves of the few that ever wait so long says little: a dispatcher that restarts drops what it has open.
-func TestOneCallerThatLeavesLateIsNoSignOfTheOthers(t *testing.T) {
-	p := post()
-	for range 40 {
-		p.stays.Add(0.05, false)
-	}
-	p.stays.Add(0.3, true)
-	assert.Equal(t, 1.0, p.stays.Until(patienceMost, patienceMore))
-	for range 6 {
-		p.stays.Add(0.3, true)
-	}
-	assert.InDelta(t, 0.3, p.stays.Until(patienceMost, patienceMore), 1.0/patienceBins)
-}
-
 func TestHoldReckonsWithCallersThatLeaveEarly(t *testing.T) {
 	p := post()
 	for range 20 {
@@ -398,7 +384,7 @@
 		v.arrived -= 300 * ms
 		p.take(&node.Event{Kind: node.CallerGone, Inv: int32(len(p.invs) - 1)})
 	}
-	p.patient = p.stays.Until(patienceMost, patienceMore)
+	p.patient = p.stays.Until(patienceMost)
 	assert.InDelta(t, 0.1, p.patient, 1.0/patienceBins)
 	v := put(p, 0, held)
 	v.arrived -= 200 * ms
--- a/tally/tally.go
+++ b/tally/tally.go
@@ -61,12 +61,11 @@
 	}
 }
 
-// Until is the part of the whole up to which at least the given share stays, with so many more that are taken to
-// have stayed at each part: where few were seen to come that far, what one of them did says little.
-func (s *Stays) Until(share, doubt float64) float64 {
+// Until is the part of the whole up to which at least the given share stays.
+func (s *Stays) Until(share float64) float64 {
 	stay := 1.0
 	for i, n := range s.left {
-		if stay *= 1 - n/(s.stayed[i]+doubt); stay < share {
+		if stay *= 1 - n/(s.stayed[i]+1); stay < share {
 			return float64(i) / float64(len(s.left))
 		}
 	}
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -20,8 +20,8 @@
 		s.Add(0.36, i%2 == 0)
 		s.Add(0.1, false)
 	}
-	assert.InDelta(t, 0.35, s.Until(0.6, 1), 1e-9)
-	assert.Equal(t, 1.0, s.Until(0.3, 1))
+	assert.InDelta(t, 0.35, s.Until(0.6), 1e-9)
+	assert.Equal(t, 1.0, s.Until(0.3))
 }
 
 func TestWindowForgetsWhatIsPast(t *testing.T) {
