Store: a segment cut to its head is refused, not taken for one that was never in use

Cause: Open took any file with a spoilt head and nothing behind it for unborn, so one cut to 32 bytes or fewer was removed with all that it had acknowledged, in silence. Change: only a file of a segment's full size can be unborn, as files have it before they are written.

--- a/store/log.go
+++ b/store/log.go
@@ -78,7 +78,7 @@
 		if err != nil {
 			return nil, nil, nil, fmt.Errorf("store: %s: %w", name, err)
 		}
-		if unborn(data) { // the crash came before its head was on disk: nothing in it was acknowledged
+		if int64(len(data)) == bounds.Segment && unborn(data) { // the crash came before its head was on disk: nothing in it was acknowledged
 			if err := files.Remove(name); err != nil {
 				return nil, nil, nil, fmt.Errorf("store: %s: %w", name, err)
 			}
@@ -105,7 +105,8 @@
 	return l, records, dropped, nil
 }
 
-// unborn says whether a segment holds nothing but what is left of its head.
+// unborn says whether a segment of its full size holds nothing but what is left of its head. A shorter one was cut, since
+// segments have their size before they are written.
 func unborn(data []byte) bool {
 	if _, err := scanHead(data); err == nil || errors.Is(err, ErrVersion) {
 		return false
--- a/store/log_test.go
+++ b/store/log_test.go
@@ -107,3 +107,28 @@
 		assert.Error(t, err)
 	}
 }
+
+// A segment that was cut to nothing but its head held acknowledged records; it is not one that was never in use.
+func TestSegmentCutAnywhereIsRefusedAndLeftThere(t *testing.T) {
+	d := newDisk(1)
+	l, _ := open(t, d)
+	require.NoError(t, l.Write([]Record{record(1, 1e18)}, true))
+	whole := d.files[nameOf(0)].live
+	for _, n := range []int{0, 1, headBytes - 1, headBytes, headBytes + 1, len(whole) - 1} {
+		d.files[nameOf(0)].live = whole[:n]
+		_, _, _, err := Open(d, bounds)
+		broken := &Broken{}
+		require.ErrorAs(t, err, &broken, "%d bytes", n)
+		assert.Contains(t, d.files, nameOf(0))
+	}
+}
+
+func TestSegmentWhoseHeadNeverCameToTheDiskIsRemoved(t *testing.T) {
+	d := newDisk(1)
+	_, err := d.Create(nameOf(0), bounds.Segment)
+	require.NoError(t, err)
+	_, _, dropped, err := Open(d, bounds)
+	require.NoError(t, err)
+	assert.Len(t, dropped, 1)
+	assert.Empty(t, d.files)
+}
