Levels, their door and the laboratory: code that was doubled or dead is gone

Cause: the event that tells the module of a level was built in two places, the signal that a change names was worked out with a value that was then replaced, and some fields of the laboratory were never read. Change: one builder of the event, one account of a stay, the first signal alone; dead fields and a needless variable dropped. No behaviour changes.

--- a/cmd/topazpost/plans.go
+++ b/cmd/topazpost/plans.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/exec"
 	"runtime"
@@ -139,7 +138,7 @@
 		if err != nil {
 			return err
 		}
-		err = all.Read(path, io.Reader(file))
+		err = all.Read(path, file)
 		file.Close()
 		if err != nil {
 			return fmt.Errorf("%s: %w", path, err)
--- a/lab/fleet/dispatcher.go
+++ b/lab/fleet/dispatcher.go
@@ -21,30 +21,28 @@
 	calls   int
 	subject int
 	tries   int
-	runs    int
 	over    bool
 }
 
 // attempt is one try of it at one machine.
 type attempt struct {
-	inv       *invocation
-	by        *dispatcher
-	to        *machine
-	conn      *conn
-	id        string
-	stream    uint32
-	arrived   int64 // at the machine
-	delivered bool  // read by the node, which owes an answer from then on
-	answered  bool
-	told      bool // the node was told that nobody waits
-	lost      bool // with its machine
+	inv      *invocation
+	by       *dispatcher
+	to       *machine
+	conn     *conn
+	id       string
+	stream   uint32
+	arrived  int64 // at the machine
+	answered bool
+	told     bool // the node was told that nobody waits
+	lost     bool // with its machine
 
 	ran, segments int
 	started       int64
 	left          float64
 	waiting       bool
 	reduced       bool
-	run, call     *world.Job
+	call          *world.Job // at the ledger
 }
 
 // conn is a connection of a dispatcher to a node's present life.
@@ -116,7 +114,6 @@
 	} else {
 		d.turn++
 	}
-	var last *machine
 	for k := range n {
 		m := d.machines[(from+k)%n]
 		h := &d.heard[m.index]
@@ -126,10 +123,9 @@
 		if d.habit.Heeds && (d.Now < h.awayUntil || d.Now < h.levelUntil && v.rank < h.level) {
 			continue
 		}
-		last = m
-		break
+		return m
 	}
-	return last
+	return nil
 }
 
 // again tries once more elsewhere where the habit has it, else the invocation ends turned away.
@@ -173,7 +169,7 @@
 		m.put(reducer.Input{Kind: reducer.Opened, Link: c.link})
 	}
 	c.last++
-	a.conn, a.stream, a.delivered = c, c.last, true
+	a.conn, a.stream = c, c.last
 	c.open[a.stream] = a
 	m.open[a.id] = a
 	v := a.inv
--- a/lab/fleet/machine.go
+++ b/lab/fleet/machine.go
@@ -298,7 +298,6 @@
 		return
 	}
 	a.ran++
-	a.inv.runs++
 	if a.ran > 1 {
 		m.total.breach("one try was run twice")
 	}
@@ -324,7 +323,7 @@
 // segment is the work up to the next call or the end.
 func (m *machine) segment(a *attempt) {
 	life := m.life
-	a.run = m.cores.Add(a.left, func() {
+	m.cores.Add(a.left, func() {
 		if life != m.life {
 			return
 		}
--- a/lab/fleet/outcome.go
+++ b/lab/fleet/outcome.go
@@ -39,7 +39,6 @@
 	Throttled, Errored, Declined, Read int
 	Levels                             []int // of each node
 	Held, OnCores, InHand              int   // over all nodes
-	Wait                               float64
 }
 
 // Turn is a change of level on a node.
@@ -64,13 +63,11 @@
 	Value      float64 // served, over what was asked for
 	ByReduced  float64 // part of Value that reduced answers brought
 	levels     map[int]int
-	nodes      int
-	length     int64
 	start      int64
 }
 
 func newOutcome(day *Day) *Outcome {
-	o := &Outcome{Breaches: map[string]int{}, levels: map[int]int{}, nodes: day.Nodes, length: day.Length, start: epoch}
+	o := &Outcome{Breaches: map[string]int{}, levels: map[int]int{}, start: epoch}
 	for _, op := range day.Operations {
 		o.Operations = append(o.Operations, Tally{Name: op.Name, inTime: hdrhistogram.New(1, 120_000_000, 3)})
 	}
@@ -108,8 +105,8 @@
 		return
 	}
 	v.over = true
-	t, s := &f.total.Operations[v.kind], f
-	took := s.Now - v.asked
+	t, s := &f.total.Operations[v.kind], &f.second
+	took := f.Now - v.asked
 	switch how {
 	case outcomeServed:
 		value := v.op.Value
@@ -125,18 +122,18 @@
 		}
 		if t.Served += value; reduced {
 			t.ByReduced += value
-			s.second.ServedReduced += value
+			s.ServedReduced += value
 		} else {
 			t.ByWhole += value
 		}
-		s.second.Served += value
+		s.Served += value
 		t.inTime.RecordValue(took / 1_000)
 	case outcomeThrottled:
 		t.Throttled++
-		s.second.Throttled++
+		s.Throttled++
 	case outcomeErrored:
 		t.Errored++
-		s.second.Errored++
+		s.Errored++
 	default:
 		t.Unanswered++
 	}
--- a/levels/levels.go
+++ b/levels/levels.go
@@ -150,9 +150,6 @@
 // Level is the level in force, 0 for full service.
 func (l *Ladder) Level() int { return l.level }
 
-// Plan is the plan in force.
-func (l *Ladder) Plan() *Plan { return l.plan }
-
 // LevelName is the name of a level.
 func (p *Plan) LevelName(level int) string {
 	if level == 0 {
@@ -195,8 +192,8 @@
 	}
 	r, exit := &l.rungs[l.level-1], &l.plan.Rungs[l.level-1].Exit
 	if r.calm != never && now-r.calm >= exit.For && now-r.needed >= l.HoldDown(now) && now-l.since >= l.held(l.plan.Hold) {
-		signal, value := l.tightest(exit, s)
-		return l.move(now, l.level-1, Change{Cause: Eased, Signal: signal, Value: value, Bound: exit.Bounds[signal],
+		signal := exit.first()
+		return l.move(now, l.level-1, Change{Cause: Eased, Signal: signal, Value: l.value(signal, l.level, s), Bound: exit.Bounds[signal],
 			For: now - r.calm}), true
 	}
 	return Change{}, false
@@ -303,7 +300,7 @@
 	c := Change{Cause: Entered}
 	for k := range of.Enter {
 		if r.holds[k] != never && now-r.holds[k] >= of.Enter[k].For {
-			c.Signal, c.Value = l.tightest(&of.Enter[k], s)
+			c.Signal = of.Enter[k].first()
 			c.Bound, c.For = of.Enter[k].Bounds[c.Signal], now-r.holds[k]
 			l.proven = of.Enter[k].cores()
 			break
@@ -331,14 +328,14 @@
 		For: now - l.since}), true
 }
 
-// tightest is the first signal that a condition names, which is what is logged of it.
-func (l *Ladder) tightest(c *Condition, s *node.Measures) (Signal, float64) {
+// first is the first signal that a condition names, which is what is logged of it.
+func (c *Condition) first() Signal {
 	for k, bound := range c.Bounds {
 		if !math.IsNaN(bound) {
-			return Signal(k), l.value(Signal(k), max(1, l.level), s)
+			return Signal(k)
 		}
 	}
-	return Load, l.loads[0]
+	return Load
 }
 
 func (l *Ladder) move(now int64, to int, c Change) Change {
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -160,8 +160,7 @@
 	r.post = r.Decisions(&r.plate.Nameplate, r.now-int64(age*float64(ms)))
 	r.good, r.beatAt = true, r.now
 	if r.levels.plan != nil {
-		r.events = append(r.events, node.Event{Kind: node.LevelSet, Spare: r.levels.plan.Spare,
-			Services: r.levels.plan.Services(r.levels.steps.Level())})
+		r.events = append(r.events, r.levels.event())
 	}
 	r.remark(Info, "executor is up, serving", words[1], nil)
 }
--- a/reducer/levels.go
+++ b/reducer/levels.go
@@ -79,7 +79,9 @@
 		steps, change = l.steps.Adopt(&plan.Plan, r.now, l.chance)
 	}
 	before := l.stay
-	l.account(r.now)
+	if l.plan != nil {
+		l.account(r.now, l.steps.Level())
+	}
 	l.plan, l.steps, l.served, l.spent, l.since = plan, steps, nil, nil, r.now
 	t := &Turn{Change: change, FromName: from, Before: before}
 	if plan != nil {
@@ -94,15 +96,7 @@
 }
 
 // account adds the stay that ends to the totals of its level.
-func (l *ladder) account(now int64) {
-	if l.plan == nil {
-		return
-	}
-	level := l.steps.Level()
-	l.accountAt(now, level)
-}
-
-func (l *ladder) accountAt(now int64, level int) {
+func (l *ladder) account(now int64, level int) {
 	s := &l.served[level]
 	s.Whole, s.Reduced = s.Whole+l.stay.Whole, s.Reduced+l.stay.Reduced
 	s.Levelled, s.Throttled = s.Levelled+l.stay.Levelled, s.Throttled+l.stay.Throttled
@@ -131,23 +125,28 @@
 	}
 	before := l.stay
 	before.Seconds = change.Lasted / (1_000 * ms)
-	l.accountAt(r.now, change.From)
+	l.account(r.now, change.From)
 	l.begin(r.now)
 	r.setLevel(&Turn{Change: change, Plan: l.plan.Name, FromName: l.plan.LevelName(change.From),
 		ToName: l.plan.LevelName(change.To), Signals: l.measures, Loads: l.steps.Loads(), Before: before})
 }
 
 func (r *Reducer) setLevel(t *Turn) {
-	e := node.Event{Kind: node.LevelSet}
-	if l := &r.levels; l.plan != nil {
-		e.Services, e.Spare = l.plan.Services(l.steps.Level()), l.plan.Spare
-	}
 	if r.post != nil {
-		r.events = append(r.events, e)
+		r.events = append(r.events, r.levels.event())
 	}
 	r.do(Effect{Kind: Turned, Turn: t})
 }
 
+// event tells the module what the level in force leaves of each operation.
+func (l *ladder) event() node.Event {
+	e := node.Event{Kind: node.LevelSet}
+	if l.plan != nil {
+		e.Services, e.Spare = l.plan.Services(l.steps.Level()), l.plan.Spare
+	}
+	return e
+}
+
 // form is the name that an operation's run has at the executor, and the level's name where that is a reduced form.
 func (r *Reducer) form(op string, form node.Form) (class, level string) {
 	l := &r.levels
@@ -185,7 +184,7 @@
 	all := append([]Served(nil), r.levels.served...)
 	l := r.levels
 	l.served, l.spent = all, append([]int64(nil), l.spent...)
-	l.accountAt(r.now, l.steps.Level())
+	l.account(r.now, l.steps.Level())
 	return all
 }
 
