--- a/control/control.go
+++ b/control/control.go
@@ -29,9 +29,9 @@
 	binCount     = 28         // bins: ratios of 1/128 to 128
 	binsAnOctave = 2.0        // bins to a factor of two: coarse, yet within a fifth
 	longMemory   = 96.0       // samples kept of an operation's usual cost: some ten seconds of a small node
-	fade         = 0.98       // of what is remembered of arrivals kept for each beat: two and a half seconds of them
+	fade         = 0.98       // of the arrivals remembered that each beat keeps: some seconds of them
 	lagMemory    = 8.0        // arrivals over which the time unread is taken: a second or two
-	gaugePart    = 0.2        // of the shortest objective, over which the gauge of others is taken: short beside a run
+	gaugePart    = 0.2        // of the shortest objective, for the gauge of others: short beside a run
 	gaugeLong    = 2.0        // the same for their mean, by which the hold is reckoned to clear: bursts pass
 	paceMemory   = 24.0       // samples of the pace: fewer and a few skewed runs look like a slow node
 	awayTimes    = 2.0        // times the mean number off the cores that may be off them: calls come in waves
@@ -39,8 +39,8 @@
 	callPart     = 3.0        // one call may take one of so many parts of the share left: some more must fit
 	awayMemory   = 1e9        // ns over which the mean number off the cores is taken: some runs
 	patienceBins = 24         // parts of a client timeout: fine beside the spread of run times
-	patienceMost = 0.67       // of callers that must still wait for an answer to be worth a run: notices get lost
-	askedSpan    = 2_000 * ms // ns over which what is asked for is taken: some runs, yet a drop is seen at once
+	patienceMost = 0.67       // of callers that must still wait to make a run worth while: notices get lost
+	askedSpan    = 2_000 * ms // ns over which what is asked for is taken: a drop is seen at once
 	askedSlices  = 8          // slices of it
 	shortMemory  = 8.0        // samples kept of the present: a second of a small node
 
@@ -57,7 +57,7 @@
 	makeWayFrom  = 1.5   // times the rank of a run from which one that waits takes its place
 	skew         = 0.4   // of its expected cost that half of all runs do without, and one past it still needs
 	pressureHigh = 0.5   // of the shortest objective: a longer wait asks callers for less
-	servedLast   = 1e-3  // of its rank, where a level would refuse it but leaves it what the others don't take
+	servedLast   = 1e-3  // of its rank, where a level would refuse it but for the spare room
 	spareWait    = 0.15  // of the shortest objective: work that is held under which a level need not bind
 	pressureLow  = 0.25  // of the shortest objective: a shorter wait asks them for more
 	adviceUp     = 0.02  // of all that could be asked for, given back for each beat of low pressure
@@ -70,7 +70,7 @@
 	soundPace    = 1.4   // times the usual cost under which it counts as sound again
 	echoShare    = 0.3   // of arrivals that are further tries past which other nodes turn work away too
 	callTries    = 4     // calls made for one need; one that may have run counts for two
-	callLong     = 6.0   // times its usual length past which a reply hardly comes, where a call may be repeated
+	callLong     = 6.0   // times its usual length past which a call is repeated, where it may be
 )
 
 type state uint8
@@ -122,7 +122,7 @@
 	tightest, cores float64 // ns of the shortest latency objective; how many cores there are
 	slowest         int64   // ns of the longest latency objective
 
-	onCores, standing, inHand  int     // on the cores, off them with no call made, off them with a call in hand
+	onCores, standing, inHand  int     // on the cores, off them with no call made, with one in hand
 	waiting                    int     // held
 	records                    []int64 // when kept records end
 	memory                     float64 // kB of what is held and run
@@ -142,7 +142,7 @@
 	opened, closed                                 int   // invocations ever read, and ended
 	atNotice, closedBefore                         int   // in flight and ended at the notice
 	unhealthy, free, drained                       bool  // free: a core was idle at the last beat
-	spare                                          bool  // what a level refuses is served last, what it reduces whole while little is held
+	spare                                          bool  // what levels refuse is served last, the rest whole
 
 	open, said                  float64           // open is the part of all that could be asked for
 	allFull                     bool              // other nodes seem to turn work away too
@@ -159,7 +159,8 @@
 	cores := float64(plate.Cores)
 	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
 		pace: ratios(paceMemory), callFails: ratios(shortMemory), callTime: ratios(shortMemory),
-		stays: tally.NewStays(patienceBins, longMemory), callUsed: tally.NewWindow(plate.CallSpan, callSlices),
+		stays:    tally.NewStays(patienceBins, longMemory),
+		callUsed: tally.NewWindow(plate.CallSpan, callSlices),
 		windowAt: now, cores: cores, limit: cores, open: 1, tightest: math.Inf(1), said: -1,
 		patient: 1, callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)+1)}
 	for i := range plate.Operations {
@@ -287,7 +288,8 @@
 	p.invs = append(p.invs, make([]invocation, max(0, int(e.Inv)+1-len(p.invs)))...)
 	v, op, arrived := &p.invs[e.Inv], &p.ops[e.Operation], p.now-e.Age
 	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: arrived, kb: e.HeldKB,
-		due: cmp.Or(e.Due, arrived+op.ClientTimeout), base: float64(cmp.Or(e.Hint, op.Objective/8)), part: 1, worth: 1}
+		due:  cmp.Or(e.Due, arrived+op.ClientTimeout),
+		base: float64(cmp.Or(e.Hint, op.Objective/8)), part: 1, worth: 1}
 	p.live = append(p.live, e.Inv)
 	p.opened++
 	p.shift(v, held)
@@ -316,8 +318,8 @@
 	}
 }
 
-// setLevel applies a level of reduced service: what waits unrun and is refused now goes at once, unless the plan
-// leaves it the spare room.
+// setLevel applies a level of reduced service: what waits unrun and is refused now goes at once,
+// unless the plan leaves it the spare room.
 func (p *Post) setLevel(services []node.Service, spare bool) {
 	p.spare = spare
 	for k := range p.ops {
@@ -364,7 +366,8 @@
 		if p.throttled++; !p.plate.RetriesMarked {
 			p.echoes++ // where they bear no mark, what is turned away here tells of those to come
 		}
-		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: v.further || p.allFull, Why: why})
+		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: v.further || p.allFull,
+			Why: why})
 	} else {
 		p.do(node.Action{Kind: node.Fail, Inv: i, Why: why})
 	}
@@ -465,7 +468,8 @@
 			end += ahead / p.freeCores()
 		}
 		if end-skew*p.expected(v) > p.objective(v) && (v.op.LateShare == 0 || end > p.left(v)) {
-			p.giveUp(i, map[bool]node.Why{false: node.Hopeless, true: node.Levelled}[v.op.service.Form == node.Refused])
+			levelled := v.op.service.Form == node.Refused
+			p.giveUp(i, map[bool]node.Why{false: node.Hopeless, true: node.Levelled}[levelled])
 			return true
 		}
 		ahead += p.expected(v)
@@ -748,7 +752,8 @@
 	}
 	for _, i := range p.live {
 		v := &p.invs[i]
-		stay := (v.spent + p.coreClock - v.since) / (v.base * v.part * v.op.usual.Mean(1)) / (1 + fewRuns/float64(p.onCores))
+		usual := v.base * v.part * v.op.usual.Mean(1)
+		stay := (v.spent + p.coreClock - v.since) / usual / (1 + fewRuns/float64(p.onCores))
 		if v.state == running && 2*float64(p.onCores) > p.cores && (p.stall == 0 || stay < p.stall) {
 			p.stall = stay
 		}
@@ -801,7 +806,8 @@
 
 // State is what decisions stand on now; it changes nothing.
 func (p *Post) State() node.State {
-	return node.State{Limit: p.limit, OnCores: p.onCores, Held: p.waiting, Standing: p.standing, InHand: p.inHand, Away: p.away,
+	return node.State{Limit: p.limit, OnCores: p.onCores, Held: p.waiting, Standing: p.standing,
+		InHand: p.inHand, Away: p.away,
 		Wait: p.wait(), CallWait: p.callWait(), Lag: p.lag, Reading: p.reading, MeanReading: p.meanReading,
 		Pace: p.pace.Mean(1), Stall: p.stall, Patient: p.patient, CallTime: p.callTime.Mean(0) * p.tightest,
 		CallFails: p.callFails.Mean(0), CallRoom: float64(p.callRoom()), Open: p.open, Said: p.said,
