--- /dev/null
+++ b/charter/charter.go
@@ -0,0 +1,151 @@
+// Package charter reads what operators write of a fleet: its name, where peers meet, and the timing of membership.
+// It decides nothing.
+package charter
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+
+	"topazpost/membership"
+	"topazpost/settings"
+)
+
+const (
+	probeUsual   = 500_000_000       // ns between pings on a link: seven in a silence
+	silenceUsual = 3_500_000_000     // ns without an answer past which a link is lost: a pause of 3 s is borne
+	settleUsual  = 400_000_000       // ns that a loss must last: news of another path takes less
+	forgetUsual  = 3_600_000_000_000 // ns after which the lost are no longer looked for: a night's repair is longer, a new start joins anew
+	membersUsual = 512               // members and lost ones in the table: 200 kB
+	membersMost  = 1_500             // whose table still fits one message of an exchange
+	probeLeast   = 50_000_000        // ns; shorter ones are a load
+	probesLeast  = 4                 // pings in a silence, so that a few that are lost end no link
+)
+
+// Fleet is a charter with what the sockets need.
+type Fleet struct {
+	Name      string
+	Bind      string // where peers' datagrams and exchanges are heard
+	Exposed   bool   // Bind may be an unspecified address
+	Terms     membership.Charter
+	Kept      uint64 // incarnation that the last life left on a disk, 0 without one
+	WallAhead int64  // ns by which the wall clock is set off, for tests
+	Path      string
+}
+
+var schema = sync.OnceValue(func() *settings.Schema {
+	return settings.Compile("fleet.json", strings.NewReplacer("TIME", settings.TimePattern, "MEMBERS",
+		fmt.Sprint(membersMost)).Replace(`{
+ "$schema": "https://json-schema.org/draft/2020-12/schema", "type": "object", "additionalProperties": false,
+ "required": ["fleet", "bind"],
+ "$defs": {"time": {"type": "string", "pattern": "TIME"}},
+ "properties": {
+  "fleet": {"type": "string", "minLength": 1},
+  "bind": {"type": "string", "minLength": 1},
+  "advertise": {"type": "string", "minLength": 1},
+  "any_address": {"type": "boolean"},
+  "zone": {"type": "string", "maxLength": 32},
+  "seeds": {"type": "array", "maxItems": 32, "items": {"type": "string", "minLength": 1}},
+  "probe": {"$ref": "#/$defs/time"}, "silence": {"$ref": "#/$defs/time"}, "settle": {"$ref": "#/$defs/time"},
+  "forget": {"$ref": "#/$defs/time"},
+  "members": {"type": "integer", "minimum": 2, "maximum": MEMBERS},
+  "clock_ahead": {"$ref": "#/$defs/time"}, "clock_behind": {"$ref": "#/$defs/time"}}}`))
+})
+
+type written struct {
+	Fleet, Bind, Advertise, Zone   string
+	AnyAddress                     bool `json:"any_address"`
+	Seeds                          []string
+	Probe, Silence, Settle, Forget *settings.Time
+	Members                        *int
+	ClockAhead                     settings.Time `json:"clock_ahead"`
+	ClockBehind                    settings.Time `json:"clock_behind"`
+}
+
+// Read reads a fleet's file in this process.
+func Read(path, name string) (*Fleet, error) {
+	file, err := settings.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	return From(file, name)
+}
+
+// From reads a fleet for the node of a name from a file that was evaluated. All that is wrong is told at once.
+func From(file *settings.File, name string) (*Fleet, error) {
+	if err := file.Check(schema()); err != nil {
+		return nil, err
+	}
+	var w written
+	if err := file.Into(&w); err != nil {
+		return nil, err
+	}
+	f := &Fleet{Name: w.Fleet, Bind: w.Bind, Exposed: w.AnyAddress, WallAhead: int64(w.ClockAhead - w.ClockBehind),
+		Path: file.Path, Terms: membership.Charter{Name: name, Address: w.Advertise, Zone: w.Zone, Seeds: w.Seeds,
+			Probe: probeUsual, Silence: silenceUsual, Settle: settleUsual, Forget: forgetUsual, MembersMost: membersUsual}}
+	c := &f.Terms
+	if c.Address == "" {
+		c.Address = w.Bind
+	}
+	for _, t := range []struct {
+		from *settings.Time
+		to   *int64
+	}{{w.Probe, &c.Probe}, {w.Silence, &c.Silence}, {w.Settle, &c.Settle}, {w.Forget, &c.Forget}} {
+		if t.from != nil {
+			*t.to = int64(*t.from)
+		}
+	}
+	if w.Members != nil {
+		c.MembersMost = *w.Members
+	}
+	found := settings.Problems{}
+	address := func(value string, path ...string) {
+		a, err := netip.ParseAddrPort(value)
+		switch {
+		case err != nil:
+			found = append(found, file.At(path, fmt.Sprintf("%q is no address with a port", value),
+				`write it as "192.0.2.7:7946"; names are not looked up`))
+		case a.Port() == 0:
+			found = append(found, file.At(path, "has the port 0", "choose one that all nodes can be told of"))
+		case a.Addr().IsUnspecified() && (path[0] != "bind" || !w.AnyAddress):
+			found = append(found, file.At(path, "is every address of the machine; there is no sign-in between peers",
+				"name the one on the trusted network, or set any_address: true for bind"))
+		}
+	}
+	address(w.Bind, "bind")
+	if w.Advertise != "" {
+		address(w.Advertise, "advertise")
+	} else if w.AnyAddress {
+		found = append(found, file.At([]string{"any_address"}, "needs an address that peers are told", "set advertise"))
+	}
+	for k, s := range w.Seeds {
+		address(s, "seeds", fmt.Sprint(k))
+	}
+	if c.Probe < probeLeast {
+		found = append(found, file.At([]string{"probe"}, "is shorter than 50 ms", "choose a longer one"))
+	}
+	if c.Silence < probesLeast*c.Probe {
+		found = append(found, file.At([]string{"silence"}, fmt.Sprintf("holds fewer than %d probes, so that some lost ones end a link",
+			probesLeast), "make it longer, or probe shorter"))
+	}
+	if c.Settle > c.Silence {
+		found = append(found, file.At([]string{"settle"}, "is longer than silence", "make it shorter: it bridges a change of links"))
+	}
+	if c.Forget < 2*c.Silence {
+		found = append(found, file.At([]string{"forget"}, "is shorter than two silences", "make it longer: the lost are looked for until then"))
+	}
+	if len(found) > 0 {
+		return nil, found
+	}
+	return f, nil
+}
+
+// Bounds says in words what the timing comes to: how long a pause is borne, and by when a death is known.
+func (f *Fleet) Bounds() string {
+	c := &f.Terms
+	return fmt.Sprintf("a pause of up to %s is borne; a death is known to all within about %s; a member outside the view is looked for for %s",
+		span(c.Silence-c.Probe), span(c.Silence+c.Settle+c.Probe), span(c.Forget))
+}
+
+func span(ns int64) string { return fmt.Sprintf("%g s", float64(ns)/1e9) }
--- a/cmd/topazlab/main.go
+++ b/cmd/topazlab/main.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/alecthomas/kong"
 	"github.com/mattn/go-isatty"
 
 	"topazpost/lab/experiment"
+	"topazpost/lab/rig"
 )
 
 type run struct {
@@ -25,6 +27,12 @@
 
 // Run plays an experiment and fails where a claim does not hold.
 func (c *run) Run() error {
+	if night, is, err := rig.Read(c.File, c.Set); is || err != nil {
+		if err != nil {
+			return err
+		}
+		return c.night(night)
+	}
 	x, err := experiment.Read(c.File, c.Set)
 	if err != nil {
 		return err
@@ -66,6 +74,42 @@
 	return nil
 }
 
+// night plays an experiment on a fleet.
+func (c *run) night(n *rig.Night) error {
+	if c.Seeds > 0 {
+		n.Seeds = c.Seeds
+	}
+	var seeds []int64
+	for k := range n.Seeds {
+		seeds = append(seeds, c.Seed+int64(k))
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if c.Out != "" {
+		if err := os.MkdirAll(c.Out, 0o755); err != nil {
+			return err
+		}
+	}
+	result, err := n.Run(seeds, filepath.Join(filepath.Dir(program), "topazpost"), c.Out)
+	if err != nil {
+		return err
+	}
+	if err := result.Print(os.Stdout); err != nil {
+		return err
+	}
+	if c.JSON {
+		if err := result.JSON(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if !result.Held() {
+		return errBroken
+	}
+	return nil
+}
+
 func main() {
 	var line struct {
 		Run run `cmd:"" help:"Play the variants of an experiment side by side, and say of each claim whether it held."`
--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -12,6 +12,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 
+	"topazpost/charter"
+	"topazpost/keep"
 	"topazpost/plan"
 	"topazpost/server"
 )
@@ -20,11 +22,15 @@
 	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
 	Plan  string `help:"Plan of levels of reduced service, a Jsonnet file; none without it." type:"path" env:"TOPAZPOST_PLAN" placeholder:"FILE"`
+	Keep  string `help:"What is kept of tokened invocations, a Jsonnet file; in memory only without it." type:"path" env:"TOPAZPOST_KEEP" placeholder:"FILE"`
+	Fleet string `help:"Fleet that the node is one of, a Jsonnet file; it shares nothing without it." type:"path" env:"TOPAZPOST_FLEET" placeholder:"FILE"`
 	where
 }
 
 type check struct {
-	Plan string `help:"Plan of levels to check beside the configuration." env:"TOPAZPOST_PLAN" type:"path" placeholder:"FILE"`
+	Keep  string `help:"What is kept of tokened invocations, to check beside the configuration." env:"TOPAZPOST_KEEP" type:"path" placeholder:"FILE"`
+	Fleet string `help:"Fleet to check beside the configuration." env:"TOPAZPOST_FLEET" type:"path" placeholder:"FILE"`
+	Plan  string `help:"Plan of levels to check beside the configuration." env:"TOPAZPOST_PLAN" type:"path" placeholder:"FILE"`
 	where
 }
 
@@ -64,6 +70,12 @@
 	if err := c.readLevels(nameplate); err != nil {
 		return err
 	}
+	if err := c.readFleet(nameplate); err != nil {
+		return err
+	}
+	if err := c.readKeep(nameplate); err != nil {
+		return err
+	}
 	node := server.New(nameplate, log, server.SystemClock())
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -80,6 +92,22 @@
 	fmt.Printf("%s listens on %s; executor %s, catalogue %s, control plane %s; %d operations, %g cores, %d MB, "+
 		"%d descriptors, %g ms from the notice to the kill\n", n.Name, n.Listen, n.Executor, n.Catalog, n.Control,
 		len(n.Settings.Operations), n.Cores, n.MemoryMB, n.Sockets, n.StopMS)
+	if c.Fleet != "" {
+		fleet, err := charter.Read(c.Fleet, n.Name)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("fleet %s: hears peers on %s, told to them as %s, %d seeds; %s\n", fleet.Name, fleet.Bind, fleet.Terms.Address,
+			len(fleet.Terms.Seeds), fleet.Bounds())
+	}
+	if c.Keep != "" {
+		k, err := keep.Read(c.Keep, n.Settings.Nameplate.Operations, n.MemoryMB)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("keeps results by the field %q: %d kB in memory, results of %d bytes, %g s at the most; %s\n", k.Field,
+			k.Rules.BytesMost>>10, k.Rules.ResultMost, float64(k.Rules.Window)/1e9, k.Where())
+	}
 	if c.Plan == "" {
 		return nil
 	}
@@ -96,14 +124,20 @@
 	if !ok {
 		return fmt.Errorf("this build has no information about itself")
 	}
-	revision := "unknown"
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			revision = s.Value
+	fmt.Println("topazpost", info.Main.Version, "revision", revision(), info.GoVersion)
+	return nil
+}
+
+// revision is the commit that was built, or unknown.
+func revision() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
 		}
 	}
-	fmt.Println("topazpost", info.Main.Version, "revision", revision, info.GoVersion)
-	return nil
+	return "unknown"
 }
 
 func main() {
@@ -112,6 +146,7 @@
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Plan    plans   `cmd:"" help:"Look at plans of levels of reduced service."`
 		Levels  ladders `cmd:"" help:"Look at what levels nodes were at."`
+		Members members `cmd:"" help:"Look at whom nodes have in their view of the fleet."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
 	signal.Notify(hups, syscall.SIGHUP) // before all else: it must never end the process
--- /dev/null
+++ b/cmd/topazpost/members.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"topazpost/letter"
+	"topazpost/membership"
+	"topazpost/server"
+)
+
+// members are the commands about views of the fleet.
+type members struct {
+	Show    membersShow    `cmd:"" default:"withargs" help:"Print the view of one node as a table."`
+	Compare membersCompare `cmd:"" help:"Say where the views of nodes differ; fails where they do."`
+}
+
+type membersShow struct {
+	Address string        `arg:"" help:"Where the node hears its peers."`
+	Fleet   string        `help:"Name of the fleet." required:"" env:"TOPAZPOST_FLEET_NAME"`
+	JSON    bool          `help:"Print the view as one object."`
+	Watch   bool          `help:"Print it again and again, until the command is ended."`
+	Every   time.Duration `help:"Time between two with --watch." default:"2s"`
+}
+
+type membersCompare struct {
+	Addresses []string `arg:"" help:"Where the nodes hear their peers."`
+	Fleet     string   `help:"Name of the fleet." required:"" env:"TOPAZPOST_FLEET_NAME"`
+}
+
+var errDiffer = errors.New("views differ")
+
+// look asks a node for its view.
+func look(fleet, address string) (v membership.View, err error) {
+	name := letter.FleetOf(fleet)
+	ask, err := letter.Seal(nil, name, membership.Message{Kind: membership.Look})
+	if err != nil {
+		return v, err
+	}
+	answer, err := server.Swap(context.Background(), "", address, ask)
+	if errors.Is(err, io.EOF) {
+		err = fmt.Errorf("closed without an answer; is it a node of the fleet %q?", fleet)
+	}
+	if err == nil {
+		err = letter.Open(answer, name, &v)
+	}
+	if err != nil {
+		return v, fmt.Errorf("%s: %w", address, err)
+	}
+	return v, nil
+}
+
+// Run prints the view, once or again and again.
+func (c *membersShow) Run() error {
+	for {
+		v, err := look(c.Fleet, c.Address)
+		if err != nil {
+			return err
+		}
+		if err := show(&v, c.JSON); err != nil || !c.Watch {
+			return err
+		}
+		time.Sleep(c.Every)
+	}
+}
+
+func show(v *membership.View, asJSON bool) error {
+	if asJSON {
+		type seen struct {
+			membership.Seen
+			Status string `json:"status"`
+			Reach  string `json:"reach"`
+		}
+		out := struct {
+			Number   uint64 `json:"number"`
+			View     string `json:"view"`
+			Alone    bool   `json:"alone"`
+			Majority bool   `json:"majority"`
+			Members  []seen `json:"members"`
+		}{Number: v.Number, View: fmt.Sprintf("%016x", v.Hash), Alone: v.Alone, Majority: v.Majority}
+		for _, m := range v.Members {
+			out.Members = append(out.Members, seen{m, membership.Statuses[m.Status], membership.Reaches[m.Reach]})
+		}
+		return json.NewEncoder(os.Stdout).Encode(out)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "view %d, %016x", v.Number, v.Hash)
+	if v.Alone {
+		fmt.Fprint(w, ", cut off: it hears nobody and keeps what it last saw")
+	} else if !v.Majority {
+		fmt.Fprint(w, ", no majority of those it knows")
+	}
+	fmt.Fprintln(w, "\nname\taddress\tstatus\tsince s\treach\tlinks\tzone\tversion\tlevel\tbeat\tincarnation")
+	for _, m := range v.Members {
+		status := membership.Statuses[m.Status]
+		if m.Facts.NoUse {
+			status += ", of no use"
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.1f\t%s\t%d\t%s\t%s\t%d\t%d\t%d\n", m.Name, m.Address, status, float64(m.Since)/1e9,
+			membership.Reaches[m.Reach], m.Links, m.Facts.Zone, m.Facts.Version, m.Facts.Level, m.Facts.Beat, m.Inc)
+	}
+	return w.Flush()
+}
+
+// Run asks all, and tells for each member that not all see alike who sees it how.
+func (c *membersCompare) Run() error {
+	type key struct{ name, status string }
+	by, names := map[key][]string{}, map[string]bool{}
+	for _, address := range c.Addresses {
+		v, err := look(c.Fleet, address)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("%s: view %d, %016x\n", address, v.Number, v.Hash)
+		for _, m := range v.Members {
+			if m.Status == membership.Dead || m.Status == membership.Left { // not in the view; later ones never heard of it
+				continue
+			}
+			names[m.Name] = true
+			k := key{m.Name, membership.Statuses[m.Status]}
+			by[k] = append(by[k], address)
+		}
+	}
+	differ := false
+	var list []string
+	for name := range names {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	for _, name := range list {
+		for _, status := range membership.Statuses {
+			if seen := by[key{name, status}]; len(seen) > 0 && len(seen) < len(c.Addresses) {
+				fmt.Printf("%s is %s to %d of %d: %v\n", name, status, len(seen), len(c.Addresses), seen)
+				differ = true
+			}
+		}
+	}
+	if differ {
+		return errDiffer
+	}
+	fmt.Println("views are equal")
+	return nil
+}
--- a/cmd/topazpost/plans.go
+++ b/cmd/topazpost/plans.go
@@ -10,17 +10,20 @@
 	"runtime"
 	"time"
 
+	"topazpost/charter"
 	"topazpost/history"
+	"topazpost/keep"
 	"topazpost/plan"
 	"topazpost/server"
 	"topazpost/settings"
 )
 
 const (
-	renderWait = 4 * time.Second       // for a plan to be evaluated: past what settings allows, and a start of the program
-	renderMost = 1 << 20               // bytes that it may come to
-	heapMost   = 64 << 20              // bytes of memory past which an evaluation ends itself
-	heapLook   = 10 * time.Millisecond // between looks at it
+	renderWait  = 4 * time.Second       // for a plan to be evaluated: past what settings allows, and a start of the program
+	renderMost  = 1 << 20               // bytes that it may come to
+	heapMost    = 64 << 20              // bytes of memory past which an evaluation ends itself
+	versionMost = 12                    // letters of the version that peers are told
+	heapLook    = 10 * time.Millisecond // between looks at it
 )
 
 // plans are the commands about files.
@@ -79,33 +82,65 @@
 	return err
 }
 
-// readLevels reads the plan of levels, if there is one. A process of its own evaluates it, so that no template can
-// slow down or fill up the node.
+// readLevels reads the plan of levels, if there is one.
 func (c *serve) readLevels(into *server.Nameplate) error {
 	if c.Plan == "" {
 		return nil
 	}
-	program, err := os.Executable()
+	file, err := render(c.Plan)
+	if err != nil {
+		return err
+	}
+	into.Levels, err = plan.From(file, into.Settings.Operations)
+	return err
+}
+
+// readFleet reads the fleet's file, if there is one.
+func (c *serve) readFleet(into *server.Nameplate) error {
+	if c.Fleet == "" {
+		return nil
+	}
+	file, err := render(c.Fleet)
+	if err != nil {
+		return err
+	}
+	if into.Fleet, err = charter.From(file, into.Name); err == nil {
+		into.Fleet.Terms.Version = revision()[:min(versionMost, len(revision()))]
+	}
+	return err
+}
+
+// readKeep reads what is kept of tokened invocations, if there is a file.
+func (c *serve) readKeep(into *server.Nameplate) error {
+	if c.Keep == "" {
+		return nil
+	}
+	file, err := render(c.Keep)
 	if err != nil {
 		return err
 	}
+	into.Keep, err = keep.From(file, into.Settings.Nameplate.Operations, into.MemoryMB)
+	return err
+}
+
+// render evaluates a file in a process of its own, so that no template can slow down or fill up the node.
+func render(path string) (*settings.File, error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
 	ctx, end := context.WithTimeout(context.Background(), renderWait)
 	defer end()
 	var told, failed bytes.Buffer
-	command := exec.CommandContext(ctx, program, "plan", "render", c.Plan)
+	command := exec.CommandContext(ctx, program, "plan", "render", path)
 	command.Stdout, command.Stderr = &bounded{&told, renderMost}, &bounded{&failed, renderMost}
 	if err := command.Run(); err != nil {
 		if text := bytes.TrimSpace(failed.Bytes()); len(text) > 0 {
-			return errors.New(string(bytes.TrimPrefix(text, []byte("topazpost: error: "))))
+			return nil, errors.New(string(bytes.TrimPrefix(text, []byte("topazpost: error: "))))
 		}
-		return fmt.Errorf("%s: can't be evaluated: %w", c.Plan, err)
+		return nil, fmt.Errorf("%s: can't be evaluated: %w", path, err)
 	}
-	file, err := settings.Rendered(c.Plan, told.Bytes())
-	if err != nil {
-		return err
-	}
-	into.Levels, err = plan.From(file, into.Settings.Operations)
-	return err
+	return settings.Rendered(path, told.Bytes())
 }
 
 // bounded keeps the first bytes of what is written.
--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"debug/elf"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -19,6 +21,17 @@
 	"topazpost/frame"
 )
 
+// The full-fleet days load a library into the node: that takes a build that the C library's loader starts.
+func TestDeployedBuildIsLinkedAgainstTheCLibrary(t *testing.T) {
+	f, err := elf.Open(program)
+	require.NoError(t, err)
+	defer f.Close()
+	assert.True(t, slices.ContainsFunc(f.Progs, func(p *elf.Prog) bool { return p.Type == elf.PT_INTERP }), "no interpreter")
+	needed, err := f.ImportedLibraries()
+	require.NoError(t, err)
+	assert.Contains(t, needed, "libc.so.6")
+}
+
 func TestServesFailsAndReports(t *testing.T) {
 	s := start(t, false, nil)
 	d := s.dial()
--- /dev/null
+++ b/integration/peers_test.go
@@ -0,0 +1,181 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/letter"
+	"topazpost/membership"
+)
+
+// fleet is the file of a fleet whose only other member is whoever sends to bind.
+func fleet(t testing.TB) (path, bind string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	bind = l.Addr().String()
+	l.Close()
+	text, err := json.Marshal(map[string]any{"fleet": "tests", "bind": bind, "seeds": []string{bind}})
+	require.NoError(t, err)
+	path = filepath.Join(t.TempDir(), "fleet.jsonnet")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	return path, bind
+}
+
+// flood sends datagrams of a kind as fast as it may, until it is ended; it says how many.
+func flood(t testing.TB, to string, next func() []byte) (end func() int) {
+	conn, err := net.Dial("udp", to)
+	require.NoError(t, err)
+	stop, done := make(chan struct{}), make(chan int)
+	go func() {
+		sent := 0
+		for ; ; sent++ {
+			select {
+			case <-stop:
+				conn.Close()
+				done <- sent
+				return
+			default:
+			}
+			conn.Write(next())
+			if sent%50 == 0 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}()
+	return func() int { close(stop); return <-done }
+}
+
+func garbage() func() []byte {
+	chance := rand.New(rand.NewSource(1))
+	return func() []byte {
+		b := make([]byte, chance.Intn(1_400))
+		chance.Read(b)
+		if len(b) > 0 {
+			b[0] = letter.Version
+		}
+		return b
+	}
+}
+
+func TestPeerThatFloodsOrLiesHoldsUpNobody(t *testing.T) {
+	path, bind := fleet(t)
+	s := startWith(t, false, nil, "--fleet", path)
+	end := flood(t, bind, garbage())
+	liar, err := net.Dial("tcp", bind) // says that it will send more than any may
+	require.NoError(t, err)
+	defer liar.Close()
+	liar.Write([]byte{0xff, 0xff, 0xff, 0x7f, 1, 2, 3})
+	slow, err := net.Dial("tcp", bind) // and another begins, and goes no further
+	require.NoError(t, err)
+	defer slow.Close()
+	slow.Write([]byte{100, 0, 0, 0, 1})
+	s.line("peer floods")
+	d := s.dial()
+	for stream := range uint32(100) {
+		d.invoke(stream+1, "x")
+		assert.Equal(t, fmt.Sprintf("20 on %d x", stream+1), d.answer())
+	}
+	assert.Positive(t, end())
+	out, err := exec.Command(program, "members", "--fleet", "tests", "--json", bind).Output()
+	require.NoError(t, err)
+	var view struct {
+		Members []struct{ Name, Status, Reach string }
+	}
+	require.NoError(t, json.Unmarshal(out, &view))
+	require.Len(t, view.Members, 1)
+	assert.Equal(t, "n1", view.Members[0].Name)
+	out, err = exec.Command(program, "members", "--fleet", "others", bind).CombinedOutput()
+	assert.Error(t, err)
+	assert.Contains(t, string(out), "is it a node of the fleet")
+}
+
+func TestWithoutAFleetThereIsNoSocketForPeers(t *testing.T) {
+	s := start(t, false, nil)
+	sockets := 0
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/net", s.command.Process.Pid))
+	require.NoError(t, err)
+	require.NotEmpty(t, entries)
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.command.Process.Pid))
+	require.NoError(t, err)
+	udp, err := os.ReadFile("/proc/net/udp")
+	require.NoError(t, err)
+	for _, f := range files {
+		to, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", s.command.Process.Pid, f.Name()))
+		var inode int
+		if n, _ := fmt.Sscanf(to, "socket:[%d]", &inode); n == 1 && containsInode(string(udp), inode) {
+			sockets++
+		}
+	}
+	assert.Zero(t, sockets)
+}
+
+func TestFleetFileThatCantBeUsedIsNamedWithItsMend(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet.jsonnet")
+	require.NoError(t, os.WriteFile(path, []byte("{\n  fleet: 'x',\n  bind: '0.0.0.0:7946',\n  seeds: ['node-1:7946'],\n  silence: '1 s',\n}"), 0o600))
+	s := start(t, false, nil)
+	out, err := exec.Command(program, "check", "--fleet", path, s.path).CombinedOutput()
+	assert.Error(t, err)
+	for _, want := range []string{path + ":3: bind: is every address", path + ":4: seeds.0:", path + ":5: silence: holds fewer than 4 probes"} {
+		assert.Contains(t, string(out), want)
+	}
+}
+
+// BenchmarkInvocationsBesidePeers measures latencies of invocations with no fleet, in one, and with a peer that floods,
+// in turns: go test -bench BesidePeers -benchtime 1x ./integration.
+func BenchmarkInvocationsBesidePeers(b *testing.B) {
+	for b.Loop() {
+		kinds := []string{"off", "on", "flood"}
+		all := map[string]*hdrhistogram.Histogram{}
+		spent := map[string]time.Duration{}
+		for _, kind := range kinds {
+			all[kind] = hdrhistogram.New(1, 10_000_000, 3)
+		}
+		for range 3 {
+			for _, kind := range kinds {
+				measured(b, kind, all[kind], spent)
+			}
+		}
+		for _, kind := range kinds {
+			h := all[kind]
+			b.ReportMetric(float64(h.ValueAtQuantile(50)), kind+"_p50_us")
+			b.ReportMetric(float64(h.ValueAtQuantile(99)), kind+"_p99_us")
+			b.ReportMetric(float64(h.TotalCount())/spent[kind].Seconds(), kind+"_per_s")
+		}
+	}
+}
+
+func measured(b *testing.B, kind string, into *hdrhistogram.Histogram, spent map[string]time.Duration) {
+	path, bind := fleet(b)
+	var flags []string
+	if kind != "off" {
+		flags = []string{"--fleet", path}
+	}
+	s := startWith(b, false, nil, flags...)
+	defer s.command.Process.Kill()
+	if kind == "flood" {
+		text, err := letter.Seal(nil, letter.FleetOf("tests"), &membership.Message{Kind: membership.Ping, From: 7})
+		require.NoError(b, err)
+		end := flood(b, bind, func() []byte { return text })
+		defer end()
+	}
+	d := s.dial()
+	began := time.Now()
+	for stream := range uint32(4_000) {
+		at := time.Now()
+		d.invoke(stream+1, "x")
+		d.answer()
+		into.RecordValue(time.Since(at).Microseconds())
+	}
+	spent[kind] += time.Since(began)
+}
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -37,11 +37,8 @@
 		panic(err)
 	}
 	program = filepath.Join(folder, "topazpost")
-	tags := ""
-	if must.Debug {
-		tags = "debug"
-	}
-	build := exec.Command("go", "build", "-tags", tags, "-o", program, "topazpost/cmd/topazpost")
+	build := exec.Command("sh", "-c", buildLine(folder))
+	build.Dir = ".."
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
@@ -50,10 +47,30 @@
 	os.Exit(code)
 }
 
+// buildLine is the build of the deploy file, into another folder, with assertions where this test has them.
+func buildLine(folder string) string {
+	build := ""
+	text, err := os.ReadFile("../deploy/balancer.toml")
+	if err != nil {
+		panic(err)
+	}
+	for _, line := range strings.Split(string(text), "\n") {
+		if value, found := strings.CutPrefix(line, `build = "`); found {
+			build, _, _ = strings.Cut(value, `"`)
+		}
+	}
+	line := strings.Replace(build, "-o bin/", "-o "+folder+"/", 1)
+	if must.Debug {
+		line = strings.Replace(line, "go build", "go build -tags debug", 1)
+	}
+	return line
+}
+
 // site is a node with its stand-ins.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	address  string
+	flags    []string // of serve
 	command  *exec.Cmd
 	log      chan string   // lines of the log
 	ended    chan error    // of the process
@@ -76,7 +93,7 @@
 	notices []string
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
@@ -84,8 +101,13 @@
 }
 
 // start starts a node; change edits its configuration.
-func start(t *testing.T, late bool, change func(config map[string]any)) *site {
-	s := &site{t: t, log: make(chan string, 1_000), ended: make(chan error, 1), reports: make(chan string, 100),
+func start(t testing.TB, late bool, change func(config map[string]any)) *site {
+	return startWith(t, late, change)
+}
+
+// startWith does so with flags of serve.
+func startWith(t testing.TB, late bool, change func(config map[string]any), flags ...string) *site {
+	s := &site{t: t, flags: flags, log: make(chan string, 1_000), ended: make(chan error, 1), reports: make(chan string, 100),
 		told: make(chan []string, 1_000), asked: make(chan []string, 1_000), links: make(chan net.Conn, 100),
 		supplied: make(chan net.Conn, 100), left: make(chan net.Conn, 100), up: make(chan struct{}), reply: func(call string) string { return call + " DATA 5\r\nreply\r\n" }}
 	if !late {
@@ -149,7 +171,7 @@
 
 func (s *site) run() {
 	s.configure(false)
-	s.command = exec.Command(program, "serve")
+	s.command = exec.Command(program, append([]string{"serve"}, s.flags...)...)
 	s.command.Env = append(os.Environ(), "GW_CONFIG="+s.path)
 	out, err := s.command.StderrPipe()
 	require.NoError(s.t, err)
@@ -180,7 +202,7 @@
 	}
 }
 
-func await[T any](t *testing.T, c chan T) (v T) {
+func await[T any](t testing.TB, c chan T) (v T) {
 	t.Helper()
 	select {
 	case v = <-c:
@@ -290,7 +312,7 @@
 
 // dispatcher is a connection to the node.
 type dispatcher struct {
-	t     *testing.T
+	t     testing.TB
 	conn  net.Conn
 	p     frame.Parser
 	calls int
@@ -349,3 +371,13 @@
 }
 
 func (s *site) signal(which os.Signal) { s.command.Process.Signal(which) }
+
+// containsInode looks for a socket in a table of /proc/net.
+func containsInode(table string, inode int) bool {
+	for _, line := range strings.Split(table, "\n") {
+		if fields := strings.Fields(line); len(fields) > 9 && fields[9] == strconv.Itoa(inode) {
+			return true
+		}
+	}
+	return false
+}
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestEveryExperimentCanBeReadWithItsPlans(t *testing.T) {
-	files, err := filepath.Glob("../experiments/*.jsonnet")
+	files, err := filepath.Glob("../experiments/levels-*.jsonnet") // nights on fleets are read by package rig
 	require.NoError(t, err)
 	require.NotEmpty(t, files)
 	for _, path := range files {
--- /dev/null
+++ b/lab/mesh/mesh.go
@@ -0,0 +1,287 @@
+// Package mesh plays the membership of many nodes in virtual time: datagrams and exchanges over ordered pairs of
+// links that can lose, delay and cut, and nodes that pause, die and come back.
+package mesh
+
+import (
+	"fmt"
+	"math"
+
+	"topazpost/lab/world"
+	"topazpost/letter"
+	"topazpost/membership"
+)
+
+const (
+	ms        = int64(1_000_000)
+	travel    = ms / 2 // ns that a message takes at the least
+	spread    = ms     // ns more that it may take
+	measured  = 16     // one of so many messages is encoded to know its size
+	exchanged = 2_000 * ms
+)
+
+// Node is one member with its process.
+type Node struct {
+	Name, Address string
+	*membership.Members
+	Up, Paused  bool
+	Started     int64
+	Stopped     int64 // when it was last killed or paused
+	Changes     []Change
+	Sent, Bytes int
+
+	m       *Mesh
+	index   int
+	version int // of its wake
+	queue   []membership.Input
+	links   map[int]ask
+	skew    int64
+	well    int64 // since when it hears and is heard by most
+	resumed int64
+	looked  int // of its changes, by sound
+}
+
+type ask struct {
+	from *Node
+	link int
+	life int64
+}
+
+// Change is one of a node's view, with its time.
+type Change struct {
+	At int64
+	membership.Change
+}
+
+// Mesh is a fleet.
+type Mesh struct {
+	*world.World
+	Nodes   []*Node
+	Loss    float64
+	Cut     map[[2]int]bool // ordered pairs that carry nothing
+	Small   map[[2]int]int  // ordered pairs that carry datagrams up to a size
+	Charter membership.Charter
+	Seeds   []string
+
+	byAddress map[string]*Node
+	answers   int
+	count     int
+	usual     int
+	quiet     int64 // since when no more than a fifth is lost
+}
+
+// Usual is a charter as nodes have it.
+var Usual = membership.Charter{Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 600_000 * ms, MembersMost: 1024}
+
+// New makes a fleet in which nobody is up yet; the first nodes are seeds.
+func New(seed int64, nodes, seeds int) *Mesh {
+	m := &Mesh{World: world.New(seed, 1), Cut: map[[2]int]bool{}, Small: map[[2]int]int{}, Charter: Usual,
+		byAddress: map[string]*Node{}}
+	for i := range nodes {
+		n := &Node{Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("10.0.%d.%d:9", i/250, i%250+1), m: m, index: i}
+		m.Nodes = append(m.Nodes, n)
+		m.byAddress[n.Address] = n
+		if i < seeds {
+			m.Seeds = append(m.Seeds, n.Address)
+		}
+	}
+	return m
+}
+
+func (n *Node) wall() int64 { return 1_764_576_000_000*ms + n.m.Now + n.skew }
+
+// Start gives a node a new life.
+func (n *Node) Start() {
+	c := n.m.Charter
+	c.Name, c.Address, c.Seeds = n.Name, n.Address, n.m.Seeds
+	n.Up, n.Paused, n.Started = true, false, n.m.Now
+	n.links, n.queue = map[int]ask{}, nil
+	n.Members = membership.New(c, n.m.Now, n.wall(), 0, n.m.Chance.Int63())
+	n.looked = len(n.Changes)
+	n.step(nil)
+}
+
+// Kill ends a node's life.
+func (n *Node) Kill() { n.Up, n.Paused, n.Stopped = false, false, n.m.Now; n.version++ }
+
+// Pause stops a node's process for a while; what comes meanwhile waits.
+func (n *Node) Pause(ns int64) {
+	if !n.Up || n.Paused {
+		return
+	}
+	n.Paused, n.Stopped = true, n.m.Now
+	life := n.Started
+	n.m.After(ns, func() {
+		if n.Started == life {
+			n.Resume()
+		}
+	})
+}
+
+// Resume ends a pause.
+func (n *Node) Resume() {
+	if n.Up && n.Paused {
+		n.Paused, n.resumed = false, n.m.Now
+		queue := n.queue
+		n.queue = nil
+		n.step(queue)
+	}
+}
+
+// Leave has a node say farewell, and ends its life.
+func (n *Node) Leave() {
+	if n.Up && !n.Paused {
+		n.step([]membership.Input{{Kind: membership.Leaving}})
+		n.Kill()
+	}
+}
+
+// Skew sets a node's wall clock off.
+func (n *Node) Skew(ns int64) { n.skew = ns }
+
+func (n *Node) give(in membership.Input) {
+	switch {
+	case !n.Up:
+	case n.Paused:
+		if len(n.queue) < 256 {
+			n.queue = append(n.queue, in)
+		}
+	default:
+		n.step([]membership.Input{in})
+	}
+}
+
+func (n *Node) step(inputs []membership.Input) {
+	effects, wake := n.Step(n.m.Now, n.wall(), inputs)
+	for k := range effects {
+		n.carry(&effects[k])
+	}
+	n.version++
+	version := n.version
+	n.m.At(wake, func() {
+		if n.Up && !n.Paused && n.version == version {
+			n.step(nil)
+		}
+	})
+}
+
+func (n *Node) carry(e *membership.Effect) {
+	m := n.m
+	msg := e.Message
+	switch e.Kind {
+	case membership.Send:
+		size := m.size(&msg)
+		n.Sent++
+		n.Bytes += size
+		if to := m.byAddress[e.To]; to != nil && m.passes(n, to, size, true) {
+			m.After(travel+m.Chance.Int63n(spread), func() { to.give(membership.Input{Kind: membership.Came, Message: &msg}) })
+		}
+	case membership.Exchange:
+		n.Bytes += m.size(&msg)
+		to, life, link := m.byAddress[e.To], n.Started, e.Link
+		if to == nil || !to.Up || !m.passes(n, to, 0, false) || !m.passes(to, n, 0, false) {
+			m.After(exchanged, func() {
+				if n.Started == life {
+					n.give(membership.Input{Kind: membership.Missed, Link: link})
+				}
+			})
+			return
+		}
+		m.answers++
+		answer := m.answers
+		m.After(3*travel, func() {
+			if to.Up {
+				to.links[answer] = ask{n, link, life}
+			}
+			to.give(membership.Input{Kind: membership.Asked, Link: answer, Message: &msg})
+		})
+	case membership.Reply:
+		a, known := n.links[e.Link]
+		delete(n.links, e.Link)
+		n.Bytes += m.size(&msg)
+		if known && m.passes(n, a.from, 0, false) {
+			m.After(travel, func() {
+				if a.from.Started == a.life {
+					a.from.give(membership.Input{Kind: membership.Answered, Link: a.link, Message: &msg})
+				}
+			})
+		}
+	case membership.Changed:
+		n.Changes = append(n.Changes, Change{m.Now, e.Change})
+	}
+}
+
+// passes says whether a message gets from one to the other.
+func (m *Mesh) passes(from, to *Node, size int, datagram bool) bool {
+	pair := [2]int{from.index, to.index}
+	if m.Cut[pair] {
+		return false
+	}
+	if most := m.Small[pair]; datagram && most > 0 && size > most {
+		return false
+	}
+	return !datagram || m.Loss == 0 || m.Chance.Float64() >= m.Loss
+}
+
+func (m *Mesh) size(msg *membership.Message) int {
+	m.count++
+	if len(msg.Records)+len(msg.Heads) > 0 || m.usual == 0 || m.count%measured == 0 {
+		b, err := letter.Seal(nil, 1, msg)
+		if err != nil {
+			return math.MaxInt32
+		}
+		if len(msg.Records)+len(msg.Heads) > 0 {
+			return len(b)
+		}
+		m.usual = len(b)
+	}
+	return m.usual
+}
+
+// CutBetween cuts the links from each of some nodes to each of others; and back with both.
+func (m *Mesh) CutBetween(from, to []*Node, both bool) {
+	for _, a := range from {
+		for _, b := range to {
+			if a != b {
+				m.Cut[[2]int{a.index, b.index}] = true
+				if both {
+					m.Cut[[2]int{b.index, a.index}] = true
+				}
+			}
+		}
+	}
+}
+
+// Heal takes all cuts and losses away.
+func (m *Mesh) Heal() { clear(m.Cut); clear(m.Small); m.Loss = 0 }
+
+// Agreed says whether all that are up and run hold one view that names exactly them.
+func (m *Mesh) Agreed() bool {
+	first, up := uint64(0), 0
+	for _, n := range m.Nodes {
+		if n.Up && !n.Paused {
+			up++
+		}
+	}
+	for k, n := 0, (*Node)(nil); k < len(m.Nodes); k++ {
+		if n = m.Nodes[k]; !n.Up || n.Paused {
+			continue
+		}
+		hash, size := n.Hash()
+		if size != up || first != 0 && hash != first {
+			return false
+		}
+		first = hash
+	}
+	return true
+}
+
+// Until runs on until something holds, at the most for so long; it says after how long it did, -1 if it never did.
+func (m *Mesh) Until(most int64, holds func() bool) int64 {
+	for start := m.Now; m.Now-start < most; {
+		if holds() {
+			return m.Now - start
+		}
+		m.Run(m.Now + 20*ms)
+	}
+	return -1
+}
--- /dev/null
+++ b/lab/mesh/schedule.go
@@ -0,0 +1,171 @@
+package mesh
+
+import (
+	"fmt"
+
+	"topazpost/membership"
+)
+
+// Schedule plays faults drawn from a seed on a fleet for so long, heals all and lets it settle. The error says what
+// did not hold; the same seed plays the same course.
+func Schedule(seed int64, nodes int, length, settle int64) error {
+	m := New(seed, nodes, min(3, nodes))
+	m.Charter.Forget = 1_000_000 * ms
+	for _, n := range m.Nodes {
+		m.After(m.Chance.Int63n(2_000*ms), func() {
+			if !n.Up {
+				n.Start()
+			}
+		})
+	}
+	end := m.Now + length
+	var draw func()
+	draw = func() {
+		if m.Now >= end {
+			return
+		}
+		m.fault()
+		m.After(200*ms+m.Chance.Int63n(8_000*ms), draw)
+	}
+	m.After(3_000*ms, draw)
+	highest := map[string]uint64{}
+	for m.Now < end {
+		m.Run(m.Now + 500*ms)
+		if err := m.sound(highest); err != nil {
+			return fmt.Errorf("seed %d at %.1f s: %w", seed, float64(m.Now)/1e9, err)
+		}
+	}
+	m.Heal()
+	for _, n := range m.Nodes {
+		if !n.Up {
+			n.Start()
+		}
+	}
+	if m.Until(settle, m.Agreed) < 0 {
+		return fmt.Errorf("seed %d: views differ %.0f s after the last healing", seed, float64(settle)/1e9)
+	}
+	return m.sound(highest)
+}
+
+// some draws nodes: one, a third, or half of them.
+func (m *Mesh) some() []*Node {
+	k := [...]int{1, 1, 1, len(m.Nodes) / 3, len(m.Nodes) / 2}[m.Chance.Intn(5)]
+	var list []*Node
+	for _, i := range m.Chance.Perm(len(m.Nodes))[:max(1, k)] {
+		list = append(list, m.Nodes[i])
+	}
+	return list
+}
+
+func (m *Mesh) others(than []*Node) (list []*Node) {
+	for _, n := range m.Nodes {
+		found := false
+		for _, t := range than {
+			found = found || t == n
+		}
+		if !found {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// fault draws one trouble and when it ends.
+func (m *Mesh) fault() {
+	some := m.some()
+	lasting := [...]int64{200, 500, 3_000, 5_000, 10_000, 30_000}[m.Chance.Intn(6)] * ms
+	switch m.Chance.Intn(9) {
+	case 0, 1:
+		for _, n := range some {
+			if n.Up {
+				n.Kill()
+				m.After(lasting, func() {
+					if !n.Up {
+						n.Start()
+					}
+				})
+			}
+		}
+	case 2, 3:
+		for _, n := range some {
+			n.Pause(lasting)
+		}
+	case 4:
+		m.CutBetween(some, m.others(some), m.Chance.Intn(2) == 0)
+		m.After(lasting, func() { clear(m.Cut) })
+	case 5:
+		m.CutBetween(m.others(some), some, false)
+		m.After(lasting, func() { clear(m.Cut) })
+	case 6:
+		m.Loss = [...]float64{0.05, 0.2, 0.4}[m.Chance.Intn(3)]
+		m.After(lasting, func() { m.Loss = 0 })
+	case 7:
+		for _, n := range some { // a clock that jumps counts at the next start
+			n.Skew([...]int64{-10, 10, -3_600}[m.Chance.Intn(3)] * 1_000 * ms)
+		}
+	case 8:
+		a, b := m.Nodes[m.Chance.Intn(len(m.Nodes))], m.Nodes[m.Chance.Intn(len(m.Nodes))]
+		m.Small[[2]int{a.index, b.index}] = 200
+	}
+}
+
+// sound checks what holds at any moment: incarnations never go back, and nobody who hears and is heard by most is
+// out of the view of another such one.
+func (m *Mesh) sound(highest map[string]uint64) error {
+	for _, n := range m.Nodes {
+		if !n.Up {
+			continue
+		}
+		for _, c := range n.Changes[n.looked:] {
+			if key := fmt.Sprint(n.Name, " born ", n.Started, " of ", c.Who); c.Cause != membership.CutOff && c.Cause != membership.Restored {
+				if c.Inc < highest[key] {
+					return fmt.Errorf("%s: incarnation of %s went back from %d to %d", n.Name, c.Who, highest[key], c.Inc)
+				}
+				highest[key] = c.Inc
+			}
+		}
+		n.looked = len(n.Changes)
+	}
+	return m.heard()
+}
+
+// heard looks for members that have been well for some time and are out of a view: up, not paused, with links that
+// carry both ways to more than half of those that are up, all of them that long.
+func (m *Mesh) heard() error {
+	const long = 20_000 * ms
+	if m.Loss > 0.2 {
+		m.quiet = m.Now
+	}
+	up := 0
+	for _, n := range m.Nodes {
+		if n.Up {
+			up++
+		}
+	}
+	var well []*Node
+	for _, n := range m.Nodes {
+		good := 0
+		for _, o := range m.Nodes {
+			if o.Up && !o.Paused && !m.Cut[[2]int{n.index, o.index}] && !m.Cut[[2]int{o.index, n.index}] {
+				good++
+			}
+		}
+		if !n.Up || n.Paused || 2*good <= len(m.Nodes) {
+			n.well = m.Now
+		} else if m.Now-max(n.well, m.quiet, n.Started, n.resumed) > long {
+			well = append(well, n)
+		}
+	}
+	for _, n := range well {
+		view := map[string]membership.Status{}
+		for _, s := range n.View().Members {
+			view[s.Name] = s.Status
+		}
+		for _, o := range well {
+			if s, known := view[o.Name]; !known || s == membership.Dead || s == membership.Left {
+				return fmt.Errorf("%s is out of the view of %s, though both hear and are heard by most", o.Name, n.Name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/rig/night.go
@@ -0,0 +1,605 @@
+// Package rig plays a night of faults on a fleet: in virtual time, or on built daemons whose links run through
+// relays on loopback. Both are judged by the same measures of the views that nodes told.
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"topazpost/membership"
+	"topazpost/settings"
+)
+
+const (
+	ms       = int64(1_000_000)
+	second   = 1_000 * ms
+	joinMost = 60 * second // for all to be in one view before the faults begin
+	look     = 20 * ms     // between looks at what is waited for
+	after    = 6 * second  // past a fault's end in which a change may still be of it
+	idleFor  = 5 * second  // before the first fault in which traffic is that of an idle fleet
+	shown    = 40          // lines of the timeline that are printed
+)
+
+// Night is an experiment on a fleet, as it is written.
+type Night struct {
+	Name, About string
+	Processes   bool
+	Nodes       int
+	Contacts    int // nodes that are seeds
+	Seconds     float64
+	Calm        float64 // seconds at the end without faults
+	Seeds       int
+	Fleet       map[string]string // of the fleet's file
+	Faults      []Fault
+	Claims      []Claim
+}
+
+// Fault is a trouble: kill, pause, leave, cut, loss. Who are one, third, half, or names; a cut has a shape: pair, from
+// (nobody hears them), to (they hear nobody), both, halves (each half hears its own), half (one half is not heard).
+type Fault struct {
+	Kind, Who, Shape string
+	At, For, Every   settings.Time
+	Part             settings.Part // of datagrams that are lost
+}
+
+// Claim bounds a measure.
+type Claim struct {
+	Name, Measure string
+	Least, Most   *float64
+}
+
+// Event is a change of one node's view.
+type Event struct {
+	At    int64 // ns since the start
+	Node  int
+	Cause membership.Cause
+	Who   string
+	Hash  uint64
+	Size  int
+}
+
+// driver is a fleet that faults can be done to.
+type driver interface {
+	now() int64
+	run(until int64)
+	start(i int) error
+	kill(i int)
+	leave(i int)
+	pause(i int, stop bool)
+	cut(from, to int)
+	heal()
+	lose(part float64)
+	sent() int64 // bytes, of all
+	seen() []Event
+	last() []Event // the last one of each node
+	close()
+}
+
+// Read reads a night with some of its values changed. It says no where the file is no night but another experiment.
+func Read(path string, changed map[string]string) (n *Night, is bool, err error) {
+	file, err := settings.Read(path)
+	if err != nil {
+		return nil, false, err
+	}
+	var kind struct{ Nodes int }
+	if json.Unmarshal(file.JSON, &kind); kind.Nodes == 0 {
+		return nil, false, nil
+	}
+	for _, at := range slices.Sorted(maps.Keys(changed)) {
+		if err := file.Set(at, changed[at]); err != nil {
+			return nil, true, err
+		}
+	}
+	n = &Night{Contacts: 3, Seeds: 1, Calm: 15, Seconds: 60}
+	if err := file.Into(n); err != nil {
+		return nil, true, err
+	}
+	for k, f := range n.Faults {
+		if !slices.Contains([]string{"kill", "pause", "leave", "cut", "loss"}, f.Kind) {
+			return nil, true, file.At([]string{"faults", fmt.Sprint(k), "kind"}, fmt.Sprintf("%q is no fault", f.Kind), "choose kill, pause, leave, cut or loss")
+		}
+	}
+	return n, true, nil
+}
+
+// span is one fault as it was done.
+type span struct {
+	kind, shape string
+	nodes       []int
+	concerned   map[string]bool // by name
+	from, to    int64           // to is the night's end where it never ended
+	back        bool
+	healed      int64 // ns from the healing of a cut to one view of all
+}
+
+// Outcome is what a night came to on one seed.
+type Outcome struct {
+	Seed     int64
+	Measures map[string]float64
+	Timeline []string
+	Failed   string // why it could not be played to its end
+}
+
+type action struct {
+	at int64
+	do func() error
+}
+
+// play does all faults to a fleet and measures what its views told.
+func (n *Night) play(d driver, seed int64) *Outcome {
+	o := &Outcome{Seed: seed, Measures: map[string]float64{}}
+	began := time.Now()
+	for i := range n.Nodes {
+		if err := d.start(i); err != nil {
+			o.Failed = err.Error()
+			return o
+		}
+	}
+	up := make([]bool, n.Nodes)
+	for i := range up {
+		up[i] = true
+	}
+	o.Measures["joined_s"] = seconds(n.until(d, joinMost, up))
+	if o.Measures["joined_s"] < 0 {
+		o.Failed = "the fleet did not come to one view"
+		return o
+	}
+	start := d.now()
+	idle, idleAt := d.sent(), start
+	spans, actions := n.draw(d, start, rand.New(rand.NewSource(seed)), up)
+	worst, last, lastAt := 0.0, d.sent(), d.now()
+	for k, a := range actions {
+		for d.now() < a.at {
+			d.run(min(a.at, d.now()+second))
+			if k == 0 && d.now() > a.at-idleFor {
+				o.Measures["idle_bytes"] = float64(d.sent()-idle) / float64(n.Nodes) / (float64(d.now()-idleAt) / 1e9)
+			} else if k == 0 {
+				idle, idleAt = d.sent(), d.now()
+			}
+			if now := d.now(); now-lastAt >= second {
+				worst, last, lastAt = max(worst, float64(d.sent()-last)/float64(n.Nodes)/(float64(now-lastAt)/1e9)), d.sent(), now
+			}
+		}
+		if err := a.do(); err != nil {
+			o.Failed = err.Error()
+			return o
+		}
+	}
+	healed := d.now()
+	d.lose(0)
+	d.heal()
+	o.Measures["worst_bytes"] = worst
+	o.Measures["agree_s"] = seconds(n.until(d, int64(n.Calm*1e9), up))
+	d.run(healed + int64(n.Calm*1e9))
+	if o.Measures["agree_s"] < 0 {
+		o.Measures["agree_s"] = math.Inf(1)
+	}
+	o.Measures["pace"] = float64(d.now()) / float64(max(1, time.Since(began)))
+	n.measure(o, d.seen(), spans, start)
+	return o
+}
+
+func seconds(ns int64) float64 {
+	if ns < 0 {
+		return -1
+	}
+	return float64(ns) / 1e9
+}
+
+// until runs on until all that are up hold one view of just them.
+func (n *Night) until(d driver, most int64, up []bool) int64 {
+	for start := d.now(); d.now()-start < most; d.run(d.now() + look) {
+		if agreed(d.last(), up) {
+			return d.now() - start
+		}
+	}
+	return -1
+}
+
+func agreed(last []Event, up []bool) bool {
+	count, hash, first := 0, uint64(0), true
+	for _, u := range up {
+		if u {
+			count++
+		}
+	}
+	for i, u := range up {
+		if !u {
+			continue
+		}
+		if last[i].Size != count && count > 1 || !first && last[i].Hash != hash {
+			return false
+		}
+		hash, first = last[i].Hash, false
+	}
+	return true
+}
+
+// draw lays the faults out in time, each with those whom it concerns.
+func (n *Night) draw(d driver, start int64, chance *rand.Rand, up []bool) (spans []*span, actions []action) {
+	end := start + int64(n.Seconds*1e9)
+	for _, f := range n.Faults {
+		for at := start + int64(f.At); at < end; at += int64(f.Every) {
+			s := &span{kind: f.Kind, shape: f.Shape, from: at, to: at + int64(f.For), concerned: map[string]bool{}}
+			s.back = f.For > 0 && s.to < end
+			if !s.back {
+				s.to = end
+			}
+			s.nodes = n.who(f.Who, chance, func(i int) bool { return f.Kind == "cut" || f.Kind == "loss" || standing(spans, i, s.from, s.to) })
+			for _, i := range s.nodes {
+				s.concerned[name(i)] = true
+			}
+			spans = append(spans, s)
+			actions = append(actions, n.begin(d, s, f, chance, up)...)
+			if f.Every <= 0 {
+				break
+			}
+		}
+	}
+	sort.SliceStable(actions, func(a, b int) bool { return actions[a].at < actions[b].at })
+	return spans, append(actions, action{end, func() error { return nil }})
+}
+
+// who draws nodes, those that may be taken: one that another fault has in hand is left to it.
+func (n *Night) who(text string, chance *rand.Rand, may func(i int) bool) (list []int) {
+	for _, i := range chance.Perm(n.Nodes) {
+		if may(i) {
+			list = append(list, i)
+		}
+	}
+	switch text {
+	case "", "one":
+		return list[:min(1, len(list))]
+	case "third":
+		return list[:min(n.Nodes/3, len(list))]
+	case "half":
+		return list[:min(n.Nodes/2, len(list))]
+	}
+	return slices.DeleteFunc(list, func(i int) bool { return !slices.Contains(strings.Split(text, " "), name(i)) })
+}
+
+// begin is what a fault does, and what ends it.
+func (n *Night) begin(d driver, s *span, f Fault, chance *rand.Rand, up []bool) []action {
+	each := func(do func(i int) error) func() error {
+		return func() error {
+			for _, i := range s.nodes {
+				if err := do(i); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+	}
+	var begin, end func() error
+	switch s.kind {
+	case "kill", "leave":
+		begin = each(func(i int) error {
+			if up[i] = false; s.kind == "kill" {
+				d.kill(i)
+			} else {
+				d.leave(i)
+			}
+			return nil
+		})
+		end = each(func(i int) error { up[i] = true; return d.start(i) })
+	case "pause":
+		begin = each(func(i int) error { d.pause(i, true); return nil })
+		end = each(func(i int) error { d.pause(i, false); return nil })
+	case "loss":
+		begin = func() error { d.lose(float64(f.Part)); return nil }
+		end = func() error { d.lose(0); return nil }
+	case "cut":
+		begin = func() error {
+			n.cut(d, s, chance)
+			return nil
+		}
+		end = func() error {
+			d.heal()
+			s.healed = n.until(d, int64(n.Calm*1e9), up)
+			if s.healed < 0 {
+				s.healed = 1_000 * second
+			}
+			return nil
+		}
+	}
+	list := []action{{s.from, begin}}
+	if s.back {
+		list = append(list, action{s.to, end})
+	}
+	return list
+}
+
+// cut cuts links in a shape, and tells whom that concerns.
+func (n *Night) cut(d driver, s *span, chance *rand.Rand) {
+	in := map[int]bool{}
+	for _, i := range s.nodes {
+		in[i] = true
+	}
+	if s.shape == "pair" {
+		d.cut(s.nodes[0], (s.nodes[0]+1+chance.Intn(n.Nodes-1))%n.Nodes)
+		s.concerned = map[string]bool{} // others stand in: nobody's membership depends on one link
+		return
+	}
+	for a := range n.Nodes {
+		for b := range n.Nodes {
+			if a == b || in[a] == in[b] {
+				continue
+			}
+			if in[a] && s.shape != "to" || in[b] && s.shape != "from" && s.shape != "half" {
+				d.cut(a, b)
+			}
+		}
+	}
+	if s.shape == "half" || s.shape == "halves" {
+		for i := range n.Nodes {
+			s.concerned[name(i)] = true
+		}
+	}
+}
+
+// measure holds what views told against the faults.
+func (n *Night) measure(o *Outcome, events []Event, spans []*span, start int64) {
+	bound := 3_000 * ms // a pause up to it must be borne
+	var known, back []float64
+	missed, wrong, others, most := 0, 0, 0, 0
+	excused := func(e *Event) bool { // the change is about one that a fault concerned, or by one that it cut off
+		for _, s := range spans {
+			if e.At < s.from || e.At > s.to+after || s.kind == "loss" || s.kind == "pause" && s.to-s.from <= bound {
+				continue
+			}
+			if s.concerned[e.Who] || s.concerned[name(e.Node)] {
+				return true
+			}
+		}
+		return false
+	}
+	type about struct {
+		node int
+		who  string
+		span *span
+	}
+	changes := map[about]int{}
+	for k := range events {
+		e := &events[k]
+		if e.At < start || e.Cause == membership.CutOff || e.Cause == membership.Restored {
+			continue
+		}
+		if !excused(e) {
+			others++
+			if e.Cause == membership.Lost {
+				wrong++
+			}
+		}
+		for _, s := range spans {
+			if s.kind == "cut" && e.At >= s.from && e.At < s.to {
+				key := about{e.Node, e.Who, s}
+				changes[key]++
+				most = max(most, changes[key])
+			}
+		}
+	}
+	for _, s := range spans {
+		if s.kind != "kill" && s.kind != "pause" && s.kind != "leave" {
+			continue
+		}
+		for _, victim := range s.nodes {
+			for i := range n.Nodes {
+				if s.concerned[name(i)] || !standing(spans, i, s.from, s.to) {
+					continue
+				}
+				gone, returned := int64(-1), int64(-1)
+				for k := range events {
+					e := &events[k]
+					if e.Node != i || e.Who != name(victim) || e.At < s.from || e.At > s.to+2*after {
+						continue
+					}
+					switch e.Cause {
+					case membership.Lost, membership.Departed:
+						if gone < 0 && e.At < s.to+after/2 {
+							gone = e.At - s.from
+						}
+					case membership.Returned, membership.Replaced, membership.Joined:
+						if e.At >= s.to && returned < 0 {
+							returned = e.At - s.to
+						}
+					}
+				}
+				long := s.to-s.from >= 5*second
+				if s.kind != "pause" && long {
+					if gone < 0 {
+						missed++
+					} else {
+						known = append(known, seconds(gone))
+					}
+				}
+				if gone >= 0 && s.back {
+					if returned < 0 {
+						returned = 1_000 * second
+					}
+					back = append(back, seconds(returned))
+				}
+			}
+		}
+	}
+	m := o.Measures
+	m["known_s"], m["known_worst_s"], m["back_s"] = quantile(known, 0.99), quantile(known, 1), quantile(back, 1)
+	m["missed"], m["wrong"], m["others"], m["cut_changes"] = float64(missed), float64(wrong), float64(others), float64(most)
+	for _, s := range spans {
+		m["healed_s"] = max(m["healed_s"], seconds(s.healed))
+	}
+	m["changes"] = float64(len(events))
+	o.Timeline = timeline(events, spans, start)
+}
+
+// standing says whether a node was up and ran all through a time, and some before.
+func standing(spans []*span, i int, from, to int64) bool {
+	for _, s := range spans {
+		if (s.kind == "kill" || s.kind == "leave" || s.kind == "pause" || s.kind == "cut") && s.concerned[name(i)] &&
+			s.from < to+after && s.to+after > from {
+			return false
+		}
+	}
+	return true
+}
+
+// quantile of no values is 0: nothing was to be known.
+func quantile(values []float64, part float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[min(len(values)-1, int(math.Ceil(part*float64(len(values))))-1)]
+}
+
+func timeline(events []Event, spans []*span, start int64) (lines []string) {
+	type line struct {
+		at   int64
+		text string
+	}
+	var all []line
+	for _, s := range spans {
+		who := slices.Sorted(maps.Keys(s.concerned))
+		all = append(all, line{s.from, fmt.Sprintf("FAULT %s %s %v for %.1f s", s.kind, s.shape, who, seconds(s.to-s.from))})
+	}
+	for _, e := range events {
+		if e.At >= start {
+			all = append(all, line{e.At, fmt.Sprintf("%s: %s %s, view of %d %016x", name(e.Node), e.Who, membership.Causes[e.Cause], e.Size, e.Hash)})
+		}
+	}
+	sort.SliceStable(all, func(a, b int) bool { return all[a].at < all[b].at })
+	for _, l := range all {
+		lines = append(lines, fmt.Sprintf("%9.3f %s", float64(l.at-start)/1e9, l.text))
+	}
+	return lines
+}
+
+// Verdict says whether a claim held on all seeds.
+type Verdict struct {
+	Name  string  `json:"name"`
+	Held  bool    `json:"held"`
+	Value float64 `json:"value"`
+	Bound float64 `json:"bound"`
+}
+
+// Result is a night on all its seeds.
+type Result struct {
+	Night    *Night     `json:"-"`
+	Name     string     `json:"experiment"`
+	Outcomes []*Outcome `json:"-"`
+	Verdicts []Verdict  `json:"claims"`
+	Measures []map[string]float64
+}
+
+// Run plays a night on seeds, one after the other. Program is the built daemon, for nights on processes; their logs
+// and timelines are left in folder, if it is not empty.
+func (n *Night) Run(seeds []int64, program, folder string) (*Result, error) {
+	r := &Result{Night: n, Name: n.Name}
+	for _, seed := range seeds {
+		d, err := n.driver(seed, program, folder)
+		if err != nil {
+			return nil, err
+		}
+		o := n.play(d, seed)
+		d.close()
+		r.Outcomes = append(r.Outcomes, o)
+		if o.Failed != "" {
+			return nil, fmt.Errorf("%s, seed %d: %s", n.Name, seed, o.Failed)
+		}
+		for k, v := range o.Measures {
+			if math.IsInf(v, 0) {
+				o.Measures[k] = 1e9
+			}
+		}
+		r.Measures = append(r.Measures, o.Measures)
+		if folder != "" {
+			path := filepath.Join(folder, fmt.Sprintf("%s-%d.timeline", n.Name, seed))
+			if err := os.WriteFile(path, []byte(strings.Join(o.Timeline, "\n")+"\n"), 0o600); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for _, c := range n.Claims {
+		v := Verdict{Name: c.Name, Held: true}
+		for k, o := range r.Outcomes {
+			value, known := o.Measures[c.Measure]
+			if !known {
+				return nil, fmt.Errorf("%s: claim %q: no measure is named %q", n.Name, c.Name, c.Measure)
+			}
+			if c.Most != nil {
+				if v.Bound = *c.Most; k == 0 || value > v.Value {
+					v.Value = value
+				}
+				v.Held = v.Held && value <= v.Bound
+			}
+			if c.Least != nil {
+				if v.Bound = *c.Least; k == 0 || value < v.Value {
+					v.Value = value
+				}
+				v.Held = v.Held && value >= v.Bound
+			}
+		}
+		r.Verdicts = append(r.Verdicts, v)
+	}
+	return r, nil
+}
+
+func (n *Night) driver(seed int64, program, folder string) (driver, error) {
+	if !n.Processes {
+		return newVirtual(n, seed)
+	}
+	if folder == "" {
+		var err error
+		if folder, err = os.MkdirTemp("", "rig"); err != nil {
+			return nil, err
+		}
+	} else {
+		folder = filepath.Join(folder, fmt.Sprint("seed-", seed))
+	}
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, err
+	}
+	return newProcesses(n, seed, program, folder)
+}
+
+// Held says whether every claim did.
+func (r *Result) Held() bool {
+	return !slices.ContainsFunc(r.Verdicts, func(v Verdict) bool { return !v.Held })
+}
+
+// Print writes the measures of each seed and the verdicts; the start of the timeline where a claim broke.
+func (r *Result) Print(to io.Writer) error {
+	how := "in virtual time"
+	if r.Night.Processes {
+		how = "on processes"
+	}
+	fmt.Fprintf(to, "%s, %d nodes %s, %g s, simulated faults\n", r.Name, r.Night.Nodes, how, r.Night.Seconds)
+	for _, o := range r.Outcomes {
+		fmt.Fprintf(to, "seed %d:", o.Seed)
+		for _, k := range slices.Sorted(maps.Keys(o.Measures)) {
+			fmt.Fprintf(to, " %s %.4g", k, o.Measures[k])
+		}
+		fmt.Fprintln(to)
+	}
+	for _, v := range r.Verdicts {
+		fmt.Fprintf(to, "%s  %s: %.4g, bound %.4g\n", map[bool]string{true: "held  ", false: "BROKEN"}[v.Held], v.Name, v.Value, v.Bound)
+	}
+	if !r.Held() {
+		for _, o := range r.Outcomes {
+			fmt.Fprintln(to, strings.Join(o.Timeline[:min(shown, len(o.Timeline))], "\n"))
+		}
+	}
+	return nil
+}
+
+// JSON writes the result as one line.
+func (r *Result) JSON(to io.Writer) error { return json.NewEncoder(to).Encode(r) }
--- /dev/null
+++ b/lab/rig/relay.go
@@ -0,0 +1,165 @@
+package rig
+
+import (
+	"io"
+	"math/rand"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+const (
+	dialWait    = time.Second
+	largest     = 2 << 10 // bytes of a datagram, more than any peer sends
+	delayedMost = 1_024   // datagrams on their way at once; more are lost
+)
+
+// pair is a link in one direction.
+type pair struct{ from, to int }
+
+// wire is what all relays go by: which ordered pairs carry what.
+type wire struct {
+	mu      sync.Mutex
+	chance  *rand.Rand
+	cut     map[pair]bool
+	loss    float64
+	delay   time.Duration // at the most, drawn for each datagram, which reorders them
+	doubled float64       // share of datagrams that come twice
+	bytes   []int64       // by sender
+	flight  chan struct{}
+}
+
+// passes draws what becomes of a datagram, or of a step of an exchange.
+func (w *wire) passes(p pair, size int, datagram bool) (pass bool, copies int, delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.bytes[p.from] += int64(size)
+	if w.cut[p] || datagram && w.chance.Float64() < w.loss {
+		return false, 0, 0
+	}
+	copies = 1
+	if datagram && w.chance.Float64() < w.doubled {
+		copies = 2
+	}
+	if datagram && w.delay > 0 {
+		delay = time.Duration(w.chance.Int63n(int64(w.delay)))
+	}
+	return true, copies, delay
+}
+
+// relay stands at a node's advertised address. It tells the sender by its source address.
+type relay struct {
+	wire   *wire
+	to     int
+	bind   string
+	sender map[netip.Addr]int
+	udp    *net.UDPConn
+	tcp    net.Listener
+}
+
+func newRelay(w *wire, to int, at, bind string, sender map[netip.Addr]int) (*relay, error) {
+	address, err := net.ResolveUDPAddr("udp", at)
+	if err != nil {
+		return nil, err
+	}
+	r := &relay{wire: w, to: to, bind: bind, sender: sender}
+	if r.udp, err = net.ListenUDP("udp", address); err != nil {
+		return nil, err
+	}
+	if r.tcp, err = net.Listen("tcp", at); err != nil {
+		r.udp.Close()
+		return nil, err
+	}
+	go r.datagrams()
+	go r.exchanges()
+	return r, nil
+}
+
+func (r *relay) close() { r.udp.Close(); r.tcp.Close() }
+
+func (r *relay) datagrams() {
+	to := netip.MustParseAddrPort(r.bind)
+	space := make([]byte, largest)
+	for {
+		n, source, err := r.udp.ReadFromUDPAddrPort(space)
+		if err != nil {
+			return
+		}
+		from, known := r.sender[source.Addr().Unmap()]
+		pass, copies, delay := false, 0, time.Duration(0)
+		if known {
+			pass, copies, delay = r.wire.passes(pair{from, r.to}, n, true)
+		}
+		if !pass {
+			continue
+		}
+		if delay == 0 {
+			for range copies {
+				r.udp.WriteToUDPAddrPort(space[:n], to)
+			}
+			continue
+		}
+		select {
+		case r.wire.flight <- struct{}{}:
+			b := append([]byte(nil), space[:n]...)
+			time.AfterFunc(delay, func() {
+				for range copies {
+					r.udp.WriteToUDPAddrPort(b, to)
+				}
+				<-r.wire.flight
+			})
+		default:
+		}
+	}
+}
+
+func (r *relay) exchanges() {
+	for {
+		conn, err := r.tcp.Accept()
+		if err != nil {
+			return
+		}
+		go r.exchange(conn)
+	}
+}
+
+// exchange carries a connection on while both its directions are whole; what is cut is swallowed, as on a real one.
+func (r *relay) exchange(conn net.Conn) {
+	defer conn.Close()
+	source, err := netip.ParseAddrPort(conn.RemoteAddr().String())
+	if err != nil {
+		return
+	}
+	from, known := r.sender[source.Addr().Unmap()]
+	if !known {
+		return
+	}
+	far, err := net.DialTimeout("tcp", r.bind, dialWait)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	carry := func(to, of net.Conn, p pair) {
+		space := make([]byte, 32<<10)
+		for {
+			n, err := of.Read(space)
+			if err != nil {
+				if err == io.EOF {
+					to.(*net.TCPConn).CloseWrite()
+				}
+				return
+			}
+			if pass, _, _ := r.wire.passes(p, n, false); pass {
+				if _, err := to.Write(space[:n]); err != nil {
+					return
+				}
+			}
+		}
+	}
+	done := make(chan struct{})
+	go func() { defer close(done); carry(far, conn, pair{from, r.to}) }()
+	carry(conn, far, pair{r.to, from})
+	conn.Close()
+	<-done
+}
--- /dev/null
+++ b/lab/rig/rig_test.go
@@ -0,0 +1,101 @@
+package rig
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/must"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "rig")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(folder, "topazpost")
+	tags := ""
+	if must.Debug {
+		tags = "debug"
+	}
+	if out, err := exec.Command("go", "build", "-tags", tags, "-o", program, "topazpost/cmd/topazpost").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// play plays an experiment of the laboratory in a short form and wants all claims to hold.
+func play(t *testing.T, experiment string, changed map[string]string) *Result {
+	t.Parallel()
+	n, is, err := Read(filepath.Join("..", "experiments", experiment+".jsonnet"), changed)
+	require.NoError(t, err)
+	require.True(t, is)
+	r, err := n.Run([]int64{1}, program, t.TempDir())
+	require.NoError(t, err)
+	for _, v := range r.Verdicts {
+		assert.True(t, v.Held, "%s: %g, bound %g", v.Name, v.Value, v.Bound)
+	}
+	if t.Failed() {
+		r.Print(os.Stderr)
+	}
+	return r
+}
+
+func TestProcessesKilled(t *testing.T) {
+	r := play(t, "members-kill", map[string]string{"nodes": "6", "seconds": "16", "calm": "10"})
+	assert.Positive(t, r.Measures[0]["known_s"], "a death was seen")
+}
+
+func TestProcessesPausedWhileAFifthIsLost(t *testing.T) {
+	play(t, "members-pause", map[string]string{"nodes": "6", "seconds": "24", "calm": "10"})
+}
+
+func TestProcessesCutOffFromOthers(t *testing.T) {
+	for _, cut := range []string{`{"shape":"pair"}`, `{"shape":"from"}`, `{"shape":"to"}`, `{"shape":"halves","who":"half"}`, `{"shape":"half","who":"half"}`} {
+		t.Run(cut, func(t *testing.T) {
+			fault := `[{"kind":"cut","at":"1 s","for":"9 s",` + cut[1:] + `]`
+			r := play(t, "members-cuts", map[string]string{"nodes": "6", "seconds": "11", "calm": "12", "faults": fault})
+			assert.Equal(t, cut != `{"shape":"pair"}`, r.Measures[0]["cut_changes"] == 1, "a cut of one link changes no view, any other does")
+		})
+	}
+}
+
+func TestNightsInVirtualTime(t *testing.T) {
+	for name, changed := range map[string]map[string]string{
+		"members-kill": {}, "members-pause": {"seconds": "120"}, "members-cuts": {}, "members-scale": {"nodes": "40"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			changed["processes"] = "false"
+			play(t, name, changed)
+		})
+	}
+}
+
+// A measure that can't fail is none: a fleet whose silence is shorter than the pauses loses those that were paused.
+func TestShortSilenceIsFound(t *testing.T) {
+	n, _, err := Read("../experiments/members-pause.jsonnet", map[string]string{"processes": "false", "seconds": "60"})
+	require.NoError(t, err)
+	n.Fleet = map[string]string{"silence": "2 s"}
+	r, err := n.Run([]int64{1}, "", "")
+	require.NoError(t, err)
+	assert.False(t, r.Held())
+}
+
+func TestFileThatIsNoNightIsLeftToOthers(t *testing.T) {
+	_, is, err := Read("../experiments/levels-step.jsonnet", nil)
+	require.NoError(t, err)
+	assert.False(t, is)
+	path := filepath.Join(t.TempDir(), "a.jsonnet")
+	require.NoError(t, os.WriteFile(path, []byte("{ nodes: 3,\n faults: [{ kind: 'kil' }] }"), 0o600))
+	_, _, err = Read(path, nil)
+	assert.ErrorContains(t, err, fmt.Sprintf("%s:2: faults.0.kind: \"kil\" is no fault; choose kill", path))
+}
--- /dev/null
+++ b/letter/letter.go
@@ -0,0 +1,79 @@
+// Package letter is the envelope of all that nodes tell each other: a version, the fleet, a checksum, and a body in
+// CBOR. It is pure, and knows no body's meaning.
+package letter
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Version is of the envelope. Bodies grow by keys that older nodes pass over; this number changes only where they
+// must not even try.
+const Version = 1
+
+// Bounds of what is read.
+const (
+	Head         = 13         // bytes before the body: version 1, fleet 4, checksum 8, all little-endian
+	DatagramMost = 1_200      // bytes that any path carries whole
+	ExchangeMost = 512 << 10  // bytes of one message of an exchange: a table of the most members that settings allow
+	itemsMost    = 1 << 14    // items of one list
+	pairsMost    = 64         // of one map: far above the fields of any message
+	depthMost    = 8          // of nesting
+	seedOfFleet  = 0x66_6c_74 // told apart from other hashes of names
+)
+
+// What makes a letter of no use.
+var (
+	ErrShort   = errors.New("letter: too short")
+	ErrVersion = errors.New("letter: another version")
+	ErrFleet   = errors.New("letter: of another fleet")
+	ErrSpoilt  = errors.New("letter: checksum differs")
+	ErrBody    = errors.New("letter: the body can't be read")
+)
+
+var decode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: itemsMost, MaxMapPairs: pairsMost, MaxNestedLevels: depthMost,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err) // of constants
+	}
+	return mode
+}()
+
+// Fleet is a fleet's name in short.
+type Fleet uint32
+
+// FleetOf is that of a name.
+func FleetOf(name string) Fleet { return Fleet(xxhash.Sum64String(name) ^ seedOfFleet) }
+
+// Seal appends a letter.
+func Seal(to []byte, fleet Fleet, body any) ([]byte, error) {
+	text, err := cbor.Marshal(body)
+	if err != nil {
+		return to, err
+	}
+	to = binary.LittleEndian.AppendUint32(append(to, Version), uint32(fleet))
+	to = binary.LittleEndian.AppendUint64(to, xxhash.Sum64(text))
+	return append(to, text...), nil
+}
+
+// Open reads a letter into a body.
+func Open(b []byte, fleet Fleet, body any) error {
+	switch {
+	case len(b) < Head:
+		return ErrShort
+	case b[0] != Version:
+		return ErrVersion
+	case Fleet(binary.LittleEndian.Uint32(b[1:])) != fleet:
+		return ErrFleet
+	case binary.LittleEndian.Uint64(b[5:]) != xxhash.Sum64(b[Head:]):
+		return ErrSpoilt
+	}
+	if err := decode.Unmarshal(b[Head:], body); err != nil {
+		return errors.Join(ErrBody, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/membership/helpers_test.go
@@ -0,0 +1,94 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+)
+
+const s = 1_000 * ms
+
+var usual = Charter{Name: "a", Address: "10.0.0.1:9", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 60 * s, MembersMost: 1_000}
+
+// record is what a member of a name tells of itself.
+func record(name string, inc uint64, links ...string) Record {
+	r := Record{Name: name, Address: "10.0.1." + name + ":9", Born: int64(inc), Inc: inc}
+	for _, l := range links {
+		r.Links = append(r.Links, IDOf(l))
+	}
+	slices.Sort(r.Links)
+	return r
+}
+
+// held is a node a, started at 100, in one view with others that all have links with all.
+func held(others ...string) *Members {
+	m := New(usual, s, 100, 0, 1)
+	all := append([]string{"a"}, others...)
+	for _, name := range others {
+		r := record(name, 100, slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == name })...)
+		m.learn(&r, -1)
+	}
+	m.Step(s, 100, nil)
+	for k := range m.links {
+		if l := &m.links[k]; l.member >= 0 {
+			l.up, l.proof = true, m.t
+		}
+	}
+	m.dirtySelf = true
+	m.Step(s+300*ms, 100, nil)
+	return m
+}
+
+// many is a node among so many members, with links only to its neighbours; all others are linked in a ring.
+func many(n int) *Members {
+	m := New(usual, s, 100, 0, 1)
+	name := func(i int) string { return fmt.Sprint("m", (i+n)%n) }
+	for i := range n {
+		r := record(name(i), 100, name(i-1), name(i+1), "a")
+		m.learn(&r, -1)
+	}
+	m.Step(s, 100, nil)
+	for k := range m.links {
+		if l := &m.links[k]; l.member >= 0 {
+			l.up, l.proof = true, m.t
+		}
+	}
+	m.dirtySelf = true
+	m.Step(s+300*ms, 100, nil)
+	return m
+}
+
+// answer has every link's last ping answered.
+func answer(m *Members) (inputs []Input) {
+	for k := range m.links {
+		if l := &m.links[k]; l.member >= 0 {
+			inputs = append(inputs, Input{Kind: Came, Message: &Message{Kind: Ack, From: m.members[l.member].id, Seq: l.seq, Digest: m.digest}})
+		}
+	}
+	return inputs
+}
+
+func causes(effects []Effect) (list []string) {
+	for _, e := range effects {
+		if e.Kind == Changed {
+			list = append(list, e.Change.Who+" "+Causes[e.Change.Cause])
+		}
+	}
+	return list
+}
+
+// until steps at each wake to a moment, and gathers the changes of the view; answered has pings answered at once.
+func until(m *Members, from, to int64, answered bool) (list []string) {
+	for now := from; now < to; {
+		effects, wake := m.Step(now, now, nil)
+		list = append(list, causes(effects)...)
+		if answered {
+			effects, wake = m.Step(now, now, answer(m))
+			list = append(list, causes(effects)...)
+		}
+		now = max(wake, now+1)
+	}
+	return list
+}
+
+// soon is what changes at once.
+func soon(m *Members) []string { return until(m, m.wake, m.wake+100*ms, true) }
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,440 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand"
+	"slices"
+
+	"topazpost/must"
+)
+
+// member is what is kept of one; index 0 is this node.
+type member struct {
+	rec     Record
+	id      ID
+	keys    [rings]uint64
+	link    int8 // its place in links, -1 without one
+	in      bool // the view
+	counted bool // its record is part of what tables are compared by
+	reached bool // a path of links leads to it
+	was     bool // in the view at some time
+	word    ID   // whose link to it went last
+	lost    int64
+	grace   int64 // until which a new life need not be reached
+	out     int64 // when it left the view or became known, whichever came last
+	hope    int64 // until which one outside the view is watched all the same
+	falls   int
+	fell    int64
+	status  Status
+	since   int64 // of its status
+}
+
+// link is one to a member that this node watches, or that watches this node.
+type link struct {
+	member         int32
+	wanted, doubt  bool
+	up             bool // an answer came within the charter's Silence
+	asked          int64
+	linger         int64 // until which it is kept although not wanted
+	proof          int64 // when the last ping that was answered was sent
+	heard          int64 // when it last pinged as one that watches
+	next           int64
+	seq            uint32
+	sent           [sentKept]int64
+	differ, healed int64
+	owe            []uint8 // by member: times that its record is still to be sent
+	owing, from    int
+	newsAt         int64
+}
+
+// Members is one node's state. Its own time stands still while its process does: what it did not see in a pause
+// accuses nobody.
+type Members struct {
+	Guard    must.Guard
+	Counters Counters
+
+	charter  Charter
+	chance   *rand.Rand
+	t, slip  int64
+	wake     int64 // as last told, by the caller's clock
+	members  []member
+	free     []int32
+	byID     map[ID]int32
+	links    [linksMost]link // member < 0 where free
+	order    [rings][]int32
+	effects  []Effect
+	mark     []uint32 // by member, stamp of the last look
+	stamp    uint32
+	stack    []int32
+	digest   uint64
+	number   uint64
+	inView   int
+	alone    bool
+	refused  int64 // until which this node keeps away, for its name is held
+	lastLink int
+
+	dirtyRings, dirtyView, dirtySelf bool
+	ringsAt, publishAt, published    int64
+	followAt, viewAt                 int64
+	knockAt, joinAt, seedAt, joinFor int64
+	healing                          int // link of the exchange that is under way
+	healAt                           int64
+	knocks                           [knocksMost]struct {
+		id  ID
+		seq uint32
+	}
+	knockSeq uint32
+	knockPos int
+	seed     int
+}
+
+// New starts a node. Wall is Unix time in nanoseconds, kept the incarnation of its last life where a disk kept it.
+func New(charter Charter, now, wall int64, kept uint64, seed int64) *Members {
+	m := &Members{charter: charter, chance: rand.New(rand.NewSource(seed)), byID: map[ID]int32{}, t: now, joinFor: joinEvery}
+	for k := range m.links {
+		m.links[k].member = -1
+	}
+	self := Record{Name: charter.Name, Address: charter.Address, Born: wall, Inc: max(uint64(max(wall, 1)), kept+1),
+		Facts: Facts{Version: charter.Version, Zone: charter.Zone}}
+	m.add(&self)
+	m.members[0].in, m.members[0].was, m.inView = true, true, 1
+	m.joinAt = now + m.jitter(joinEvery/2)
+	m.knockAt, m.seedAt = now+m.jitter(knockEvery), now+m.jitter(joinEvery)
+	return m
+}
+
+func (m *Members) jitter(ns int64) int64 { return ns/2 + m.chance.Int63n(max(1, ns)) }
+
+func mix(a, b uint64) uint64 {
+	x := a*0x9e3779b97f4a7c15 + b
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (b *member) hash() uint64 { return mix(mix(uint64(b.id), b.rec.Inc), uint64(b.rec.Ver)) }
+
+func (m *Members) do(e Effect) { m.effects = append(m.effects, e) }
+
+func (m *Members) remark(warn bool, form string, args ...any) {
+	m.do(Effect{Kind: Remark, Warn: warn, Text: fmt.Sprintf(form, args...)})
+}
+
+func (m *Members) send(to string, msg *Message) {
+	msg.From, msg.Digest = m.members[0].id, m.digest
+	m.Counters.Sent++
+	m.do(Effect{Kind: Send, To: to, Message: *msg})
+}
+
+// Step takes what happened up to now, by a clock that only advances, with wall its Unix time in nanoseconds. The
+// effects are valid until the next step; wake is when it is to step again at the latest.
+func (m *Members) Step(now, wall int64, inputs []Input) (effects []Effect, wake int64) {
+	m.effects = m.effects[:0]
+	stood := int64(0)
+	if m.wake > 0 && now-m.wake > gapLeast {
+		stood = now - m.wake
+		m.slip += stood
+		m.Counters.Pauses++
+	}
+	m.Guard.Hold(now-m.slip >= m.t, "its own time only advances")
+	m.t = max(m.t, now-m.slip)
+	if stood > m.charter.Silence/4 {
+		m.hurry()
+	}
+	for i := range inputs {
+		m.take(&inputs[i])
+	}
+	m.keepRings()
+	m.keepLinks()
+	m.publish()
+	m.keepView()
+	m.keepNews()
+	m.keepTies()
+	m.wake = now + max(1, m.due()-m.t)
+	return m.effects, m.wake
+}
+
+// hurry answers for a pause of this process: all whom it watches are asked at once, so that they hear of it.
+func (m *Members) hurry() {
+	for k := range m.links {
+		if l := &m.links[k]; l.member >= 0 {
+			l.next = m.t
+		}
+	}
+}
+
+func (m *Members) take(in *Input) {
+	switch in.Kind {
+	case Came:
+		if in.Message.From != m.members[0].id && m.t >= m.refused {
+			m.came(in.Message)
+		}
+	case Asked:
+		m.asked(in.Link, in.Message)
+	case Answered:
+		if in.Link == m.healing {
+			m.healing = 0
+		}
+		m.answered(in.Message)
+	case Missed:
+		if in.Link == m.healing {
+			m.healing = 0
+		}
+	case Told:
+		if self := &m.members[0].rec; self.Facts != in.Facts {
+			self.Facts = in.Facts
+			self.Facts.Zone, self.Facts.Version = m.charter.Zone, m.charter.Version
+			m.renew()
+		}
+	case Leaving:
+		if self := &m.members[0].rec; !self.Left {
+			self.Left = true
+			m.renew()
+		} else {
+			m.spread(0, -1)
+		}
+		for k := range m.links {
+			m.links[k].newsAt = m.t
+		}
+	}
+}
+
+// renew gives this node's record another version and sends it round.
+func (m *Members) renew() {
+	m.digest ^= m.members[0].hash()
+	m.members[0].rec.Ver++
+	m.digest ^= m.members[0].hash()
+	m.dirtyView = true
+	m.spread(0, -1)
+}
+
+func (m *Members) came(msg *Message) {
+	i, known := m.byID[msg.From]
+	for k := range msg.Records {
+		from := int8(-1)
+		if known {
+			from = m.members[i].link
+		}
+		m.learn(&msg.Records[k], from)
+	}
+	if i, known = m.byID[msg.From]; !known {
+		m.Counters.Strays++
+		return
+	}
+	b := &m.members[i]
+	switch msg.Kind {
+	case Ping:
+		if msg.Neighbour && !m.members[0].rec.Left {
+			if b.link < 0 {
+				m.open(i)
+			}
+			if b.link >= 0 {
+				m.links[b.link].heard = m.t
+			}
+		}
+		m.send(b.rec.Address, &Message{Kind: Ack, Seq: msg.Seq})
+	case Ack:
+		m.acked(i, msg.Seq)
+	}
+	if b := &m.members[i]; b.link >= 0 {
+		if l := &m.links[b.link]; msg.Digest == m.digest {
+			l.differ = 0
+		} else if l.differ == 0 {
+			l.differ = m.t
+		}
+	}
+}
+
+// acked takes an answer to a ping: of a link, or of a knock at one that was lost.
+func (m *Members) acked(i int32, seq uint32) {
+	b := &m.members[i]
+	if b.link >= 0 {
+		l := &m.links[b.link]
+		if age := l.seq - seq; age < sentKept && l.sent[seq%sentKept] > 0 && seq>>31 == 0 {
+			l.proof = max(l.proof, l.sent[seq%sentKept])
+			if !l.up && m.t-l.proof <= m.charter.Silence {
+				l.up, m.dirtySelf = true, true
+			}
+			return
+		}
+	}
+	for k := range m.knocks {
+		if m.knocks[k].id == b.id && m.knocks[k].seq == seq {
+			m.knocks[k].id = 0
+			b.hope = m.t + 2*m.charter.Silence
+			m.dirtyRings = true
+			if m.healing == 0 {
+				m.ask(b.rec.Address)
+			}
+			return
+		}
+	}
+	m.Counters.Strays++
+}
+
+// learn takes a record of a peer; from is the link that brought it, -1 for none.
+func (m *Members) learn(r *Record, from int8) {
+	if !r.usable() {
+		m.Counters.Unusable++
+		return
+	}
+	id := IDOf(r.Name)
+	i, known := m.byID[id]
+	if known && i == 0 {
+		m.ofSelf(r)
+		return
+	}
+	if !known {
+		if i = m.add(r); i < 0 {
+			m.Counters.Unusable++
+			return
+		}
+	}
+	cause, changed := Joined, false
+	if known {
+		b := &m.members[i]
+		if from >= 0 && !b.rec.newer(r) { // it has this one already
+			m.settleOwed(&m.links[from], i)
+		}
+		if !r.newer(&b.rec) {
+			return
+		}
+		m.dropped(b, r)
+		if b.rec.Born != r.Born && b.in {
+			b.grace = m.t + m.charter.Silence + m.charter.Settle
+			b.since = m.t
+			cause, changed = Replaced, true
+		} else if b.rec.Facts.NoUse != r.Facts.NoUse && b.in {
+			cause, changed = Useful, true
+			if r.Facts.NoUse {
+				cause = Useless
+			}
+		}
+		if b.counted {
+			m.digest ^= b.hash()
+		}
+		if !b.in && r.Inc > b.rec.Inc {
+			b.hope = m.t + m.charter.Silence
+		}
+		b.rec = *r
+	}
+	b := &m.members[i]
+	b.counted = true
+	if !b.in {
+		b.out = m.t
+	}
+	m.digest ^= b.hash()
+	m.dirtyView, m.dirtyRings = true, true
+	if changed {
+		m.changed(cause, b, r.Inc, b.rec.Name, 0)
+	}
+	m.spread(i, from)
+}
+
+// dropped notes whose word a loss rests on: of those that a member had a link to and has no more.
+func (m *Members) dropped(b *member, r *Record) {
+	for _, id := range b.rec.Links {
+		if _, kept := slices.BinarySearch(r.Links, id); !kept {
+			if i, known := m.byID[id]; known {
+				m.members[i].word = b.id
+			}
+		}
+	}
+}
+
+// ofSelf answers for a record of this node's name that is newer than its own: of an earlier life whose clock was
+// ahead, or of another node of that name. Of two that live the one that started later keeps away.
+func (m *Members) ofSelf(r *Record) {
+	self := &m.members[0].rec
+	if !r.newer(self) {
+		return
+	}
+	if r.Address != self.Address && r.Born < self.Born && m.up() > 0 {
+		m.keepAway(r.Address)
+		return
+	}
+	m.digest ^= m.members[0].hash()
+	self.Inc, self.Ver = r.Inc+1, 0
+	m.digest ^= m.members[0].hash()
+	m.dirtyView = true
+	m.spread(0, -1)
+}
+
+// keepAway ends all ties of a node whose name is held by another, until its next try to join.
+func (m *Members) keepAway(holder string) {
+	m.Counters.Refused++
+	m.remark(true, "the name %s is held by a node at %s that started earlier: this one keeps away; give it another name",
+		m.charter.Name, holder)
+	for k := range m.links {
+		if m.links[k].member >= 0 {
+			m.close(int8(k))
+		}
+	}
+	for i := 1; i < len(m.members); i++ {
+		if m.members[i].rec.Name != "" {
+			m.forget(int32(i))
+		}
+	}
+	m.members[0].rec.Links = nil
+	m.refused = m.t + joinMost
+	m.joinAt, m.alone = m.refused, false
+	m.dirtyRings, m.dirtyView, m.dirtySelf = true, true, false
+}
+
+// add keeps a member that was not known; -1 where the table is full of such as are in the view.
+func (m *Members) add(r *Record) int32 {
+	if len(m.byID) >= m.charter.MembersMost && len(m.members) > 0 {
+		oldest := int32(-1)
+		for i := range m.members {
+			if b := &m.members[i]; i > 0 && b.rec.Name != "" && !b.in && (oldest < 0 || b.out < m.members[oldest].out) {
+				oldest = int32(i)
+			}
+		}
+		if oldest < 0 {
+			return -1
+		}
+		m.forget(oldest)
+	}
+	i := int32(len(m.members))
+	if n := len(m.free); n > 0 {
+		i, m.free = m.free[n-1], m.free[:n-1]
+	} else {
+		m.members = append(m.members, member{})
+		m.mark = append(m.mark, 0)
+	}
+	b := &m.members[i]
+	*b = member{rec: *r, id: IDOf(r.Name), link: -1, out: m.t, hope: m.t + m.charter.Silence, since: m.t}
+	for k := range b.keys {
+		b.keys[k] = mix(uint64(b.id), uint64(k))
+	}
+	m.byID[b.id] = i
+	if i == 0 {
+		b.counted = true
+		m.digest ^= b.hash()
+	}
+	for k := range m.links {
+		if l := &m.links[k]; l.member >= 0 && int(i) < len(l.owe) && l.owe[i] > 0 {
+			m.settleOwed(l, i)
+		}
+	}
+	return i
+}
+
+func (m *Members) forget(i int32) {
+	b := &m.members[i]
+	if b.link >= 0 {
+		m.close(b.link)
+	}
+	if b.counted {
+		m.digest ^= b.hash()
+	}
+	if b.in {
+		m.inView--
+	}
+	delete(m.byID, b.id)
+	*b = member{link: -1}
+	m.free = append(m.free, i)
+	m.dirtyRings, m.dirtyView = true, true
+}
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,222 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestViewIsWhomAPathOfLinksLeadsTo(t *testing.T) {
+	m := held("b", "c")
+	r := record("d", 100, "c") // c does not tell of a link to it
+	m.learn(&r, -1)
+	assert.Empty(t, soon(m))
+	r = record("c", 101, "a", "b", "d")
+	r.Born = 100
+	m.learn(&r, -1)
+	assert.Equal(t, []string{"d joined"}, soon(m))
+}
+
+func TestLossMustLastBeforeTheViewFollows(t *testing.T) {
+	m := held("b", "c", "d")
+	for _, name := range []string{"b", "c"} { // they have no link to d any more; a has one of its own that is silent
+		r := record(name, 101, "a", "b", "c")
+		r.Born = 100
+		m.learn(&r, -1)
+	}
+	m.links[m.members[m.byID[IDOf("d")]].link].proof = m.t - 4*s
+	assert.Empty(t, until(m, m.wake, m.wake+usual.Settle-50*ms, false))
+	assert.Equal(t, []string{"d lost"}, until(m, m.wake, m.wake+500*ms, false))
+}
+
+func TestPauseOfThisProcessAccusesNobody(t *testing.T) {
+	m := held("b", "c", "d")
+	last, pauses := m.wake, m.Counters.Pauses
+	var got []string
+	effects, wake := m.Step(last+30*s, 100, nil) // it was stopped; the others answer once they are asked
+	got = append(got, causes(effects)...)
+	assert.Equal(t, pauses+1, m.Counters.Pauses)
+	pings := 0
+	for _, e := range effects {
+		if e.Kind == Send && e.Message.Kind == Ping {
+			pings++
+		}
+	}
+	assert.Equal(t, 3, pings, "all whom it watches are asked at once")
+	got = append(got, until(m, wake, wake+10*s, true)...)
+	assert.Empty(t, got)
+}
+
+func TestNodeThatHearsNobodyDoubtsItself(t *testing.T) {
+	m := held("b", "c", "d")
+	got := until(m, m.wake, m.wake+20*s, false)
+	assert.Equal(t, []string{"a cut off"}, got)
+	v := m.View()
+	assert.True(t, v.Alone)
+	assert.False(t, v.Majority)
+	for _, seen := range v.Members[1:] {
+		assert.Equal(t, Suspect, seen.Status)
+		assert.Equal(t, None, seen.Reach)
+	}
+	assert.Equal(t, []string{"a restored"}, until(m, m.wake, m.wake+5*s, true))
+}
+
+func TestLeaverIsNotSuspected(t *testing.T) {
+	m := held("b", "c")
+	r := record("c", 101, "a", "b")
+	r.Born, r.Left = 100, true
+	m.learn(&r, -1)
+	assert.Equal(t, []string{"c left"}, soon(m))
+	r = record("b", 101) // in beat 1, then silent
+	r.Born, r.Facts.Beat = 100, 1
+	m.learn(&r, -1)
+	assert.Equal(t, []string{"b left"}, soon(m))
+}
+
+func TestRestartUnderTheSameNameReplaces(t *testing.T) {
+	m := held("b", "c")
+	r := record("b", 200)
+	effects, _ := m.Step(m.t+ms, 100, []Input{{Kind: Came, Message: &Message{Kind: News, From: IDOf("c"), Records: []Record{r}}}})
+	assert.Equal(t, []string{"b replaced"}, causes(effects))
+	assert.Equal(t, 3, m.inView, "it has a silence's time to be reached")
+}
+
+func TestOwnRecordOfAnEarlierLifeIsOutdone(t *testing.T) {
+	m := held("b", "c")
+	r := record("a", 500) // a clock that was ahead in the last life
+	r.Address = m.members[0].rec.Address
+	m.learn(&r, -1)
+	assert.Equal(t, uint64(501), m.Self().Inc)
+	m.learn(&r, -1)
+	assert.Equal(t, uint64(501), m.Self().Inc)
+}
+
+func TestOfTwoNodesOfOneNameTheLaterKeepsAway(t *testing.T) {
+	earlier, later := held("b", "c"), held("b", "c")
+	r := record("a", 300)
+	r.Address = "10.0.0.99:9"
+	earlier.learn(&r, -1) // of one that started later: outdone
+	assert.Equal(t, uint64(301), earlier.Self().Inc)
+	r.Born = 50
+	later.learn(&r, -1) // of one that started before it and still speaks
+	assert.Equal(t, 0, later.up())
+	assert.Equal(t, 1, later.Counters.Refused)
+	assert.Equal(t, 1, later.inView)
+}
+
+func TestNameHeldAtAnotherAddressIsRefusedUntilItsHolderIsGone(t *testing.T) {
+	m := held("b", "c")
+	r := record("b", 300)
+	r.Address = "10.0.0.99:9"
+	asked := []Input{{Kind: Asked, Link: 7, Message: &Message{Kind: Ask, From: IDOf("b"), Records: []Record{r}}}}
+	effects, _ := m.Step(m.t+ms, 100, asked)
+	require.NotEmpty(t, effects)
+	replies := func(effects []Effect) (kinds []MessageKind) {
+		for _, e := range effects {
+			if e.Kind == Reply {
+				kinds = append(kinds, e.Message.Kind)
+			}
+		}
+		return kinds
+	}
+	assert.Equal(t, []MessageKind{Refuse}, replies(effects))
+	m.members[m.byID[IDOf("b")]].reached = false
+	effects, _ = m.Step(m.t+2*ms, 100, asked)
+	assert.Equal(t, []MessageKind{Answer}, replies(effects))
+}
+
+func TestTableIsBounded(t *testing.T) {
+	c := usual
+	c.MembersMost = 10
+	m := New(c, s, 100, 0, 1)
+	for i := range 100 {
+		r := record(fmt.Sprint(i), 100)
+		m.learn(&r, -1)
+	}
+	assert.Len(t, m.byID, 10)
+	assert.LessOrEqual(t, len(m.members), 11)
+	for i := 1; i < len(m.members); i++ { // all in the view: nobody makes room
+		m.members[i].in = true
+	}
+	r := record("x", 100)
+	m.learn(&r, -1)
+	assert.Equal(t, 1, m.Counters.Unusable)
+}
+
+func TestRecordsThatCantBeKeptAreCounted(t *testing.T) {
+	m := held("b")
+	long := record("c", 100)
+	for i := range linksMost + 1 {
+		long.Links = append(long.Links, ID(i))
+	}
+	for _, r := range []Record{{}, {Name: "x"}, {Name: string(make([]byte, 65)), Address: "y"}, long, {Name: "x", Address: "y", Inc: 1 << 63}} {
+		m.learn(&r, -1)
+	}
+	assert.Equal(t, 5, m.Counters.Unusable)
+}
+
+func TestAcksOfOldPingsProveNothing(t *testing.T) {
+	m := held("b", "c")
+	l := &m.links[m.members[m.byID[IDOf("b")]].link]
+	l.seq, l.proof = 100, m.t-2*s
+	for _, seq := range []uint32{100 - sentKept, 101, 1 << 31} {
+		m.acked(m.byID[IDOf("b")], seq)
+	}
+	assert.Equal(t, m.t-2*s, l.proof)
+	assert.Equal(t, 3, m.Counters.Strays)
+}
+
+func TestWhatIsLearntDoesNotDependOnItsOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Record
+		for range rapid.IntRange(1, 20).Draw(t, "records") {
+			r := record(rapid.SampledFrom([]string{"b", "c", "d"}).Draw(t, "name"), uint64(rapid.IntRange(1, 4).Draw(t, "inc")))
+			r.Ver = uint32(rapid.IntRange(0, 3).Draw(t, "ver"))
+			all = append(all, r)
+		}
+		first, second := New(usual, s, 100, 0, 1), New(usual, s, 100, 0, 1)
+		for i := range all {
+			first.learn(&all[i], -1)
+		}
+		for _, i := range rapid.Permutation(all).Draw(t, "order") {
+			second.learn(&i, -1)
+			second.learn(&i, -1)
+		}
+		require.Equal(t, first.digest, second.digest)
+		for id, i := range first.byID {
+			require.Equal(t, first.members[i].rec.Ver, second.members[second.byID[id]].rec.Ver)
+		}
+	})
+}
+
+func TestIdleStepAllocatesNothing(t *testing.T) {
+	m := many(300)
+	now := m.wake
+	for range 200 {
+		_, now = m.Step(now, now, answer(m))
+	}
+	inputs := answer(m)
+	assert.Zero(t, testing.AllocsPerRun(200, func() {
+		_, now = m.Step(now, now, nil)
+		for k := range inputs {
+			if i, known := m.byID[inputs[k].Message.From]; known && m.members[i].link >= 0 {
+				inputs[k].Message.Seq = m.links[m.members[i].link].seq
+			}
+		}
+		m.Step(now-1, now-1, inputs)
+	}))
+	assert.Positive(t, m.Counters.Sent)
+}
+
+func BenchmarkStep300(b *testing.B) {
+	m := many(300)
+	now := m.wake
+	inputs := answer(m)
+	b.ReportAllocs()
+	for b.Loop() {
+		_, now = m.Step(now, now, inputs)
+	}
+}
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,405 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+)
+
+// follow finds whom a path of links leads to: links that both ends tell of, from this node on.
+func (m *Members) follow() {
+	m.stamp++
+	m.mark[0] = m.stamp
+	m.stack = append(m.stack[:0], 0)
+	for len(m.stack) > 0 {
+		i := m.stack[len(m.stack)-1]
+		m.stack = m.stack[:len(m.stack)-1]
+		u := &m.members[i]
+		for _, id := range u.rec.Links {
+			j, known := m.byID[id]
+			if !known || m.mark[j] == m.stamp || m.members[j].rec.Left {
+				continue
+			}
+			if _, both := slices.BinarySearch(m.members[j].rec.Links, u.id); both {
+				m.mark[j] = m.stamp
+				m.stack = append(m.stack, j)
+			}
+		}
+	}
+	for i := range m.members {
+		b := &m.members[i]
+		b.reached = m.mark[i] == m.stamp
+		if b.reached {
+			b.lost = 0
+		} else if b.in && b.lost == 0 {
+			b.lost = m.t
+		}
+	}
+}
+
+// keepView lets the view follow what is reached: those that come at once, those that are lost once that has lasted.
+// A node without any link doubts itself, and not all others.
+func (m *Members) keepView() {
+	alone := m.inView > 1 && m.up() == 0 && !m.members[0].rec.Left
+	followed := m.dirtyView && m.t >= m.followAt
+	if !followed && alone == m.alone && m.t < m.viewAt {
+		return
+	}
+	if followed {
+		m.dirtyView, m.followAt = false, m.t+followEvery
+		m.follow()
+	}
+	if alone != m.alone {
+		m.alone = alone
+		m.changed(map[bool]Cause{true: CutOff, false: Restored}[alone], &m.members[0], m.members[0].rec.Inc, m.charter.Name, 0)
+	}
+	m.viewAt = m.t + viewEvery
+	for i := 1; i < len(m.members); i++ {
+		b := &m.members[i]
+		if b.rec.Name == "" {
+			continue
+		}
+		switch {
+		case b.in && b.rec.Left:
+			m.leave(b, Departed)
+		case b.in && !b.reached && m.alone:
+			b.lost = m.t // counted anew once this node hears again
+			m.status(b, Suspect)
+		case b.in && !b.reached && b.rec.Facts.Beat > 0:
+			m.leave(b, Departed)
+		case b.in && !b.reached && m.t >= max(b.lost+m.charter.Settle, b.grace):
+			b.falls = min(b.falls+1, fallsMost)
+			b.fell = m.t
+			m.leave(b, Lost)
+		case b.in && !b.reached:
+			m.status(b, Suspect)
+			m.viewAt = min(m.viewAt, max(b.lost+m.charter.Settle, b.grace))
+		case b.in:
+			if b.falls > 0 && m.t-b.fell > pardon {
+				b.falls = 0
+			}
+			m.status(b, Alive)
+		case b.reached && !b.rec.Left && m.t >= m.backAt(b):
+			m.enter(b)
+		case b.reached && !b.rec.Left:
+			m.viewAt = min(m.viewAt, m.backAt(b))
+		case b.counted && m.t-b.out > coldAfter:
+			m.digest ^= b.hash()
+			b.counted = false
+		case m.t-b.out > m.charter.Forget:
+			m.forget(int32(i))
+		}
+	}
+}
+
+// backAt is when a member that is reached again may be in the view again. Guards against one that comes and goes
+// with its links; does harm to one that is restarted again and again, which is seen later by some seconds.
+func (m *Members) backAt(b *member) int64 {
+	if b.falls <= 1 {
+		return 0
+	}
+	return b.fell + knockEvery<<(b.falls-2)
+}
+
+func (m *Members) status(b *member, s Status) {
+	if b.status != s {
+		b.status, b.since = s, m.t
+	}
+}
+
+func (m *Members) enter(b *member) {
+	cause := Joined
+	if b.was {
+		cause = Returned
+	}
+	b.in, b.was = true, true
+	m.inView++
+	if !b.counted {
+		b.counted = true
+		m.digest ^= b.hash()
+	}
+	b.status, b.since = Alive, m.t
+	m.dirtyRings = true
+	m.changed(cause, b, b.rec.Inc, "", 0)
+}
+
+func (m *Members) leave(b *member, cause Cause) {
+	b.in, b.out, b.hope = false, m.t, 0
+	m.inView--
+	m.status(b, map[bool]Status{true: Left, false: Dead}[cause == Departed])
+	after := int64(0)
+	if b.lost > 0 {
+		after = m.t - b.lost + m.charter.Silence
+	}
+	word := b.rec.Name
+	if cause == Lost {
+		word = ""
+		if i, known := m.byID[b.word]; known {
+			word = m.members[i].rec.Name
+		}
+	}
+	m.dirtyRings = true
+	m.changed(cause, b, b.rec.Inc, word, after)
+}
+
+func (m *Members) changed(cause Cause, b *member, inc uint64, word string, after int64) {
+	m.number++
+	m.Counters.Views++
+	hash, size := m.Hash()
+	m.do(Effect{Kind: Changed, Change: Change{Number: m.number, Cause: cause, Who: b.rec.Name, Inc: inc, Word: word,
+		After: after, Size: size, Hash: hash}})
+}
+
+// keepTies looks for those with whom there is no link: seeds, the lost, and neighbours whose table stays different.
+func (m *Members) keepTies() {
+	if m.members[0].rec.Left {
+		return
+	}
+	up := m.up()
+	if up == 0 && m.t >= m.joinAt {
+		m.joinAt = m.t + m.jitter(m.joinFor)
+		m.joinFor = min(2*m.joinFor, joinMost)
+		m.askSeed(false)
+	} else if up > 0 {
+		m.joinFor = joinEvery
+		m.joinAt = max(m.joinAt, m.t+joinEvery/2)
+		if m.t >= m.seedAt { // a part of the fleet that grew from another seed is found so
+			m.seedAt = m.t + m.jitter(2*joinMost)
+			m.askSeed(true)
+		}
+	}
+	if m.t >= m.knockAt {
+		m.knockAt = m.t + knockEvery
+		m.knock()
+	}
+	if m.healing != 0 && m.t >= m.healAt+healAgain {
+		m.healing = 0
+	}
+	if m.healing == 0 && m.t >= m.healAt {
+		for k := range m.links {
+			l := &m.links[k]
+			if l.member >= 0 && l.up && l.differ > 0 && m.t-l.differ >= healAfter && m.t-l.healed >= healAgain {
+				l.healed, l.differ = m.t, 0
+				m.ask(m.members[l.member].rec.Address)
+				break
+			}
+		}
+	}
+}
+
+// askSeed asks one seed for all that it knows; with strange, one that is in nobody's place of the view.
+func (m *Members) askSeed(strange bool) {
+	seeds := m.charter.Seeds
+	for range seeds {
+		m.seed = (m.seed + 1 + m.chance.Intn(len(seeds))) % len(seeds)
+		address := seeds[m.seed]
+		known := address == m.charter.Address
+		for i := range m.members {
+			known = known || strange && m.members[i].in && m.members[i].rec.Address == address
+		}
+		if !known {
+			m.ask(address)
+			return
+		}
+	}
+}
+
+// knock asks one of the lost whether it is there.
+func (m *Members) knock() {
+	for range m.members {
+		m.knockPos = (m.knockPos + 1) % len(m.members)
+		b := &m.members[m.knockPos]
+		if b.rec.Name == "" || b.in || b.rec.Left || b.link >= 0 || m.knockPos == 0 {
+			continue
+		}
+		m.knockSeq = (m.knockSeq + 1) | 1<<31
+		m.knocks[m.knockSeq%knocksMost].id, m.knocks[m.knockSeq%knocksMost].seq = b.id, m.knockSeq
+		m.send(b.rec.Address, &Message{Kind: Ping, Seq: m.knockSeq, Records: m.own()})
+		return
+	}
+}
+
+// ask opens an exchange: all heads, and this node's own record.
+func (m *Members) ask(to string) {
+	m.lastLink++
+	m.healing, m.healAt = m.lastLink, m.t
+	m.Counters.Exchanges++
+	heads := make([]Head, 0, len(m.byID))
+	for i := range m.members {
+		if b := &m.members[i]; b.counted {
+			heads = append(heads, Head{b.id, b.rec.Inc, b.rec.Ver})
+		}
+	}
+	m.do(Effect{Kind: Exchange, Link: m.lastLink, To: to, Message: Message{Kind: Ask, From: m.members[0].id,
+		Records: m.own(), Heads: heads}})
+}
+
+func (m *Members) asked(link int, msg *Message) {
+	answer := Message{Kind: Answer, From: m.members[0].id}
+	switch msg.Kind {
+	case Ask:
+		if why := m.unwelcome(msg); why != "" {
+			m.Counters.Refused++
+			m.remark(true, "%s", why)
+			m.do(Effect{Kind: Reply, Link: link, Message: Message{Kind: Refuse, From: m.members[0].id, Why: why}})
+			return
+		}
+		m.stamp++
+		for _, h := range msg.Heads {
+			i, known := m.byID[h.ID]
+			if !known {
+				answer.Wanted = append(answer.Wanted, h.ID)
+				continue
+			}
+			r := &m.members[i].rec
+			m.mark[i] = m.stamp
+			if theirs := (Record{Inc: h.Inc, Ver: h.Ver}); theirs.newer(r) {
+				answer.Wanted = append(answer.Wanted, h.ID)
+			} else if r.newer(&theirs) {
+				answer.Records = append(answer.Records, *r)
+			}
+		}
+		for i := range m.members {
+			if b := &m.members[i]; b.counted && m.mark[i] != m.stamp {
+				answer.Records = append(answer.Records, b.rec)
+			}
+		}
+		for k := range msg.Records {
+			m.learn(&msg.Records[k], -1)
+		}
+	case Push:
+		for k := range msg.Records {
+			m.learn(&msg.Records[k], -1)
+		}
+	}
+	m.do(Effect{Kind: Reply, Link: link, Message: answer})
+}
+
+// unwelcome says why a node that asks is not taken: its name is held by one that lives at another address.
+func (m *Members) unwelcome(msg *Message) string {
+	if len(msg.Records) == 0 || !msg.Records[0].usable() {
+		return ""
+	}
+	r := &msg.Records[0]
+	i, known := m.byID[IDOf(r.Name)]
+	if !known {
+		return ""
+	}
+	held := &m.members[i]
+	if held.rec.Address == r.Address || !held.in || held.rec.Left || !held.reached && i != 0 || r.Born < held.rec.Born {
+		return ""
+	}
+	return "the name " + r.Name + " is held by a node at " + held.rec.Address + ", so the one at " + r.Address + " is refused"
+}
+
+func (m *Members) answered(msg *Message) {
+	switch msg.Kind {
+	case Refuse:
+		m.Counters.Refused++
+		m.remark(true, "refused: %s", msg.Why)
+		m.joinFor = joinMost
+		return
+	case Answer:
+	default:
+		m.Counters.Strays++
+		return
+	}
+	for k := range msg.Records {
+		m.learn(&msg.Records[k], -1)
+	}
+	if len(msg.Wanted) == 0 {
+		return
+	}
+	push := Message{Kind: Push, From: m.members[0].id}
+	for _, id := range msg.Wanted {
+		if i, known := m.byID[id]; known && m.members[i].counted {
+			push.Records = append(push.Records, m.members[i].rec)
+		}
+	}
+	if from, known := m.byID[msg.From]; known && len(push.Records) > 0 {
+		m.lastLink++
+		m.do(Effect{Kind: Exchange, Link: m.lastLink, To: m.members[from].rec.Address, Message: push})
+	}
+}
+
+// due is when the next thing is to be done, by this node's own time.
+func (m *Members) due() int64 {
+	at := m.t + knockEvery
+	if m.members[0].rec.Left {
+		return m.t + newsEvery
+	}
+	if m.dirtyRings {
+		at = min(at, m.ringsAt)
+	}
+	if m.dirtySelf {
+		at = min(at, m.publishAt)
+	}
+	at = min(at, m.viewAt)
+	if m.dirtyView {
+		at = min(at, m.followAt)
+	}
+	for k := range m.links {
+		l := &m.links[k]
+		if l.member < 0 {
+			continue
+		}
+		at = min(at, l.next)
+		if l.up {
+			at = min(at, l.proof+m.charter.Silence+1)
+		}
+		if l.owing > 0 {
+			at = min(at, l.newsAt)
+		}
+	}
+	if m.up() == 0 && len(m.charter.Seeds) > 0 {
+		at = min(at, m.joinAt)
+	}
+	return max(at, m.t+1)
+}
+
+// View is who is there now. It is made anew at each call.
+func (m *Members) View() View {
+	v := View{Number: m.number, Alone: m.alone}
+	known := 0
+	for i := range m.members {
+		b := &m.members[i]
+		if b.rec.Name == "" || !b.was {
+			continue
+		}
+		s := Seen{Name: b.rec.Name, Address: b.rec.Address, Status: b.status, Reach: m.reach(int32(i)), Inc: b.rec.Inc,
+			Facts: b.rec.Facts, Links: len(b.rec.Links), Since: m.t - b.since}
+		v.Members = append(v.Members, s)
+		if b.in {
+			v.Hash ^= mix(uint64(b.id), uint64(b.rec.Born))
+		}
+		if !b.rec.Left {
+			known++
+		}
+	}
+	v.Majority = !m.alone && 2*m.inView > known
+	slices.SortFunc(v.Members, func(a, b Seen) int { return cmp.Compare(a.Name, b.Name) })
+	return v
+}
+
+func (m *Members) reach(i int32) Reach {
+	b := &m.members[i]
+	switch {
+	case i == 0 || b.link >= 0 && m.links[b.link].up:
+		return Direct
+	case b.in && b.reached && !m.alone:
+		return Through
+	}
+	return None
+}
+
+// Hash tells views apart without making one: of names and lives.
+func (m *Members) Hash() (hash uint64, size int) {
+	for i := range m.members {
+		if b := &m.members[i]; b.in {
+			hash ^= mix(uint64(b.id), uint64(b.rec.Born))
+		}
+	}
+	return hash, m.inView
+}
+
+// Self is this node's own record.
+func (m *Members) Self() Record { return m.members[0].rec }
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -158,8 +158,12 @@
 		r.Counters.Gone++
 		v.answered = true
 		r.open--
+		if r.leaveToken(i) { // others wait for its run, which goes on
+			return
+		}
 		r.quitCall(i)
 		r.events = append(r.events, node.Event{Kind: node.CallerGone, Inv: i})
+		r.runOver(i)
 	}
 }
 
@@ -177,6 +181,9 @@
 	v := invocation{live: true, conn: link, stream: f.Stream}
 	e := node.Event{Kind: node.Arrived, Tenant: -1, Repeats: node.NoRepeat}
 	err := r.read(f, &v, &e)
+	if err == nil {
+		err = r.repeats(&v, &e)
+	}
 	if err == nil && len(c.open) >= streamsOpen {
 		err = errors.New("too many streams are open")
 	}
@@ -189,12 +196,16 @@
 		return
 	}
 	c.usable, c.used = true, r.now
-	if r.post == nil {
+	if r.post == nil || r.reading(&v) {
 		r.Counters.Throttled++
 		r.send(link, f.Stream, frame.Throttled, nil, nil)
 		return
 	}
 	e.Inv = r.admit(v)
+	if v.key.Token != "" {
+		r.invs[e.Inv].arrival, r.invs[e.Inv].taken = e, r.now
+		r.hold(e.Inv, e.Repeats)
+	}
 	c.open[f.Stream] = e.Inv
 	r.events = append(r.events, e)
 }
@@ -236,6 +247,8 @@
 		case "crit":
 			n, ok = decimal(field.Value)
 			ok = ok && n < 1
+		case r.kept.token:
+			v.key.Token, ok = field.Value, r.kept.keeper == nil || len(field.Value) <= tokenMost
 		case "row":
 			e.Subject, ok = true, hex16(field.Value)
 		}
@@ -362,12 +375,11 @@
 }
 
 // succeed answers with a result; one of a reduced form says at which level, so that none takes it for a whole one.
-func (r *Reducer) succeed(i int32, result []byte) {
-	var fields []frame.Field
+func (r *Reducer) succeed(i int32, result []byte, fields ...frame.Field) {
 	if level := r.invs[i].form; level != "" {
 		fields = append(fields, frame.Field{Name: "level", Value: level})
 	}
-	r.levels.count(true, fields != nil, node.None)
+	r.levels.count(true, r.invs[i].form != "", node.None)
 	r.answer(i, frame.Succeeded, fields, result)
 }
 
@@ -376,12 +388,18 @@
 // answer gives the one answer of an invocation.
 func (r *Reducer) answer(i int32, code byte, fields []frame.Field, body []byte) {
 	v := &r.invs[i]
+	if v.orphan { // nobody waits for it
+		r.quitCall(i)
+		return
+	}
 	if !r.Guard.Hold(v.live && !v.answered, "one answer an invocation") {
 		return
 	}
 	v.answered = true
 	r.open--
 	r.quitCall(i)
+	r.leaveToken(i)
+	r.runOver(i)
 	switch code {
 	case frame.Succeeded:
 		r.Counters.Succeeded++
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -73,6 +73,11 @@
 func (r *Reducer) run(i int32, form node.Form) {
 	v := &r.invs[i]
 	if r.Guard.Hold(v.live && !v.answered, "no run after an answer") {
+		if v.key.Token != "" && !v.asked {
+			v.runForm = form
+			r.runToken(i)
+			return
+		}
 		class, level := r.form(v.op, form)
 		v.form = level
 		r.order(i, lines.AppendBody(nil, v.body, "EXEC", v.call, class))
@@ -198,7 +203,7 @@
 
 func (r *Reducer) isLive(c *command) bool {
 	v := &r.invs[c.index]
-	return v.live && !v.answered && v.call == c.call
+	return v.live && (!v.answered || v.orphan) && v.call == c.call
 }
 
 // refusedCommand ends a run that could not start: nothing ran, and the connection that brought it is at fault. A
@@ -206,6 +211,10 @@
 func (r *Reducer) refusedCommand(words []string) {
 	r.remark(Warn, "executor did not carry out a command", words[len(words)-1], nil)
 	if i, v := r.lookup(words[len(words)-1]); v != nil && words[1] == "EXEC" {
+		if v.asked {
+			r.tokenEnded(i, node.Void, nil)
+			return
+		}
 		if !v.answered {
 			link := v.conn
 			r.fail(i)
@@ -232,6 +241,10 @@
 		return nil // given up and forgotten before it ended
 	}
 	r.readBy(func(c *command) bool { return c.call == v.call })
+	if v.asked {
+		r.tokenEnded(i, outcome, body)
+		return nil
+	}
 	if !v.answered {
 		if outcome == node.Succeeded {
 			r.succeed(i, body)
--- /dev/null
+++ b/reducer/kept.go
@@ -0,0 +1,334 @@
+package reducer
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazpost/frame"
+	"topazpost/node"
+	"topazpost/results"
+)
+
+const tokenMost = 128 // bytes of a token
+
+var errToken = errors.New("the token came with another body before")
+
+// kept is the door to what becomes of tokened invocations; without a keeper tokens mean nothing.
+type kept struct {
+	keeper  *results.Keeper
+	token   string // name of the field that carries it
+	held    map[results.Key]*unrun
+	unread  bool // the store of an earlier life is not read yet
+	inputs  []results.Input
+	running bool // the keeper steps
+	stored  int  // records that a start found
+}
+
+// unrun is a token whose invocation the module holds; repeats wait for it.
+type unrun struct {
+	first   int32
+	hash    uint64
+	waiting []int32
+}
+
+// Keep has the node keep results of tokened invocations, whose token comes in a field. With unread, tokened work is
+// turned away until KeptRead tells that the store was read.
+func (r *Reducer) Keep(rules results.Rules, field string, unread bool) {
+	r.kept = kept{keeper: results.New(rules), token: field, held: make(map[results.Key]*unrun), unread: unread}
+}
+
+// Results is what an operator may want to see of the tokens, nil where none are kept.
+func (r *Reducer) Results() *results.Counts {
+	if r.kept.keeper == nil {
+		return nil
+	}
+	return &r.kept.keeper.Counts
+}
+
+// reading says whether a tokened invocation must be turned away: what ran in an earlier life is not known yet.
+func (r *Reducer) reading(v *invocation) bool { return r.kept.unread && v.key.Token != "" }
+
+// repeats finds what an invocation repeats, and tells the module as the simulator's wire does.
+func (r *Reducer) repeats(v *invocation, e *node.Event) error {
+	k := &r.kept
+	if v.key.Token == "" {
+		return nil
+	}
+	if k.keeper == nil || r.plate.Nameplate.Operations[e.Operation].Effect != node.Tokened {
+		v.key.Token = ""
+		return nil
+	}
+	v.key.Operation, v.key.Tenant, v.hash = e.Operation, e.Tenant, xxhash.Sum64(v.body)
+	if h := k.held[v.key]; h != nil {
+		if h.hash != v.hash {
+			return errToken
+		}
+		e.Repeats = h.first
+	} else if hash, known := k.keeper.Body(v.key); known {
+		if hash != v.hash {
+			return errToken
+		}
+		e.Repeats = node.EndedRepeat
+	}
+	return nil
+}
+
+// hold notes a token's first invocation, which the module may hold, run or turn away.
+func (r *Reducer) hold(i, repeats int32) {
+	if v := &r.invs[i]; v.key.Token != "" && repeats == node.NoRepeat {
+		r.kept.held[v.key] = &unrun{first: i, hash: v.hash}
+	}
+}
+
+// reuse has a repeat wait for the run of its token, or gets it what was kept.
+func (r *Reducer) reuse(i int32) {
+	v := &r.invs[i]
+	if !r.Guard.Hold(v.live && !v.answered && v.key.Token != "", "only a repeat of a token is reused") {
+		return
+	}
+	if h := r.kept.held[v.key]; h != nil {
+		h.waiting = append(h.waiting, i)
+		return
+	}
+	if _, known := r.kept.keeper.Body(v.key); !known { // its first was turned away unrun in the same step
+		r.again(i)
+		return
+	}
+	r.ask(i)
+}
+
+// ask hands an invocation to the keeper, which decides whether it runs, joins or is answered.
+func (r *Reducer) ask(i int32) {
+	v := &r.invs[i]
+	v.asked = true
+	until := v.window
+	if until == 0 {
+		until = r.now + r.plate.Nameplate.Operations[v.key.Operation].Window
+	}
+	r.keeper(results.Input{Kind: results.Asked, Asker: i, Key: v.key, Body: v.hash, For: until - r.now})
+}
+
+// runToken lets a token's first run, and those that waited for it join.
+func (r *Reducer) runToken(i int32) {
+	v := &r.invs[i]
+	h := r.kept.held[v.key]
+	if r.Guard.Hold(h != nil && h.first == i, "a token's first invocation runs") {
+		delete(r.kept.held, v.key)
+	} else {
+		h = &unrun{}
+	}
+	r.ask(i)
+	for _, j := range h.waiting {
+		r.ask(j)
+	}
+}
+
+// again takes a repeat in anew, as its token's first: what it repeated was turned away unrun, or its caller left.
+func (r *Reducer) again(i int32) {
+	v := r.invs[i]
+	c := r.conns[v.conn]
+	if c == nil { // its connection ends in this step, and it with it
+		return
+	}
+	if !r.Guard.Hold(v.live && !v.answered, "one that is taken in anew still waits") {
+		return
+	}
+	r.invs[i].answered = true
+	r.open--
+	r.tellModule(node.Event{Kind: node.RunEnded, Inv: i, Outcome: node.Void})
+	e := v.arrival
+	v.asked, v.window = false, 0
+	j := r.admit(v)
+	c.open[v.stream] = j
+	e.Inv, e.Age, e.Repeats = j, r.now-v.taken+e.Age, node.NoRepeat
+	if h := r.kept.held[v.key]; h != nil {
+		e.Repeats = h.first
+	}
+	r.invs[j].arrival, r.invs[j].taken = e, r.now
+	r.hold(j, e.Repeats)
+	r.tellModule(e)
+}
+
+// leaveToken takes an invocation that is answered, or whose caller left, out of what its token waits for. It says
+// whether it must run on all the same, as others wait for it.
+func (r *Reducer) leaveToken(i int32) bool {
+	k, v := &r.kept, &r.invs[i]
+	if v.key.Token == "" {
+		return false
+	}
+	if h := k.held[v.key]; h != nil && !v.asked {
+		if h.first != i {
+			h.waiting = slices.DeleteFunc(h.waiting, func(j int32) bool { return j == i })
+			return false
+		}
+		delete(k.held, v.key)
+		for _, j := range h.waiting {
+			r.again(j)
+		}
+		return false
+	}
+	if !v.asked {
+		return false
+	}
+	r.keeper(results.Input{Kind: results.Left, Asker: i, Key: v.key})
+	v.orphan = v.runs && !v.exited && k.keeper.Waiting(v.key) > 0
+	return v.orphan
+}
+
+// runOver tells the module that a run is over whose answer waited for the disk.
+func (r *Reducer) runOver(i int32) {
+	if v := &r.invs[i]; v.exited {
+		v.exited = false
+		r.tellModule(node.Event{Kind: node.RunEnded, Inv: i, Outcome: v.ending})
+	}
+}
+
+// tokenEnded tells the keeper how a run ended. The answer follows once that is kept.
+func (r *Reducer) tokenEnded(i int32, outcome node.Outcome, body []byte) {
+	v := &r.invs[i]
+	v.exited, v.ending, v.runs = true, outcome, false
+	ending := results.Errored
+	switch outcome {
+	case node.Succeeded:
+		ending = results.Succeeded
+	case node.Void:
+		ending = results.NotRun
+	}
+	r.keeper(results.Input{Kind: results.Ended, Key: v.key, Ending: ending, Result: body})
+	if v := &r.invs[i]; v.answered {
+		r.runOver(i)
+	}
+}
+
+// fromStore takes what the store says.
+func (r *Reducer) fromStore(in *Input) {
+	k := &r.kept
+	if k.keeper == nil {
+		return
+	}
+	switch in.Kind {
+	case KeptRecords:
+		for _, s := range in.Kept {
+			k.stored++
+			k.inputs = append(k.inputs, results.Input{Kind: results.Recovered, Key: s.Key, Body: s.Body, Done: s.Done, Ending: s.Ending,
+				Result: s.Result})
+		}
+		r.keeper()
+	case KeptRead:
+		k.unread = false
+		r.keeper(results.Input{Kind: results.Restarted})
+		r.remark(Info, fmt.Sprintf("kept results are read: %d records, %d tokens, %d of unknown outcome", k.stored,
+			k.keeper.Counts.Entries, k.keeper.Counts.Unknown), "", nil)
+	case KeptWritten, KeptUnwritten:
+		failing := k.keeper.Failing()
+		kind := results.Written
+		if in.Kind == KeptUnwritten {
+			kind = results.Unwritten
+		}
+		for _, s := range in.Kept {
+			k.inputs = append(k.inputs, results.Input{Kind: kind, Key: s.Key})
+		}
+		r.keeper()
+		if now := k.keeper.Failing(); now && !failing {
+			r.remark(Warn, "results can't be kept", "", in.Err)
+		} else if failing && !now {
+			r.remark(Info, "results are kept again", "", nil)
+		}
+	}
+}
+
+// keeper steps the keeper with inputs; what follows from its actions is stepped after them, never within.
+func (r *Reducer) keeper(inputs ...results.Input) {
+	k := &r.kept
+	k.inputs = append(k.inputs, inputs...)
+	if k.running {
+		return
+	}
+	k.running = true
+	for len(k.inputs) > 0 {
+		batch := k.inputs
+		k.inputs = nil
+		for _, a := range k.keeper.Step(r.now, batch) {
+			r.carryKept(&a)
+		}
+	}
+	k.running = false
+}
+
+func (r *Reducer) carryKept(a *results.Action) {
+	switch a.Kind {
+	case results.Run:
+		v := &r.invs[a.Asker]
+		if v.live && !v.answered {
+			v.runs = true
+			r.run(a.Asker, v.runForm)
+		}
+	case results.Begin:
+		r.do(Effect{Kind: Keep, Kept: &results.Stored{Key: a.Key, Body: a.Body, For: a.Until - r.now}})
+	case results.Finish:
+		r.do(Effect{Kind: Keep, Kept: &results.Stored{Key: a.Key, Done: true, Ending: a.Ending, Result: a.Result,
+			For: r.plate.Nameplate.Operations[a.Key.Operation].Window}})
+	case results.Join, results.Drop:
+	default:
+		r.answerKept(a)
+	}
+}
+
+// answerKept gives an invocation the answer that the keeper has for it, and tells the module that it is over.
+func (r *Reducer) answerKept(a *results.Action) {
+	i := a.Asker
+	v := &r.invs[i]
+	if !r.Guard.Hold(v.live && !v.answered, "the keeper answers only those that wait") {
+		return
+	}
+	own := v.exited // a run of its own is over with its answer
+	var fields []frame.Field
+	note := func(name, value string) { fields = append(fields, frame.Field{Name: name, Value: value}) }
+	if a.Kept {
+		note("kept", "1")
+	}
+	outcome := node.Errored
+	switch a.Kind {
+	case results.Serve:
+		outcome = node.Succeeded
+		r.succeed(i, a.Result, fields...)
+	case results.Deny:
+		outcome = node.Void
+		if back := min(a.For, r.plate.Nameplate.ComeBackMax); back > 0 {
+			note("pushback", strconv.FormatInt((back+ms-1)/ms, 10))
+		}
+		r.answer(i, frame.Throttled, fields, nil)
+	default:
+		switch {
+		case a.Kind == results.Unknown:
+			note("outcome", "unknown")
+		case a.Kind == results.Mismatch:
+			note("outcome", "token of another body")
+		case a.NotKept:
+			note("outcome", "succeeded, its result is not kept")
+		}
+		r.answer(i, frame.Errored, fields, nil)
+	}
+	if !own {
+		r.tellModule(node.Event{Kind: node.RunEnded, Inv: i, Outcome: outcome})
+	}
+}
+
+// keepResults lets tokens expire that are due.
+func (r *Reducer) keepResults() {
+	if k := &r.kept; k.keeper != nil && r.now >= k.keeper.Due() {
+		k.inputs = append(k.inputs, results.Input{Kind: results.Left})
+		r.keeper()
+	}
+}
+
+func (r *Reducer) resultsDue() int64 {
+	if r.kept.keeper == nil {
+		return never
+	}
+	return max(r.now+1, r.kept.keeper.Due())
+}
--- /dev/null
+++ b/reducer/kept_test.go
@@ -0,0 +1,185 @@
+package reducer
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/frame"
+	"topazpost/plate"
+	"topazpost/results"
+)
+
+const tokened = `{"grades":[{"name":"hold","aim":1000,"give_up":3000,"importance":5,"effect":"deduplicated","window":20000}],
+	"family_info":{"n_cores":2,"memory_kb":9000,"blowup":4,"entry_kb":1,"class_calls":[true],"below":"common","calls_out":9,
+	"calls_over":5000,"linger":100,"advert":"min_rank","gauges":["cpu_busy","runnable","mem_used","sockets"]},
+	"guarantees":{"tip_multiple":8,"drain_grace":2000},"limits":{"retry_after":true,"max_retry_after":1000}}`
+
+// keeping is a node that keeps results, in memory or with a store that the test plays.
+func keeping(t *testing.T, durability results.Durability) *Reducer {
+	p, err := plate.FromJSON(1, []byte(tokened))
+	require.NoError(t, err)
+	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
+	r.Keep(results.Rules{Durability: durability, BytesMost: 100_000, ResultMost: 1_000, Window: 20_000 * ms}, "token", false)
+	step(r, Input{Kind: Opened, Link: 7})
+	step(r, Input{Kind: Joined, Link: r.dialing})
+	told(r, "WELCOME old 0")
+	told(r, "METERS j1 0.1 1 0.1 3")
+	return r
+}
+
+var bodyHash = xxhash.Sum64String("body")
+
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+// hold is an invocation of a token on a stream.
+func hold(stream int, token string) Input {
+	return invoke(uint32(stream), "op", "hold", "call", id(stream), "token", token)
+}
+
+// runsOf counts the runs that effects start.
+func runsOf(effects []Effect) int { return strings.Count(text(effects, Tell), "EXEC ") }
+
+func written(r *Reducer, effects []Effect) []Effect {
+	in := Input{Kind: KeptWritten}
+	for _, e := range kindsOf(effects, Keep) {
+		in.Kept = append(in.Kept, *e.Kept)
+	}
+	return step(r, in)
+}
+
+func TestRepeatOfOneThatRunsJoinsItAndOfOneThatEndedGetsWhatWasKept(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	assert.Equal(t, 1, runsOf(step(r, hold(1, "a"))))
+	assert.Zero(t, runsOf(step(r, hold(2, "a"))))
+	sent := told(r, "EXIT 1 "+id(1)+" good 12 6|result")
+	assert.ElementsMatch(t, []string{"20 on 1", "20 on 2"}, answers(t, sent))
+	sent = step(r, hold(3, "a"))
+	assert.Equal(t, []string{"20 on 3"}, answers(t, sent))
+	assert.Contains(t, text(sent, Send), "kept")
+	assert.Equal(t, 1, runsOf(step(r, hold(4, "b"))), "another token runs")
+	step(r)
+	assert.Equal(t, 1, r.open)
+	assert.Len(t, r.calls, 1)
+}
+
+func TestRepeatsOfOneStepAreOneRun(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	assert.Equal(t, 1, runsOf(step(r, hold(1, "a"), hold(2, "a"), hold(3, "a"))))
+	assert.Len(t, answers(t, told(r, "EXIT 1 "+id(1)+" good 12 6|result")), 3)
+}
+
+func TestTokenWithAnotherBodyIsAnErrorThatSaysSo(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	step(r, hold(1, "a"))
+	other := hold(2, "a")
+	other.Frame.Payload = append(other.Frame.Payload, '!')
+	assert.Equal(t, []string{"51 on 2"}, answers(t, step(r, other)))
+}
+
+func TestCallerThatLeavesDoesNotTakeTheRunFromThoseThatJoined(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	step(r, hold(1, "a"), hold(2, "a"))
+	gone := Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Gone, Stream: 1}}
+	step(r, gone)
+	told(r, "CALLOUT 1 "+id(1)+" 3|ask")
+	step(r)
+	require.NotEmpty(t, r.supplies, "its call is made all the same")
+	assert.Contains(t, text(reached(r), Ask), "FETCH "+id(1))
+	assert.Contains(t, text(replied(r, id(1)+" DATA 5|reply"), Tell), "RETURN "+id(1))
+	assert.Equal(t, []string{"20 on 2"}, answers(t, told(r, "EXIT 2 "+id(1)+" good 12 6|result")))
+	step(r)
+	assert.Zero(t, r.open)
+	assert.Empty(t, r.calls)
+}
+
+func TestCallerThatLeavesBeforeItsRunLeavesItToTheNext(t *testing.T) {
+	r := keeping(t, results.OnDisk)
+	intent := step(r, hold(1, "a"), hold(2, "a"))
+	step(r, Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Gone, Stream: 1}})
+	assert.Contains(t, text(written(r, intent), Tell), "EXEC "+id(2))
+}
+
+func TestIntentIsWrittenBeforeTheRunAndTheResultBeforeTheAnswer(t *testing.T) {
+	r := keeping(t, results.OnDisk)
+	intent := step(r, hold(1, "a"))
+	assert.Zero(t, runsOf(intent))
+	require.Len(t, kindsOf(intent, Keep), 1)
+	assert.Equal(t, 1, runsOf(written(r, intent)))
+	ended := told(r, "EXIT 1 "+id(1)+" good 12 6|result")
+	assert.Empty(t, answers(t, ended))
+	require.Len(t, kindsOf(ended, Keep), 1)
+	assert.True(t, kindsOf(ended, Keep)[0].Kept.Done)
+	assert.Equal(t, []string{"20 on 1"}, answers(t, written(r, ended)))
+	step(r)
+	assert.Empty(t, r.calls)
+}
+
+func TestStoreThatFailsRefusesUnrun(t *testing.T) {
+	r := keeping(t, results.OnDisk)
+	in := Input{Kind: KeptUnwritten, Err: errField, Kept: []results.Stored{*kindsOf(step(r, hold(1, "a")), Keep)[0].Kept}}
+	assert.Equal(t, []string{"50 on 1"}, answers(t, step(r, in)))
+	step(r)
+	assert.Empty(t, r.calls)
+}
+
+func TestRunThatCouldNotStartIsThrottledAndTheNextRuns(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	step(r, hold(1, "a"), hold(2, "a"))
+	sent := told(r, "BAD EXEC "+id(1))
+	assert.Equal(t, []string{"50 on 1"}, answers(t, sent))
+	assert.Contains(t, text(sent, Tell), "EXEC "+id(2))
+}
+
+func TestWhatRanInAnEarlierLifeIsNotRunAgain(t *testing.T) {
+	r := keeping(t, results.OnDisk)
+	r.kept.unread = true
+	assert.Equal(t, []string{"50 on 1"}, answers(t, step(r, hold(1, "a"))), "not known yet")
+	begun := results.Stored{Key: results.Key{Tenant: -1, Token: "a"}, Body: bodyHash}
+	done := results.Stored{Key: results.Key{Tenant: -1, Token: "b"}, Body: bodyHash}
+	ended := done
+	ended.Done, ended.Result = true, []byte("kept")
+	step(r, Input{Kind: KeptRecords, Kept: []results.Stored{begun, done, ended}}, Input{Kind: KeptRead})
+	sent := step(r, hold(2, "a"))
+	assert.Equal(t, []string{"51 on 2"}, answers(t, sent))
+	assert.Contains(t, text(sent, Send), "unknown")
+	sent = step(r, hold(3, "b"))
+	assert.Equal(t, []string{"20 on 3"}, answers(t, sent))
+	assert.Contains(t, text(sent, Send), "kept")
+	assert.Zero(t, runsOf(sent))
+	step(r)
+	assert.Zero(t, r.open)
+}
+
+func TestRepeatsOfOneTurnedAwayUnrunAreTakenInAnew(t *testing.T) {
+	r := keeping(t, results.OnDisk)
+	for n := range 24 { // more than run at once
+		step(r, invoke(uint32(n+1), "op", "hold", "call", id(n+1), "token", fmt.Sprint("t", n)))
+	}
+	var first int32 = -1
+	for _, h := range r.kept.held {
+		first = max(first, h.first)
+	}
+	require.GreaterOrEqual(t, first, int32(0), "some wait unrun")
+	v := r.invs[first]
+	open := r.open
+	step(r, invoke(100, "op", "hold", "call", id(100), "token", v.key.Token))
+	assert.Equal(t, open+1, r.open)
+	step(r, Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Gone, Stream: v.stream}})
+	step(r)
+	assert.Equal(t, open, r.open)
+	h := r.kept.held[v.key]
+	require.NotNil(t, h)
+	assert.Equal(t, id(100), r.invs[h.first].call, "the repeat is its token's first now")
+}
+
+func TestTokensMeanNothingWhereNoneAreKept(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	r.kept = kept{}
+	assert.Equal(t, 2, runsOf(step(r, hold(1, "a"), hold(2, "a"))))
+	assert.Nil(t, r.Results())
+}
--- /dev/null
+++ b/reducer/peers.go
@@ -0,0 +1,189 @@
+package reducer
+
+import (
+	"errors"
+	"fmt"
+
+	"topazpost/letter"
+	"topazpost/membership"
+)
+
+const (
+	noUseAfter = 2_000 * ms // ns without an executor past which the node says that it is of no use
+	farewells  = 3          // times that a leaving node's last word goes round
+)
+
+// peers is the door to the other nodes; without members it is shut: no timer, no cost.
+type peers struct {
+	members *membership.Members
+	fleet   letter.Fleet
+	inputs  []membership.Input
+	wakeAt  int64
+	loose   int64 // since when there is no executor, -1 while there is
+	told    membership.Facts
+	letters Letters
+}
+
+// Letters counts what came from peers and could not be used.
+type Letters struct {
+	Spoilt  int `json:"spoilt"`
+	Version int `json:"another_version"`
+	Fleet   int `json:"another_fleet"`
+}
+
+// Peer makes the node one of a fleet, before its first step.
+func (r *Reducer) Peer(fleet string, members *membership.Members) {
+	r.peers = peers{members: members, fleet: letter.FleetOf(fleet), loose: -1}
+	r.Guard.Hold(r.now == 0, "a node joins its fleet before its first step")
+}
+
+// Members is what the node knows of its fleet, nil outside one.
+func (r *Reducer) Members() *membership.Members { return r.peers.members }
+
+// Letters is what could not be used of what peers sent.
+func (r *Reducer) Letters() Letters { return r.peers.letters }
+
+// fromPeers takes a datagram or a part of an exchange.
+func (r *Reducer) fromPeers(in *Input) {
+	p := &r.peers
+	if p.members == nil {
+		return
+	}
+	if in.Kind == PeerMissed {
+		r.remark(Debug, "exchange with a peer came to nothing", "", in.Err)
+		p.inputs = append(p.inputs, membership.Input{Kind: membership.Missed, Link: in.Link})
+		return
+	}
+	msg := new(membership.Message)
+	if err := letter.Open(in.Bytes, p.fleet, msg); err != nil {
+		r.unusable(in, err)
+		return
+	}
+	if datagram := msg.Kind <= membership.News; datagram != (in.Kind == PeerCame) || msg.Kind == 0 {
+		r.unusable(in, fmt.Errorf("%w: kind %d does not belong there", letter.ErrSpoilt, msg.Kind))
+		return
+	}
+	if msg.Kind == membership.Look {
+		if in.Kind == PeerAsked {
+			v := p.members.View()
+			r.seal(Effect{Kind: PeerReply, Link: in.Link}, &v)
+		}
+		return
+	}
+	kind := map[InputKind]membership.InputKind{PeerCame: membership.Came, PeerAsked: membership.Asked, PeerAnswered: membership.Answered}[in.Kind]
+	p.inputs = append(p.inputs, membership.Input{Kind: kind, Link: in.Link, Message: msg})
+}
+
+// unusable counts and tells of what can't be used; an exchange of ours that brought it came to nothing.
+func (r *Reducer) unusable(in *Input, err error) {
+	p := &r.peers
+	switch {
+	case errors.Is(err, letter.ErrFleet):
+		p.letters.Fleet++
+	case errors.Is(err, letter.ErrVersion):
+		p.letters.Version++
+	default:
+		p.letters.Spoilt++
+	}
+	r.remark(Warn, "peer can't be understood", in.From, err)
+	switch in.Kind {
+	case PeerAnswered:
+		p.inputs = append(p.inputs, membership.Input{Kind: membership.Missed, Link: in.Link})
+	case PeerAsked:
+		r.do(Effect{Kind: PeerReply, Link: in.Link}) // without bytes: it is closed
+	}
+}
+
+// keepPeers steps the membership when something came or is due.
+func (r *Reducer) keepPeers() {
+	p := &r.peers
+	if p.members == nil {
+		return
+	}
+	if facts := r.facts(); facts != p.told {
+		p.told = facts
+		p.inputs = append(p.inputs, membership.Input{Kind: membership.Told, Facts: facts})
+	}
+	if r.now < p.wakeAt && len(p.inputs) == 0 {
+		return
+	}
+	var effects []membership.Effect
+	effects, p.wakeAt = p.members.Step(r.now, r.wall, p.inputs)
+	clear(p.inputs)
+	p.inputs = p.inputs[:0]
+	r.carryPeers(effects)
+}
+
+func (r *Reducer) carryPeers(effects []membership.Effect) {
+	for k := range effects {
+		switch e := &effects[k]; e.Kind {
+		case membership.Send:
+			r.seal(Effect{Kind: PeerSend, Address: e.To}, &e.Message)
+		case membership.Exchange:
+			r.seal(Effect{Kind: PeerExchange, Link: e.Link, Address: e.To}, &e.Message)
+		case membership.Reply:
+			r.seal(Effect{Kind: PeerReply, Link: e.Link}, &e.Message)
+		case membership.Changed:
+			change := e.Change
+			r.do(Effect{Kind: ViewChanged, Change: &change})
+		case membership.Remark:
+			r.remark(map[bool]Level{true: Warn, false: Info}[e.Warn], e.Text, "", nil)
+		}
+	}
+}
+
+// facts are what the fleet is told of this node.
+func (r *Reducer) facts() (f membership.Facts) {
+	p := &r.peers
+	if r.post != nil && r.link != 0 {
+		p.loose = -1
+	} else if p.loose < 0 {
+		p.loose = r.now
+	}
+	f.NoUse = p.loose >= 0 && r.now-p.loose >= noUseAfter
+	switch {
+	case r.shut:
+		f.Beat = 3
+	case r.noticed:
+		f.Beat = 1
+	}
+	if l := &r.levels; l.steps != nil {
+		f.Level = uint8(l.steps.Level())
+	}
+	return f
+}
+
+// farewell tells the fleet that the node leaves now, some times over: nobody answers for a datagram that is lost.
+func (r *Reducer) farewell() {
+	p := &r.peers
+	if p.members == nil {
+		return
+	}
+	for range farewells {
+		effects, _ := p.members.Step(r.now, r.wall, []membership.Input{{Kind: membership.Leaving}})
+		r.carryPeers(effects)
+	}
+}
+
+func (r *Reducer) seal(e Effect, body any) {
+	var err error
+	if e.Bytes, err = letter.Seal(nil, r.peers.fleet, body); !r.Guard.Hold(err == nil, "what peers are told can be written") {
+		return
+	}
+	if r.Guard.Hold(e.Kind != PeerSend || len(e.Bytes) <= letter.DatagramMost, "a datagram fits any path") {
+		r.do(e)
+	}
+}
+
+// peersDue is when the membership is to step again.
+func (r *Reducer) peersDue() int64 {
+	p := &r.peers
+	if p.members == nil {
+		return never
+	}
+	at := p.wakeAt
+	if p.loose >= 0 && r.now-p.loose < noUseAfter {
+		at = min(at, p.loose+noUseAfter)
+	}
+	return max(at, r.now+1)
+}
--- /dev/null
+++ b/reducer/peers_test.go
@@ -0,0 +1,127 @@
+package reducer
+
+import (
+	"encoding/binary"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/letter"
+	"topazpost/membership"
+	"topazpost/plate"
+)
+
+var charter = membership.Charter{Name: "n1", Address: "10.0.0.1:9", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms,
+	Forget: 60_000 * ms, MembersMost: 100}
+
+// peered is a node of a fleet that has not stepped yet.
+func peered(t *testing.T) *Reducer {
+	p, err := plate.FromJSON(1, []byte(settings))
+	require.NoError(t, err)
+	r := New(p, Addresses{}, 3_000*ms, 10, 10)
+	r.Peer("mobilier", membership.New(charter, 0, 1, 0, 1))
+	return r
+}
+
+func sealed(t *testing.T, fleet string, msg membership.Message) []byte {
+	b, err := letter.Seal(nil, letter.FleetOf(fleet), &msg)
+	require.NoError(t, err)
+	return b
+}
+
+func kindsOf(effects []Effect, kind EffectKind) (list []Effect) {
+	for _, e := range effects {
+		if e.Kind == kind {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func other(ver uint32, left bool) membership.Record {
+	return membership.Record{Name: "n2", Address: "10.0.0.2:9", Born: 7, Inc: 7, Ver: ver, Left: left, Links: []membership.ID{membership.IDOf("n1")}}
+}
+
+func TestPingIsAnsweredAndAskedBack(t *testing.T) {
+	r := peered(t)
+	ping := sealed(t, "mobilier", membership.Message{Kind: membership.Ping, From: membership.IDOf("n2"), Seq: 5, Neighbour: true,
+		Records: []membership.Record{other(0, false)}})
+	effects := r.Step(ms, 1, []Input{{Kind: PeerCame, From: "10.0.0.2:9", Bytes: ping}})
+	var kinds []membership.MessageKind
+	for _, e := range kindsOf(effects, PeerSend) {
+		assert.Equal(t, "10.0.0.2:9", e.Address)
+		var msg membership.Message
+		require.NoError(t, letter.Open(e.Bytes, letter.FleetOf("mobilier"), &msg))
+		kinds = append(kinds, msg.Kind)
+	}
+	assert.Subset(t, kinds, []membership.MessageKind{membership.Ack, membership.Ping})
+}
+
+func TestWhatPeersSendThatCantBeUsedIsCountedAndChangesNothing(t *testing.T) {
+	r := peered(t)
+	good := sealed(t, "mobilier", membership.Message{Kind: membership.News, Records: []membership.Record{other(0, false)}})
+	version, spoilt := append([]byte(nil), good...), append([]byte(nil), good...)
+	version[0]++
+	spoilt[len(spoilt)-1]++
+	ask := sealed(t, "mobilier", membership.Message{Kind: membership.Ask})
+	effects := r.Step(ms, 1, []Input{
+		{Kind: PeerCame, Bytes: sealed(t, "another", membership.Message{Kind: membership.News})},
+		{Kind: PeerCame, Bytes: version}, {Kind: PeerCame, Bytes: spoilt}, {Kind: PeerCame, Bytes: good[:5]},
+		{Kind: PeerCame, Bytes: ask}, {Kind: PeerAsked, Link: 3, Bytes: spoilt}})
+	assert.Equal(t, Letters{Spoilt: 4, Version: 1, Fleet: 1}, r.Letters())
+	assert.Len(t, kindsOf(effects, PeerReply), 1, "the exchange is closed")
+	assert.Len(t, r.Members().View().Members, 1)
+	r = peered(t) // without a fleet nothing is read
+	r.peers = peers{}
+	effects = r.Step(ms, 1, []Input{{Kind: PeerCame, Bytes: good}})
+	assert.Empty(t, kindsOf(effects, PeerSend))
+	assert.Equal(t, int64(never), r.peersDue())
+}
+
+func TestLookIsAnsweredWithTheView(t *testing.T) {
+	r := peered(t)
+	effects := r.Step(ms, 1, []Input{{Kind: PeerAsked, Link: 3, Bytes: sealed(t, "mobilier", membership.Message{Kind: membership.Look})}})
+	replies := kindsOf(effects, PeerReply)
+	require.Len(t, replies, 1)
+	var v membership.View
+	require.NoError(t, letter.Open(replies[0].Bytes, letter.FleetOf("mobilier"), &v))
+	assert.Equal(t, "n1", v.Members[0].Name)
+}
+
+func TestNodeTellsThatItIsOfNoUseAndThatItLeaves(t *testing.T) {
+	r := peered(t)
+	r.Step(ms, 1, []Input{{Kind: PeerCame, Bytes: sealed(t, "mobilier", membership.Message{Kind: membership.Ping,
+		From: membership.IDOf("n2"), Neighbour: true, Records: []membership.Record{other(0, false)}})}})
+	assert.False(t, r.Members().Self().Facts.NoUse)
+	r.Step(noUseAfter+ms, 1, nil)
+	assert.True(t, r.Members().Self().Facts.NoUse)
+	effects := r.Step(noUseAfter+2*ms, 1, []Input{{Kind: Notice}}) // it never had an executor, and leaves at once
+	last := 0
+	for _, e := range kindsOf(effects, PeerSend) {
+		var msg membership.Message
+		require.NoError(t, letter.Open(e.Bytes, letter.FleetOf("mobilier"), &msg))
+		for _, rec := range msg.Records {
+			if rec.Name == "n1" && rec.Left {
+				last++
+			}
+		}
+	}
+	assert.Equal(t, farewells, last)
+}
+
+func FuzzPeers(f *testing.F) {
+	b, _ := letter.Seal(nil, letter.FleetOf("mobilier"), &membership.Message{Kind: membership.Ping, From: 7, Records: []membership.Record{other(0, false)},
+		Heads: []membership.Head{{ID: 1, Inc: 2}}, Wanted: []membership.ID{3}})
+	f.Add(b[letter.Head:], uint8(0))
+	f.Fuzz(func(t *testing.T, body []byte, kind uint8) {
+		r := peered(t)
+		text := append([]byte(nil), b[:5]...) // of the same version and fleet
+		text = append(binary.LittleEndian.AppendUint64(text, xxhash.Sum64(body)), body...)
+		in := Input{Kind: PeerCame + InputKind(kind%3), Link: 1, From: "x", Bytes: text}
+		for now := ms; now < 6_000*ms; now += 700 * ms {
+			r.Step(now, now, []Input{in})
+		}
+	})
+}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -10,6 +10,7 @@
 	"topazpost/must"
 	"topazpost/node"
 	"topazpost/plate"
+	"topazpost/results"
 )
 
 const (
@@ -55,6 +56,17 @@
 	calling        bool
 	called         bool // a call of its was written to the catalogue, this one or an earlier one
 	until          int64
+	key            results.Key // of a tokened one, its Token empty in others
+	hash           uint64      // of its body
+	window         int64       // until which its token is known, as the module asked
+	arrival        node.Event  // as the module was told of it
+	taken          int64       // when
+	runs           bool        // at the executor, for its token
+	asked          bool        // the keeper of results knows it
+	exited         bool        // its run is over, and its answer waits for the disk
+	ending         node.Outcome
+	orphan         bool // its caller left, others wait for its run
+	runForm        node.Form
 	form           string // name of the level whose reduced form runs, empty for the whole operation
 }
 
@@ -163,6 +175,10 @@
 	noticed, shut, left bool
 
 	levels  ladder
+	peers   peers
+	kept    kept
+	later   []node.Event   // what the module is told in the next step: it was deciding
+	decided bool           // the module has decided in this step
 	stateAt int64          // when the next sample of the state is due
 	givenUp [node.Whys]int // invocations given up by reason since the last one
 	counted Counters       // the counters at the last one
@@ -190,7 +206,8 @@
 // Step takes what happened up to now, a clock that only advances, with wall its time in Unix nanoseconds. The
 // effects are valid until the next step.
 func (r *Reducer) Step(now, wall int64, inputs []Input) []Effect {
-	r.now, r.wall, r.effects, r.events = now, wall, r.effects[:0], r.events[:0]
+	r.now, r.wall, r.effects, r.events = now, wall, r.effects[:0], append(r.events[:0], r.later...)
+	r.later, r.decided = r.later[:0], false
 	for i := range inputs {
 		if inputs[i].Kind != Opened {
 			r.take(&inputs[i])
@@ -203,12 +220,15 @@
 	}
 	r.keepTimers()
 	if r.post != nil && len(r.events) > 0 {
+		r.decided = true
 		for _, a := range r.post.Decide(now, r.events) {
 			r.carry(&a)
 		}
 	}
+	r.keepResults()
 	r.prove()
 	r.keepState()
+	r.keepPeers()
 	r.keepLeaving()
 	wake := r.wake()
 	r.Guard.Hold(wake > now, "the next wake lies ahead")
@@ -234,6 +254,10 @@
 		if in.Link == r.reporting {
 			r.reported(in.Err)
 		}
+	case KeptRecords, KeptWritten, KeptUnwritten, KeptRead:
+		r.fromStore(in)
+	case PeerCame, PeerAsked, PeerAnswered, PeerMissed:
+		r.fromPeers(in)
 	case Notice:
 		r.drain()
 	case Reload:
@@ -282,7 +306,10 @@
 
 // wake is when the next of the timers is due.
 func (r *Reducer) wake() int64 {
-	at := min(r.beatAt, r.callsDue(), r.checksDue())
+	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue())
+	if len(r.later) > 0 {
+		at = r.now + 1
+	}
 	if len(r.conns) > 0 {
 		at = min(at, r.sweepAt)
 	}
@@ -322,6 +349,10 @@
 	case node.Leave:
 		r.left = true
 		r.remark(Info, a.Text, "", nil)
+	case node.Reuse:
+		r.reuse(a.Inv)
+	case node.Record:
+		r.invs[a.Inv].window = r.now + a.For
 	case node.Release:
 		r.release(a.Inv)
 	default:
@@ -383,6 +414,7 @@
 func (r *Reducer) keepLeaving() {
 	if r.left && r.open == 0 {
 		r.left = false
+		r.farewell()
 		r.do(Effect{Kind: Leave})
 	}
 }
@@ -412,11 +444,22 @@
 		r.fail(i)
 	}
 	r.quitCall(i)
-	delete(r.calls, v.call)
+	if r.calls[v.call] == i {
+		delete(r.calls, v.call)
+	}
 	*v = invocation{}
 	r.free = append(r.free, i)
 }
 
+// tellModule tells the module of something, in the next step if it has decided in this one.
+func (r *Reducer) tellModule(e node.Event) {
+	if r.decided {
+		r.later = append(r.later, e)
+	} else {
+		r.events = append(r.events, e)
+	}
+}
+
 // lookup finds the invocation that an id names, if it is live.
 func (r *Reducer) lookup(call string) (int32, *invocation) {
 	if i, ok := r.calls[call]; ok {
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -5,6 +5,8 @@
 import (
 	"topazpost/frame"
 	"topazpost/lines"
+	"topazpost/membership"
+	"topazpost/results"
 )
 
 // InputKind names what happened.
@@ -13,21 +15,29 @@
 // The inputs. A connection is named by a number of the server's, a link by that of the effect that opened it;
 // neither is ever used twice.
 const (
-	Opened    InputKind = iota // a dispatcher's connection was accepted
-	Read                       // a frame came on it
-	Malformed                  // what came on it can't be read any further
-	Closed                     // it is gone
-	Joined                     // a link to the executor is up
-	Told                       // a line came on it
-	Parted                     // it ended, or could not be had
-	Reached                    // a link to the catalogue is up
-	Replied                    // a line came on it
-	Unreached                  // a link to the catalogue could not be had
-	Broke                      // it ended
-	Reported                   // a report to the control plane ended
-	Notice                     // the node is to drain
-	Reload                     // the peers have new addresses, and there may be another plan of levels
-	Adopt                      // there is a plan of levels, another one, or none any more
+	Opened        InputKind = iota // a dispatcher's connection was accepted
+	Read                           // a frame came on it
+	Malformed                      // what came on it can't be read any further
+	Closed                         // it is gone
+	Joined                         // a link to the executor is up
+	Told                           // a line came on it
+	Parted                         // it ended, or could not be had
+	Reached                        // a link to the catalogue is up
+	Replied                        // a line came on it
+	Unreached                      // a link to the catalogue could not be had
+	Broke                          // it ended
+	Reported                       // a report to the control plane ended
+	Notice                         // the node is to drain
+	Reload                         // the peers have new addresses, and there may be another plan of levels
+	KeptRecords                    // records of an earlier life that the store held
+	KeptRead                       // all of them were read
+	KeptWritten                    // what was to be kept is written
+	KeptUnwritten                  // it could not be
+	PeerCame                       // a datagram of a peer
+	PeerAsked                      // a peer opened an exchange, with its message
+	PeerAnswered                   // the answer to an exchange of ours
+	PeerMissed                     // an exchange of ours came to nothing
+	Adopt                          // there is a plan of levels, another one, or none any more
 )
 
 // Addresses are where the peers of a node are.
@@ -42,6 +52,9 @@
 	Err   error
 	To    Addresses // Reload
 	Plan  *Plan     // Adopt, Reload; nil for none
+	Bytes []byte    // of peers
+	Kept  []results.Stored
+	From  string // address of the peer that sent them
 }
 
 // EffectKind names what is to be done.
@@ -49,24 +62,29 @@
 
 // The effects.
 const (
-	Receive EffectKind = iota // read frames from a new connection
-	Send                      // write to a connection
-	Finish                    // close it once all is written, giving the peer time to read that
-	Evict                     // close it at once: it is idle and its place is wanted
-	Ignore                    // read on slowly, only to see its end: nothing on it can be used
-	Dial                      // open a link to the executor, giving Joined or Parted
-	Tell                      // write to the executor
-	Part                      // close the link to the executor, giving Parted
-	Reach                     // open a link to the catalogue, giving Reached or Unreached
-	Ask                       // write to the catalogue
-	Quit                      // close the link to the catalogue, giving Broke
-	Report                    // report to the control plane, giving Reported
-	Shut                      // close the listening socket
-	Leave                     // all is done: flush and end
-	Wake                      // step again at this time at the latest
-	Remark                    // log
-	Sample                    // show the state
-	Turned                    // tell of a change of level
+	Receive      EffectKind = iota // read frames from a new connection
+	Send                           // write to a connection
+	Finish                         // close it once all is written, giving the peer time to read that
+	Evict                          // close it at once: it is idle and its place is wanted
+	Ignore                         // read on slowly, only to see its end: nothing on it can be used
+	Dial                           // open a link to the executor, giving Joined or Parted
+	Tell                           // write to the executor
+	Part                           // close the link to the executor, giving Parted
+	Reach                          // open a link to the catalogue, giving Reached or Unreached
+	Ask                            // write to the catalogue
+	Quit                           // close the link to the catalogue, giving Broke
+	Report                         // report to the control plane, giving Reported
+	Shut                           // close the listening socket
+	Leave                          // all is done: flush and end
+	Wake                           // step again at this time at the latest
+	Remark                         // log
+	Sample                         // show the state
+	Turned                         // tell of a change of level
+	Keep                           // write Kept to the store, giving KeptWritten or KeptUnwritten
+	PeerSend                       // send a datagram to a peer
+	PeerExchange                   // open an exchange with a peer, giving PeerAnswered or PeerMissed
+	PeerReply                      // answer the exchange that a peer opened; without bytes, close it
+	ViewChanged                    // tell of a change of the view
 )
 
 // Level is how loud a remark is.
@@ -93,4 +111,6 @@
 	Err     error
 	State   *State // Sample
 	Turn    *Turn  // Turned
+	Change  *membership.Change
+	Kept    *results.Stored
 }
--- a/results/results.go
+++ b/results/results.go
@@ -83,6 +83,16 @@
 	Done   bool   // Recovered: the record is that of an end
 }
 
+// Stored is what the store keeps of a token: that its run begins, or how it ended.
+type Stored struct {
+	Key    Key
+	Body   uint64 // hash of the invocation's body
+	For    int64  // ns of its window that are left
+	Done   bool   // it tells of an end
+	Ending Ending
+	Result []byte
+}
+
 // ActionKind names what to do.
 type ActionKind uint8
 
@@ -440,6 +450,22 @@
 	}
 }
 
+// Body is the hash of the body that a token came with, false where it is not known.
+func (k *Keeper) Body(key Key) (uint64, bool) {
+	if e := k.entries[key]; e != nil {
+		return e.body, true
+	}
+	return 0, false
+}
+
+// Waiting is how many wait for the run of a token beside the one whose invocation runs.
+func (k *Keeper) Waiting(key Key) int {
+	if e := k.entries[key]; e != nil {
+		return len(e.waiting)
+	}
+	return 0
+}
+
 // Due is when the next token expires, math.MaxInt64 where none does.
 func (k *Keeper) Due() int64 {
 	if len(k.expiry) == 0 {
--- a/server/config.go
+++ b/server/config.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strconv"
 
+	"topazpost/charter"
+	"topazpost/keep"
 	"topazpost/plate"
 	"topazpost/reducer"
 )
@@ -20,8 +22,10 @@
 	MemoryMB                                 int
 	Sockets                                  int
 	Settings                                 *plate.Plate
-	Levels                                   *reducer.Plan // of reduced service, nil for none; from a file of its own
-	settings                                 []byte        // as they were read
+	Levels                                   *reducer.Plan  // of reduced service, nil for none; from a file of its own
+	Fleet                                    *charter.Fleet // nil for a node that shares nothing; from a file of its own
+	Keep                                     *keep.Keep     // what is kept of tokened invocations; nil for what is usual
+	settings                                 []byte         // as they were read
 }
 
 func (n *Nameplate) peers() reducer.Addresses {
--- /dev/null
+++ b/server/kept.go
@@ -0,0 +1,159 @@
+package server
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"topazpost/keep"
+	"topazpost/reducer"
+	"topazpost/results"
+	"topazpost/store"
+)
+
+const (
+	keptWaiting   = 4_096            // records that may wait for the disk; more count as not written
+	groupMost     = 256              // records in one group
+	recordsAtOnce = 1_024            // records of an earlier life handed on at once
+	expireEvery   = 10 * time.Second // between looks for segments that are past their windows
+	lockName      = "lock"
+)
+
+var errWaiting = errors.New("too many records wait for the disk")
+
+// keeping writes records to the store, away from the loop: a slow disk holds up only what waits for it.
+type keeping struct {
+	s     *Server
+	what  *keep.Keep
+	began time.Time // its clock starts from there, so that one that is set moves no window
+	in    chan *results.Stored
+	lock  *os.File
+	log   *store.Log
+	first []store.Record
+}
+
+// openKept opens the store of a node, locked against any other.
+func openKept(s *Server, what *keep.Keep) (*keeping, error) {
+	k := &keeping{s: s, what: what, began: time.Now(), in: make(chan *results.Stored, keptWaiting)}
+	if err := os.MkdirAll(what.Folder, 0o700); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	var err error
+	if k.lock, err = os.OpenFile(filepath.Join(what.Folder, lockName), os.O_CREATE|os.O_RDWR, 0o600); err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if err = syscall.Flock(int(k.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		k.lock.Close()
+		return nil, fmt.Errorf("store: %s is in use by another node", what.Folder)
+	}
+	var dropped []store.Dropped
+	k.log, k.first, dropped, err = store.Open(store.Folder(what.Folder), what.Bounds)
+	if err != nil {
+		k.lock.Close()
+		return nil, err
+	}
+	for _, d := range dropped {
+		s.log.Warn().Str("segment", d.Name).Int64("bytes", d.Bytes).Msg("a crash left this unfinished; nothing of it was acknowledged")
+	}
+	k.log.Hold(k.now() + what.Rules.Window)
+	return k, nil
+}
+
+// now is Unix time as it was at the start, and what has passed since.
+func (k *keeping) now() int64 { return k.began.UnixNano() + int64(time.Since(k.began)) }
+
+// run gives what an earlier life kept, then writes until the node ends.
+func (k *keeping) run() {
+	defer k.lock.Close()
+	for len(k.first) > 0 {
+		n := min(recordsAtOnce, len(k.first))
+		var batch []results.Stored
+		for i := range k.first[:n] {
+			r := &k.first[i]
+			batch = append(batch, results.Stored{Key: results.Key{Operation: r.Operation, Tenant: r.Tenant, Token: r.Token}, Body: r.Body,
+				Done: r.Kind == store.Ended, Ending: results.Ending(r.Ending), Result: r.Result})
+		}
+		k.first = k.first[n:]
+		if !k.s.tell(reducer.Input{Kind: reducer.KeptRecords, Kept: batch}) {
+			return
+		}
+	}
+	k.s.tell(reducer.Input{Kind: reducer.KeptRead})
+	expire := time.NewTicker(expireEvery)
+	defer expire.Stop()
+	for {
+		select {
+		case first := <-k.in:
+			k.write(k.gather(first))
+		case <-expire.C:
+			if err := k.log.Expire(k.now()); err != nil {
+				k.s.loud.Warn().Err(err).Msg("segments can't be removed")
+			}
+		case <-k.s.ctx.Done():
+			for range len(k.in) {
+				k.write([]*results.Stored{<-k.in})
+			}
+			k.log.Close()
+			return
+		}
+	}
+}
+
+// gather waits a moment for more, so that they share the syncs.
+func (k *keeping) gather(first *results.Stored) []*results.Stored {
+	group := []*results.Stored{first}
+	if k.what.Durability == keep.Each {
+		return group
+	}
+	end := time.NewTimer(time.Duration(k.what.Gather))
+	defer end.Stop()
+	for len(group) < groupMost {
+		select {
+		case next := <-k.in:
+			group = append(group, next)
+		case <-end.C:
+			return group
+		}
+	}
+	return group
+}
+
+func (k *keeping) write(group []*results.Stored) {
+	records := make([]store.Record, len(group))
+	in := reducer.Input{Kind: reducer.KeptWritten}
+	now := k.now()
+	for i, s := range group {
+		records[i] = store.Record{Kind: store.Begun, Operation: s.Key.Operation, Tenant: s.Key.Tenant, Token: s.Key.Token, Body: s.Body,
+			Until: now + s.For}
+		if s.Done {
+			records[i].Kind, records[i].Ending, records[i].Result = store.Ended, uint8(s.Ending), s.Result
+		}
+		in.Kept = append(in.Kept, *s)
+	}
+	err := k.log.Write(records, true)
+	if errors.Is(err, store.ErrFull) {
+		if err = k.log.Expire(now); err == nil {
+			err = k.log.Write(records, true)
+		}
+	}
+	if err != nil {
+		in.Kind, in.Err = reducer.KeptUnwritten, err
+	}
+	k.s.tell(in)
+}
+
+// keep hands a record to the writer; where too many wait it counts as not written.
+func (k *keeping) keep(e *reducer.Effect) {
+	select {
+	case k.in <- e.Kept:
+	default:
+		kept := []results.Stored{*e.Kept}
+		k.s.group.Go(func() error {
+			k.s.tell(reducer.Input{Kind: reducer.KeptUnwritten, Kept: kept, Err: errWaiting})
+			return nil
+		})
+	}
+}
--- /dev/null
+++ b/server/peers.go
@@ -0,0 +1,340 @@
+package server
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"topazpost/charter"
+	"topazpost/letter"
+	"topazpost/membership"
+	"topazpost/reducer"
+)
+
+const (
+	peeredWaiting = 256             // inputs of peers that may wait for the reducer; more are dropped, as lost datagrams are
+	peeredAStep   = 64              // of them taken in one step: they never hold up invocations
+	sendsWaiting  = 512             // datagrams that may wait to be sent; more are dropped
+	sourcesMost   = 4096            // senders whose pace is kept; when there are more all start anew
+	sourceRate    = 200             // datagrams a second of one sender: ten times what a neighbour sends
+	sourceBurst   = 400             // of them at once: a herd's news
+	servedMost    = 16              // exchanges of peers served at once; more are closed unread
+	openedMost    = 8               // of ours under way at once
+	exchangeWait  = 2 * time.Second // for one exchange, from its start to its end
+	peerFiles     = 2 + servedMost + openedMost
+	fleetSeed     = 0x666c656574 // told apart from the node's other sources of chance
+)
+
+// errBusy says that an exchange was not opened.
+var errBusy = errors.New("too many exchanges are under way")
+
+// PeerCounters count what this side of the peers' sockets dropped.
+type PeerCounters struct {
+	Dropped atomic.Int64 // datagrams that nobody had time for
+	Flooded atomic.Int64 // of senders past their pace
+	Refused atomic.Int64 // exchanges past those served at once
+}
+
+// peering is the sockets of a fleet: one for datagrams, a listener for exchanges. A node without a fleet has none.
+type peering struct {
+	s        *Server
+	fleet    *charter.Fleet
+	udp      *net.UDPConn
+	tcp      net.Listener
+	in       chan reducer.Input
+	out      chan reducer.Effect
+	counters PeerCounters
+
+	mu     sync.Mutex
+	served map[int]chan []byte // by number, where the answer is waited for
+	next   int
+	opened chan struct{}
+}
+
+// join makes the node one of its fleet; run opens the sockets.
+func (s *Server) join(fleet *charter.Fleet) {
+	s.peers = &peering{s: s, fleet: fleet, in: make(chan reducer.Input, peeredWaiting), out: make(chan reducer.Effect, sendsWaiting),
+		served: make(map[int]chan []byte), opened: make(chan struct{}, openedMost)}
+	s.clock = ahead{s.clock, fleet.WallAhead}
+	now, wall := s.clock.Now()
+	s.state.Peer(fleet.Name, membership.New(fleet.Terms, now, wall, fleet.Kept, s.plate.Settings.Nameplate.Seed^fleetSeed))
+}
+
+// ahead sets the wall clock off, for tests of clocks that disagree.
+type ahead struct {
+	Clock
+	by int64
+}
+
+func (a ahead) Now() (monotonic, unix int64) {
+	monotonic, unix = a.Clock.Now()
+	return monotonic, unix + a.by
+}
+
+// run opens the fleet's sockets and starts what they need.
+func (p *peering) run() error {
+	s := p.s
+	bind, err := net.ResolveUDPAddr("udp", p.fleet.Bind)
+	if err != nil {
+		return fmt.Errorf("fleet: bind: %w", err)
+	}
+	if p.udp, err = net.ListenUDP("udp", bind); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	if p.tcp, err = net.Listen("tcp", p.fleet.Bind); err != nil {
+		p.udp.Close()
+		return fmt.Errorf("fleet: %w", err)
+	}
+	context.AfterFunc(s.ctx, func() { p.udp.Close(); p.tcp.Close() })
+	s.log.Info().Str("fleet", p.fleet.Name).Str("bind", p.fleet.Bind).Str("advertise", p.fleet.Terms.Address).
+		Strs("seeds", p.fleet.Terms.Seeds).Msg("peers are heard")
+	s.group.Go(func() error { p.read(); return nil })
+	s.group.Go(func() error { p.write(); return nil })
+	s.group.Go(func() error { p.serve(); return nil })
+	return nil
+}
+
+// give hands an input on if there is room; what peers send never waits, and so never holds up anybody.
+func (p *peering) give(in reducer.Input) bool {
+	select {
+	case p.in <- in:
+		return true
+	default:
+		p.counters.Dropped.Add(1)
+		return false
+	}
+}
+
+// read takes datagrams, each sender at its pace. Guards against a peer that floods; does harm to senders behind one
+// address, which share a pace.
+func (p *peering) read() {
+	paces := make(map[netip.Addr]*rate.Limiter)
+	space := make([]byte, letter.DatagramMost+1)
+	for {
+		n, from, err := p.udp.ReadFromUDPAddrPort(space)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			p.s.loud.Warn().Err(err).Msg("no datagram could be read")
+			time.Sleep(acceptAgain)
+			continue
+		}
+		pace := paces[from.Addr()]
+		if pace == nil {
+			if len(paces) >= sourcesMost {
+				clear(paces)
+			}
+			pace = rate.NewLimiter(sourceRate, sourceBurst)
+			paces[from.Addr()] = pace
+		}
+		if !pace.Allow() {
+			p.counters.Flooded.Add(1)
+			p.s.loud.Warn().Stringer("from", from).Msg("peer floods, its datagrams are dropped")
+			continue
+		}
+		if n > letter.DatagramMost {
+			n = 0 // told as one that is too short
+		}
+		p.give(reducer.Input{Kind: reducer.PeerCame, From: from.String(), Bytes: append([]byte(nil), space[:n]...)})
+	}
+}
+
+func (p *peering) write() {
+	for {
+		select {
+		case e := <-p.out:
+			p.post(&e)
+		case <-p.s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *peering) post(e *reducer.Effect) {
+	to, err := netip.ParseAddrPort(e.Address)
+	if err == nil {
+		_, err = p.udp.WriteToUDPAddrPort(e.Bytes, to)
+	}
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		p.s.loud.Debug().Err(err).Msg("datagram could not be sent")
+	}
+}
+
+// flush sends what waits; the node ends after it.
+func (p *peering) flush() {
+	for {
+		select {
+		case e := <-p.out:
+			p.post(&e)
+		default:
+			return
+		}
+	}
+}
+
+// serve takes exchanges that peers open.
+func (p *peering) serve() {
+	places := make(chan struct{}, servedMost)
+	for {
+		conn, err := p.tcp.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			p.s.loud.Warn().Err(err).Msg("no exchange could be accepted")
+			time.Sleep(acceptAgain)
+			continue
+		}
+		select {
+		case places <- struct{}{}:
+			p.s.group.Go(func() error {
+				defer func() { conn.Close(); <-places }()
+				p.exchange(conn)
+				return nil
+			})
+		default:
+			p.counters.Refused.Add(1)
+			conn.Close()
+		}
+	}
+}
+
+func (p *peering) exchange(conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(exchangeWait))
+	text, err := readLetter(conn)
+	if err != nil {
+		p.s.loud.Debug().Err(err).Msg("exchange of a peer ended early")
+		return
+	}
+	answer := make(chan []byte, 1)
+	p.mu.Lock()
+	p.next++
+	number := p.next
+	p.served[number] = answer
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.served, number)
+		p.mu.Unlock()
+	}()
+	if !p.give(reducer.Input{Kind: reducer.PeerAsked, Link: number, From: conn.RemoteAddr().String(), Bytes: text}) {
+		return
+	}
+	select {
+	case b := <-answer:
+		if len(b) > 0 {
+			writeLetter(conn, b)
+		}
+	case <-time.After(exchangeWait):
+	case <-p.s.ctx.Done():
+	}
+}
+
+func (p *peering) reply(e *reducer.Effect) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answer := p.served[e.Link]; answer != nil {
+		delete(p.served, e.Link)
+		answer <- e.Bytes
+	}
+}
+
+// open carries an exchange of ours out. It is dialled from the address that peers know, so that they can tell who
+// asks.
+func (p *peering) open(e *reducer.Effect) {
+	link, address, text := e.Link, e.Address, e.Bytes
+	select {
+	case p.opened <- struct{}{}:
+	default:
+		p.give(reducer.Input{Kind: reducer.PeerMissed, Link: link, Err: errBusy})
+		return
+	}
+	p.s.group.Go(func() error {
+		defer func() { <-p.opened }()
+		answer, err := Swap(p.s.ctx, p.fleet.Bind, address, text)
+		if err != nil {
+			p.give(reducer.Input{Kind: reducer.PeerMissed, Link: link, Err: err})
+		} else {
+			p.give(reducer.Input{Kind: reducer.PeerAnswered, Link: link, From: address, Bytes: answer})
+		}
+		return nil
+	})
+}
+
+// Swap opens an exchange with a node: one letter there, one back. From is the local address it is dialled from, empty
+// for any.
+func Swap(ctx context.Context, from, to string, text []byte) ([]byte, error) {
+	ctx, end := context.WithTimeout(ctx, exchangeWait)
+	defer end()
+	dialer := net.Dialer{}
+	if host, _, err := net.SplitHostPort(from); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			dialer.LocalAddr = &net.TCPAddr{IP: ip}
+		}
+	}
+	conn, err := dialer.DialContext(ctx, "tcp", to)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	if err := writeLetter(conn, text); err != nil {
+		return nil, err
+	}
+	return readLetter(conn)
+}
+
+func writeLetter(to io.Writer, text []byte) error {
+	_, err := to.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...))
+	return err
+}
+
+// readLetter reads a length and so many bytes; memory grows with what really comes, not with what is said.
+func readLetter(from io.Reader) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(from, head[:]); err != nil {
+		return nil, err
+	}
+	length := binary.LittleEndian.Uint32(head[:])
+	if length < letter.Head || length > letter.ExchangeMost {
+		return nil, fmt.Errorf("a length of %d, %d to %d may be", length, letter.Head, letter.ExchangeMost)
+	}
+	text, err := io.ReadAll(io.LimitReader(from, int64(length)))
+	if err == nil && len(text) < int(length) {
+		err = io.ErrUnexpectedEOF
+	}
+	return text, err
+}
+
+// peerCounts is what the last line of a node tells of its fleet, nil outside one.
+func (s *Server) peerCounts() map[string]any {
+	if s.peers == nil {
+		return nil
+	}
+	c := &s.peers.counters
+	return map[string]any{"members": s.state.Members().Counters, "letters": s.state.Letters(), "dropped": c.Dropped.Load(),
+		"flooded": c.Flooded.Load(), "refused": c.Refused.Load()}
+}
+
+// viewChanged logs a change of the view; membership bounds how often it can come.
+func (s *Server) viewChanged(c *membership.Change) {
+	line := s.log.Info().Uint64("number", c.Number).Str("cause", membership.Causes[c.Cause]).Str("who", c.Who).
+		Uint64("incarnation", c.Inc).Int("size", c.Size).Str("view", fmt.Sprintf("%016x", c.Hash))
+	if c.Word != "" && c.Word != c.Who {
+		line = line.Str("word", c.Word)
+	}
+	if c.After > 0 {
+		line = line.Float64("after_s", seconds(c.After))
+	}
+	line.Msg("view changed")
+}
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"topazpost/keep"
 	"topazpost/reducer"
 )
 
@@ -53,6 +54,8 @@
 	ctx    context.Context
 	group  *errgroup.Group
 
+	peers     *peering // nil without a fleet
+	kept      *keeping // nil without a store
 	listener  *net.TCPListener
 	conns     *connections
 	links     map[int]*link // only the loop's
@@ -67,6 +70,15 @@
 		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}}
 	connections, _, links := nameplate.shares()
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
+	if nameplate.Fleet != nil {
+		s.join(nameplate.Fleet)
+	}
+	if nameplate.Keep == nil {
+		nameplate.Keep = keep.Usual(nameplate.Settings.Nameplate.Operations, nameplate.MemoryMB)
+	}
+	if k := nameplate.Keep; k != nil {
+		s.state.Keep(k.Rules, k.Field, k.Folder != "")
+	}
 	return s
 }
 
@@ -94,7 +106,11 @@
 // close, and links to the catalogue.
 func (n *Nameplate) shares() (connections, closing, links int) {
 	links, closing = max(linkLeast, n.Sockets/linkPart), max(closingLeast, n.Sockets/closingPart)
-	return n.Sockets - ownFiles - links - closing, closing, links
+	connections = n.Sockets - ownFiles - links - closing
+	if n.Fleet != nil {
+		connections -= peerFiles
+	}
+	return max(1, connections), closing, links
 }
 
 // Limit tells the runtime of the cores and memory that the nameplate allows, for programs that are nothing
@@ -126,12 +142,28 @@
 			return err
 		}
 	}
+	if k := s.plate.Keep; k != nil && k.Folder != "" {
+		var err error
+		if s.kept, err = openKept(s, k); err != nil {
+			s.listener.Close()
+			return err
+		}
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	s.group, s.ctx = group, ctx
 	s.conns = newConnections(s)
 	context.AfterFunc(ctx, s.close)
 	s.log.Info().Str("name", s.plate.Name).Stringer("listen", s.Addr()).Msg("listening")
 	group.Go(func() error { return s.conns.accept() })
+	if s.peers != nil {
+		if err := s.peers.run(); err != nil {
+			s.listener.Close()
+			return err
+		}
+	}
+	if s.kept != nil {
+		group.Go(func() error { s.kept.run(); return nil })
+	}
 	group.Go(func() error { return s.loop() })
 	if err := group.Wait(); !errors.Is(err, errLeft) {
 		return err
@@ -171,6 +203,10 @@
 		s.heard <- reducer.Input{Kind: reducer.Adopt, Plan: s.plate.Levels}
 	}
 	notice, wake := s.notice, int64(math.MaxInt64)
+	var peered chan reducer.Input
+	if s.peers != nil {
+		peered = s.peers.in
+	}
 	for {
 		inputs = inputs[:0]
 		select {
@@ -184,6 +220,8 @@
 			inputs = append(inputs, in)
 		case in := <-s.inputs:
 			inputs = append(inputs, in)
+		case in := <-peered:
+			inputs = append(inputs, in)
 		case <-notice:
 			notice = nil
 			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
@@ -193,8 +231,9 @@
 			}
 			inputs = append(inputs, reducer.Input{Kind: reducer.Reload, To: next.peers(), Plan: next.Levels})
 		}
-		inputs = takeAll(inputs, s.heard)
-		inputs = takeAll(inputs, s.inputs)
+		inputs = takeAll(inputs, s.heard, inputsAStep)
+		inputs = takeAll(inputs, s.inputs, inputsAStep)
+		inputs = takeAll(inputs, peered, peeredAStep)
 		now, wall := s.clock.Now()
 		wake = math.MaxInt64
 		for _, e := range s.state.Step(now, wall, inputs) {
@@ -203,7 +242,11 @@
 				wake = e.At
 			case e.Kind == reducer.Leave:
 				s.log.Info().Interface("counters", s.state.Counters).Interface("levels", s.state.Levels()).
+					Interface("results", s.state.Results()).Interface("peers", s.peerCounts()).
 					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
+				if s.peers != nil {
+					s.peers.flush()
+				}
 				s.conns.flushAll()
 				return errLeft
 			default:
@@ -218,9 +261,9 @@
 	}
 }
 
-// takeAll takes what waits, up to what a step takes of each.
-func takeAll(inputs []reducer.Input, from chan reducer.Input) []reducer.Input {
-	for range inputsAStep {
+// takeAll takes what waits, up to so many.
+func takeAll(inputs []reducer.Input, from chan reducer.Input, most int) []reducer.Input {
+	for range most {
 		select {
 		case in := <-from:
 			inputs = append(inputs, in)
@@ -269,6 +312,20 @@
 		s.log.Debug().Interface("state", e.State).Msg("state")
 	case reducer.Turned:
 		s.turned(e.Turn)
+	case reducer.Keep:
+		s.kept.keep(e)
+	case reducer.PeerSend:
+		select {
+		case s.peers.out <- *e:
+		default:
+			s.peers.counters.Dropped.Add(1)
+		}
+	case reducer.PeerExchange:
+		s.peers.open(e)
+	case reducer.PeerReply:
+		s.peers.reply(e)
+	case reducer.ViewChanged:
+		s.viewChanged(e.Change)
 	case reducer.Remark:
 		level := [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel}[e.Level]
 		line := s.loud.WithLevel(level).Err(e.Err)
--- a/store/log.go
+++ b/store/log.go
@@ -234,5 +234,12 @@
 	return nil
 }
 
+// Hold keeps all segments until a Unix time in nanoseconds at the least: what was recovered is known anew from then on.
+func (l *Log) Hold(until int64) {
+	for i := range l.segments {
+		l.segments[i].until = max(l.segments[i].until, until)
+	}
+}
+
 // Bytes is what the segments take.
 func (l *Log) Bytes() int64 { return int64(len(l.segments)) * l.bounds.Segment }
