--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -34,6 +34,8 @@
 type Night struct {
 	Name, About string
 	Processes   bool
+	Storm       bool // of repeats on one node, which is killed so many times
+	Kills       int
 	Nodes       int
 	Contacts    int // nodes that are seeds
 	Seconds     float64
@@ -505,12 +507,10 @@
 func (n *Night) Run(seeds []int64, program, folder string) (*Result, error) {
 	r := &Result{Night: n, Name: n.Name}
 	for _, seed := range seeds {
-		d, err := n.driver(seed, program, folder)
+		o, err := n.one(seed, program, folder)
 		if err != nil {
 			return nil, err
 		}
-		o := n.play(d, seed)
-		d.close()
 		r.Outcomes = append(r.Outcomes, o)
 		if o.Failed != "" {
 			return nil, fmt.Errorf("%s, seed %d: %s", n.Name, seed, o.Failed)
@@ -553,22 +553,36 @@
 	return r, nil
 }
 
-func (n *Night) driver(seed int64, program, folder string) (driver, error) {
+// one plays a night on one seed. The files of processes are left in a folder, if there is one.
+func (n *Night) one(seed int64, program, folder string) (*Outcome, error) {
 	if !n.Processes {
-		return newVirtual(n, seed)
+		d, err := newVirtual(n, seed)
+		if err != nil {
+			return nil, err
+		}
+		return n.play(d, seed), nil
 	}
 	if folder == "" {
-		var err error
-		if folder, err = os.MkdirTemp("", "rig"); err != nil {
+		temporary, err := os.MkdirTemp("", "rig")
+		if err != nil {
 			return nil, err
 		}
-	} else {
-		folder = filepath.Join(folder, fmt.Sprint("seed-", seed))
+		defer os.RemoveAll(temporary)
+		folder = temporary
 	}
+	folder = filepath.Join(folder, fmt.Sprint("seed-", seed))
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, err
 	}
-	return newProcesses(n, seed, program, folder)
+	if n.Storm {
+		return n.playStorm(seed, program, folder), nil
+	}
+	d, err := newProcesses(n, seed, program, folder)
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	return n.play(d, seed), nil
 }
 
 // Held says whether every claim did.
