Crash schedules of keeper and log on a disk that fails; seeds are asked in turn

Change: seeds are asked in turn from a drawn one on, and slower only after all were asked; store/crash_test.go drives keeper and log over a disk that fails, tears and crashes.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -85,7 +85,8 @@
 	}
 	knockSeq uint32
 	knockPos int
-	seed     int
+	seed     int // the last that was asked, from a drawn one on
+	tried    int // seeds asked in a row in vain
 }
 
 // New starts a node. Wall is Unix time in nanoseconds, kept the incarnation of its last life where a disk kept it.
@@ -98,7 +99,7 @@
 		Facts: Facts{Version: charter.Version, Zone: charter.Zone}}
 	m.add(&self)
 	m.members[0].in, m.members[0].was, m.inView = true, true, 1
-	m.joinAt = now + m.jitter(joinEvery/2)
+	m.joinAt, m.seed = now+m.jitter(joinEvery/2), m.chance.Intn(len(charter.Seeds)+1)
 	m.knockAt, m.seedAt = now+m.jitter(knockEvery), now+m.jitter(joinEvery)
 	return m
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -157,7 +157,9 @@
 	up := m.up()
 	if up == 0 && m.t >= m.joinAt {
 		m.joinAt = m.t + m.jitter(m.joinFor)
-		m.joinFor = min(2*m.joinFor, joinMost)
+		if m.tried++; m.tried%max(1, len(m.charter.Seeds)) == 0 { // all were asked in vain
+			m.joinFor = min(2*m.joinFor, joinMost)
+		}
 		m.askSeed(false)
 	} else if up > 0 {
 		m.joinFor = joinEvery
@@ -186,11 +188,11 @@
 	}
 }
 
-// askSeed asks one seed for all that it knows; with strange, one that is in nobody's place of the view.
+// askSeed asks the next seed in turn for all that it knows; with strange, one that is in nobody's place of the view.
 func (m *Members) askSeed(strange bool) {
 	seeds := m.charter.Seeds
 	for range seeds {
-		m.seed = (m.seed + 1 + m.chance.Intn(len(seeds))) % len(seeds)
+		m.seed = (m.seed + 1) % len(seeds)
 		address := seeds[m.seed]
 		known := address == m.charter.Address
 		for i := range m.members {
--- /dev/null
+++ b/store/crash_test.go
@@ -0,0 +1,157 @@
+package store
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpost/results"
+)
+
+const crashWindow = int64(1_000_000)
+
+// node is a keeper over a log on a disk that fails, tears and crashes, as server drives them.
+type node struct {
+	d       *disk
+	log     *Log
+	keeper  *results.Keeper
+	now     int64
+	asker   int32
+	pending []results.Action // records on their way to the disk
+	ran     map[string]int   // runs by token, over all lives
+	running map[string]results.Key
+	served  map[string]string // results that are on disk, as the store said
+	asked   map[int32]string
+}
+
+func (n *node) start() error {
+	l, records, _, err := Open(n.d, Bounds{Segment: 20_000, Most: 400_000})
+	if err != nil {
+		return err
+	}
+	n.log, n.pending, n.running, n.asked = l, nil, map[string]results.Key{}, map[int32]string{}
+	n.keeper = results.New(results.Rules{Durability: results.OnDisk, BytesMost: 1 << 20, ResultMost: 200, Window: crashWindow})
+	var found []results.Input
+	for _, r := range records {
+		found = append(found, results.Input{Kind: results.Recovered, Key: results.Key{Operation: r.Operation, Tenant: r.Tenant, Token: r.Token},
+			Body: r.Body, Done: r.Kind == Ended, Ending: results.Ending(r.Ending), Result: r.Result})
+	}
+	return n.step(append(found, results.Input{Kind: results.Restarted})...)
+}
+
+func (n *node) step(inputs ...results.Input) error {
+	for _, a := range n.keeper.Step(n.now, inputs) {
+		switch a.Kind {
+		case results.Run:
+			if n.ran[a.Key.Token]++; n.ran[a.Key.Token] > 1 {
+				return fmt.Errorf("%s ran twice", a.Key.Token)
+			}
+			n.running[a.Key.Token] = a.Key
+		case results.Begin, results.Finish:
+			n.pending = append(n.pending, a)
+		case results.Serve:
+			if want := "result of " + a.Key.Token; string(a.Result) != want {
+				return fmt.Errorf("%s was answered %q", a.Key.Token, a.Result)
+			}
+		case results.Unknown:
+			if n.served[a.Key.Token] != "" {
+				return fmt.Errorf("%s was acknowledged, and its result is lost", a.Key.Token)
+			}
+		}
+	}
+	return nil
+}
+
+// write writes some of what waits as one group.
+func (n *node) write() error {
+	if len(n.pending) == 0 {
+		return nil
+	}
+	k := 1 + n.d.chance.Intn(len(n.pending))
+	group := n.pending[:k]
+	n.pending = n.pending[k:]
+	var records []Record
+	for _, a := range group {
+		r := Record{Kind: Begun, Operation: a.Key.Operation, Tenant: a.Key.Tenant, Token: a.Key.Token, Body: a.Body, Until: 1e18}
+		if a.Kind == results.Finish {
+			r.Kind, r.Ending, r.Result = Ended, uint8(a.Ending), a.Result
+		}
+		records = append(records, r)
+	}
+	kind := results.Written
+	if n.log.Write(records, true) != nil {
+		kind = results.Unwritten
+	}
+	for _, a := range group {
+		if kind == results.Written && a.Kind == results.Finish {
+			n.served[a.Key.Token] = string(a.Result)
+		}
+		if err := n.step(results.Input{Kind: kind, Key: a.Key}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func crashes(seed int64) error {
+	n := &node{d: newDisk(seed), ran: map[string]int{}, served: map[string]string{}}
+	if err := n.start(); err != nil {
+		return err
+	}
+	chance := n.d.chance
+	failing := false
+	n.d.fail = func(string) bool { return failing && chance.Intn(4) == 0 }
+	for range 60 {
+		failing = chance.Intn(4) == 0
+		n.now += int64(chance.Intn(100))
+		var err error
+		switch chance.Intn(8) {
+		case 0, 1, 2:
+			n.asker++
+			err = n.step(results.Input{Kind: results.Asked, Asker: n.asker, Key: results.Key{Operation: 1, Tenant: -1,
+				Token: fmt.Sprint("t", chance.Intn(12))}, Body: 7, For: crashWindow})
+		case 3, 4:
+			err = n.write()
+		case 5, 6:
+			if at := slices.Sorted(maps.Keys(n.running)); len(at) > 0 {
+				key := n.running[at[0]]
+				delete(n.running, at[0])
+				err = n.step(results.Input{Kind: results.Ended, Key: key, Result: []byte("result of " + at[0])})
+			}
+		case 7:
+			failing = false
+			if chance.Intn(3) > 0 { // killed in the middle of a write
+				left := chance.Intn(4)
+				n.d.fail = func(string) bool { left--; return left < 0 }
+				n.write()
+				n.d.fail = func(string) bool { return failing && chance.Intn(4) == 0 }
+			}
+			n.d.crash()
+			err = n.start()
+		}
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+	}
+	return nil
+}
+
+// CRASH_SEED=N replays one schedule, CRASH_SEEDS=N plays so many.
+func TestNoTokenRunsTwiceAndNoAcknowledgedResultIsLostOverCrashes(t *testing.T) {
+	first, many := int64(1), 500
+	if v := os.Getenv("CRASH_SEED"); v != "" {
+		first, _ = strconv.ParseInt(v, 10, 64)
+		many = 1
+	}
+	if v := os.Getenv("CRASH_SEEDS"); v != "" {
+		many, _ = strconv.Atoi(v)
+	}
+	for seed := range int64(many) {
+		require.NoError(t, crashes(first+seed))
+	}
+}
