--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -146,6 +146,8 @@
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Plan    plans   `cmd:"" help:"Look at plans of levels of reduced service."`
 		Levels  ladders `cmd:"" help:"Look at what levels nodes were at."`
+		Results kept    `cmd:"" help:"Look at results of tokened invocations that a stopped node has kept, and settle them."`
+		Store   storage `cmd:"" help:"Look at the files that results are kept in."`
 		Members members `cmd:"" help:"Look at whom nodes have in their view of the fleet."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
--- a/server/kept.go
+++ b/server/kept.go
@@ -26,13 +26,26 @@
 
 // keeping writes records to the store, away from the loop: a slow disk holds up only what waits for it.
 type keeping struct {
-	s     *Server
-	what  *keep.Keep
-	began time.Time // its clock starts from there, so that one that is set moves no window
-	in    chan *results.Stored
-	lock  *os.File
-	log   *store.Log
-	first []store.Record
+	s      *Server
+	what   *keep.Keep
+	began  time.Time // its clock starts from there, so that one that is set moves no window
+	in     chan *results.Stored
+	unlock func()
+	log    *store.Log
+	first  []store.Record
+}
+
+// LockStore keeps a folder from any other node, and from commands that write to it, until unlock.
+func LockStore(folder string) (unlock func(), err error) {
+	lock, err := os.OpenFile(filepath.Join(folder, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	if err = syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, fmt.Errorf("store: %s is in use by a node, or by another command; stop that first", folder)
+	}
+	return func() { lock.Close() }, nil
 }
 
 // openKept opens the store of a node, locked against any other.
@@ -42,17 +55,13 @@
 		return nil, fmt.Errorf("store: %w", err)
 	}
 	var err error
-	if k.lock, err = os.OpenFile(filepath.Join(what.Folder, lockName), os.O_CREATE|os.O_RDWR, 0o600); err != nil {
-		return nil, fmt.Errorf("store: %w", err)
-	}
-	if err = syscall.Flock(int(k.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		k.lock.Close()
-		return nil, fmt.Errorf("store: %s is in use by another node", what.Folder)
+	if k.unlock, err = LockStore(what.Folder); err != nil {
+		return nil, err
 	}
 	var dropped []store.Dropped
 	k.log, k.first, dropped, err = store.Open(store.Folder(what.Folder), what.Bounds)
 	if err != nil {
-		k.lock.Close()
+		k.unlock()
 		return nil, err
 	}
 	for _, d := range dropped {
@@ -67,7 +76,7 @@
 
 // run gives what an earlier life kept, then writes until the node ends.
 func (k *keeping) run() {
-	defer k.lock.Close()
+	defer k.unlock()
 	for len(k.first) > 0 {
 		n := min(recordsAtOnce, len(k.first))
 		var batch []results.Stored
--- a/store/segment.go
+++ b/store/segment.go
@@ -14,14 +14,15 @@
 )
 
 const (
-	magic      = "TPSTORE\n"
-	version    = 1
-	headBytes  = 32   // magic 8, version 4, size 4, number 8, zeros 4, CRC32C of those 28
-	recordHead = 10   // mark 1, length of the body 4, CRC32C 4, kind 1
-	footBytes  = 24   // mark 4, start of the group 8, records 4, zeros 4, CRC32C of those 20
-	recordMark = 0xD1 // no zero: what was never written is zeros
-	footMark   = "\xF7GRP"
-	bodyMost   = 16 << 10 // bytes: a token, a result of 4 KiB and room for what a later version adds
+	magic        = "TPSTORE\n"
+	version      = 1
+	headBytes    = 32   // magic 8, version 4, size 4, number 8, zeros 4, CRC32C of those 28
+	recordHead   = 10   // mark 1, length of the body 4, CRC32C 4, kind 1
+	footBytes    = 24   // mark 4, start of the group 8, records 4, zeros 4, CRC32C of those 20
+	recordMark   = 0xD1 // no zero: what was never written is zeros
+	footMark     = "\xF7GRP"
+	bodyMost     = 16 << 10 // bytes: a token, a result of 4 KiB and room for what a later version adds
+	compactGroup = 256      // records written at once by a compaction
 )
 
 // Kind names what a record tells.
