--- a/integration/kept_test.go
+++ b/integration/kept_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -122,3 +123,64 @@
 	require.NoError(t, err)
 	assert.Equal(t, data, after)
 }
+
+// BenchmarkTokenedInvocations measures what keeping costs: an idempotent invocation without and with a store beside it,
+// a tokened one in each mode, in turns: go test -bench Tokened -benchtime 1x ./integration.
+func BenchmarkTokenedInvocations(b *testing.B) {
+	modes := []string{"idempotent", "idempotent beside a store", "none", "batched", "each"}
+	for b.Loop() {
+		all := map[string]*hdrhistogram.Histogram{}
+		for _, mode := range modes {
+			all[mode] = hdrhistogram.New(1, 10_000_000, 3)
+		}
+		for range 3 {
+			for _, mode := range modes {
+				kept(b, mode, all[mode])
+			}
+		}
+		for _, mode := range modes {
+			name := strings.ReplaceAll(mode, " ", "_")
+			b.ReportMetric(float64(all[mode].ValueAtQuantile(50)), name+"_p50_us")
+			b.ReportMetric(float64(all[mode].ValueAtQuantile(99)), name+"_p99_us")
+		}
+	}
+}
+
+func kept(b *testing.B, mode string, into *hdrhistogram.Histogram) {
+	durability := map[string]string{"none": "none", "each": "each"}[mode]
+	if durability == "" {
+		durability = "batched"
+	}
+	text, err := json.Marshal(map[string]string{"durability": durability, "folder": filepath.Join(b.TempDir(), "kept"), "segment": "1 MiB", "size": "64 MiB"})
+	require.NoError(b, err)
+	path := filepath.Join(b.TempDir(), "kept.jsonnet")
+	require.NoError(b, os.WriteFile(path, text, 0o600))
+	var flags []string
+	change := func(config map[string]any) {
+		settings := config["settings"].(map[string]any)
+		first := settings["grades"].([]any)[0]
+		tokened := map[string]any{"name": "hold", "aim": 5_000, "give_up": 9_000, "importance": 1, "effect": "deduplicated", "window": 600_000}
+		settings["grades"] = []any{first, tokened}
+		info := settings["family_info"].(map[string]any)
+		info["memory_kb"], info["entry_kb"], info["class_calls"] = 900_000, 1, []bool{true, false}
+	}
+	if mode != "idempotent" {
+		flags = []string{"--keep", path}
+	}
+	s := startWith(b, false, change, flags...)
+	defer s.command.Process.Kill()
+	d := s.dial()
+	for stream := range uint32(600) {
+		fields := []frame.Field{{Name: "op", Value: "catalogue"}, {Name: "call", Value: fmt.Sprintf("%016x", stream+1)},
+			{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "4"}, {Name: "heap", Value: "1"}}
+		if !strings.HasPrefix(mode, "idempotent") {
+			fields[0].Value = "hold"
+			fields = append(fields, frame.Field{Name: "token", Value: fmt.Sprint("t", stream)})
+		}
+		at := time.Now()
+		d.conn.SetDeadline(at.Add(bound))
+		d.write(frame.AppendInvocation(nil, stream+1, fields, []byte("x")))
+		d.answer()
+		into.RecordValue(time.Since(at).Microseconds())
+	}
+}
--- /dev/null
+++ b/store/recovery_test.go
@@ -0,0 +1,36 @@
+package store
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// BenchmarkRecovery100MB opens a store of 100 MB on a disk: go test -bench Recovery -benchtime 1x ./store.
+func BenchmarkRecovery100MB(b *testing.B) {
+	at := Folder(b.TempDir())
+	within := Bounds{Segment: 8 << 20, Most: 256 << 20}
+	l, _, _, err := Open(at, within)
+	require.NoError(b, err)
+	result := make([]byte, 200)
+	for n := 0; l.Bytes() < 100<<20; n++ {
+		var group []Record
+		for k := range 200 {
+			token := fmt.Sprintf("token-%d-%d", n, k)
+			group = append(group, Record{Kind: Begun, Tenant: -1, Token: token, Body: 7, Until: 1e18},
+				Record{Kind: Ended, Tenant: -1, Token: token, Until: 1e18, Result: result})
+		}
+		require.NoError(b, l.Write(group, false))
+	}
+	require.NoError(b, l.Close())
+	for b.Loop() {
+		_, records, _, err := Open(at, within)
+		require.NoError(b, err)
+		b.ReportMetric(float64(len(records)), "records")
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		b.ReportMetric(float64(m.Sys)/(1<<20), "MB_peak")
+	}
+}
