--- /dev/null
+++ b/charter/charter_test.go
@@ -0,0 +1,37 @@
+package charter
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func write(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "fleet.jsonnet")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestFleetIsReadWithWhatIsUsual(t *testing.T) {
+	f, err := Read(write(t, `{ fleet: 'x', bind: '127.0.0.1:7946', seeds: ['127.0.0.2:7946'], silence: '6 s', clock_behind: '10 s' }`), "n1")
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.1:7946", f.Terms.Address)
+	assert.Equal(t, []int64{6_000_000_000, probeUsual, settleUsual, -10_000_000_000}, []int64{f.Terms.Silence, f.Terms.Probe, f.Terms.Settle, f.WallAhead})
+	assert.Contains(t, f.Bounds(), "a pause of up to 5.5 s is borne")
+}
+
+func TestAllThatIsWrongIsToldAtOnce(t *testing.T) {
+	_, err := Read(write(t, "{\n fleet: 'x',\n bind: 'here',\n probe: '10 ms',\n settle: '9 s',\n forget: '1 s',\n any_address: true,\n}"), "n1")
+	require.Error(t, err)
+	for _, want := range []string{":3: bind: \"here\" is no address", ":4: probe: is shorter", ":5: settle: is longer", ":6: forget: is shorter", ":7: any_address: needs"} {
+		assert.Contains(t, err.Error(), want)
+	}
+}
+
+func TestDeployedFleetCanBeRead(t *testing.T) {
+	_, err := Read("../deploy/fleet.jsonnet", "n1")
+	assert.NoError(t, err)
+}
--- /dev/null
+++ b/keep/keep_test.go
@@ -0,0 +1,36 @@
+package keep
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/node"
+	"topazpost/results"
+)
+
+var tokened = []node.Operation{{Effect: node.Tokened, Window: 5_000_000_000}, {}}
+
+func TestWithoutAFileTokensAreKeptInMemoryAndNothingWhereNoneAre(t *testing.T) {
+	assert.Nil(t, Usual([]node.Operation{{}}, 192))
+	k := Usual(tokened, 48)
+	assert.Equal(t, results.Rules{BytesMost: 12 << 20, ResultMost: resultUsual, Window: 5_000_000_000}, k.Rules)
+	assert.Equal(t, "in memory only, a crash forgets them", k.Where())
+}
+
+func TestDeployedFileCanBeReadAndFaultsAreNamed(t *testing.T) {
+	k, err := Read("../deploy/kept.jsonnet", tokened, 192)
+	require.NoError(t, err)
+	assert.Equal(t, results.OnDisk, k.Rules.Durability)
+	_, err = Read("../deploy/kept.jsonnet", tokened[1:], 192)
+	assert.ErrorContains(t, err, "no operation is tokened")
+	path := filepath.Join(t.TempDir(), "kept.jsonnet")
+	require.NoError(t, os.WriteFile(path, []byte("{\n token: 'call',\n durability: 'each',\n result: '20 KiB',\n memory: '150 MiB',\n size: '1 MiB',\n gather: '1 s' }"), 0o600))
+	_, err = Read(path, tokened, 192)
+	for _, want := range []string{":2: token: ", ":3: durability: needs a folder", ":4: result: ", ":5: memory: ", ":6: size: ", ":7: gather: "} {
+		assert.ErrorContains(t, err, want)
+	}
+}
