--- /dev/null
+++ b/integration/kept_test.go
@@ -0,0 +1,186 @@
+package integration
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/frame"
+)
+
+// keeps starts a node whose one operation is tokened, with a store in a folder.
+func keeps(t *testing.T, folder string) *site {
+	text, err := json.Marshal(map[string]string{"durability": "batched", "folder": folder, "segment": "64 KiB", "size": "1 MiB"})
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "kept.jsonnet")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	return startWith(t, false, func(config map[string]any) {
+		grade := config["settings"].(map[string]any)["grades"].([]any)[0].(map[string]any)
+		grade["effect"], grade["window"] = "deduplicated", 60_000
+	}, "--keep", path)
+}
+
+func (d *dispatcher) invokeToken(stream uint32, token, body string) {
+	d.write(frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "catalogue"},
+		{Name: "call", Value: fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, stream)},
+		{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "4"},
+		{Name: "heap", Value: "24.5"}, {Name: "token", Value: token}}, []byte(body)))
+}
+
+func topazpost(t *testing.T, args ...string) (string, error) {
+	out, err := exec.Command(program, args...).CombinedOutput()
+	return string(out), err
+}
+
+func TestWhatRanBeforeAKillIsAnsweredFromTheStoreOrToldAsUnknown(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "kept")
+	s := keeps(t, folder)
+	d := s.dial()
+	d.invokeToken(1, "done", "result")
+	assert.Equal(t, "20 on 1 result", d.answer())
+	d.invokeToken(2, "open", "hold") // runs on
+	for await(t, s.told)[0] != "EXEC" {
+	}
+	if w := await(t, s.told); w[0] != "EXEC" {
+		t.Fatal(w)
+	}
+	out, err := topazpost(t, "results", "list", folder)
+	assert.Error(t, err)
+	assert.Contains(t, out, "is in use")
+	s.signal(syscall.SIGKILL)
+	await(t, s.ended)
+	out, err = topazpost(t, "results", "list", "--unknown", folder)
+	require.NoError(t, err)
+	assert.Contains(t, out, "open")
+	assert.NotContains(t, out, "done")
+	s = keeps(t, folder)
+	d = s.dial()
+	stream := uint32(0)
+	ask := func(token, body string) string { // until the store is read tokened work is throttled
+		for {
+			stream++
+			d.invokeToken(stream, token, body)
+			if a := d.answer(); !strings.HasPrefix(a, "50") {
+				return strings.Replace(a, fmt.Sprintf(" on %d ", stream), " ", 1)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	assert.Equal(t, "20 result", ask("done", "result"))
+	assert.Equal(t, "51 ", ask("open", "hold"))
+	assert.Equal(t, "51 ", ask("done", "another body"))
+	assert.Empty(t, s.told, "nothing ran again")
+	s.signal(syscall.SIGKILL)
+	await(t, s.ended)
+	out, err = topazpost(t, "results", "settle", folder, "open", "--ending", "errored")
+	require.NoError(t, err, out)
+	out, err = topazpost(t, "results", "show", folder, "open")
+	require.NoError(t, err)
+	assert.Contains(t, out, "state errored")
+	out, err = topazpost(t, "results", "forget", folder, "done")
+	require.NoError(t, err, out)
+	out, err = topazpost(t, "store", "export", folder)
+	require.NoError(t, err)
+	assert.NotContains(t, out, "done")
+	out, err = topazpost(t, "store", "verify", folder)
+	require.NoError(t, err)
+	assert.Contains(t, out, "sound, 1 records")
+}
+
+func TestSpoiltStoreIsNamedAndKeptAsItIs(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "kept")
+	s := keeps(t, folder)
+	d := s.dial()
+	for stream := range uint32(20) {
+		d.invokeToken(stream+1, fmt.Sprint("t", stream), "result")
+		d.answer()
+	}
+	s.signal(syscall.SIGKILL)
+	await(t, s.ended)
+	path := filepath.Join(folder, "0000000000000000.seg")
+	data, err := os.ReadFile(path)
+	require.NoError(t, err)
+	data[100] ^= 1
+	require.NoError(t, os.WriteFile(path, data, 0o600))
+	out, err := topazpost(t, "store", "verify", folder)
+	assert.Error(t, err)
+	assert.Contains(t, out, path+": store: broken at offset")
+	out, err = topazpost(t, append([]string{"serve"}, append(s.flags, s.path)...)...)
+	assert.Error(t, err)
+	assert.Contains(t, out, "0000000000000000.seg: store: broken at offset")
+	after, err := os.ReadFile(path)
+	require.NoError(t, err)
+	assert.Equal(t, data, after)
+}
+
+// BenchmarkTokenedInvocations measures what keeping costs: an idempotent invocation without and with a store beside it,
+// a tokened one in each mode, in turns: go test -bench Tokened -benchtime 1x ./integration.
+func BenchmarkTokenedInvocations(b *testing.B) {
+	modes := []string{"idempotent", "idempotent beside a store", "none", "batched", "each"}
+	for b.Loop() {
+		all := map[string]*hdrhistogram.Histogram{}
+		for _, mode := range modes {
+			all[mode] = hdrhistogram.New(1, 10_000_000, 3)
+		}
+		for range 3 {
+			for _, mode := range modes {
+				kept(b, mode, all[mode])
+			}
+		}
+		for _, mode := range modes {
+			name := strings.ReplaceAll(mode, " ", "_")
+			b.ReportMetric(float64(all[mode].ValueAtQuantile(50)), name+"_p50_us")
+			b.ReportMetric(float64(all[mode].ValueAtQuantile(99)), name+"_p99_us")
+		}
+	}
+}
+
+func kept(b *testing.B, mode string, into *hdrhistogram.Histogram) {
+	durability := map[string]string{"none": "none", "each": "each"}[mode]
+	if durability == "" {
+		durability = "batched"
+	}
+	text, err := json.Marshal(map[string]string{"durability": durability, "folder": filepath.Join(b.TempDir(), "kept"), "segment": "1 MiB", "size": "64 MiB"})
+	require.NoError(b, err)
+	path := filepath.Join(b.TempDir(), "kept.jsonnet")
+	require.NoError(b, os.WriteFile(path, text, 0o600))
+	var flags []string
+	change := func(config map[string]any) {
+		settings := config["settings"].(map[string]any)
+		first := settings["grades"].([]any)[0]
+		tokened := map[string]any{"name": "hold", "aim": 5_000, "give_up": 9_000, "importance": 1, "effect": "deduplicated", "window": 600_000}
+		settings["grades"] = []any{first, tokened}
+		info := settings["family_info"].(map[string]any)
+		info["memory_kb"], info["entry_kb"], info["class_calls"] = 900_000, 1, []bool{true, false}
+	}
+	if mode != "idempotent" {
+		flags = []string{"--keep", path}
+	}
+	s := startWith(b, false, change, flags...)
+	defer s.command.Process.Kill()
+	d := s.dial()
+	for stream := range uint32(600) {
+		fields := []frame.Field{{Name: "op", Value: "catalogue"}, {Name: "call", Value: fmt.Sprintf("%016x", stream+1)},
+			{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "4"}, {Name: "heap", Value: "1"}}
+		if !strings.HasPrefix(mode, "idempotent") {
+			fields[0].Value = "hold"
+			fields = append(fields, frame.Field{Name: "token", Value: fmt.Sprint("t", stream)})
+		}
+		at := time.Now()
+		d.conn.SetDeadline(at.Add(bound))
+		d.write(frame.AppendInvocation(nil, stream+1, fields, []byte("x")))
+		d.answer()
+		into.RecordValue(time.Since(at).Microseconds())
+	}
+}
