Membership tests step at the node's own wake, as debug builds want

Cause: three tests gave Step the node's inner time, which lies behind the caller's once a pause was taken off; the build that asserts panicked on time that goes back (membership_test.go). Change: they step at the last wake.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -79,7 +79,7 @@
 func TestRestartUnderTheSameNameReplaces(t *testing.T) {
 	m := held("b", "c")
 	r := record("b", 200)
-	effects, _ := m.Step(m.t+ms, 100, []Input{{Kind: Came, Message: &Message{Kind: News, From: IDOf("c"), Records: []Record{r}}}})
+	effects, _ := m.Step(m.wake, 100, []Input{{Kind: Came, Message: &Message{Kind: News, From: IDOf("c"), Records: []Record{r}}}})
 	assert.Equal(t, []string{"b replaced"}, causes(effects))
 	assert.Equal(t, 3, m.inView, "it has a silence's time to be reached")
 }
@@ -112,7 +112,7 @@
 	r := record("b", 300)
 	r.Address = "10.0.0.99:9"
 	asked := []Input{{Kind: Asked, Link: 7, Message: &Message{Kind: Ask, From: IDOf("b"), Records: []Record{r}}}}
-	effects, _ := m.Step(m.t+ms, 100, asked)
+	effects, _ := m.Step(m.wake, 100, asked)
 	require.NotEmpty(t, effects)
 	replies := func(effects []Effect) (kinds []MessageKind) {
 		for _, e := range effects {
@@ -124,7 +124,7 @@
 	}
 	assert.Equal(t, []MessageKind{Refuse}, replies(effects))
 	m.members[m.byID[IDOf("b")]].reached = false
-	effects, _ = m.Step(m.t+2*ms, 100, asked)
+	effects, _ = m.Step(m.wake, 100, asked)
 	assert.Equal(t, []MessageKind{Answer}, replies(effects))
 }
 
