--- a/cmd/topazlab/main.go
+++ b/cmd/topazlab/main.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -37,13 +38,7 @@
 	if err != nil {
 		return err
 	}
-	if c.Seeds > 0 {
-		x.Seeds = c.Seeds
-	}
-	var seeds []int64
-	for k := range x.Seeds {
-		seeds = append(seeds, c.Seed+int64(k))
-	}
+	seeds := c.seeds(&x.Seeds)
 	var progress func(done, all int)
 	if isatty.IsTerminal(os.Stderr.Fd()) {
 		progress = func(done, all int) { fmt.Fprintf(os.Stderr, "\r%d of %d days played", done, all) }
@@ -60,6 +55,26 @@
 			return err
 		}
 	}
+	return c.tell(result)
+}
+
+// seeds are those to play; how many the experiment says, unless the command does.
+func (c *run) seeds(many *int) (seeds []int64) {
+	if c.Seeds > 0 {
+		*many = c.Seeds
+	}
+	for k := range *many {
+		seeds = append(seeds, c.Seed+int64(k))
+	}
+	return seeds
+}
+
+// tell prints what an experiment came to, and fails where a claim does not hold.
+func (c *run) tell(result interface {
+	Print(to io.Writer) error
+	JSON(to io.Writer) error
+	Held() bool
+}) error {
 	if err := result.Print(os.Stdout); err != nil {
 		return err
 	}
@@ -76,13 +91,7 @@
 
 // night plays an experiment on a fleet.
 func (c *run) night(n *rig.Night) error {
-	if c.Seeds > 0 {
-		n.Seeds = c.Seeds
-	}
-	var seeds []int64
-	for k := range n.Seeds {
-		seeds = append(seeds, c.Seed+int64(k))
-	}
+	seeds := c.seeds(&n.Seeds)
 	program, err := os.Executable()
 	if err != nil {
 		return err
@@ -96,18 +105,7 @@
 	if err != nil {
 		return err
 	}
-	if err := result.Print(os.Stdout); err != nil {
-		return err
-	}
-	if c.JSON {
-		if err := result.JSON(os.Stdout); err != nil {
-			return err
-		}
-	}
-	if !result.Held() {
-		return errBroken
-	}
-	return nil
+	return c.tell(result)
 }
 
 func main() {
--- a/membership/helpers_test.go
+++ b/membership/helpers_test.go
@@ -19,14 +19,8 @@
 	return r
 }
 
-// held is a node a, started at 100, in one view with others that all have links with all.
-func held(others ...string) *Members {
-	m := New(usual, s, 100, 0, 1)
-	all := append([]string{"a"}, others...)
-	for _, name := range others {
-		r := record(name, 100, slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == name })...)
-		m.learn(&r, -1)
-	}
+// linked has all links that a node takes up at its first step work.
+func linked(m *Members) *Members {
 	m.Step(s, 100, nil)
 	for k := range m.links {
 		if l := &m.links[k]; l.member >= 0 {
@@ -38,6 +32,17 @@
 	return m
 }
 
+// held is a node a, started at 100, in one view with others that all have links with all.
+func held(others ...string) *Members {
+	m := New(usual, s, 100, 0, 1)
+	all := append([]string{"a"}, others...)
+	for _, name := range others {
+		r := record(name, 100, slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == name })...)
+		m.learn(&r, -1)
+	}
+	return linked(m)
+}
+
 // many is a node among so many members, with links only to its neighbours; all others are linked in a ring.
 func many(n int) *Members {
 	m := New(usual, s, 100, 0, 1)
@@ -46,15 +51,7 @@
 		r := record(name(i), 100, name(i-1), name(i+1), "a")
 		m.learn(&r, -1)
 	}
-	m.Step(s, 100, nil)
-	for k := range m.links {
-		if l := &m.links[k]; l.member >= 0 {
-			l.up, l.proof = true, m.t
-		}
-	}
-	m.dirtySelf = true
-	m.Step(s+300*ms, 100, nil)
-	return m
+	return linked(m)
 }
 
 // answer has every link's last ping answered.
