--- a/charter/charter.go
+++ b/charter/charter.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 
@@ -19,6 +20,9 @@
 	forgetUsual  = 3_600_000_000_000 // ns after which the lost are no longer looked for: a night's repair is longer, a new start joins anew
 	membersUsual = 512               // members and lost ones in the table: 200 kB
 	membersMost  = 1_500             // whose table still fits one message of an exchange
+	tableUsual   = 4 << 20           // bytes of the council's table: some 10,000 claims
+	tableLeast   = 64 << 10          // of it: fewer claims than that stop at once
+	tableMost    = 12 << 20          // of it: one letter of a stream holds it
 	probeLeast   = 50_000_000        // ns; shorter ones are a load
 	probesLeast  = 4                 // pings in a silence, so that a few that are lost end no link
 )
@@ -29,13 +33,20 @@
 	Bind      string // where peers' datagrams and exchanges are heard
 	Exposed   bool   // Bind may be an unspecified address
 	Terms     membership.Charter
-	Kept      uint64 // incarnation that the last life left on a disk, 0 without one
-	WallAhead int64  // ns by which the wall clock is set off, for tests
+	Kept      uint64   // incarnation that the last life left on a disk, 0 without one
+	Council   *Council // nil without one
+	WallAhead int64    // ns by which the wall clock is set off, for tests
 	Path      string
 }
 
+// Council is who agrees on claims of tokens for all.
+type Council struct {
+	Seats []string // names of nodes
+	Bytes int64    // of the table of claims
+}
+
 var schema = sync.OnceValue(func() *settings.Schema {
-	return settings.Compile("fleet.json", strings.NewReplacer("TIME", settings.TimePattern, "MEMBERS",
+	return settings.Compile("fleet.json", strings.NewReplacer("TIME", settings.TimePattern, "SIZE", settings.SizePattern, "MEMBERS",
 		fmt.Sprint(membersMost)).Replace(`{
  "$schema": "https://json-schema.org/draft/2020-12/schema", "type": "object", "additionalProperties": false,
  "required": ["fleet", "bind"],
@@ -50,6 +61,9 @@
   "probe": {"$ref": "#/$defs/time"}, "silence": {"$ref": "#/$defs/time"}, "settle": {"$ref": "#/$defs/time"},
   "forget": {"$ref": "#/$defs/time"},
   "members": {"type": "integer", "minimum": 2, "maximum": MEMBERS},
+  "council": {"type": "object", "additionalProperties": false, "required": ["seats"], "properties": {
+   "seats": {"type": "array", "minItems": 1, "items": {"type": "string", "minLength": 1, "maxLength": 64}},
+   "table": {"type": "string", "pattern": "SIZE"}}},
   "clock_ahead": {"$ref": "#/$defs/time"}, "clock_behind": {"$ref": "#/$defs/time"}}}`))
 })
 
@@ -59,8 +73,12 @@
 	Seeds                          []string
 	Probe, Silence, Settle, Forget *settings.Time
 	Members                        *int
-	ClockAhead                     settings.Time `json:"clock_ahead"`
-	ClockBehind                    settings.Time `json:"clock_behind"`
+	Council                        *struct {
+		Seats []string
+		Table *settings.Size
+	}
+	ClockAhead  settings.Time `json:"clock_ahead"`
+	ClockBehind settings.Time `json:"clock_behind"`
 }
 
 // Read reads a fleet's file in this process.
@@ -122,6 +140,21 @@
 	for k, s := range w.Seeds {
 		address(s, "seeds", fmt.Sprint(k))
 	}
+	if w.Council != nil {
+		f.Council = &Council{Seats: w.Council.Seats, Bytes: tableUsual}
+		if w.Council.Table != nil {
+			f.Council.Bytes = int64(*w.Council.Table)
+		}
+		if n := len(w.Council.Seats); n != 1 && n != 3 && n != 5 {
+			found = append(found, file.At([]string{"council", "seats"}, fmt.Sprintf("are %d", n), "name 1, 3 or 5 nodes: a council of an even number bears no more losses than one of a seat less"))
+		}
+		if sorted := slices.Sorted(slices.Values(w.Council.Seats)); len(slices.Compact(sorted)) < len(w.Council.Seats) {
+			found = append(found, file.At([]string{"council", "seats"}, "name a node twice", "name each once"))
+		}
+		if b := f.Council.Bytes; b < tableLeast || b > tableMost {
+			found = append(found, file.At([]string{"council", "table"}, fmt.Sprintf("is %d bytes", b), "choose 64 KiB to 12 MiB: a seat that comes back gets it in one piece"))
+		}
+	}
 	if c.Probe < probeLeast {
 		found = append(found, file.At([]string{"probe"}, "is shorter than 50 ms", "choose a longer one"))
 	}
@@ -144,8 +177,13 @@
 // Bounds says in words what the timing comes to: how long a pause is borne, and by when a death is known.
 func (f *Fleet) Bounds() string {
 	c := &f.Terms
-	return fmt.Sprintf("a pause of up to %s is borne; a death is known to all within about %s; a member outside the view is looked for for %s",
+	text := fmt.Sprintf("a pause of up to %s is borne; a death is known to all within about %s; a member outside the view is looked for for %s",
 		span(c.Silence-c.Probe), span(c.Silence+c.Settle+c.Probe), span(c.Forget))
+	if f.Council != nil {
+		text += fmt.Sprintf("; a council of %d, which bears the loss of %d at a time, agrees on claims of tokens, %d kB at the most, in memory only",
+			len(f.Council.Seats), len(f.Council.Seats)/2, f.Council.Bytes>>10)
+	}
+	return text
 }
 
 func span(ns int64) string { return fmt.Sprintf("%g s", float64(ns)/1e9) }
--- a/claims/desk.go
+++ b/claims/desk.go
@@ -169,6 +169,17 @@
 	return c != nil && c.step == elsewhere
 }
 
+// Unrun are the claims in hand under which nothing runs here and that are not on their way out, in the order of their
+// coming, and those whose end is not agreed on yet.
+func (d *Desk) Unrun() (keys []Key) {
+	for _, c := range d.order {
+		if !c.gone && (c.step < running || c.step == ending) {
+			keys = append(keys, c.key)
+		}
+	}
+	return keys
+}
+
 // Size is how many claims are in hand.
 func (d *Desk) Size() int { return len(d.claims) }
 
--- /dev/null
+++ b/cmd/topazpost/claims.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"text/tabwriter"
+
+	"topazpost/claims"
+	"topazpost/council"
+	"topazpost/membership"
+)
+
+// claimed are the commands about claims of tokens.
+type claimed struct {
+	List claimsList `cmd:"" default:"withargs" help:"Print what a node knows of claims: counters, and the table where it has a seat in the council."`
+	Show claimsShow `cmd:"" help:"Print the claim of one token."`
+}
+
+type claimsAt struct {
+	Address string `arg:"" help:"Where the node hears its peers."`
+	Fleet   string `help:"Name of the fleet." required:"" env:"TOPAZPOST_FLEET_NAME"`
+}
+
+type claimsList struct {
+	claimsAt
+	JSON bool `help:"Print all as one object."`
+}
+
+type claimsShow struct {
+	claimsAt
+	Token string `arg:"" help:"The token."`
+}
+
+func (c *claimsAt) look() (*council.Picture, error) {
+	var p council.Picture
+	if err := lookInto(c.Fleet, c.Address, membership.LookClaims, &p); err != nil {
+		return nil, fmt.Errorf("%w; a node without a council shows no claims", err)
+	}
+	return &p, nil
+}
+
+// shownClaim is a claim as it is printed.
+type shownClaim struct {
+	Operation string `json:"operation"`
+	Token     string `json:"token"`
+	State     string `json:"state"`
+	Owner     string `json:"owner"`
+	Fence     uint64 `json:"fence"`
+	LeftMS    int64  `json:"left_ms"` // until its due time while claimed, of its window else
+	Taken     bool   `json:"taken_over"`
+	Call      string `json:"call"`
+}
+
+func shown(p *council.Picture) (list []shownClaim) {
+	for _, e := range p.Claims {
+		list = append(list, shownClaim{e.Key.Operation, e.Key.Token, claims.States[e.State], e.Owner.Name, e.Fence, (e.Until - p.Time) / 1e6, e.Taken, e.Call})
+	}
+	return list
+}
+
+func table(list []shownClaim) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "operation\ttoken\tstate\towner\tfence\tleft s\ttaken over\tcall")
+	for _, c := range list {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.1f\t%t\t%s\n", c.Operation, c.Token, c.State, c.Owner, c.Fence, float64(c.LeftMS)/1e3, c.Taken, c.Call)
+	}
+	return w.Flush()
+}
+
+// Run prints what a node knows.
+func (c *claimsList) Run() error {
+	p, err := c.look()
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(struct {
+			*council.Picture
+			Claims []shownClaim `json:"table_of_claims"`
+		}{p, shown(p)})
+	}
+	if d := p.Desk; d != nil {
+		fmt.Printf("%s: council in reach %t, %d claims in hand; claimed %d, joined elsewhere %d, kept %d, unknown %d, taken over %d, refused by fence %d\n",
+			p.Node, p.Reached, p.InHand, d.Claimed, d.Joined, d.Kept, d.Unknown, d.Heirs, d.Fenced)
+	}
+	if p.Seat == nil {
+		fmt.Println("it has no seat in the council, and no table")
+		return nil
+	}
+	leader := p.Leader
+	if leader == "" {
+		leader = "nobody it knows of"
+	}
+	fmt.Printf("seat in the council, led by %s: %d claims, %d kB; taken over %d, unknown %d, settled %d, refused by fence %d\n", leader, p.Entries,
+		p.Bytes>>10, p.Table.Taken, p.Table.Unknown, p.Table.Settled, p.Table.Fenced)
+	return table(shown(p))
+}
+
+// Run prints one claim.
+func (c *claimsShow) Run() error {
+	p, err := c.look()
+	if err != nil {
+		return err
+	}
+	var found []shownClaim
+	for _, s := range shown(p) {
+		if s.Token == c.Token {
+			found = append(found, s)
+		}
+	}
+	if len(found) == 0 {
+		return fmt.Errorf("%s shows no claim of the token %q, of %d in its table; ask a node with a seat in the council", p.Node, c.Token, p.Entries)
+	}
+	return table(found)
+}
--- a/council/council.go
+++ b/council/council.go
@@ -67,7 +67,7 @@
 	Keys     []claims.Key     `cbor:"11,keyasint,omitempty"` // Tells
 	Entry    *claims.Entry    `cbor:"12,keyasint,omitempty"` // Gift
 	For      int64            `cbor:"13,keyasint,omitempty"` // Gift: ns to its due time
-	Leads    bool             `cbor:"14,keyasint,omitempty"` // the sender leads the council
+	Leader   string           `cbor:"14,keyasint,omitempty"` // who leads the council, as far as the sender knows
 }
 
 // Input is one thing that happened: a message, commands of this node's own, or another view.
@@ -135,6 +135,7 @@
 	wake    int64
 	effects []Effect
 	view    []takeover.Member
+	most    int64 // bytes of the table, 0 for the usual
 
 	id        uint64
 	storage   *raft.MemoryStorage
@@ -207,7 +208,10 @@
 }
 
 func (c *Council) send(to string, m Message) {
-	m.From, m.Leads = c.self, c.leads()
+	m.From = c.self
+	if m.Kind == Verdicts {
+		m.Leader = c.Leader()
+	}
 	c.do(Effect{Kind: Send, To: to, Message: m})
 }
 
@@ -226,6 +230,37 @@
 	return ""
 }
 
+// Bound sets the bytes that the table may take while this seat leads, 0 for the usual.
+func (c *Council) Bound(bytes int64) { c.most = bytes }
+
+// Picture is what a node shows of claims.
+type Picture struct {
+	Node    string               `json:"node" cbor:"1,keyasint"`
+	Desk    *claims.DeskCounters `json:"desk,omitempty" cbor:"2,keyasint,omitempty"`
+	InHand  int                  `json:"in_hand" cbor:"3,keyasint,omitempty"`
+	Reached bool                 `json:"council_reached" cbor:"4,keyasint,omitempty"`
+	Seat    *Counters            `json:"seat,omitempty" cbor:"5,keyasint,omitempty"`
+	Leader  string               `json:"leader,omitempty" cbor:"6,keyasint,omitempty"`
+	Table   *claims.Counters     `json:"table,omitempty" cbor:"7,keyasint,omitempty"`
+	Handed  *takeover.Counters   `json:"handed,omitempty" cbor:"8,keyasint,omitempty"`
+	Entries int                  `json:"claims" cbor:"9,keyasint,omitempty"`
+	Bytes   int64                `json:"bytes" cbor:"10,keyasint,omitempty"`
+	Time    int64                `json:"time_ns" cbor:"11,keyasint,omitempty"`
+	Claims  []*claims.Entry      `json:"-" cbor:"12,keyasint,omitempty"`
+}
+
+// Show fills in what this seat knows, with so many claims at the most, without their work and results.
+func (c *Council) Show(p *Picture, most int) {
+	handed := c.Planned()
+	p.Seat, p.Leader, p.Table, p.Handed, p.Time = &c.Counters, c.Leader(), &c.table.Counters, &handed, c.table.Time()
+	p.Entries, p.Bytes = c.table.Size()
+	for _, e := range c.table.All(most) {
+		short := *e
+		short.Work, short.Asking = nil, nil
+		p.Claims = append(p.Claims, &short)
+	}
+}
+
 // Table is what was agreed on, as far as this seat has heard. It must not be changed.
 func (c *Council) Table() *claims.Table { return c.table }
 
@@ -402,7 +437,7 @@
 // rule is what a leader proposes of its own: time, hand-overs, seats that come back.
 func (c *Council) rule() {
 	if c.now-c.passedAt >= passEvery {
-		c.batch = append(c.batch, claims.Command{Kind: claims.Pass, At: c.table.Time(), For: c.now - c.passedAt})
+		c.batch = append(c.batch, claims.Command{Kind: claims.Pass, At: c.table.Time(), For: c.now - c.passedAt, Most: c.most})
 	}
 	commands, gifts := c.plan.Step(c.now, c.view, c.table, c.now-c.passedAt)
 	c.batch = append(c.batch, commands...)
@@ -521,6 +556,7 @@
 
 func (c *Council) carryOut(command *claims.Command) {
 	c.Counters.Agreed++
+	key := asked{command.From, command.Seq}
 	if c.alter != nil {
 		c.alter(command, c.table)
 	}
@@ -528,7 +564,7 @@
 	if command.Kind == claims.Pass {
 		c.passedAt = c.now
 	}
-	if key := (asked{command.From, command.Seq}); c.pending[key] {
+	if c.pending[key] {
 		delete(c.pending, key)
 		c.verdicts[command.From] = append(c.verdicts[command.From], v)
 	}
--- a/council/helpers_test.go
+++ b/council/helpers_test.go
@@ -80,6 +80,7 @@
 	rash     bool // mutation: run first, ask for the start after
 	careless bool // mutation: fences are not compared
 	taken    int
+	checked  uint64
 }
 
 func newWorld(seed int64, nodes, seats int) *world {
@@ -424,6 +425,10 @@
 
 // check wants that no fence goes back on any seat's table, but for one that began anew.
 func (w *world) check(c *Council) {
+	if !c.leads() || c.applied == w.checked {
+		return
+	}
+	w.checked = c.applied
 	for _, e := range c.table.All(1 << 20) {
 		if before := w.fences[e.Key]; e.Fence > before {
 			w.fences[e.Key] = e.Fence
--- a/letter/letter.go
+++ b/letter/letter.go
@@ -19,6 +19,7 @@
 	Head         = 13         // bytes before the body: version 1, fleet 4, checksum 8, all little-endian
 	DatagramMost = 1_200      // bytes that any path carries whole
 	ExchangeMost = 512 << 10  // bytes of one message of an exchange: a table of the most members that settings allow
+	StreamMost   = 16 << 20   // bytes of one letter of a stream: a snapshot of the largest table that settings allow
 	itemsMost    = 1 << 14    // items of one list
 	pairsMost    = 64         // of one map: far above the fields of any message
 	depthMost    = 8          // of nesting
--- a/membership/types.go
+++ b/membership/types.go
@@ -113,6 +113,9 @@
 	Look                          // asks for the view; answered by a View in the place of a message
 )
 
+// LookClaims in the Why of a Look asks for the claims instead of the view.
+const LookClaims = "claims"
+
 // Message is what members tell each other.
 type Message struct {
 	Kind      MessageKind `cbor:"1,keyasint"`
@@ -238,6 +241,7 @@
 	Facts   Facts  `json:"facts" cbor:"6,keyasint"`
 	Links   int    `json:"links" cbor:"7,keyasint,omitempty"`
 	Since   int64  `json:"since_ns" cbor:"8,keyasint,omitempty"` // ns since its status is that
+	Born    int64  `json:"born" cbor:"9,keyasint,omitempty"`     // Unix ns of the start of its life
 }
 
 // View is who is there. Self is always in it.
--- a/membership/view.go
+++ b/membership/view.go
@@ -368,7 +368,7 @@
 			continue
 		}
 		s := Seen{Name: b.rec.Name, Address: b.rec.Address, Status: b.status, Reach: m.reach(int32(i)), Inc: b.rec.Inc,
-			Facts: b.rec.Facts, Links: len(b.rec.Links), Since: m.t - b.since}
+			Facts: b.rec.Facts, Links: len(b.rec.Links), Since: m.t - b.since, Born: b.rec.Born}
 		v.Members = append(v.Members, s)
 		if b.in {
 			v.Hash ^= mix(uint64(b.id), uint64(b.rec.Born))
@@ -403,5 +403,13 @@
 	return hash, m.inView
 }
 
+// AddressOf is where a member hears its peers, false for one that is not known.
+func (m *Members) AddressOf(name string) (string, bool) {
+	if i, known := m.byID[IDOf(name)]; known {
+		return m.members[i].rec.Address, true
+	}
+	return "", false
+}
+
 // Self is this node's own record.
 func (m *Members) Self() Record { return m.members[0].rec }
--- /dev/null
+++ b/reducer/claims.go
@@ -0,0 +1,397 @@
+package reducer
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"topazpost/claims"
+	"topazpost/council"
+	"topazpost/frame"
+	"topazpost/letter"
+	"topazpost/membership"
+	"topazpost/node"
+	"topazpost/results"
+	"topazpost/takeover"
+)
+
+const (
+	dueLead     = 50 * ms  // ns before its client timeout at which one that waits for the fleet is answered: a way back, and a sweep
+	sweepClaims = 20 * ms  // ns between looks at what waits for the fleet
+	viewClaims  = 100 * ms // ns between looks at the view for a seat of the council
+	contactFor  = 200 * ms // ns without an answer after which another seat is asked
+	roundsMost  = 8        // turns that desk and seat take in one step; what is left waits for the next
+	shownMost   = 500      // claims that are told to an operator at once
+	heir        = -1       // connection of an invocation that was inherited: nobody is answered
+)
+
+// claimed is the door to what the fleet agrees on about tokens: the node's desk, and its seat in the council where it
+// has one. Without a council both are nil: no timer, no cost.
+type claimed struct {
+	desk   *claims.Desk
+	seat   *council.Council
+	self   claims.Owner
+	seats  []string
+	names  []string // of operations, by index
+	wants  []claims.Input
+	heard  []council.Input
+	links  map[string]int // streams that nodes last spoke on
+	deskAt int64
+	seatAt int64
+	sweep  int64
+	viewAt int64
+	asks   int   // seat that commands go to
+	since  int64 // when it was first asked something since its last answer, 0 where it owes none
+}
+
+// work is what an heir needs of an invocation.
+type work struct {
+	Call   string  `cbor:"1,keyasint"`
+	Body   []byte  `cbor:"2,keyasint"`
+	HeldKB float64 `cbor:"3,keyasint"`
+	Hint   int64   `cbor:"4,keyasint,omitempty"`
+	Caller int64   `cbor:"5,keyasint,omitempty"`
+}
+
+// Convene has tokens claimed from a council, before the first step and after Peer and Keep; seats are the names of those
+// who sit in it. With bytes the council's table is bounded so.
+func (r *Reducer) Convene(seats []string, bytes, now, seed int64) {
+	self := r.peers.members.Self()
+	c := &r.claimed
+	*c = claimed{self: claims.Owner{Name: self.Name, Life: uint64(self.Born)}, seats: slices.Sorted(slices.Values(seats)), links: map[string]int{}}
+	c.names = make([]string, len(r.plate.Nameplate.Operations))
+	for name, i := range r.plate.Operations {
+		c.names[i] = name
+	}
+	if r.kept.keeper != nil {
+		c.desk = claims.NewDesk(c.self)
+	}
+	if c.asks = slices.Index(c.seats, self.Name); c.asks >= 0 {
+		c.seat = council.New(c.seats, self.Name, c.self.Life, now, seed)
+		c.seat.Bound(bytes)
+	} else {
+		c.asks = int(uint64(seed) % uint64(len(c.seats)))
+	}
+}
+
+// Claims is what an operator may want to see of them, nil without a council.
+func (r *Reducer) Claims() *council.Picture {
+	c := &r.claimed
+	if c.desk == nil && c.seat == nil {
+		return nil
+	}
+	p := &council.Picture{Node: c.self.Name}
+	if c.desk != nil {
+		p.Desk, p.InHand, p.Reached = &c.desk.Counters, c.desk.Size(), c.desk.Reached()
+	}
+	if c.seat != nil {
+		c.seat.Show(p, shownMost)
+	}
+	return p
+}
+
+func (r *Reducer) claimKey(k results.Key) claims.Key {
+	return claims.Key{Operation: r.claimed.names[k.Operation], Token: k.Token}
+}
+
+func (r *Reducer) resultKey(k claims.Key) (key results.Key, known bool) {
+	op, known := r.plate.Operations[k.Operation]
+	return results.Key{Operation: op, Tenant: -1, Token: k.Token}, known && k.Tenant == ""
+}
+
+// unclaimed says whether a token's first invocation must be turned away, since nothing new can be claimed now.
+func (r *Reducer) unclaimed(v *invocation) bool {
+	c := &r.claimed
+	if c.desk == nil || v.key.Token == "" || c.desk.Reached() && c.desk.Room() {
+		return false
+	}
+	if r.kept.held[v.key] != nil {
+		return false
+	}
+	_, known := r.kept.keeper.Body(v.key)
+	return !known
+}
+
+// want says something at the desk, where there is one.
+func (r *Reducer) want(in claims.Input) {
+	if r.claimed.desk != nil {
+		r.claimed.wants = append(r.claimed.wants, in)
+	}
+}
+
+// claim has a token's first invocation claimed for this node, with all that an heir needs.
+func (r *Reducer) claim(i int32) {
+	if r.claimed.desk == nil {
+		return
+	}
+	v := &r.invs[i]
+	text, err := cbor.Marshal(work{Call: v.call, Body: v.body, HeldKB: v.arrival.HeldKB, Hint: v.arrival.Hint, Caller: v.arrival.Caller})
+	if !r.Guard.Hold(err == nil, "what an heir needs can be written") {
+		return
+	}
+	r.want(claims.Input{Want: claims.Arrived, Key: r.claimKey(v.key), Body: v.hash, For: v.due - r.now, Call: v.call, Work: text,
+		Window: r.plate.Nameplate.Operations[v.key.Operation].Window})
+}
+
+// fromStream takes what a node says on a stream.
+func (r *Reducer) fromStream(in *Input) {
+	c := &r.claimed
+	if in.Kind == PeerHungUp {
+		for name, link := range c.links {
+			if link == in.Link {
+				delete(c.links, name)
+			}
+		}
+		return
+	}
+	m := new(council.Message)
+	if err := letter.Open(in.Bytes, r.peers.fleet, m); err != nil {
+		r.unusable(in, err)
+		r.do(Effect{Kind: PeerHangUp, Link: in.Link}) // where its letters begin is not known any more
+		return
+	}
+	if c.self.Name == "" {
+		return
+	}
+	c.links[m.From] = in.Link
+	r.fromCouncil(m)
+}
+
+// fromCouncil takes a message of a seat or a node, this one's own included.
+func (r *Reducer) fromCouncil(m *council.Message) {
+	c := &r.claimed
+	switch m.Kind {
+	case council.Verdicts, council.Tells, council.Gift:
+		if m.Owner != c.self || c.desk == nil {
+			return // of an earlier life
+		}
+	default:
+		if c.seat != nil {
+			c.heard = append(c.heard, council.Input{Message: m})
+		}
+		return
+	}
+	if m.Kind == council.Verdicts {
+		c.since = 0
+		if at := slices.Index(c.seats, m.Leader); at >= 0 && c.seat == nil {
+			c.asks = at
+		}
+	}
+	for k := range m.Verdicts {
+		r.want(claims.Input{Want: claims.Answered, Verdict: m.Verdicts[k]})
+	}
+	for _, key := range m.Keys {
+		r.want(claims.Input{Want: claims.TellsEnd, Key: key})
+	}
+	if e := m.Entry; e != nil {
+		r.want(claims.Input{Want: claims.Given, Key: e.Key, Body: e.Body, For: m.For, Window: e.Window, Work: e.Work, Call: e.Call, Fence: e.Fence})
+	}
+}
+
+// keepClaims steps the desk and the seat, as long as one has something to say to the other.
+func (r *Reducer) keepClaims() {
+	c := &r.claimed
+	if c.desk == nil && c.seat == nil {
+		return
+	}
+	if c.desk != nil && r.now >= c.sweep {
+		r.sweepWaiting()
+	}
+	for range roundsMost {
+		seat := c.seat != nil && (len(c.heard) > 0 || r.now >= c.seatAt)
+		desk := c.desk != nil && (len(c.wants) > 0 || r.now >= c.deskAt)
+		if !seat && !desk {
+			return
+		}
+		if seat {
+			r.stepSeat()
+		}
+		if desk {
+			inputs := c.wants
+			c.wants = nil
+			var actions []claims.Action
+			actions, c.deskAt = c.desk.Step(r.now, inputs)
+			for k := range actions {
+				r.carryClaim(&actions[k])
+			}
+		}
+	}
+}
+
+func (r *Reducer) stepSeat() {
+	c := &r.claimed
+	if r.now >= c.viewAt {
+		c.viewAt = r.now + viewClaims
+		c.heard = append(c.heard, council.Input{View: r.heirs()})
+	}
+	inputs := c.heard
+	c.heard = nil
+	var effects []council.Effect
+	effects, c.seatAt = c.seat.Step(r.now, inputs)
+	for k := range effects {
+		switch e := &effects[k]; e.Kind {
+		case council.Send:
+			r.toNode(e.To, &e.Message)
+		case council.Remark:
+			r.remark(map[bool]Level{true: Warn, false: Info}[e.Warn], e.Text, "", nil)
+		}
+	}
+}
+
+// heirs is the view as the council needs it. A node without any link keeps all in its view, so it holds nobody lost.
+func (r *Reducer) heirs() (list []takeover.Member) {
+	v := r.peers.members.View()
+	for k := range v.Members {
+		m := &v.Members[k]
+		list = append(list, takeover.Member{Owner: claims.Owner{Name: m.Name, Life: uint64(m.Born)}, Zone: m.Facts.Zone, Level: int(m.Facts.Level),
+			Alive: m.Status == membership.Alive || m.Status == membership.Suspect, Fit: m.Facts.Beat == 0 && !m.Facts.NoUse && m.Status == membership.Alive})
+	}
+	return list
+}
+
+// toNode sends a message on the stream that a node last spoke on, else to its address.
+func (r *Reducer) toNode(to string, m *council.Message) {
+	c := &r.claimed
+	if to == c.self.Name {
+		own := *m
+		r.fromCouncil(&own)
+		return
+	}
+	address, known := r.peers.members.AddressOf(to)
+	if link := c.links[to]; link != 0 || known {
+		r.seal(Effect{Kind: PeerStream, Link: link, Address: address}, m)
+	}
+}
+
+// carryClaim does what the desk asks for.
+func (r *Reducer) carryClaim(a *claims.Action) {
+	c := &r.claimed
+	if a.Deed == claims.Ask {
+		r.askCouncil(a.Commands)
+		return
+	}
+	key, known := r.resultKey(a.Key)
+	if !known {
+		r.want(claims.Input{Want: claims.Drop, Key: a.Key})
+		return
+	}
+	switch a.Deed {
+	case claims.Run, claims.Kept:
+		r.keeper(results.Input{Kind: results.Written, Key: key})
+	case claims.Learn:
+		r.keeper(results.Input{Kind: results.Learned, Key: key, Ending: results.Ending(a.Ending), Result: a.Result})
+	case claims.Unsure:
+		r.keeper(results.Input{Kind: results.Doubted, Key: key})
+	case claims.Differ:
+		r.keeper(results.Input{Kind: results.Clashed, Key: key})
+	case claims.Deny:
+		r.keeper(results.Input{Kind: results.Denied, Key: key, For: a.For})
+	case claims.Heir:
+		if err := r.inherit(key, a); err != nil {
+			r.remark(Warn, "work of a lost node can't be taken over", a.Key.String(), err)
+			r.want(claims.Input{Want: claims.Drop, Key: a.Key})
+		}
+	}
+	r.Guard.Hold(c.desk != nil, "only a desk asks")
+}
+
+// askCouncil sends commands to a seat: this node's own while it knows a leader, else the one that answered last, and
+// another one where that is silent.
+func (r *Reducer) askCouncil(commands []claims.Command) {
+	c := &r.claimed
+	if c.since == 0 {
+		c.since = r.now
+	} else if r.now-c.since >= contactFor {
+		c.asks, c.since = (c.asks+1)%len(c.seats), r.now
+	}
+	if c.seat != nil && c.seat.Leader() != "" {
+		c.heard = append(c.heard, council.Input{Own: slices.Clone(commands)})
+		return
+	}
+	if to := c.seats[c.asks]; to != c.self.Name {
+		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: commands})
+	}
+}
+
+// inherit takes in what a lost node had claimed, as an invocation whose caller is not here.
+func (r *Reducer) inherit(key results.Key, a *claims.Action) error {
+	if r.post == nil || r.noticed {
+		return fmt.Errorf("this node takes nothing in")
+	}
+	var w work
+	if err := cbor.Unmarshal(a.Work, &w); err != nil {
+		return fmt.Errorf("its work can't be read: %w", err)
+	}
+	if _, used := r.calls[w.Call]; used || !hex16(w.Call) || len(w.Body) > bodyMost || w.HeldKB <= 0 || w.HeldKB >= heapMost {
+		return fmt.Errorf("call %q: in use, or not one", w.Call)
+	}
+	if r.kept.held[key] != nil {
+		return nil // a caller is here already, and its invocation goes on under this claim
+	}
+	if _, known := r.kept.keeper.Body(key); known {
+		return nil
+	}
+	op := &r.plate.Nameplate.Operations[key.Operation]
+	v := invocation{live: true, conn: heir, call: w.Call, op: r.claimed.names[key.Operation], body: w.Body, key: key, hash: a.Body,
+		taken: r.now, due: r.now + a.For}
+	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: -1, Repeats: node.NoRepeat, Further: true,
+		Age: max(0, op.ClientTimeout-a.For), HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
+	i := r.admit(v)
+	r.invs[i].arrival.Inv = i
+	r.kept.held[key] = &unrun{first: i, hash: v.hash}
+	r.tellModule(r.invs[i].arrival)
+	r.Counters.Inherited++
+	return nil
+}
+
+// sweepWaiting lets go of claims that nothing here waits for, and answers those whose client timeout comes near.
+func (r *Reducer) sweepWaiting() {
+	c := &r.claimed
+	c.sweep = r.now + sweepClaims
+	for _, k := range c.desk.Unrun() {
+		key, _ := r.resultKey(k)
+		if r.kept.held[key] != nil {
+			continue // the module's
+		}
+		if _, known := r.kept.keeper.Body(key); !known {
+			r.want(claims.Input{Want: claims.Drop, Key: k})
+			continue
+		}
+		askers, _ := r.kept.keeper.Askers(key)
+		for _, i := range askers {
+			if r.now >= r.invs[i].due-dueLead {
+				r.keeper(results.Input{Kind: results.Dismissed, Asker: i, Key: key, Doubt: c.desk.Elsewhere(k)})
+			}
+		}
+	}
+}
+
+// claimsDue is when desk or seat is to step again.
+func (r *Reducer) claimsDue() int64 {
+	c := &r.claimed
+	at := int64(never)
+	if c.seat != nil {
+		at = min(at, c.seatAt)
+	}
+	if c.desk != nil {
+		at = min(at, c.deskAt)
+		if c.desk.Size() > 0 {
+			at = min(at, c.sweep)
+		}
+	}
+	if len(c.wants)+len(c.heard) > 0 {
+		at = r.now + 1
+	}
+	return max(at, r.now+1)
+}
+
+// turnAway throttles a token's first invocation while the council is out of reach.
+func (r *Reducer) turnAway(link int, stream uint32) {
+	var fields []frame.Field
+	if back := min(contactFor, r.plate.Nameplate.ComeBackMax); back > 0 {
+		fields = append(fields, frame.Field{Name: "pushback", Value: fmt.Sprint((back + ms - 1) / ms)})
+	}
+	r.Counters.Throttled++
+	r.send(link, stream, frame.Throttled, fields, nil)
+}
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -196,6 +196,10 @@
 		return
 	}
 	c.usable, c.used = true, r.now
+	if r.unclaimed(&v) {
+		r.turnAway(link, f.Stream)
+		return
+	}
 	if r.post == nil || r.reading(&v) {
 		r.Counters.Throttled++
 		r.send(link, f.Stream, frame.Throttled, nil, nil)
@@ -204,6 +208,7 @@
 	e.Inv = r.admit(v)
 	if v.key.Token != "" {
 		r.invs[e.Inv].arrival, r.invs[e.Inv].taken = e, r.now
+		r.invs[e.Inv].due = r.now - e.Age + r.plate.Nameplate.Operations[e.Operation].ClientTimeout
 		r.hold(e.Inv, e.Repeats)
 	}
 	c.open[f.Stream] = e.Inv
@@ -400,6 +405,9 @@
 	r.quitCall(i)
 	r.leaveToken(i)
 	r.runOver(i)
+	if v.conn == heir {
+		return
+	}
 	switch code {
 	case frame.Succeeded:
 		r.Counters.Succeeded++
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 
+	"topazpost/claims"
 	"topazpost/lines"
 	"topazpost/node"
 )
@@ -237,8 +238,11 @@
 		return fmt.Errorf("end %q", words[3])
 	}
 	i, v := r.lookup(words[2])
-	if v == nil {
-		return nil // given up and forgotten before it ended
+	if v == nil { // given up and forgotten before it ended, or begun by an earlier life of this node
+		if outcome <= node.Errored {
+			r.want(claims.Input{Want: claims.Outlived, Call: words[2], Ending: uint8(outcome), Result: body})
+		}
+		return nil
 	}
 	r.readBy(func(c *command) bool { return c.call == v.call })
 	if v.asked {
--- a/reducer/kept.go
+++ b/reducer/kept.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"topazpost/claims"
 	"topazpost/frame"
 	"topazpost/node"
 	"topazpost/results"
@@ -81,6 +82,7 @@
 func (r *Reducer) hold(i, repeats int32) {
 	if v := &r.invs[i]; v.key.Token != "" && repeats == node.NoRepeat {
 		r.kept.held[v.key] = &unrun{first: i, hash: v.hash}
+		r.claim(i)
 	}
 }
 
@@ -268,11 +270,23 @@
 			r.run(a.Asker, v.runForm)
 		}
 	case results.Begin:
+		if r.claimed.desk != nil {
+			r.want(claims.Input{Want: claims.Begin, Key: r.claimKey(a.Key), Body: a.Body, For: a.Until - r.now, Window: a.Until - r.now})
+			return
+		}
 		r.do(Effect{Kind: Keep, Kept: &results.Stored{Key: a.Key, Body: a.Body, For: a.Until - r.now}})
 	case results.Finish:
+		if r.claimed.desk != nil {
+			r.want(claims.Input{Want: claims.Finish, Key: r.claimKey(a.Key), Ending: uint8(a.Ending), Result: a.Result})
+			return
+		}
 		r.do(Effect{Kind: Keep, Kept: &results.Stored{Key: a.Key, Done: true, Ending: a.Ending, Result: a.Result,
 			For: r.plate.Nameplate.Operations[a.Key.Operation].Window}})
-	case results.Join, results.Drop:
+	case results.Drop:
+		if r.claimed.desk != nil {
+			r.want(claims.Input{Want: claims.Drop, Key: r.claimKey(a.Key)})
+		}
+	case results.Join:
 	default:
 		r.answerKept(a)
 	}
--- a/reducer/peers.go
+++ b/reducer/peers.go
@@ -64,7 +64,13 @@
 		return
 	}
 	if msg.Kind == membership.Look {
-		if in.Kind == PeerAsked {
+		if in.Kind == PeerAsked && msg.Why == membership.LookClaims {
+			if picture := r.Claims(); picture != nil {
+				r.seal(Effect{Kind: PeerReply, Link: in.Link}, picture)
+			} else {
+				r.do(Effect{Kind: PeerReply, Link: in.Link})
+			}
+		} else if in.Kind == PeerAsked {
 			v := p.members.View()
 			r.seal(Effect{Kind: PeerReply, Link: in.Link}, &v)
 		}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -61,6 +61,7 @@
 	window         int64       // until which its token is known, as the module asked
 	arrival        node.Event  // as the module was told of it
 	taken          int64       // when
+	due            int64       // when its client timeout ends
 	runs           bool        // at the executor, for its token
 	asked          bool        // the keeper of results knows it
 	exited         bool        // its run is over, and its answer waits for the disk
@@ -116,6 +117,7 @@
 	Idle              int `json:"idle"`
 	Reports           int `json:"reports"`
 	ReportsFailed     int `json:"reports_failed"`
+	Inherited         int `json:"inherited"`
 }
 
 // Decider is what decides about invocations: control.Post, or a baseline of the laboratory.
@@ -177,8 +179,9 @@
 	levels  ladder
 	peers   peers
 	kept    kept
+	claimed claimed
 	later   []node.Event   // what the module is told in the next step: it was deciding
-	decided bool           // the module has decided in this step
+	decided bool           // the module has decided in this step, or had nothing to decide
 	stateAt int64          // when the next sample of the state is due
 	givenUp [node.Whys]int // invocations given up by reason since the last one
 	counted Counters       // the counters at the last one
@@ -219,13 +222,14 @@
 		}
 	}
 	r.keepTimers()
+	r.decided = true // what the module is told from here on is for the next step
 	if r.post != nil && len(r.events) > 0 {
-		r.decided = true
 		for _, a := range r.post.Decide(now, r.events) {
 			r.carry(&a)
 		}
 	}
 	r.keepResults()
+	r.keepClaims()
 	r.prove()
 	r.keepState()
 	r.keepPeers()
@@ -258,6 +262,8 @@
 		r.fromStore(in)
 	case PeerCame, PeerAsked, PeerAnswered, PeerMissed:
 		r.fromPeers(in)
+	case PeerTold, PeerHungUp:
+		r.fromStream(in)
 	case Notice:
 		r.drain()
 	case Reload:
@@ -306,7 +312,7 @@
 
 // wake is when the next of the timers is due.
 func (r *Reducer) wake() int64 {
-	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue())
+	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue())
 	if len(r.later) > 0 {
 		at = r.now + 1
 	}
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -37,6 +37,8 @@
 	PeerAsked                      // a peer opened an exchange, with its message
 	PeerAnswered                   // the answer to an exchange of ours
 	PeerMissed                     // an exchange of ours came to nothing
+	PeerTold                       // a letter on a stream of a peer
+	PeerHungUp                     // a stream ended
 	Adopt                          // there is a plan of levels, another one, or none any more
 )
 
@@ -85,6 +87,8 @@
 	PeerExchange                   // open an exchange with a peer, giving PeerAnswered or PeerMissed
 	PeerReply                      // answer the exchange that a peer opened; without bytes, close it
 	ViewChanged                    // tell of a change of the view
+	PeerStream                     // write a letter to the stream Link, or where that is gone or 0 to one to Address
+	PeerHangUp                     // end the stream
 )
 
 // Level is how loud a remark is.
--- a/results/results.go
+++ b/results/results.go
@@ -47,11 +47,12 @@
 // Ending is how a run ended.
 type Ending uint8
 
-// The endings; NotRun proves that nothing ran.
+// The endings; NotRun proves that nothing ran, NotKept says that it succeeded with a result too large to be kept.
 const (
 	Succeeded Ending = iota
 	Errored
 	NotRun
+	NotKept
 )
 
 // InputKind names what happened.
@@ -68,6 +69,11 @@
 	Forgotten                  // operators have a token forgotten
 	Recovered                  // a record was found on disk at the start
 	Restarted                  // all records were found
+	Learned                    // what a token that was to begin came to elsewhere
+	Doubted                    // it may have run elsewhere, how that ended is not known
+	Clashed                    // it came with another body elsewhere
+	Denied                     // there is no room for it, elsewhere; nothing ran
+	Dismissed                  // one that waits has to be answered now; Doubt says whether the token may have run
 )
 
 // Input is one thing that happened; only the fields of its kind are set.
@@ -81,6 +87,7 @@
 	Ending Ending // Ended, Settled; Recovered where Done
 	Result []byte // of a run that succeeded
 	Done   bool   // Recovered: the record is that of an end
+	Doubt  bool   // Dismissed
 }
 
 // Stored is what the store keeps of a token: that its run begins, or how it ended.
@@ -200,6 +207,14 @@
 			if e != nil && e.state == running {
 				k.ended(now, e, in)
 			}
+		case Learned, Doubted, Clashed, Denied:
+			if e != nil && e.state == beginning {
+				k.elsewhere(now, e, in)
+			}
+		case Dismissed:
+			if e != nil {
+				k.dismiss(now, e, in)
+			}
 		case Settled:
 			if e != nil && e.state == unknown {
 				k.settle(e, in)
@@ -334,6 +349,64 @@
 	}
 }
 
+// elsewhere ends a token that was to begin here with what became of it at another node.
+func (k *Keeper) elsewhere(now int64, e *entry, in *Input) {
+	all := e.waiting
+	if e.runner >= 0 {
+		all = append([]int32{e.runner}, all...)
+	}
+	k.Counts.Running--
+	if in.Kind == Learned {
+		e.keep(k, in.Ending, in.Result)
+		e.state, e.runner, e.waiting = done, -1, nil
+		heap.Push(&k.expiry, e)
+		for _, asker := range all {
+			k.answer(e, asker, true)
+		}
+		return
+	}
+	for _, asker := range all {
+		k.part(now, e, asker, in)
+	}
+	k.drop(e)
+}
+
+// part answers one that waits for a token, which goes on without it.
+func (k *Keeper) part(now int64, e *entry, asker int32, in *Input) {
+	switch {
+	case in.Kind == Clashed:
+		k.Counts.Mismatched++
+		k.do(Action{Kind: Mismatch, Asker: asker, Key: e.key})
+	case in.Kind == Doubted || in.Doubt:
+		k.Counts.UnknownAnswered++
+		k.do(Action{Kind: Unknown, Asker: asker, Key: e.key})
+	case in.For > 0:
+		k.Counts.Denied++
+		k.do(Action{Kind: Deny, Asker: asker, Key: e.key, For: in.For})
+	default:
+		k.deny(now, asker, e.key)
+	}
+}
+
+// dismiss answers one that can't wait any longer. Of a token whose run is over it is told the end, which is true though it
+// may not be kept yet; one whose run goes on is told nothing.
+func (k *Keeper) dismiss(now int64, e *entry, in *Input) {
+	if e.runner != in.Asker && !slices.Contains(e.waiting, in.Asker) {
+		return
+	}
+	switch e.state {
+	case finishing:
+		k.written(now, e, false)
+	case beginning:
+		e.leave(in.Asker)
+		k.part(now, e, in.Asker, in)
+		if e.runner < 0 && len(e.waiting) == 0 {
+			k.Counts.Running--
+			k.drop(e)
+		}
+	}
+}
+
 // ended keeps how a run ended. One that proved not to have run goes to the next that waits, if any.
 func (k *Keeper) ended(now int64, e *entry, in *Input) {
 	if in.Ending == NotRun {
@@ -356,7 +429,11 @@
 	e.keep(k, in.Ending, in.Result)
 	if k.rules.Durability == OnDisk {
 		e.state = finishing
-		k.do(Action{Kind: Finish, Key: e.key, Ending: e.ending, Result: e.result})
+		told := e.ending
+		if e.large {
+			told = NotKept
+		}
+		k.do(Action{Kind: Finish, Key: e.key, Ending: told, Result: e.result})
 		return
 	}
 	k.finish(e)
@@ -364,7 +441,9 @@
 
 func (e *entry) keep(k *Keeper, ending Ending, result []byte) {
 	e.ending, e.result = ending, result
-	if int64(len(result)) > k.rules.ResultMost {
+	if ending == NotKept {
+		e.ending, e.large, e.result = Succeeded, true, nil
+	} else if int64(len(result)) > k.rules.ResultMost {
 		e.large, e.result = true, nil
 		k.Counts.NotKept++
 	}
@@ -466,6 +545,18 @@
 	return 0
 }
 
+// Askers are those who wait for a token, and whether its run has not begun yet.
+func (k *Keeper) Askers(key Key) (list []int32, unrun bool) {
+	e := k.entries[key]
+	if e == nil {
+		return nil, false
+	}
+	if e.runner >= 0 {
+		list = append(list, e.runner)
+	}
+	return append(list, e.waiting...), e.state == beginning
+}
+
 // Due is when the next token expires, math.MaxInt64 where none does.
 func (k *Keeper) Due() int64 {
 	if len(k.expiry) == 0 {
--- a/server/peers.go
+++ b/server/peers.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -58,12 +59,15 @@
 	served map[int]chan []byte // by number, where the answer is waited for
 	next   int
 	opened chan struct{}
+
+	streams *streams
 }
 
 // join makes the node one of its fleet; run opens the sockets.
 func (s *Server) join(fleet *charter.Fleet) {
 	s.peers = &peering{s: s, fleet: fleet, in: make(chan reducer.Input, peeredWaiting), out: make(chan reducer.Effect, sendsWaiting),
 		served: make(map[int]chan []byte), opened: make(chan struct{}, openedMost)}
+	s.peers.streams = newStreams(s.peers, s.plate.streamsMost())
 	s.clock = ahead{s.clock, fleet.WallAhead}
 	now, wall := s.clock.Now()
 	s.state.Peer(fleet.Name, membership.New(fleet.Terms, now, wall, fleet.Kept, s.plate.Settings.Nameplate.Seed^fleetSeed))
@@ -198,8 +202,9 @@
 		select {
 		case places <- struct{}{}:
 			p.s.group.Go(func() error {
-				defer func() { conn.Close(); <-places }()
-				p.exchange(conn)
+				free := sync.OnceFunc(func() { <-places })
+				defer func() { conn.Close(); free() }()
+				p.exchange(conn, free)
 				return nil
 			})
 		default:
@@ -209,9 +214,22 @@
 	}
 }
 
-func (p *peering) exchange(conn net.Conn) {
+func (p *peering) exchange(conn net.Conn, place func()) {
 	conn.SetDeadline(time.Now().Add(exchangeWait))
-	text, err := readLetter(conn)
+	var head [4]byte
+	_, err := io.ReadFull(conn, head[:])
+	if err == nil && binary.LittleEndian.Uint32(head[:]) == streamMark {
+		conn.SetDeadline(time.Time{})
+		place()
+		if p.fleet.Council != nil {
+			p.streams.accept(conn)
+		}
+		return
+	}
+	var text []byte
+	if err == nil {
+		text, err = readLetter(io.MultiReader(bytes.NewReader(head[:]), conn))
+	}
 	if err != nil {
 		p.s.loud.Debug().Err(err).Msg("exchange of a peer ended early")
 		return
--- a/server/server.go
+++ b/server/server.go
@@ -10,6 +10,7 @@
 	"net"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"topazpost/keep"
 	"topazpost/reducer"
+	"topazpost/results"
 )
 
 const (
@@ -34,6 +36,7 @@
 	listenAgain   = 50 * time.Millisecond // between tries at it
 	stoodStill    = 20 * time.Millisecond // past its time, a timer tells of a process that did not run
 	catchUp       = 2 * time.Millisecond  // for the readers to bring what came meanwhile, before time-outs count
+	councilSeed   = 0x636f756e63696c      // told apart from the node's other sources of chance
 	remarksOnce   = 100                   // lines logged in a second of what peers cause; more are dropped
 )
 
@@ -76,8 +79,18 @@
 	if nameplate.Keep == nil {
 		nameplate.Keep = keep.Usual(nameplate.Settings.Nameplate.Operations, nameplate.MemoryMB)
 	}
+	convened := nameplate.Fleet != nil && nameplate.Fleet.Council != nil
 	if k := nameplate.Keep; k != nil {
-		s.state.Keep(k.Rules, k.Field, k.Folder != "")
+		rules := k.Rules
+		if convened { // what the council agrees on takes the place of the disk
+			rules.Durability, rules.Trouble = results.OnDisk, results.Refuse
+		}
+		s.state.Keep(rules, k.Field, k.Folder != "")
+	}
+	if convened {
+		now, _ := s.clock.Now()
+		c := nameplate.Fleet.Council
+		s.state.Convene(c.Seats, c.Bytes, now, nameplate.Settings.Nameplate.Seed^councilSeed)
 	}
 	return s
 }
@@ -108,11 +121,22 @@
 	links, closing = max(linkLeast, n.Sockets/linkPart), max(closingLeast, n.Sockets/closingPart)
 	connections = n.Sockets - ownFiles - links - closing
 	if n.Fleet != nil {
-		connections -= peerFiles
+		connections -= peerFiles + n.streamsMost()
 	}
 	return max(1, connections), closing, links
 }
 
+// streamsMost is how many streams to peers the node may have.
+func (n *Nameplate) streamsMost() int {
+	switch {
+	case n.Fleet == nil || n.Fleet.Council == nil:
+		return 0
+	case slices.Contains(n.Fleet.Council.Seats, n.Name):
+		return min(streamsSeat, max(streamsOther, n.Sockets/4))
+	}
+	return streamsOther
+}
+
 // Limit tells the runtime of the cores and memory that the nameplate allows, for programs that are nothing
 // but this node.
 func (n *Nameplate) Limit() {
@@ -143,6 +167,10 @@
 		}
 	}
 	if k := s.plate.Keep; k != nil && k.Folder != "" {
+		if s.plate.Fleet != nil && s.plate.Fleet.Council != nil {
+			s.listener.Close()
+			return errors.New("keep: a folder and the fleet's council can't both keep results; leave out durability and folder, or the council")
+		}
 		var err error
 		if s.kept, err = openKept(s, k); err != nil {
 			s.listener.Close()
@@ -203,9 +231,9 @@
 		s.heard <- reducer.Input{Kind: reducer.Adopt, Plan: s.plate.Levels}
 	}
 	notice, wake := s.notice, int64(math.MaxInt64)
-	var peered chan reducer.Input
+	var peered, streamed chan reducer.Input
 	if s.peers != nil {
-		peered = s.peers.in
+		peered, streamed = s.peers.in, s.peers.streams.told
 	}
 	for {
 		inputs = inputs[:0]
@@ -222,6 +250,8 @@
 			inputs = append(inputs, in)
 		case in := <-peered:
 			inputs = append(inputs, in)
+		case in := <-streamed:
+			inputs = append(inputs, in)
 		case <-notice:
 			notice = nil
 			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
@@ -234,6 +264,7 @@
 		inputs = takeAll(inputs, s.heard, inputsAStep)
 		inputs = takeAll(inputs, s.inputs, inputsAStep)
 		inputs = takeAll(inputs, peered, peeredAStep)
+		inputs = takeAll(inputs, streamed, toldAStep)
 		now, wall := s.clock.Now()
 		wake = math.MaxInt64
 		for _, e := range s.state.Step(now, wall, inputs) {
@@ -243,6 +274,7 @@
 			case e.Kind == reducer.Leave:
 				s.log.Info().Interface("counters", s.state.Counters).Interface("levels", s.state.Levels()).
 					Interface("results", s.state.Results()).Interface("peers", s.peerCounts()).
+					Interface("claims", s.state.Claims()).
 					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
 				if s.peers != nil {
 					s.peers.flush()
@@ -324,6 +356,10 @@
 		s.peers.open(e)
 	case reducer.PeerReply:
 		s.peers.reply(e)
+	case reducer.PeerStream:
+		s.peers.streams.send(e)
+	case reducer.PeerHangUp:
+		s.peers.streams.hangUp(e.Link)
 	case reducer.ViewChanged:
 		s.viewChanged(e.Change)
 	case reducer.Remark:
--- /dev/null
+++ b/server/streams.go
@@ -0,0 +1,248 @@
+package server
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"topazpost/letter"
+	"topazpost/reducer"
+)
+
+const (
+	streamMark    = 0x72747374             // in the place of a length, at the start of a stream: larger than any exchange
+	streamsSeat   = 96                     // streams of a node with a seat in the council: other seats, and nodes that ask it
+	streamsOther  = 12                     // of another node: the seats, and some that it talks to no more
+	lettersMost   = 512                    // letters that may wait on a stream; more are dropped, and sent again
+	toldWaiting   = 512                    // letters that may wait for the reducer; then their streams wait
+	toldAStep     = 128                    // of them taken in one step
+	streamIdle    = 60 * time.Second       // without a letter in either direction, then a stream is closed
+	streamWrite   = 2 * time.Second        // for one letter to be written
+	streamRest    = 2 * time.Second        // for the rest of a letter, once its length is read
+	streamPace    = 100 * time.Nanosecond  // for each byte of it beside that: 10 MB/s
+	streamDial    = time.Second            // for a stream to be opened
+	streamAgain   = 100 * time.Millisecond // between tries at one address
+	pendingLetter = 8 << 20                // bytes that may wait on a stream
+)
+
+var errStream = errors.New("the stream can't be read any further")
+
+// streams are connections on which peers send letters without being asked: those that this node opened and those that
+// it accepted, alike. Both directions of one are used.
+type streams struct {
+	p    *peering
+	told chan reducer.Input
+	most int
+
+	mu        sync.Mutex
+	last      int
+	byNumber  map[int]*stream
+	byAddress map[string]*stream
+	failed    map[string]time.Time
+}
+
+type stream struct {
+	number  int
+	address string // where it was opened to, empty for one that was accepted
+	out     chan []byte
+	stop    chan struct{}
+	once    sync.Once
+	mu      sync.Mutex
+	waiting int // bytes
+}
+
+func newStreams(p *peering, most int) *streams {
+	return &streams{p: p, told: make(chan reducer.Input, toldWaiting), most: most, byNumber: map[int]*stream{}, byAddress: map[string]*stream{},
+		failed: map[string]time.Time{}}
+}
+
+// add takes a stream on, if there is room.
+func (s *streams) add(address string) *stream {
+	if len(s.byNumber) >= s.most {
+		return nil
+	}
+	s.last++
+	x := &stream{number: s.last, address: address, out: make(chan []byte, lettersMost), stop: make(chan struct{})}
+	s.byNumber[x.number] = x
+	if address != "" {
+		s.byAddress[address] = x
+	}
+	return x
+}
+
+func (s *streams) drop(x *stream) {
+	s.mu.Lock()
+	delete(s.byNumber, x.number)
+	if s.byAddress[x.address] == x {
+		delete(s.byAddress, x.address)
+	}
+	s.mu.Unlock()
+	x.end()
+	s.hand(reducer.Input{Kind: reducer.PeerHungUp, Link: x.number})
+}
+
+func (x *stream) end() { x.once.Do(func() { close(x.stop) }) }
+
+func (s *streams) hand(in reducer.Input) bool {
+	select {
+	case s.told <- in:
+		return true
+	case <-s.p.s.ctx.Done():
+		return false
+	}
+}
+
+// send carries out PeerStream: never waits, drops what there is no room for.
+func (s *streams) send(e *reducer.Effect) {
+	s.mu.Lock()
+	x := s.byNumber[e.Link]
+	if x == nil && e.Address != "" {
+		if x = s.byAddress[e.Address]; x == nil && time.Since(s.failed[e.Address]) >= streamAgain {
+			if x = s.add(e.Address); x != nil {
+				s.p.s.group.Go(func() error { s.open(x); return nil })
+			}
+		}
+	}
+	s.mu.Unlock()
+	if x == nil || !x.take(e.Bytes) {
+		s.p.counters.Dropped.Add(1)
+	}
+}
+
+func (x *stream) take(b []byte) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.waiting+len(b) > pendingLetter && x.waiting > 0 {
+		return false
+	}
+	select {
+	case x.out <- b:
+		x.waiting += len(b)
+		return true
+	default:
+		return false
+	}
+}
+
+// hangUp carries out PeerHangUp.
+func (s *streams) hangUp(number int) {
+	s.mu.Lock()
+	x := s.byNumber[number]
+	s.mu.Unlock()
+	if x != nil {
+		x.end()
+	}
+}
+
+func (s *streams) open(x *stream) {
+	defer s.drop(x)
+	dialer := net.Dialer{Timeout: streamDial}
+	if host, _, err := net.SplitHostPort(s.p.fleet.Bind); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			dialer.LocalAddr = &net.TCPAddr{IP: ip} // so that peers can tell who it is
+		}
+	}
+	conn, err := dialer.DialContext(s.p.s.ctx, "tcp", x.address)
+	if err == nil {
+		_, err = conn.Write(binary.LittleEndian.AppendUint32(nil, streamMark))
+	}
+	if err != nil {
+		s.mu.Lock()
+		if len(s.failed) > 4*s.most {
+			clear(s.failed)
+		}
+		s.failed[x.address] = time.Now()
+		s.mu.Unlock()
+		s.p.s.loud.Debug().Err(err).Str("to", x.address).Msg("stream to a peer could not be opened")
+		return
+	}
+	s.carry(x, conn)
+}
+
+// accept goes on with a connection that a peer opened as a stream.
+func (s *streams) accept(conn net.Conn) {
+	s.mu.Lock()
+	x := s.add("")
+	s.mu.Unlock()
+	if x == nil {
+		s.p.counters.Refused.Add(1)
+		return
+	}
+	defer s.drop(x)
+	s.carry(x, conn)
+}
+
+// carry writes what waits and hands on what comes, until one of them ends.
+func (s *streams) carry(x *stream, conn net.Conn) {
+	defer conn.Close()
+	done := make(chan struct{})
+	s.p.s.group.Go(func() error {
+		defer close(done)
+		defer conn.Close()
+		s.write(x, conn)
+		return nil
+	})
+	if err := s.read(x, conn); err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
+		s.p.s.loud.Debug().Err(err).Stringer("peer", conn.RemoteAddr()).Msg("stream of a peer ended")
+	}
+	x.end()
+	<-done
+}
+
+func (s *streams) write(x *stream, conn net.Conn) {
+	idle := time.NewTimer(streamIdle)
+	defer idle.Stop()
+	var space []byte
+	for {
+		select {
+		case b := <-x.out:
+			x.mu.Lock()
+			x.waiting -= len(b)
+			x.mu.Unlock()
+			idle.Reset(streamIdle)
+			conn.SetWriteDeadline(time.Now().Add(streamWrite + time.Duration(len(b))*streamPace))
+			space = append(binary.LittleEndian.AppendUint32(space[:0], uint32(len(b))), b...)
+			if _, err := conn.Write(space); err != nil {
+				return
+			}
+			if cap(space) > letter.ExchangeMost {
+				space = nil
+			}
+		case <-idle.C:
+			return
+		case <-x.stop:
+			return
+		case <-s.p.s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *streams) read(x *stream, conn net.Conn) error {
+	var head [4]byte
+	for {
+		conn.SetReadDeadline(time.Now().Add(2 * streamIdle))
+		if _, err := io.ReadFull(conn, head[:]); err != nil {
+			return err
+		}
+		length := binary.LittleEndian.Uint32(head[:])
+		if length < letter.Head || length > letter.StreamMost {
+			return fmt.Errorf("%w: a length of %d, %d to %d may be", errStream, length, letter.Head, letter.StreamMost)
+		}
+		conn.SetReadDeadline(time.Now().Add(streamRest + time.Duration(length)*streamPace))
+		text, err := io.ReadAll(io.LimitReader(conn, int64(length))) // memory grows with what really comes
+		if err == nil && len(text) < int(length) {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return err
+		}
+		if !s.hand(reducer.Input{Kind: reducer.PeerTold, Link: x.number, From: conn.RemoteAddr().String(), Bytes: text}) {
+			return net.ErrClosed
+		}
+	}
+}
