--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -36,6 +36,7 @@
 	Processes   bool
 	Storm       bool              // of repeats of tokens, by callers that go to any node
 	Kills       int               // of all nodes in turn, at drawn moments, each started again at once
+	Longest     settings.Time     // run of a storm, 30 ms without it
 	Council     int               // seats that agree on claims of tokens
 	Keep        map[string]string // of the file of kept results; none without it
 	Nodes       int
@@ -131,6 +132,7 @@
 	Seed     int64
 	Measures map[string]float64
 	Timeline []string
+	History  []Told // of a storm
 	Failed   string // why it could not be played to its end
 }
 
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"topazpost/membership"
+	"topazpost/settings"
 )
 
 const (
@@ -63,6 +64,9 @@
 	chance := rand.New(rand.NewSource(seed))
 	var err error
 	p.storm = newStorm(seed)
+	if n.Longest > 0 {
+		p.storm.runMost = int(n.Longest / settings.Time(ms))
+	}
 	for range n.Nodes {
 		b, err := newBench(p.storm)
 		if err != nil {
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -24,7 +24,8 @@
 	openEach    = 4                // of them
 	tokensOpen  = 40               // tokens of which invocations are drawn at a time: each comes again and again
 	freshEvery  = 8                // of so many invocations one opens a new token and retires the oldest
-	runMost     = 30               // ms of a run at the most
+	runUsual    = 30               // ms of a run at the most
+	historyMost = 2_000_000        // invocations that are remembered whole
 	answerMost  = 12 * time.Second // past the client timeout, then an invocation counts as lost
 	changeEvery = 40               // invocations after which a caller goes to another node
 	pace        = 2                // ms that a caller waits between answers at the most
@@ -46,12 +47,27 @@
 	runs   map[string]int
 	broke  map[string]bool // tokens whose caller lost its connection before an answer
 	after  map[string]bool // of them, those that were answered with their result later
-	taken  int
+
+	runMost int // ms of a run
+	history []Told
+}
+
+// Told is one invocation as its caller saw it: what became of it, empty where its connection broke. Times are ns.
+type Told struct {
+	Token, Outcome string
+	From, To       int64
+	Caller         int
+}
+
+// sent is an invocation that waits for its answer.
+type sent struct {
+	token string
+	at    time.Time
 }
 
 func newStorm(seed int64) *storm {
 	return &storm{stop: make(chan struct{}), chance: rand.New(rand.NewSource(seed)), counts: map[string]int{}, runs: map[string]int{},
-		broke: map[string]bool{}, after: map[string]bool{}}
+		broke: map[string]bool{}, after: map[string]bool{}, runMost: runUsual}
 }
 
 // bench is a node's executor, which outlives the node: what a node that was killed began goes on, and the next life hears
@@ -62,6 +78,7 @@
 	mu       sync.Mutex
 	notices  int
 	conn     net.Conn
+	unheard  []string // ends that nobody was there for
 }
 
 func newBench(s *storm) (*bench, error) {
@@ -83,7 +100,7 @@
 }
 
 func (b *bench) serve(conn net.Conn) {
-	defer conn.Close()
+	defer b.gone(conn)
 	in := bufio.NewReader(conn)
 	for {
 		line, err := in.ReadString('\n')
@@ -98,6 +115,11 @@
 				b.notices = 0
 			}
 			fmt.Fprint(conn, "WELCOME old 60000\r\n")
+			ends := b.unheard
+			b.unheard = nil
+			for _, end := range ends {
+				b.tell(end)
+			}
 		case len(w) == 2 && w[0] == "METER":
 			fmt.Fprintf(conn, "METERS %s 0.1 1\r\n", w[1])
 		}
@@ -118,21 +140,42 @@
 	s := b.storm
 	s.mu.Lock()
 	s.runs[token]++
-	after := time.Duration(s.chance.Intn(runMost)) * time.Millisecond
+	after := time.Duration(s.chance.Intn(s.runMost)) * time.Millisecond
 	result := fmt.Sprintf("%s run %d", token, s.runs[token])
 	s.mu.Unlock()
 	time.AfterFunc(after, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.notices++
-		fmt.Fprintf(b.conn, "EXIT %d %s good 5 %d\r\n%s\r\n", b.notices, call, len(result), result)
+		b.tell(fmt.Sprintf("%s good 5 %d\r\n%s\r\n", call, len(result), result))
 	})
 }
 
+// tell writes an end as the next notice, or keeps it for whoever joins next.
+func (b *bench) tell(end string) {
+	if b.conn != nil {
+		if _, err := fmt.Fprintf(b.conn, "EXIT %d %s", b.notices+1, end); err == nil {
+			b.notices++
+			return
+		}
+		b.conn = nil
+	}
+	b.unheard = append(b.unheard, end)
+}
+
+// gone is the end of a link: a node that was killed hears no more on it.
+func (b *bench) gone(conn net.Conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.conn == conn {
+		b.conn = nil
+	}
+	conn.Close()
+}
+
 // begin sends the callers out.
 func (s *storm) begin(p *processes) {
 	for k := range callers {
-		s.group.Go(func() { s.call(p, rand.New(rand.NewSource(int64(k)))) })
+		s.group.Go(func() { s.call(p, k, rand.New(rand.NewSource(int64(k)))) })
 	}
 }
 
@@ -151,6 +194,7 @@
 		}
 	}
 	o.Timeline = append(o.Timeline, s.wrong...)
+	o.History = s.history
 	m["twice"], m["tokens_run"], m["invocations"], m["wrong_answers"] = float64(twice), float64(len(s.runs)), float64(s.asked), float64(len(s.wrong))
 	for _, what := range []string{"succeeded", "kept", "throttled", "unknown", "errored", "broken", "lost"} {
 		m[what] = float64(s.counts[what])
@@ -237,7 +281,7 @@
 }
 
 // call is one caller: some invocations open at a time on a connection to a node, then on one to another.
-func (s *storm) call(p *processes, chance *rand.Rand) {
+func (s *storm) call(p *processes, caller int, chance *rand.Rand) {
 	for !s.ending() {
 		_, addresses := p.serving()
 		if len(addresses) == 0 {
@@ -249,13 +293,14 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		s.converse(conn, chance)
+		s.converse(conn, caller, chance)
 		conn.Close()
 	}
 }
 
-func (s *storm) converse(conn net.Conn, chance *rand.Rand) {
-	open := map[uint32]string{}
+func (s *storm) converse(conn net.Conn, caller int, chance *rand.Rand) {
+	open := map[uint32]sent{}
+	defer func() { s.broken(open, caller) }()
 	var parser frame.Parser
 	for stream := uint32(1); ; {
 		ending := s.ending() || stream > changeEvery
@@ -264,12 +309,10 @@
 			text := frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "hold"}, {Name: "call", Value: call},
 				{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "1"},
 				{Name: "heap", Value: "1"}, {Name: "token", Value: token}}, []byte(token))
+			open[stream] = sent{token, time.Now()}
 			if _, err := conn.Write(text); err != nil {
-				open[stream] = token
-				s.broken(open)
 				return
 			}
-			open[stream] = token
 			stream++
 		}
 		if len(open) == 0 {
@@ -280,13 +323,15 @@
 		if err != nil {
 			var late net.Error
 			if errors.As(err, &late) && late.Timeout() {
-				s.count("lost", fmt.Sprintf("%d invocations had no answer within %s", len(open), answerMost))
+				for range open {
+					s.count("lost", fmt.Sprintf("no answer within %s", answerMost))
+				}
 				return
 			}
-			s.broken(open)
 			return
 		}
 		parser.Wrote(n)
+		var back time.Duration
 		for {
 			f, ok, err := parser.Next()
 			if err != nil {
@@ -297,24 +342,33 @@
 				break
 			}
 			if f.Type == frame.Answer {
-				s.answered(open, &f)
+				back = max(back, s.answered(open, &f, caller))
 			}
 		}
-		time.Sleep(time.Duration(chance.Intn(pace*1_000)) * time.Microsecond)
+		time.Sleep(back + time.Duration(chance.Intn(pace*1_000))*time.Microsecond)
 	}
 }
 
-func (s *storm) broken(open map[uint32]string) {
+func (s *storm) broken(open map[uint32]sent, caller int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, token := range open {
+	for _, o := range open {
 		s.counts["broken"]++
-		s.broke[token] = true
+		s.broke[o.token] = true
+		s.remember(o, "", caller)
+	}
+}
+
+func (s *storm) remember(o sent, outcome string, caller int) {
+	if len(s.history) < historyMost {
+		s.history = append(s.history, Told{o.token, outcome, o.at.UnixNano(), time.Now().UnixNano(), caller})
 	}
 }
 
-func (s *storm) answered(open map[uint32]string, f *frame.Frame) {
-	token, asked := open[f.Stream]
+// answered takes an answer, and says when the caller may ask again.
+func (s *storm) answered(open map[uint32]sent, f *frame.Frame, caller int) (back time.Duration) {
+	o, asked := open[f.Stream]
+	token := o.token
 	if !asked {
 		s.count("wrong", fmt.Sprintf("stream %d has more than one answer", f.Stream))
 		return
@@ -329,28 +383,34 @@
 	for _, x := range fields {
 		noted[x.Name] = x.Value
 	}
+	told, wrong := "errored", ""
+	outcome := "unknown"
 	switch f.Payload[0] {
 	case frame.Succeeded:
-		what, wrong := "succeeded", ""
+		told, outcome = "succeeded", string(body)
 		if noted["kept"] != "" {
-			what = "kept"
+			told = "kept"
 		}
-		if string(body) != token+" run 1" {
+		if outcome != token+" run 1" {
 			wrong = fmt.Sprintf("token %s was answered %q", token, body)
 		}
-		s.count(what, wrong)
-		s.mu.Lock()
-		if s.broke[token] {
-			s.after[token] = true
-		}
-		s.mu.Unlock()
 	case frame.Throttled:
-		s.count("throttled", "")
+		told, outcome = "throttled", "throttled"
+		ms, _ := strconv.Atoi(noted["pushback"])
+		back = time.Duration(ms) * time.Millisecond
 	default:
 		if noted["outcome"] == "unknown" {
-			s.count("unknown", "")
-		} else {
-			s.count("errored", "")
+			told = "unknown"
+		}
+	}
+	s.count(told, wrong)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if told == "succeeded" || told == "kept" {
+		if s.broke[token] {
+			s.after[token] = true
 		}
 	}
+	s.remember(o, outcome, caller)
+	return back
 }
