Tests of claims, desk, heirs and their door; inherited work keeps its due time

Need: an heir's module gave inherited work up as hopeless, since its latency objective had passed with the death of its node (reducer/claims.go, inherit). Its objective now counts from the takeover, its due time stays.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -154,6 +154,7 @@
 
 	entries map[Key]*Entry
 	owned   map[Owner]map[Key]*Entry // those whose owner can still be lost: claimed and started
+	taken   map[Key]*Entry           // those that an heir owns and has not begun
 	expiry  expiry
 	time    int64
 	fence   uint64
@@ -169,7 +170,7 @@
 
 // NewTable is a table without claims.
 func NewTable() *Table {
-	return &Table{entries: map[Key]*Entry{}, owned: map[Owner]map[Key]*Entry{}, most: bytesUsual}
+	return &Table{entries: map[Key]*Entry{}, owned: map[Owner]map[Key]*Entry{}, taken: map[Key]*Entry{}, most: bytesUsual}
 }
 
 // Apply carries out one command. It depends on nothing but the commands before.
@@ -255,6 +256,7 @@
 		t.Counters.Started++
 		t.bytes -= int64(len(e.Work))
 		e.State, e.Work = Started, nil
+		delete(t.taken, e.Key)
 		t.keep(e, t.time+e.Window)
 	}
 }
@@ -340,9 +342,13 @@
 		t.owned[e.Owner] = all
 	}
 	all[e.Key] = e
+	if e.Taken && e.State == Claimed {
+		t.taken[e.Key] = e
+	}
 }
 
 func (t *Table) leave(e *Entry) {
+	delete(t.taken, e.Key)
 	all := t.owned[e.Owner]
 	delete(all, e.Key)
 	if len(all) == 0 {
@@ -400,6 +406,14 @@
 	return list
 }
 
+// Taken are the claims that heirs own and have not begun, by token; they must not be changed.
+func (t *Table) Taken() (list []*Entry) {
+	for _, k := range slices.SortedFunc(maps.Keys(t.taken), Compare) {
+		list = append(list, t.taken[k])
+	}
+	return list
+}
+
 // All are the claims by token, at most so many.
 func (t *Table) All(most int) (list []*Entry) {
 	for _, k := range slices.SortedFunc(maps.Keys(t.entries), Compare) {
--- /dev/null
+++ b/claims/claims_test.go
@@ -0,0 +1,192 @@
+package claims
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestOneOwnerAtATime(t *testing.T) {
+	x := NewTable()
+	v := x.Apply(ask(a, "t"))
+	assert.Equal(t, Granted, v.Answer)
+	assert.Equal(t, v, x.Apply(ask(a, "t")), "a command that is sent again is answered alike")
+	other := x.Apply(ask(b, "t"))
+	assert.Equal(t, Elsewhere, other.Answer)
+	assert.Equal(t, a, other.Owner)
+	clash := ask(b, "t")
+	clash.Body = 8
+	assert.Equal(t, Clash, x.Apply(clash).Answer)
+	assert.Equal(t, Fenced, x.Apply(&Command{Kind: Start, From: b, Key: key("t"), Fence: v.Fence}).Answer, "a fence is its owner's")
+	assert.Equal(t, Granted, x.Apply(&Command{Kind: Start, From: a, Key: key("t"), Fence: v.Fence}).Answer)
+	assert.Equal(t, Done, x.Apply(&Command{Kind: End, From: a, Key: key("t"), Fence: v.Fence, Result: []byte("r")}).Answer)
+	assert.Equal(t, []Settled{{key("t"), []Owner{b}}}, x.Told)
+	known := x.Apply(ask(b, "t"))
+	assert.Equal(t, Known, known.Answer)
+	assert.Equal(t, "r", string(known.Result))
+}
+
+func TestTakenClaimIsLostToItsOwner(t *testing.T) {
+	x := NewTable()
+	old := x.Apply(ask(a, "t")).Fence
+	v := x.Apply(&Command{Kind: Take, Key: key("t"), Fence: old, Heir: b})
+	assert.Greater(t, v.Fence, old)
+	assert.Equal(t, Fenced, x.Apply(&Command{Kind: Take, Key: key("t"), Fence: old, Heir: a}).Answer, "nor is it taken twice")
+	assert.Equal(t, Fenced, x.Apply(&Command{Kind: Start, From: a, Key: key("t"), Fence: old}).Answer)
+	x.Apply(&Command{Kind: Release, From: a, Key: key("t"), Fence: old})
+	assert.Equal(t, Granted, x.Apply(&Command{Kind: Start, From: b, Key: key("t"), Fence: v.Fence}).Answer, "its late release changes nothing")
+}
+
+func TestStartedClaimIsNeverTaken(t *testing.T) {
+	x, fence := started("t")
+	assert.Equal(t, Fenced, x.Apply(&Command{Kind: Take, Key: key("t"), Fence: fence, Heir: b}).Answer)
+	x.Apply(&Command{Kind: Doubt, Key: key("t"), Fence: fence})
+	assert.Equal(t, Doubted, x.Apply(ask(b, "t")).Answer)
+	assert.Equal(t, Done, x.Apply(&Command{Kind: End, From: a, Key: key("t"), Fence: fence, Result: []byte("late")}).Answer)
+	assert.Equal(t, Known, x.Apply(ask(b, "t")).Answer, "a late result settles it")
+	assert.Equal(t, 1, x.Counters.Settled)
+}
+
+func TestExecutorThatOutlivedItsNodeSettles(t *testing.T) {
+	x, fence := started("t")
+	x.Apply(&Command{Kind: Doubt, Key: key("t"), Fence: fence})
+	x.Apply(&Command{Kind: Settle, From: Owner{"b", 9}, Call: "c-t"})
+	assert.Equal(t, Unknown, x.Find(key("t")).State, "another node's executor knows nothing of it")
+	x.Apply(&Command{Kind: Settle, From: Owner{"a", 9}, Call: "c-t", Result: []byte("r")})
+	assert.Equal(t, Ended, x.Find(key("t")).State)
+}
+
+func TestReleasedClaimIsFreeAgainUnderAnotherFence(t *testing.T) {
+	x, fence := started("t")
+	x.Apply(&Command{Kind: Release, From: a, Key: key("t"), Fence: fence})
+	v := x.Apply(ask(b, "t"))
+	assert.Equal(t, Granted, v.Answer)
+	assert.Greater(t, v.Fence, fence)
+	assert.Equal(t, Fenced, x.Apply(&Command{Kind: Start, From: a, Key: key("t"), Fence: fence}).Answer)
+}
+
+func TestTimePassesOnceOnly(t *testing.T) {
+	x := NewTable()
+	x.Apply(ask(a, "t"))
+	x.Apply(&Command{Kind: Pass, At: 0, For: 3_000 * ms})
+	x.Apply(&Command{Kind: Pass, At: 0, For: 3_000 * ms})
+	assert.Equal(t, 3_000*ms, x.Time(), "who measured the same span is too late")
+	require.NotNil(t, x.Find(key("t")))
+	pass(x, 2_000*ms)
+	assert.Nil(t, x.Find(key("t")), "what was only claimed goes at its due time")
+	x, _ = started("t")
+	pass(x, 59_999*ms)
+	require.NotNil(t, x.Find(key("t")), "what was started stays for its window")
+	pass(x, ms)
+	assert.Nil(t, x.Find(key("t")))
+}
+
+func TestFullTableNamesATimeToComeBack(t *testing.T) {
+	x := NewTable()
+	x.Apply(&Command{Kind: Pass, For: 1, Most: 1_000})
+	answers := map[Answer]int{}
+	for i := range 6 {
+		v := x.Apply(ask(a, fmt.Sprint(i)))
+		answers[v.Answer]++
+		if v.Answer == Full {
+			assert.Equal(t, 5_000*ms, v.For)
+		}
+	}
+	assert.Equal(t, map[Answer]int{Granted: 3, Full: 3}, answers)
+	_, bytes := x.Size()
+	assert.LessOrEqual(t, bytes, int64(1_000))
+}
+
+// Any commands in any order: fences only grow, tables that carry out the same are the same, a snapshot is the table, and
+// its bytes are those of its claims.
+func TestTablesAreAFunctionOfTheirCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x, y := NewTable(), NewTable()
+		fences := map[Key]uint64{}
+		starts := map[Key]map[uint64]bool{}
+		for n := range rapid.IntRange(1, 120).Draw(t, "commands") {
+			c := Command{Kind: CommandKind(rapid.IntRange(0, int(Pass)).Draw(t, "kind")), From: Owner{rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "from"), 1},
+				Key: key(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "token"))), Body: 7, For: rapid.Int64Range(0, 9_000*ms).Draw(t, "for"),
+				Window: 20_000 * ms, Work: []byte("w"), Fence: rapid.Uint64Range(0, 12).Draw(t, "fence"), Heir: b, At: x.Time(), Seq: uint64(n), Call: "c"}
+			if e := x.Find(c.Key); e != nil && rapid.Bool().Draw(t, "apt") {
+				c.Fence, c.From = e.Fence, e.Owner
+			}
+			v := x.Apply(&c)
+			if w := y.Apply(&c); fmt.Sprint(v) != fmt.Sprint(w) {
+				t.Fatalf("%v and %v of one command", v, w)
+			}
+			if e := x.Find(c.Key); e != nil {
+				if e.Fence < fences[c.Key] {
+					t.Fatalf("fence %d after %d", e.Fence, fences[c.Key])
+				}
+				fences[c.Key] = e.Fence
+			}
+			if c.Kind == Start && v.Answer == Granted {
+				if starts[c.Key] == nil {
+					starts[c.Key] = map[uint64]bool{}
+				}
+				starts[c.Key][c.Fence] = true
+			}
+			if n%20 == 0 {
+				text, err := x.Snapshot()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if y, err = Restore(text); err != nil {
+					t.Fatal(err)
+				}
+				again, _ := y.Snapshot()
+				if string(again) != string(text) {
+					t.Fatal("a snapshot that was read is another")
+				}
+			}
+		}
+		sum, owned := int64(0), 0
+		for _, e := range x.All(100) {
+			sum += e.size()
+			if e.State <= Started {
+				owned++
+			}
+		}
+		_, bytes := x.Size()
+		if sum != bytes {
+			t.Fatalf("%d bytes of claims, %d counted", sum, bytes)
+		}
+		for _, o := range x.Owners() {
+			owned -= len(x.Of(o))
+		}
+		if owned != 0 {
+			t.Fatalf("%d claims have no owner to be lost with", owned)
+		}
+	})
+}
+
+func TestSpoiltSnapshotsAreRefused(t *testing.T) {
+	x, _ := started("t")
+	text, err := x.Snapshot()
+	require.NoError(t, err)
+	for cut := range text {
+		_, err := Restore(text[:cut])
+		assert.Error(t, err, "cut at %d", cut)
+	}
+	_, err = Commands([]byte("no commands"))
+	assert.Error(t, err)
+}
+
+func BenchmarkClaimStartEnd(b *testing.B) {
+	x := NewTable()
+	x.Apply(&Command{Kind: Pass, For: 1, Most: 1 << 40})
+	n := 0
+	for b.Loop() {
+		n++
+		c := ask(a, fmt.Sprint(n))
+		fence := x.Apply(c).Fence
+		x.Apply(&Command{Kind: Start, From: a, Key: c.Key, Fence: fence})
+		x.Apply(&Command{Kind: End, From: a, Key: c.Key, Fence: fence, Result: []byte("result")})
+	}
+	entries, bytes := x.Size()
+	b.ReportMetric(float64(bytes)/float64(entries), "bytes/claim")
+}
--- /dev/null
+++ b/claims/helpers_test.go
@@ -0,0 +1,61 @@
+package claims
+
+var (
+	a = Owner{"a", 1}
+	b = Owner{"b", 1}
+)
+
+func key(token string) Key { return Key{Operation: "hold", Token: token} }
+
+func ask(from Owner, token string) *Command {
+	return &Command{Kind: Claim, From: from, Key: key(token), Body: 7, For: 5_000 * ms, Window: 60_000 * ms, Work: []byte("work"), Call: "c-" + token}
+}
+
+// started is a table in which a has started a token.
+func started(token string) (*Table, uint64) {
+	t := NewTable()
+	fence := t.Apply(ask(a, token)).Fence
+	t.Apply(&Command{Kind: Start, From: a, Key: key(token), Fence: fence})
+	return t, fence
+}
+
+func pass(t *Table, by int64) { t.Apply(&Command{Kind: Pass, At: t.Time(), For: by}) }
+
+// at is a desk whose council answered last at a moment.
+func at(now int64) *Desk {
+	d := NewDesk(a)
+	d.Step(now, nil)
+	d.Step(now, []Input{{Want: Answered, Verdict: Verdict{Seq: d.probe}}})
+	return d
+}
+
+// sent are the commands among actions.
+func sent(actions []Action) (list []Command) {
+	for _, x := range actions {
+		list = append(list, x.Commands...)
+	}
+	return list
+}
+
+func deeds(actions []Action) (list []Deed) {
+	for _, x := range actions {
+		if x.Deed != Ask {
+			list = append(list, x.Deed)
+		}
+	}
+	return list
+}
+
+func arrived(token string) Input {
+	return Input{Want: Arrived, Key: key(token), Body: 7, For: 5_000 * ms, Window: 60_000 * ms, Work: []byte("work")}
+}
+
+// after steps a desk a moment later.
+func after(d *Desk, by int64, inputs ...Input) []Action {
+	actions, _ := d.Step(d.now+by, inputs)
+	return actions
+}
+
+func verdict(seq uint64, answer Answer, fence uint64) Input {
+	return Input{Want: Answered, Verdict: Verdict{Seq: seq, Answer: answer, Fence: fence}}
+}
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -314,7 +314,8 @@
 	}
 }
 
-// inherit takes in what a lost node had claimed, as an invocation whose caller is not here.
+// inherit takes in what a lost node had claimed, as an invocation whose caller is not here. Its due time stays; its latency
+// objective counts from now on, or the module would give up as hopeless what was lost with its node.
 func (r *Reducer) inherit(key results.Key, a *claims.Action) error {
 	if r.post == nil || r.noticed {
 		return fmt.Errorf("this node takes nothing in")
@@ -332,11 +333,10 @@
 	if _, known := r.kept.keeper.Body(key); known {
 		return nil
 	}
-	op := &r.plate.Nameplate.Operations[key.Operation]
 	v := invocation{live: true, conn: heir, call: w.Call, op: r.claimed.names[key.Operation], body: w.Body, key: key, hash: a.Body,
 		taken: r.now, due: r.now + a.For}
 	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: -1, Repeats: node.NoRepeat, Further: true,
-		Age: max(0, op.ClientTimeout-a.For), HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
+		Due: r.now + a.For, HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
 	i := r.admit(v)
 	r.invs[i].arrival.Inv = i
 	r.kept.held[key] = &unrun{first: i, hash: v.hash}
@@ -358,7 +358,10 @@
 			r.want(claims.Input{Want: claims.Drop, Key: k})
 			continue
 		}
-		askers, _ := r.kept.keeper.Askers(key)
+		askers, unrun := r.kept.keeper.Askers(key)
+		if unrun && len(askers) == 0 {
+			r.keeper(results.Input{Kind: results.Dismissed, Asker: -1, Key: key})
+		}
 		for _, i := range askers {
 			if r.now >= r.invs[i].due-dueLead {
 				r.keeper(results.Input{Kind: results.Dismissed, Asker: i, Key: key, Doubt: c.desk.Elsewhere(k)})
--- /dev/null
+++ b/reducer/claims_test.go
@@ -0,0 +1,226 @@
+package reducer
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/claims"
+	"topazpost/council"
+	"topazpost/letter"
+	"topazpost/membership"
+	"topazpost/plate"
+	"topazpost/results"
+)
+
+// sitting is a node that serves, whose claims are agreed on by a council in which n0 sits alone, and this node does not.
+func sitting(t *testing.T) *Reducer {
+	p, err := plate.FromJSON(1, []byte(tokened))
+	require.NoError(t, err)
+	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
+	charter := membership.Charter{Name: "n1", Address: "127.0.0.1:1", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 1 << 50, MembersMost: 8}
+	r.Peer("tests", membership.New(charter, 0, 1_000_000*ms, 0, 1))
+	r.Keep(results.Rules{Durability: results.OnDisk, BytesMost: 1 << 20, ResultMost: 1 << 10, Window: 60_000 * ms}, "token", false)
+	r.Convene([]string{"n0"}, 0, 0, 1)
+	step(r, Input{Kind: Opened, Link: 7})
+	step(r, Input{Kind: Joined, Link: r.dialing})
+	told(r, "WELCOME old 0")
+	told(r, "METERS j1 0.1 1 0.1 3")
+	r.claimed.links["n0"] = 3
+	heardFrom(t, r, &council.Message{Kind: council.Verdicts, Verdicts: []claims.Verdict{{}}})
+	require.True(t, r.claimed.desk.Reached())
+	return r
+}
+
+// heardFrom is a message of the council's seat.
+func heardFrom(t *testing.T, r *Reducer, m *council.Message) []Effect {
+	m.From, m.Owner = "n0", r.claimed.self
+	text, err := letter.Seal(nil, r.peers.fleet, m)
+	require.NoError(t, err)
+	return step(r, Input{Kind: PeerTold, Link: 3, Bytes: text})
+}
+
+// asked are the commands that effects bring to the council.
+func asked(t *testing.T, r *Reducer, effects []Effect) (list []claims.Command) {
+	for _, e := range effects {
+		if e.Kind == PeerStream {
+			m := new(council.Message)
+			require.NoError(t, letter.Open(e.Bytes, r.peers.fleet, m))
+			list = append(list, m.Commands...)
+		}
+	}
+	return list
+}
+
+func answerTo(c claims.Command, answer claims.Answer, more ...func(*claims.Verdict)) *council.Message {
+	v := claims.Verdict{Seq: c.Seq, Answer: answer, Fence: 5}
+	for _, f := range more {
+		f(&v)
+	}
+	return &council.Message{Kind: council.Verdicts, Verdicts: []claims.Verdict{v}}
+}
+
+func toldOf(effects []Effect) (list []EffectKind) {
+	for _, e := range effects {
+		if e.Kind != PeerSend && e.Kind != PeerStream {
+			list = append(list, e.Kind)
+		}
+	}
+	return list
+}
+
+// invoked has a tokened invocation come, and gives the commands that follow.
+func invoked(t *testing.T, r *Reducer, stream int, token string) []claims.Command {
+	return asked(t, r, step(r, hold(stream, token)))
+}
+
+func TestExecutorHearsOfATokenOnceItsStartIsAgreedOn(t *testing.T) {
+	r := sitting(t)
+	claim := invoked(t, r, 1, "a1")
+	require.Len(t, claim, 1)
+	assert.Equal(t, claims.Claim, claim[0].Kind)
+	start := asked(t, r, heardFrom(t, r, answerTo(claim[0], claims.Granted)))
+	require.Len(t, start, 1)
+	assert.Equal(t, claims.Start, start[0].Kind)
+	effects := heardFrom(t, r, answerTo(start[0], claims.Granted))
+	require.Equal(t, []EffectKind{Tell}, toldOf(effects))
+	assert.Contains(t, string(effects[0].Bytes), "EXEC "+id(1))
+	effects = told(r, "EXIT 1 "+id(1)+" good 12 2|ok")
+	end := asked(t, r, effects)
+	require.Len(t, end, 1)
+	assert.Equal(t, claims.End, end[0].Kind)
+	assert.Equal(t, "ok", string(end[0].Result))
+	assert.Empty(t, toldOf(effects), "the answer waits for the end to be agreed on")
+	assert.Equal(t, []EffectKind{Send}, toldOf(heardFrom(t, r, answerTo(end[0], claims.Done))))
+	step(r)
+	assert.Zero(t, r.claimed.desk.Size())
+	assert.Equal(t, 1, r.Counters.Succeeded)
+}
+
+func TestTokenThatEndedElsewhereIsAnsweredUnrun(t *testing.T) {
+	r := sitting(t)
+	claim := invoked(t, r, 1, "a1")
+	effects := heardFrom(t, r, answerTo(claim[0], claims.Known, func(v *claims.Verdict) { v.Result = []byte("kept") }))
+	require.Equal(t, []EffectKind{Send}, toldOf(effects))
+	for _, e := range effects {
+		if e.Kind == Send {
+			assert.Contains(t, string(e.Bytes), "kept")
+		}
+	}
+}
+
+func TestTokenOfUnknownOutcomeElsewhereIsToldSo(t *testing.T) {
+	r := sitting(t)
+	claim := invoked(t, r, 1, "a1")
+	effects := heardFrom(t, r, answerTo(claim[0], claims.Doubted))
+	require.Equal(t, []EffectKind{Send}, toldOf(effects))
+	assert.Equal(t, 1, r.Counters.Errored)
+	assert.True(t, strings.Contains(string(effects[0].Bytes), "unknown"))
+}
+
+func TestTokenThatRunsElsewhereIsAnsweredBeforeItsClientTimeout(t *testing.T) {
+	r := sitting(t)
+	claim := invoked(t, r, 1, "a1")
+	heardFrom(t, r, answerTo(claim[0], claims.Elsewhere, func(v *claims.Verdict) { v.Owner = claims.Owner{Name: "n5", Life: 1} }))
+	answered := int64(0)
+	for from := r.now; r.now < from+3_000*ms && answered == 0; {
+		effects := append(step(r), heardFrom(t, r, &council.Message{Kind: council.Verdicts, Verdicts: []claims.Verdict{{}}})...)
+		if len(kindsOf(effects, Send)) > 0 {
+			answered = r.now - from
+		}
+	}
+	assert.Positive(t, answered)
+	assert.Less(t, answered, 3_000*ms)
+	assert.Equal(t, 1, r.Counters.Errored, "it may run: a throttle would say that it did not")
+}
+
+func TestTokensAreTurnedAwayBeforeTheyAreClaimedWithoutACouncil(t *testing.T) {
+	r := sitting(t)
+	for range 4_000 {
+		step(r)
+	}
+	require.False(t, r.claimed.desk.Reached())
+	before := r.Counters.Throttled
+	step(r, Input{Kind: Opened, Link: 8})
+	late := hold(1, "a1")
+	late.Link = 8
+	effects := step(r, late)
+	assert.Contains(t, toldOf(effects), Send)
+	for _, c := range asked(t, r, effects) {
+		assert.Equal(t, claims.Nop, c.Kind)
+	}
+	assert.Equal(t, before+1, r.Counters.Throttled)
+	assert.Zero(t, r.claimed.desk.Size())
+}
+
+func TestWorkOfALostNodeIsRunAndItsEndAgreedOn(t *testing.T) {
+	r := sitting(t)
+	work := invoked(t, r, 1, "a1")[0].Work
+	r2 := sitting(t)
+	gift := &council.Message{Kind: council.Gift, For: 2_000 * ms, Entry: &claims.Entry{Key: claims.Key{Operation: "hold", Token: "a1"},
+		Fence: 9, Body: 1, Work: work, Window: 60_000 * ms}}
+	heardFrom(t, r2, gift)
+	start := asked(t, r2, heardFrom(t, r2, gift)) // told again, while the module decides
+	for from := r2.now; r2.now < from+100*ms && len(start) == 0; {
+		start = asked(t, r2, step(r2))
+	}
+	assert.Equal(t, 1, r2.Counters.Inherited)
+	require.Len(t, start, 1)
+	assert.Equal(t, claims.Start, start[0].Kind)
+	effects := heardFrom(t, r2, answerTo(start[0], claims.Granted))
+	require.Equal(t, []EffectKind{Tell}, toldOf(effects))
+	assert.Contains(t, string(effects[0].Bytes), "body")
+	end := asked(t, r2, told(r2, "EXIT 1 "+id(1)+" good 12 2|ok"))
+	require.Len(t, end, 1)
+	effects = heardFrom(t, r2, answerTo(end[0], claims.Done))
+	assert.Empty(t, toldOf(effects), "nobody is answered")
+	step(r2)
+	assert.Zero(t, r2.open)
+	assert.Empty(t, r2.calls, "and it is forgotten")
+}
+
+func TestGiftToANodeThatDrainsIsLetGo(t *testing.T) {
+	r := sitting(t)
+	work := invoked(t, r, 1, "a1")[0].Work
+	r2 := sitting(t)
+	step(r2, Input{Kind: Notice})
+	release := asked(t, r2, heardFrom(t, r2, &council.Message{Kind: council.Gift, For: 2_000 * ms, Entry: &claims.Entry{
+		Key: claims.Key{Operation: "hold", Token: "a1"}, Fence: 9, Work: work, Window: 60_000 * ms}}))
+	require.Len(t, release, 1)
+	assert.Equal(t, claims.Release, release[0].Kind)
+	assert.Zero(t, r2.Counters.Inherited)
+}
+
+func TestCallerThatLeavesUnrunLetsItsClaimGo(t *testing.T) {
+	r := sitting(t)
+	claim := invoked(t, r, 1, "a1")
+	step(r, Input{Kind: Closed, Link: 7})
+	for range 40 {
+		step(r)
+	}
+	var commands []claims.Command
+	commands = append(commands, asked(t, r, heardFrom(t, r, answerTo(claim[0], claims.Granted)))...)
+	for range 40 {
+		commands = append(commands, asked(t, r, step(r))...)
+	}
+	require.NotEmpty(t, commands)
+	assert.Equal(t, claims.Release, commands[len(commands)-1].Kind)
+}
+
+func TestStreamThatCantBeUnderstoodIsHungUp(t *testing.T) {
+	r := sitting(t)
+	effects := step(r, Input{Kind: PeerTold, Link: 4, Bytes: []byte("no letter at all, of any kind")})
+	assert.Contains(t, toldOf(effects), PeerHangUp)
+	step(r, Input{Kind: PeerHungUp, Link: 3})
+	assert.Empty(t, r.claimed.links)
+}
+
+func TestEndOfARunOfAnEarlierLifeGoesToTheCouncil(t *testing.T) {
+	r := sitting(t)
+	settle := asked(t, r, told(r, "EXIT 1 00000000000000ff good 5 2|ok"))
+	require.Len(t, settle, 1)
+	assert.Equal(t, claims.Settle, settle[0].Kind)
+	assert.Equal(t, "00000000000000ff", settle[0].Call)
+}
--- a/results/results.go
+++ b/results/results.go
@@ -388,7 +388,7 @@
 	}
 }
 
-// dismiss answers one that can't wait any longer. Of a token whose run is over it is told the end, which is true though it
+// dismiss answers one that can't wait any longer, or with -1 for an asker drops a token that nobody waits for. Of a token whose run is over it is told the end, which is true though it
 // may not be kept yet; one whose run goes on is told nothing.
 func (k *Keeper) dismiss(now int64, e *entry, in *Input) {
 	if e.runner != in.Asker && !slices.Contains(e.waiting, in.Asker) {
@@ -398,8 +398,9 @@
 	case finishing:
 		k.written(now, e, false)
 	case beginning:
-		e.leave(in.Asker)
-		k.part(now, e, in.Asker, in)
+		if e.leave(in.Asker); in.Asker >= 0 {
+			k.part(now, e, in.Asker, in)
+		}
 		if e.runner < 0 && len(e.waiting) == 0 {
 			k.Counts.Running--
 			k.drop(e)
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -76,6 +76,11 @@
 	for i := range view {
 		by[view[i].Owner.Name] = &view[i]
 	}
+	for _, e := range table.Taken() { // an earlier leader handed it over, and its heir may not have heard of it
+		if p.handed[e.Key] == nil {
+			p.handed[e.Key] = &handed{fence: e.Fence, heir: e.Owner, at: now - againAfter}
+		}
+	}
 	waiting := map[claims.Owner]int{}
 	for _, k := range p.keys() {
 		h := p.handed[k]
@@ -100,7 +105,6 @@
 	p.Counters.Waiting = 0
 	for _, owner := range table.Owners() {
 		if !p.lost(now, owner, by[owner.Name]) {
-			p.again(owner, table, now, ahead, waiting)
 			continue
 		}
 		for _, e := range table.Of(owner) {
@@ -112,7 +116,12 @@
 				commands = append(commands, claims.Command{Kind: claims.Doubt, Key: e.Key, Fence: e.Fence})
 				continue
 			}
-			if p.handed[e.Key] != nil || e.Until-table.Time()-ahead < cutLeast {
+			if h := p.handed[e.Key]; h != nil && h.heir == owner { // the heir is lost too
+				delete(p.handed, e.Key)
+			} else if h != nil {
+				continue
+			}
+			if e.Until-table.Time()-ahead < cutLeast {
 				continue
 			}
 			heir := Heir(e, view, by[owner.Name], func(o claims.Owner) bool { return waiting[o] < handedMost })
@@ -129,16 +138,6 @@
 	return commands, gifts
 }
 
-// again takes up what an earlier leader handed over: its heir may not have heard of it.
-func (p *Planner) again(owner claims.Owner, table *claims.Table, now, ahead int64, waiting map[claims.Owner]int) {
-	for _, e := range table.Of(owner) {
-		if e.Taken && e.State == claims.Claimed && p.handed[e.Key] == nil {
-			p.handed[e.Key] = &handed{fence: e.Fence, heir: owner, at: now - againAfter}
-			waiting[owner]++
-		}
-	}
-}
-
 func (p *Planner) keys() []claims.Key {
 	keys := make([]claims.Key, 0, len(p.handed))
 	for k := range p.handed {
