Council: muted leaders hear of each other, seats answer numbers that are news to them

Seen in their last states: two leaders of different terms, each muted for want of a majority, never heard of each other (council.go, ready); a seat that missed the news of another's return had no name for the number it should answer (post). A muted leader now speaks every 3 s, and numbers are learnt from who speaks.

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -134,16 +134,17 @@
 
 // Counters are what became of commands on this table, since it was made or read from a snapshot.
 type Counters struct {
-	Claimed int `json:"claimed"`
-	Started int `json:"started"`
-	Ended   int `json:"ended"`
-	Joined  int `json:"joined"`
-	Taken   int `json:"taken"`
-	Unknown int `json:"unknown"`
-	Settled int `json:"settled"`
-	Fenced  int `json:"fenced"`
-	Expired int `json:"expired"`
-	Full    int `json:"full"`
+	Claimed    int `json:"claimed"`
+	Started    int `json:"started"`
+	Ended      int `json:"ended"`
+	Joined     int `json:"joined"`
+	Taken      int `json:"taken"`
+	Unknown    int `json:"unknown"`
+	TakenEnded int `json:"taken_ended"` // by their heirs, with a result
+	Settled    int `json:"settled"`
+	Fenced     int `json:"fenced"`
+	Expired    int `json:"expired"`
+	Full       int `json:"full"`
 }
 
 // Table is the state that commands change, the same on all that carry out the same ones in the same order.
@@ -277,6 +278,9 @@
 		t.Counters.Settled++
 	}
 	t.Counters.Ended++
+	if e.Taken {
+		t.Counters.TakenEnded++
+	}
 	t.leave(e)
 	e.State, e.Ending, e.Result = Ended, c.Ending, c.Result
 	t.bytes += int64(len(c.Result))
--- a/council/council.go
+++ b/council/council.go
@@ -23,6 +23,7 @@
 	beatEvery     = 80 * ms     // ns between words of a leader: several in the shortest wait for one
 	electLeast    = 600 * ms    // ns without a word of a leader past which a seat stands, at the least; twice that at the most
 	muteAfter     = 1_200 * ms  // ns without a word of a majority past which a leader falls silent, so that others may stand
+	whisperEvery  = 3_000 * ms  // ns between words of a leader that is muted: two of them must hear of each other, and others still stand in between
 	hailEvery     = 100 * ms    // ns between words of a seat that belongs to no council yet
 	foundFor      = 10_000 * ms // ns after which a council that never had a leader is given up by its seats
 	bindFor       = 3_000 * ms  // ns that a seat stays bound to a founding that does not come about
@@ -150,21 +151,23 @@
 	boundAt   int64
 	hails     map[string]Message
 
-	leader   uint64
-	heardAt  int64 // when the leader was last heard
-	answered map[uint64]int64
-	snapAt   map[uint64]int64
-	electAt  int64
-	beatAt   int64
-	hailAt   int64
-	planAt   int64
-	passedAt int64 // when this seat carried out the last Pass
-	plan     *takeover.Planner
-	pending  map[asked]bool
-	alter    func(command *claims.Command, table *claims.Table) // of tests that want a fault to be found
-	batch    []claims.Command
-	verdicts map[claims.Owner][]claims.Verdict
-	tells    map[claims.Owner][]claims.Key
+	leader    uint64
+	heardAt   int64 // when the leader was last heard
+	answered  map[uint64]int64
+	heardOf   map[string]uint64 // the number that a seat last spoke under
+	snapAt    map[uint64]int64
+	electAt   int64
+	beatAt    int64
+	hailAt    int64
+	planAt    int64
+	whisperAt int64
+	passedAt  int64 // when this seat carried out the last Pass
+	plan      *takeover.Planner
+	pending   map[asked]bool
+	alter     func(command *claims.Command, table *claims.Table) // of tests that want a fault to be found
+	batch     []claims.Command
+	verdicts  map[claims.Owner][]claims.Verdict
+	tells     map[claims.Owner][]claims.Key
 }
 
 // New is a seat that knows nothing yet. Names are all seats, this node's among them; life tells this start from others.
@@ -180,7 +183,7 @@
 	c.storage = raft.NewMemoryStorage()
 	c.seats, c.hails, c.table = map[string]seat{}, map[string]Message{}, claims.NewTable()
 	c.applied, c.snapped, c.confState, c.founded, c.bound = 0, 0, nil, false, 0
-	c.leader, c.answered, c.snapAt = 0, map[uint64]int64{}, map[uint64]int64{}
+	c.leader, c.answered, c.snapAt, c.heardOf = 0, map[uint64]int64{}, map[uint64]int64{}, map[string]uint64{}
 	c.pending, c.verdicts, c.tells, c.batch = map[asked]bool{}, map[claims.Owner][]claims.Verdict{}, map[claims.Owner][]claims.Key{}, nil
 	c.plan, c.hailAt, c.planAt, c.passedAt = nil, c.now, c.now, c.now
 	c.raft(0)
@@ -346,7 +349,7 @@
 	if proto.Unmarshal(in.Raft, m) != nil || m.GetTo() != c.id || !slices.Contains(c.names, in.From) {
 		return
 	}
-	c.answered[m.GetFrom()] = c.now
+	c.answered[m.GetFrom()], c.heardOf[in.From] = c.now, m.GetFrom()
 	switch m.GetType() {
 	case pb.MsgPreVote, pb.MsgVote: // who hears a leader, or leads, does not help to unseat it
 		if c.leader != 0 && c.now < c.heardAt+electLeast && m.GetFrom() != c.leader {
@@ -500,6 +503,10 @@
 		}
 		c.storage.Append(rd.Entries)
 		muted := c.muted()
+		if muted && c.now >= c.whisperAt {
+			c.whisperAt = c.now + whisperEvery
+			muted = false
+		}
 		for _, m := range rd.Messages {
 			if !muted {
 				c.post(m)
@@ -523,11 +530,8 @@
 		c.snapAt[m.GetTo()] = c.now
 	}
 	for _, name := range c.names {
-		s, sits := c.seats[name]
-		if !sits || s.ID != m.GetTo() { // a seat that heard nothing yet answers whom it heard
-			if h, known := c.hails[name]; !known || h.ID != m.GetTo() {
-				continue
-			}
+		if c.seats[name].ID != m.GetTo() && c.heardOf[name] != m.GetTo() { // who sits there now may be news that this one lacks
+			continue
 		}
 		c.send(name, Message{Kind: Raft, Raft: text})
 		return
--- a/council/helpers_test.go
+++ b/council/helpers_test.go
@@ -429,6 +429,11 @@
 		return
 	}
 	w.checked = c.applied
+	for _, m := range w.machines { // one that does not know yet that another leads has an old table
+		if m.up && m.seat != nil && m.seat.node.BasicStatus().GetTerm() > c.node.BasicStatus().GetTerm() {
+			return
+		}
+	}
 	for _, e := range c.table.All(1 << 20) {
 		if before := w.fences[e.Key]; e.Fence > before {
 			w.fences[e.Key] = e.Fence
--- /dev/null
+++ b/lab/experiments/takeover-held.jsonnet
@@ -0,0 +1,21 @@
+{
+  name: 'takeover-held',
+  about: 'Nodes of one core with long runs hold most of what they took when they are killed; others take it over in time.',
+  processes: true,
+  storm: true,
+  nodes: 7,
+  council: 3,
+  cores: 1,
+  longest: '200 ms',
+  seconds: 60,
+  calm: 8,
+  fleet: { probe: '100 ms', silence: '800 ms', settle: '200 ms' },
+  faults: [{ kind: 'kill', at: '3 s', every: '5 s', 'for': '2 s', who: 'one of n3 n4 n5 n6' }],
+  claims: [
+    { name: 'no token runs twice', measure: 'twice', most: 0 },
+    { name: 'every invocation has one answer, that of its token, or a broken connection', measure: 'wrong_answers', most: 0 },
+    { name: 'none goes without', measure: 'lost', most: 0 },
+    { name: 'what the lost held is taken over', measure: 'taken', least: 1 },
+    { name: 'of what is taken over 99 % is answered in time', measure: 'taken_ended', least: 0.99 },
+  ],
+}
--- /dev/null
+++ b/lab/experiments/takeover-pause.jsonnet
@@ -0,0 +1,27 @@
+{
+  name: 'takeover-pause',
+  about: 'Nodes are stopped and go on, links are cut in one direction or both, a fifth of all datagrams is lost; tokens are repeated at any node.',
+  processes: true,
+  storm: true,
+  nodes: 7,
+  council: 3,
+  cores: 2,
+  longest: '100 ms',
+  seconds: 120,
+  calm: 10,
+  fleet: { probe: '100 ms', silence: '1 s', settle: '200 ms' },
+  faults: [
+    { kind: 'loss', at: '0 s', part: '20 %' },
+    { kind: 'pause', at: '2 s', every: '7 s', 'for': '0.3 s' },
+    { kind: 'pause', at: '4 s', every: '11 s', 'for': '3 s' },
+    { kind: 'cut', shape: 'from', at: '8 s', every: '40 s', 'for': '5 s' },
+    { kind: 'cut', shape: 'to', at: '18 s', every: '40 s', 'for': '5 s' },
+    { kind: 'cut', shape: 'halves', who: 'n0 n5 n6', at: '28 s', every: '40 s', 'for': '5 s' },
+  ],
+  claims: [
+    { name: 'no token runs twice', measure: 'twice', most: 0 },
+    { name: 'every invocation has one answer, that of its token, or a broken connection', measure: 'wrong_answers', most: 0 },
+    { name: 'none goes without', measure: 'lost', most: 0 },
+    { name: 'repeats get what was kept, at any node', measure: 'kept', least: 1 },
+  ],
+}
--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -37,6 +37,7 @@
 	Storm       bool              // of repeats of tokens, by callers that go to any node
 	Kills       int               // of all nodes in turn, at drawn moments, each started again at once
 	Longest     settings.Time     // run of a storm, 30 ms without it
+	Cores       int               // of each node, 8 without it
 	Council     int               // seats that agree on claims of tokens
 	Keep        map[string]string // of the file of kept results; none without it
 	Nodes       int
@@ -250,6 +251,9 @@
 	for _, f := range n.Faults {
 		for at := start + int64(f.At); at < end; at += int64(f.Every) {
 			s := &span{kind: f.Kind, shape: f.Shape, from: at, to: at + int64(f.For), concerned: map[string]bool{}}
+			if f.Kind == "pause" { // nobody is left standing still
+				s.to = min(s.to, end-ms)
+			}
 			s.back = f.For > 0 && s.to < end
 			if !s.back {
 				s.to = end
@@ -276,6 +280,10 @@
 			list = append(list, i)
 		}
 	}
+	if rest, one := strings.CutPrefix(text, "one of "); one {
+		list = slices.DeleteFunc(list, func(i int) bool { return !slices.Contains(strings.Fields(rest), name(i)) })
+		text = "one"
+	}
 	switch text {
 	case "", "one":
 		return list[:min(1, len(list))]
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -141,7 +142,7 @@
 		"executor": p.benches[i].listener.Addr().String(), "control": p.control.Addr().String(), "catalog": p.benches[i].listener.Addr().String(),
 		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
 		"settings": map[string]any{"grades": []any{operation},
-			"family_info": map[string]any{"n_cores": 8, "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{false},
+			"family_info": map[string]any{"n_cores": cmp.Or(p.night.Cores, 8), "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{false},
 				"below": "off", "advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
 			"guarantees": map[string]any{"tip_multiple": 8, "drain_grace": 500},
 			"limits":     map[string]any{"retry_after": true, "max_retry_after": 1_000}}})
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -201,27 +201,26 @@
 	}
 	m["store_bytes"], m["per_s"] = float64(p.stored()), float64(s.asked)/(float64(p.now()-start)/1e9)
 	m["broken_tokens"], m["answered_later"] = float64(len(s.broke)), float64(len(s.after))
-	for _, k := range []string{"taken", "unknown_claims", "settled"} {
-		m[k] = 0
-	}
+	m["taken"], m["unknown_claims"], m["settled"], m["taken_ended"] = 0, 0, 0, 1
 	for i := range p.daemons {
 		pic, err := p.claims(i)
-		if err != nil {
+		if err != nil || pic.Table == nil {
 			continue
 		}
-		if pic.Desk != nil {
-			m["taken"] += float64(pic.Desk.Taken)
-		}
-		if pic.Table != nil {
-			m["unknown_claims"], m["settled"] = max(m["unknown_claims"], float64(pic.Table.Unknown)), max(m["settled"], float64(pic.Table.Settled))
+		m["taken"], m["unknown_claims"] = max(m["taken"], float64(pic.Table.Taken)), max(m["unknown_claims"], float64(pic.Table.Unknown))
+		m["settled"] = max(m["settled"], float64(pic.Table.Settled))
+		if pic.Table.Taken > 0 {
+			m["taken_ended"] = min(m["taken_ended"], float64(pic.Table.TakenEnded)/float64(pic.Table.Taken))
 		}
 	}
 }
 
 // picture is what a node shows of claims.
 type picture struct {
-	Desk  *struct{ Taken int }
-	Table *struct{ Unknown, Settled, Taken int }
+	Table *struct {
+		Unknown, Settled, Taken int
+		TakenEnded              int `json:"taken_ended"`
+	}
 }
 
 // claims asks a node by the command that operators have.
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -406,6 +406,10 @@
 	r.leaveToken(i)
 	r.runOver(i)
 	if v.conn == heir {
+		if code != frame.Succeeded {
+			r.Counters.InheritedGivenUp++
+			r.remark(Info, "work taken over from a lost node is given up here; who asks for it again may run it", v.call, nil)
+		}
 		return
 	}
 	switch code {
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -118,6 +118,7 @@
 	Reports           int `json:"reports"`
 	ReportsFailed     int `json:"reports_failed"`
 	Inherited         int `json:"inherited"`
+	InheritedGivenUp  int `json:"inherited_given_up"`
 }
 
 // Decider is what decides about invocations: control.Post, or a baseline of the laboratory.
--- a/results/results_test.go
+++ b/results/results_test.go
@@ -233,3 +233,61 @@
 	count(k.Step(10_000, []Input{{Kind: Written, Key: key(1)}}))
 	assert.Equal(t, []int{1, 10_000}, []int{runs, answers})
 }
+
+// begun is a keeper in which the first of two askers is to run a token, and its record is on the way.
+func begun(t *testing.T) *Keeper {
+	k := New(rules)
+	assert.Equal(t, []ActionKind{Join, Begin, Join}, kinds(k.Step(1, []Input{ask(1, 1), ask(2, 1)})))
+	return k
+}
+
+func TestWhatBecameOfATokenElsewhereAnswersAllThatWaitForIt(t *testing.T) {
+	for kind, want := range map[InputKind]ActionKind{Learned: Serve, Doubted: Unknown, Clashed: Mismatch, Denied: Deny} {
+		k := begun(t)
+		actions := k.Step(2, []Input{{Kind: kind, Key: key(1), Result: []byte("r"), For: 5}})
+		assert.Equal(t, want, actions[0].Kind)
+		assert.Equal(t, want, actions[1].Kind)
+		assert.Zero(t, k.Counts.Running)
+		_, known := k.Body(key(1))
+		assert.Equal(t, kind == Learned, known, "what is not known for sure is asked for again")
+		assert.Empty(t, k.Step(3, []Input{{Kind: Written, Key: key(1)}}), "nothing runs after it")
+	}
+	k := begun(t)
+	k.Step(2, []Input{{Kind: Learned, Key: key(1), Result: []byte("r")}})
+	again := k.Step(3, []Input{ask(3, 1)})
+	assert.Equal(t, Serve, again[0].Kind)
+	assert.True(t, again[0].Kept)
+}
+
+func TestOneThatCantWaitIsAnsweredAlone(t *testing.T) {
+	k := begun(t)
+	actions := k.Step(2, []Input{{Kind: Dismissed, Key: key(1), Asker: 1, Doubt: true}})
+	assert.Equal(t, []ActionKind{Unknown}, kinds(actions))
+	assert.Equal(t, []ActionKind{Run}, kinds(k.Step(3, []Input{{Kind: Written, Key: key(1)}})), "for the other one")
+	assert.Empty(t, k.Step(4, []Input{{Kind: Dismissed, Key: key(1), Asker: 2}}), "its run goes on")
+	k = begun(t)
+	actions = k.Step(2, []Input{{Kind: Dismissed, Key: key(1), Asker: 2}, {Kind: Dismissed, Key: key(1), Asker: 1}})
+	assert.Equal(t, []ActionKind{Deny, Deny, Drop}, kinds(actions))
+	assert.Zero(t, k.Counts.Entries)
+}
+
+func TestEndThatIsNotWrittenInTimeIsToldAllTheSame(t *testing.T) {
+	k := begun(t)
+	k.Step(2, []Input{{Kind: Written, Key: key(1)}})
+	assert.Equal(t, []ActionKind{Finish}, kinds(k.Step(3, []Input{{Kind: Ended, Key: key(1), Result: []byte("r")}})))
+	assert.Equal(t, []ActionKind{Serve, Serve}, kinds(k.Step(4, []Input{{Kind: Dismissed, Key: key(1), Asker: 1}})))
+	assert.Empty(t, k.Step(5, []Input{{Kind: Written, Key: key(1)}}))
+}
+
+// A result past its bound went to the disk as a success without a result, and came back from it as an empty one.
+func TestResultThatWasTooLargeComesBackAsThat(t *testing.T) {
+	k := begun(t)
+	k.Step(2, []Input{{Kind: Written, Key: key(1)}})
+	finish := k.Step(3, []Input{{Kind: Ended, Key: key(1), Result: make([]byte, 101)}})
+	assert.Equal(t, NotKept, finish[0].Ending)
+	next := New(rules)
+	next.Step(1, []Input{{Kind: Recovered, Key: key(1), Body: 7, Done: true, Ending: finish[0].Ending}, {Kind: Restarted}})
+	answer := next.Step(2, []Input{ask(1, 1)})
+	assert.Equal(t, Fail, answer[0].Kind)
+	assert.True(t, answer[0].NotKept)
+}
