--- a/council/helpers_test.go
+++ b/council/helpers_test.go
@@ -429,6 +429,9 @@
 		return
 	}
 	w.checked = c.applied
+	if term, err := c.storage.Term(c.applied); err != nil || term != c.node.BasicStatus().GetTerm() {
+		return // it has not carried out yet what was agreed on before it led
+	}
 	for _, m := range w.machines { // one that does not know yet that another leads has an old table
 		if m.up && m.seat != nil && m.seat.node.BasicStatus().GetTerm() > c.node.BasicStatus().GetTerm() {
 			return
--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -37,6 +37,7 @@
 	Storm       bool              // of repeats of tokens, by callers that go to any node
 	Kills       int               // of all nodes in turn, at drawn moments, each started again at once
 	Longest     settings.Time     // run of a storm, 30 ms without it
+	Timeout     settings.Time     // client timeout in a storm, 5 s without it
 	Cores       int               // of each node, 8 without it
 	Council     int               // seats that agree on claims of tokens
 	Keep        map[string]string // of the file of kept results; none without it
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -136,7 +136,8 @@
 	}
 	operation := map[string]any{"name": "hold", "aim": 1_000, "give_up": 2_500, "importance": 1}
 	if p.night.Storm {
-		operation = map[string]any{"name": "hold", "aim": 2_000, "give_up": 5_000, "importance": 1, "effect": "deduplicated", "window": stormWindow}
+		operation = map[string]any{"name": "hold", "aim": 2_000, "give_up": cmp.Or(int64(p.night.Timeout)/ms, 5_000),
+			"importance": 1, "effect": "deduplicated", "window": stormWindow}
 	}
 	config := file(".json", map[string]any{"name": name(i), "listen": "127.0.0.1:0",
 		"executor": p.benches[i].listener.Addr().String(), "control": p.control.Addr().String(), "catalog": p.benches[i].listener.Addr().String(),
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -305,11 +305,8 @@
 		ending := s.ending() || stream > changeEvery
 		for !ending && len(open) < openEach {
 			token, call := s.draw()
-			text := frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "hold"}, {Name: "call", Value: call},
-				{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "1"},
-				{Name: "heap", Value: "1"}, {Name: "token", Value: token}}, []byte(token))
 			open[stream] = sent{token, time.Now()}
-			if _, err := conn.Write(text); err != nil {
+			if _, err := conn.Write(invocation(stream, call, token)); err != nil {
 				return
 			}
 			stream++
@@ -348,6 +345,12 @@
 	}
 }
 
+func invocation(stream uint32, call, token string) []byte {
+	return frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "hold"}, {Name: "call", Value: call},
+		{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "1"},
+		{Name: "heap", Value: "1"}, {Name: "token", Value: token}}, []byte(token))
+}
+
 func (s *storm) broken(open map[uint32]sent, caller int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
