Streams at a pace, councils in the fleet's file, check says what can't be taken over in time

Need: four peers that flooded a stream kept a node of one core from its dispatchers for eight seconds (integration, StreamsThatFlood; server/streams.go, read, took letters as fast as they came). A stream is now read at 4,000 letters a second; what is over waits in the sender's socket.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -174,11 +174,14 @@
 	return f, nil
 }
 
+// Known is the time, in nanoseconds, by which a death is known to all where links are sound.
+func (f *Fleet) Known() int64 { return f.Terms.Silence + f.Terms.Settle + f.Terms.Probe }
+
 // Bounds says in words what the timing comes to: how long a pause is borne, and by when a death is known.
 func (f *Fleet) Bounds() string {
 	c := &f.Terms
 	text := fmt.Sprintf("a pause of up to %s is borne; a death is known to all within about %s; a member outside the view is looked for for %s",
-		span(c.Silence-c.Probe), span(c.Silence+c.Settle+c.Probe), span(c.Forget))
+		span(c.Silence-c.Probe), span(f.Known()), span(c.Forget))
 	if f.Council != nil {
 		text += fmt.Sprintf("; a council of %d, which bears the loss of %d at a time, agrees on claims of tokens, %d kB at the most, in memory only",
 			len(f.Council.Seats), len(f.Council.Seats)/2, f.Council.Bytes>>10)
--- a/charter/charter_test.go
+++ b/charter/charter_test.go
@@ -35,3 +35,20 @@
 	_, err := Read("../deploy/fleet.jsonnet", "n1")
 	assert.NoError(t, err)
 }
+
+func TestDeployedFleetWithACouncilCanBeRead(t *testing.T) {
+	f, err := Read("../deploy/fleet-council.jsonnet", "n1")
+	require.NoError(t, err)
+	assert.Equal(t, &Council{Seats: []string{"n1", "n2", "n3"}, Bytes: 4 << 20}, f.Council)
+	assert.Equal(t, int64(1_300_000_000), f.Known())
+	assert.Contains(t, f.Bounds(), "which bears the loss of 1 at a time")
+}
+
+func TestCouncilsThatCantBeAreRefusedWithTheMend(t *testing.T) {
+	for seats, want := range map[string]string{"['a', 'b']": "are 2; name 1, 3 or 5", "['a', 'b', 'a']": "name a node twice"} {
+		_, err := Read(write(t, "{\n fleet: 'x',\n bind: '127.0.0.1:7946',\n council: { seats: "+seats+" },\n}"), "n1")
+		assert.ErrorContains(t, err, "council.seats: "+want)
+	}
+	_, err := Read(write(t, "{\n fleet: 'x',\n bind: '127.0.0.1:7946',\n council: { seats: ['a'], table: '64 MiB' },\n}"), "n1")
+	assert.ErrorContains(t, err, "choose 64 KiB to 12 MiB")
+}
--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -14,6 +14,7 @@
 
 	"topazpost/charter"
 	"topazpost/keep"
+	"topazpost/node"
 	"topazpost/plan"
 	"topazpost/server"
 )
@@ -99,6 +100,9 @@
 		}
 		fmt.Printf("fleet %s: hears peers on %s, told to them as %s, %d seeds; %s\n", fleet.Name, fleet.Bind, fleet.Terms.Address,
 			len(fleet.Terms.Seeds), fleet.Bounds())
+		if fleet.Council != nil {
+			tooShort(n, fleet)
+		}
 	}
 	if c.Keep != "" {
 		k, err := keep.Read(c.Keep, n.Settings.Nameplate.Operations, n.MemoryMB)
@@ -118,6 +122,16 @@
 	return err
 }
 
+// tooShort names the tokened operations whose work can't be taken over in time.
+func tooShort(n *server.Nameplate, fleet *charter.Fleet) {
+	for name, i := range n.Settings.Operations {
+		if op := &n.Settings.Nameplate.Operations[i]; op.Effect == node.Tokened && op.ClientTimeout <= fleet.Known() {
+			fmt.Printf("note: %s has a client timeout of %g s, and a death is known after %g s: what a lost node held of it is not taken over in "+
+				"time; shorten silence, settle and probe\n", name, float64(op.ClientTimeout)/1e9, float64(fleet.Known())/1e9)
+		}
+	}
+}
+
 // Run says what was built.
 func (version) Run() error {
 	info, ok := debug.ReadBuildInfo()
--- /dev/null
+++ b/integration/streams_test.go
@@ -0,0 +1,163 @@
+package integration
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/claims"
+	"topazpost/council"
+	"topazpost/letter"
+)
+
+// convened is the file of a fleet of one, which is its own council.
+func convened(t testing.TB) (path, bind string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	bind = l.Addr().String()
+	l.Close()
+	text, err := json.Marshal(map[string]any{"fleet": "tests", "bind": bind, "seeds": []string{bind}, "council": map[string]any{"seats": []string{"n1"}}})
+	require.NoError(t, err)
+	path = filepath.Join(t.TempDir(), "fleet.jsonnet")
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	return path, bind
+}
+
+// stream opens one to a node, as a peer does.
+func stream(t testing.TB, to string) net.Conn {
+	conn, err := net.Dial("tcp", to)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	conn.SetDeadline(time.Now().Add(bound))
+	_, err = conn.Write(binary.LittleEndian.AppendUint32(nil, 0x72747374))
+	require.NoError(t, err)
+	return conn
+}
+
+func write(t testing.TB, conn net.Conn, m *council.Message) {
+	text, err := letter.Seal(nil, letter.FleetOf("tests"), m)
+	require.NoError(t, err)
+	_, err = conn.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...))
+	require.NoError(t, err)
+}
+
+// read is the next message within a time, nil if there is none.
+func read(t testing.TB, conn net.Conn, within time.Duration) *council.Message {
+	conn.SetReadDeadline(time.Now().Add(within))
+	var head [4]byte
+	if _, err := io.ReadFull(conn, head[:]); err != nil {
+		return nil
+	}
+	conn.SetReadDeadline(time.Now().Add(bound))
+	text := make([]byte, binary.LittleEndian.Uint32(head[:]))
+	_, err := io.ReadFull(conn, text)
+	require.NoError(t, err)
+	m := new(council.Message)
+	require.NoError(t, letter.Open(text, letter.FleetOf("tests"), m))
+	return m
+}
+
+func TestNodeAsksACouncilOfOneOnAStream(t *testing.T) {
+	path, bind := convened(t)
+	startWith(t, false, nil, "--fleet", path)
+	conn := stream(t, bind)
+	other := claims.Owner{Name: "n2", Life: 7}
+	ask := &council.Message{Kind: council.Propose, From: "n2", Owner: other, Commands: []claims.Command{{Kind: claims.Claim, From: other, Seq: 3,
+		Key: claims.Key{Operation: "x", Token: "t"}, Body: 1, For: 60_000_000_000, Window: 60_000_000_000}}}
+	var got *council.Message
+	for got == nil { // what comes before there is a leader is dropped, and asked again
+		write(t, conn, ask)
+		got = read(t, conn, 200*time.Millisecond)
+	}
+	require.Len(t, got.Verdicts, 1)
+	assert.Equal(t, claims.Granted, got.Verdicts[0].Answer)
+	out, err := exec.Command(program, "claims", "--fleet", "tests", bind).CombinedOutput()
+	require.NoError(t, err, string(out))
+	assert.Contains(t, string(out), "seat in the council, led by n1: 1 claims")
+	assert.Contains(t, string(out), "claimed")
+	out, err = exec.Command(program, "claims", "show", "--fleet", "tests", bind, "nobody").CombinedOutput()
+	assert.Error(t, err)
+	assert.Contains(t, string(out), "shows no claim of the token \"nobody\"")
+}
+
+func TestStreamsThatFloodLieOrStallHoldUpNobody(t *testing.T) {
+	path, bind := convened(t)
+	s := startWith(t, false, nil, "--fleet", path)
+	liar := stream(t, bind)
+	liar.Write([]byte{0xff, 0xff, 0xff, 0x7f})
+	n, _ := liar.Read(make([]byte, 1))
+	assert.Zero(t, n, "it is hung up on")
+	spoilt := stream(t, bind)
+	spoilt.Write(append(binary.LittleEndian.AppendUint32(nil, 40), make([]byte, 40)...))
+	n, _ = spoilt.Read(make([]byte, 1))
+	assert.Zero(t, n, "so is one whose letters can't be read")
+	stalled := stream(t, bind)
+	stalled.Write([]byte{100, 0, 0, 0, 1})
+	for range 4 {
+		flood := stream(t, bind)
+		go func() {
+			text, _ := letter.Seal(nil, letter.FleetOf("tests"), &council.Message{Kind: council.Raft, From: "n9", Raft: make([]byte, 1_000)})
+			text = append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...)
+			for range 200_000 {
+				if _, err := flood.Write(text); err != nil {
+					return
+				}
+			}
+		}()
+	}
+	d := s.dial()
+	for stream := range uint32(100) {
+		d.invoke(stream+1, "x")
+		assert.Equal(t, fmt.Sprintf("20 on %d x", stream+1), d.answer())
+	}
+}
+
+func TestWithoutACouncilStreamsAreClosed(t *testing.T) {
+	path, bind := fleet(t)
+	startWith(t, false, nil, "--fleet", path)
+	conn := stream(t, bind)
+	n, err := conn.Read(make([]byte, 1))
+	assert.Zero(t, n)
+	assert.Error(t, err)
+	out, err := exec.Command(program, "claims", "--fleet", "tests", bind).CombinedOutput()
+	assert.Error(t, err)
+	assert.Contains(t, string(out), "a node without a council shows no claims")
+}
+
+func TestCouncilAndAFolderOfKeptResultsCantBothBe(t *testing.T) {
+	path, _ := convened(t)
+	s := start(t, false, nil)
+	kept := filepath.Join(t.TempDir(), "kept.jsonnet")
+	require.NoError(t, os.WriteFile(kept, []byte(`{durability: 'batched', folder: 'kept'}`), 0o600))
+	out, err := exec.Command(program, "serve", "--fleet", path, "--keep", kept, s.path).CombinedOutput()
+	assert.Error(t, err)
+	assert.NotEmpty(t, out)
+}
+
+func FuzzCouncilMessages(f *testing.F) {
+	for _, m := range []*council.Message{{Kind: council.Hail, From: "n2", ID: 7, Life: 9, Fresh: true}, {Kind: council.Raft, From: "n2", Raft: []byte{8, 3}},
+		{Kind: council.Propose, From: "n2", Commands: []claims.Command{{Kind: claims.Claim}}}} {
+		text, err := letter.Seal(nil, 1, m)
+		require.NoError(f, err)
+		f.Add(text[letter.Head:])
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		m := new(council.Message)
+		if letter.Body(body, m) != nil {
+			return
+		}
+		c := council.New([]string{"n1", "n2", "n3"}, "n1", 1, 1, 1)
+		c.Step(2, []council.Input{{Message: m}})
+		c.Step(700_000_000, []council.Input{{Message: m}})
+	})
+}
--- a/letter/letter.go
+++ b/letter/letter.go
@@ -73,7 +73,12 @@
 	case binary.LittleEndian.Uint64(b[5:]) != xxhash.Sum64(b[Head:]):
 		return ErrSpoilt
 	}
-	if err := decode.Unmarshal(b[Head:], body); err != nil {
+	return Body(b[Head:], body)
+}
+
+// Body reads what is behind the head of a letter.
+func Body(b []byte, body any) error {
+	if err := decode.Unmarshal(b, body); err != nil {
 		return errors.Join(ErrBody, err)
 	}
 	return nil
--- a/server/streams.go
+++ b/server/streams.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"topazpost/letter"
 	"topazpost/reducer"
 )
@@ -26,6 +28,8 @@
 	streamPace    = 100 * time.Nanosecond  // for each byte of it beside that: 10 MB/s
 	streamDial    = time.Second            // for a stream to be opened
 	streamAgain   = 100 * time.Millisecond // between tries at one address
+	streamRate    = 4_000                  // letters a second that are taken from one stream: a seat that is busy says as many; the rest waits
+	streamBurst   = 1_000                  // of them at once
 	pendingLetter = 8 << 20                // bytes that may wait on a stream
 )
 
@@ -222,9 +226,15 @@
 	}
 }
 
+// read hands letters on, each stream at its pace. Guards against a peer that floods; does harm where a seat of a very busy
+// council is slowed by it.
 func (s *streams) read(x *stream, conn net.Conn) error {
 	var head [4]byte
+	pace := rate.NewLimiter(streamRate, streamBurst)
 	for {
+		if err := pace.Wait(s.p.s.ctx); err != nil {
+			return net.ErrClosed
+		}
 		conn.SetReadDeadline(time.Now().Add(2 * streamIdle))
 		if _, err := io.ReadFull(conn, head[:]); err != nil {
 			return err
