--- a/claims/claims.go
+++ b/claims/claims.go
@@ -63,6 +63,7 @@
 	Doubt                      // its owner is lost after the start
 	Settle                     // an executor that outlived its node tells how the run of a call ended
 	Pass                       // so much time went by
+	Kinds                      // one past the last
 )
 
 // Command is one transition. Times are nanoseconds, Body is a hash.
--- a/council/council.go
+++ b/council/council.go
@@ -36,6 +36,8 @@
 	messageBytes  = 256 << 10   // of entries in one message
 	proposedBytes = 4 << 20     // of entries that are not agreed on yet; more are dropped, and asked for again
 	inFlight      = 64          // messages of entries on their way to one seat
+	pendingFor    = 5_000 * ms  // ns after which a command that was not agreed on is not answered from here any more
+	numbersMost   = 64          // numbers of seats that were heard: many lives of five
 	pendingMost   = 100_000     // commands taken here and not answered yet; more are answered by whom they are sent to next
 	never         = 1<<63 - 1   // ns
 )
@@ -160,10 +162,11 @@
 	beatAt    int64
 	hailAt    int64
 	planAt    int64
+	sweepAt   int64
 	whisperAt int64
 	passedAt  int64 // when this seat carried out the last Pass
 	plan      *takeover.Planner
-	pending   map[asked]bool
+	pending   map[asked]int64                                    // when
 	alter     func(command *claims.Command, table *claims.Table) // of tests that want a fault to be found
 	batch     []claims.Command
 	verdicts  map[claims.Owner][]claims.Verdict
@@ -184,7 +187,7 @@
 	c.seats, c.hails, c.table = map[string]seat{}, map[string]Message{}, claims.NewTable()
 	c.applied, c.snapped, c.confState, c.founded, c.bound = 0, 0, nil, false, 0
 	c.leader, c.answered, c.snapAt, c.heardOf = 0, map[uint64]int64{}, map[uint64]int64{}, map[string]uint64{}
-	c.pending, c.verdicts, c.tells, c.batch = map[asked]bool{}, map[claims.Owner][]claims.Verdict{}, map[claims.Owner][]claims.Key{}, nil
+	c.pending, c.verdicts, c.tells, c.batch = map[asked]int64{}, map[claims.Owner][]claims.Verdict{}, map[claims.Owner][]claims.Key{}, nil
 	c.plan, c.hailAt, c.planAt, c.passedAt = nil, c.now, c.now, c.now
 	c.raft(0)
 	c.stand()
@@ -340,7 +343,7 @@
 	if c.leader == 0 || len(c.pending) >= pendingMost {
 		return
 	}
-	c.pending[asked{command.From, command.Seq}] = true
+	c.pending[asked{command.From, command.Seq}] = c.now
 	c.batch = append(c.batch, command)
 }
 
@@ -349,6 +352,9 @@
 	if proto.Unmarshal(in.Raft, m) != nil || m.GetTo() != c.id || !slices.Contains(c.names, in.From) {
 		return
 	}
+	if len(c.answered) >= numbersMost {
+		clear(c.answered)
+	}
 	c.answered[m.GetFrom()], c.heardOf[in.From] = c.now, m.GetFrom()
 	switch m.GetType() {
 	case pb.MsgPreVote, pb.MsgVote: // who hears a leader, or leads, does not help to unseat it
@@ -403,6 +409,14 @@
 }
 
 func (c *Council) timers() {
+	if c.now >= c.sweepAt {
+		c.sweepAt = c.now + pendingFor
+		for key, at := range c.pending {
+			if c.now-at >= pendingFor {
+				delete(c.pending, key)
+			}
+		}
+	}
 	if !c.founded {
 		c.found()
 	} else if c.applied == 1 && c.leader == 0 && c.now-c.boundAt > foundFor {
@@ -552,6 +566,11 @@
 			return // alike on all
 		}
 		c.Counters.Entries++
+		for i := range list {
+			if list[i].Kind >= claims.Kinds { // of a newer version: the others' tables would not be this one's any more
+				panic(fmt.Sprintf("a command of kind %d is not known here", list[i].Kind))
+			}
+		}
 		for i := range list {
 			c.carryOut(&list[i])
 		}
@@ -568,7 +587,7 @@
 	if command.Kind == claims.Pass {
 		c.passedAt = c.now
 	}
-	if c.pending[key] {
+	if _, here := c.pending[key]; here {
 		delete(c.pending, key)
 		c.verdicts[command.From] = append(c.verdicts[command.From], v)
 	}
--- a/council/council_test.go
+++ b/council/council_test.go
@@ -398,3 +398,29 @@
 	assert.Empty(t, w.wrong)
 	assert.LessOrEqual(t, most, 8, "no heir is given more than it can begin")
 }
+
+func TestSeatThatMeetsANewerCommandBeginsAnew(t *testing.T) {
+	w := calm(t, 3, 3)
+	m := w.leader()
+	m.toSeat = append(m.toSeat, Input{Own: []claims.Command{{Kind: claims.Kinds, From: claims.Owner{Name: m.name, Life: m.life}, Seq: 99}}})
+	w.soon(w.index(m))
+	w.run(w.now + 1_000*ms)
+	for _, x := range w.machines {
+		assert.Positive(t, x.seat.Counters.Broken, "a table that would differ from others is none")
+	}
+}
+
+func TestCommandsThatNobodyAgreesOnAreForgotten(t *testing.T) {
+	w := calm(t, 3, 3)
+	m := w.leader()
+	for k := range w.machines {
+		w.cut[[2]int{w.index(m), k}] = true
+	}
+	w.ask(1, 1, w.index(m))
+	w.run(w.now + 100*ms)
+	assert.NotEmpty(t, m.seat.pending)
+	clear(w.cut)
+	w.kill(w.index(w.machines[(w.index(m)+1)%3]))
+	w.run(w.now + 20_000*ms)
+	assert.Empty(t, m.seat.pending)
+}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -102,6 +102,11 @@
 		}
 		waiting[h.heir]++
 	}
+	for owner := range p.unseen {
+		if len(table.Of(owner)) == 0 {
+			delete(p.unseen, owner)
+		}
+	}
 	p.Counters.Waiting = 0
 	for _, owner := range table.Owners() {
 		if !p.lost(now, owner, by[owner.Name]) {
