Quota wired in: leases of calls in hand, a ledger of calls in the rig, commands

The module hears how many calls may be in hand as an event; what a lease no longer covers is not begun, and not written late after a pause.

--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -164,6 +164,7 @@
 		Store   storage `cmd:"" help:"Look at the files that results are kept in."`
 		Members members `cmd:"" help:"Look at whom nodes have in their view of the fleet."`
 		Claims  claimed `cmd:"" help:"Look at claims of tokens that a fleet's council agrees on."`
+		Quota   quotas  `cmd:"" help:"Look at limits that hold for the whole fleet."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
 	signal.Notify(hups, syscall.SIGHUP) // before all else: it must never end the process
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -519,3 +519,32 @@
 	assert.Equal(t, []node.ActionKind{node.Call, node.Fail}, kinds(p))
 	assert.Equal(t, calling, p.invs[0].state)
 }
+
+func TestCallsKeepToTheUnitsOfALease(t *testing.T) {
+	p := post()
+	for range 3 {
+		put(p, 0, standing)
+	}
+	calls := func() (n int, until int64) {
+		p.out = p.out[:0]
+		p.makeCalls()
+		for _, a := range p.out {
+			if a.Kind == node.Call {
+				n, until = n+1, a.At
+			}
+		}
+		return n, until
+	}
+	p.Decide(start, []node.Event{{Kind: node.UnitsSet, Units: 1, Hold: 100 * ms}})
+	assert.Equal(t, 1, p.inHand)
+	assert.Equal(t, start+100*ms, p.invs[0].callUntil, "and to the time that one may take")
+	n, _ := calls()
+	assert.Zero(t, n)
+	p.units = 2
+	n, _ = calls()
+	assert.Equal(t, 1, n, "a unit more")
+	p.units = 0
+	p.shift(&p.invs[0], standing)
+	n, _ = calls()
+	assert.Zero(t, n, "none without a lease")
+}
--- a/deploy/fleet-council.jsonnet
+++ b/deploy/fleet-council.jsonnet
@@ -5,5 +5,7 @@
   probe: '100 ms',
   silence: '1 s',
   settle: '200 ms',
-  council: { seats: ['n1', 'n2', 'n3'], table: '4 MiB' },
+  council: { seats: ['n1', 'n2', 'n3'], table: '4 MiB',
+             // Calls in hand at the dependency, of all nodes together, in the place of each node's fixed share.
+             calls: { limit: 90, version: 1, hold: '1 s', lease: '4 s' } },
 }
--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -36,6 +36,8 @@
 	Processes   bool
 	Storm       bool              // of repeats of tokens, by callers that go to any node
 	Kills       int               // of all nodes in turn, at drawn moments, each started again at once
+	Calls       int               // that may be in hand fleet-wide, one of each run; without it runs make none
+	Share       bool              // each node has its fixed part of them, and no leases
 	Longest     settings.Time     // run of a storm, 30 ms without it
 	Timeout     settings.Time     // client timeout in a storm, 5 s without it
 	Cores       int               // of each node, 8 without it
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -39,6 +39,7 @@
 	bind, told      []string
 	benches         []*bench // executors, one a node
 	control         net.Listener
+	supply          *supply
 	storm           *storm
 	began           time.Time
 
@@ -68,8 +69,11 @@
 	if n.Longest > 0 {
 		p.storm.runMost = int(n.Longest / settings.Time(ms))
 	}
+	if p.supply, err = newSupply(seed, n.Calls); err != nil {
+		return nil, err
+	}
 	for range n.Nodes {
-		b, err := newBench(p.storm)
+		b, err := newBench(p.storm, n.Calls > 0)
 		if err != nil {
 			return nil, err
 		}
@@ -139,12 +143,16 @@
 		operation = map[string]any{"name": "hold", "aim": 2_000, "give_up": cmp.Or(int64(p.night.Timeout)/ms, 5_000),
 			"importance": 1, "effect": "deduplicated", "window": stormWindow}
 	}
+	below, share := "off", 0.0
+	if p.night.Calls > 0 {
+		below, share = "common", float64(p.night.Calls)/float64(p.night.Nodes)
+	}
 	config := file(".json", map[string]any{"name": name(i), "listen": "127.0.0.1:0",
-		"executor": p.benches[i].listener.Addr().String(), "control": p.control.Addr().String(), "catalog": p.benches[i].listener.Addr().String(),
+		"executor": p.benches[i].listener.Addr().String(), "control": p.control.Addr().String(), "catalog": p.supply.listener.Addr().String(),
 		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
 		"settings": map[string]any{"grades": []any{operation},
-			"family_info": map[string]any{"n_cores": cmp.Or(p.night.Cores, 8), "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{false},
-				"below": "off", "advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
+			"family_info": map[string]any{"n_cores": cmp.Or(p.night.Cores, 8), "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{p.night.Calls > 0},
+				"below": below, "calls_out": share, "calls_over": 1_000, "linger": 0, "advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
 			"guarantees": map[string]any{"tip_multiple": 8, "drain_grace": 500},
 			"limits":     map[string]any{"retry_after": true, "max_retry_after": 1_000}}})
 	flags = []string{"serve"}
@@ -163,7 +171,11 @@
 		}
 		charter := map[string]any{"fleet": "rig", "bind": p.bind[i], "advertise": p.told[i], "seeds": seeds, "zone": fmt.Sprint("z", i%3)}
 		if seats != nil {
-			charter["council"] = map[string]any{"seats": seats}
+			sitting := map[string]any{"seats": seats}
+			if p.night.Calls > 0 && !p.night.Share {
+				sitting["calls"] = map[string]any{"limit": p.night.Calls, "hold": "500 ms", "lease": "3 s"}
+			}
+			charter["council"] = sitting
 		}
 		for k, v := range p.night.Fleet {
 			charter[k] = v
@@ -347,4 +359,5 @@
 		b.listener.Close()
 	}
 	p.control.Close()
+	p.supply.listener.Close()
 }
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -78,15 +78,17 @@
 	mu       sync.Mutex
 	notices  int
 	conn     net.Conn
-	unheard  []string // ends that nobody was there for
+	unheard  []string          // ends that nobody was there for
+	calls    bool              // each run makes a call
+	standing map[string]string // tokens of runs that wait for their call
 }
 
-func newBench(s *storm) (*bench, error) {
+func newBench(s *storm, calls bool) (*bench, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	b := &bench{storm: s, listener: l}
+	b := &bench{storm: s, listener: l, calls: calls, standing: map[string]string{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -132,6 +134,18 @@
 			}
 			b.run(w[1], string(body[:size]))
 		}
+		if len(w) == 3 && w[0] == "RETURN" {
+			size, _ := strconv.Atoi(w[2])
+			if _, err := io.CopyN(io.Discard, in, int64(size)+2); err != nil {
+				return
+			}
+			b.mu.Lock()
+			if result, stands := b.standing[w[1]]; stands {
+				delete(b.standing, w[1])
+				b.tell(fmt.Sprintf("EXIT %%d %s good 5 %d\r\n%s\r\n", w[1], len(result), result))
+			}
+			b.mu.Unlock()
+		}
 	}
 }
 
@@ -146,14 +160,19 @@
 	time.AfterFunc(after, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.tell(fmt.Sprintf("%s good 5 %d\r\n%s\r\n", call, len(result), result))
+		if b.calls {
+			b.standing[call] = result
+			b.tell(fmt.Sprintf("CALLOUT %%d %s 3\r\nask\r\n", call))
+			return
+		}
+		b.tell(fmt.Sprintf("EXIT %%d %s good 5 %d\r\n%s\r\n", call, len(result), result))
 	})
 }
 
-// tell writes an end as the next notice, or keeps it for whoever joins next.
+// tell writes the next notice, or keeps it for whoever joins next.
 func (b *bench) tell(end string) {
 	if b.conn != nil {
-		if _, err := fmt.Fprintf(b.conn, "EXIT %d %s", b.notices+1, end); err == nil {
+		if _, err := fmt.Fprintf(b.conn, end, b.notices+1); err == nil {
 			b.notices++
 			return
 		}
@@ -201,6 +220,7 @@
 	}
 	m["store_bytes"], m["per_s"] = float64(p.stored()), float64(s.asked)/(float64(p.now()-start)/1e9)
 	m["broken_tokens"], m["answered_later"] = float64(len(s.broke)), float64(len(s.after))
+	p.supply.measure(m)
 	m["taken"], m["unknown_claims"], m["settled"], m["taken_ended"] = 0, 0, 0, 1
 	for i := range p.daemons {
 		pic, err := p.claims(i)
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -264,6 +264,7 @@
 	if i, v := r.lookup(call); v != nil {
 		r.readBy(func(c *command) bool { return c.call == v.call })
 		v.wanted = body
+		r.leasing.at = r.now // it is a need for one more
 		r.events = append(r.events, node.Event{Kind: node.CallWanted, Inv: i})
 	}
 }
--- /dev/null
+++ b/reducer/quota_test.go
@@ -0,0 +1,76 @@
+package reducer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/council"
+	"topazpost/letter"
+	"topazpost/node"
+	"topazpost/quota"
+)
+
+// renting is a node whose calls are leased from a council in which it has no seat, with a run that stands at a call.
+func renting(t *testing.T) *Reducer {
+	r := sitting(t)
+	r.Lease(quota.Terms{Name: "calls", Units: 9, Term: 4_000 * ms, Hold: 1_000 * ms}, 1)
+	start := asked(t, r, heardFrom(t, r, answerTo(invoked(t, r, 1, "a1")[0], 1)))
+	require.Len(t, start, 1)
+	heardFrom(t, r, answerTo(start[0], 1))
+	return r
+}
+
+// asksOf are the leases that effects ask for.
+func asksOf(t *testing.T, r *Reducer, effects []Effect) (list []quota.Command) {
+	for _, e := range kindsOf(effects, PeerStream) {
+		m := new(council.Message)
+		require.NoError(t, letter.Open(e.Bytes, r.peers.fleet, m))
+		list = append(list, m.Leases...)
+	}
+	return list
+}
+
+func TestCallWaitsForALeaseAndEndsWithIt(t *testing.T) {
+	r := renting(t)
+	effects := told(r, "CALLOUT 1 "+id(1)+" 3|ask")
+	asks := asksOf(t, r, effects)
+	for from := r.now; len(asks) == 0 && r.now < from+300*ms; {
+		asks = append(asks, asksOf(t, r, step(r))...)
+	}
+	require.NotEmpty(t, asks)
+	assert.Empty(t, kindsOf(effects, Reach), "none is made without a lease")
+	last := asks[len(asks)-1]
+	grant := &council.Message{Kind: council.Verdicts, Grants: []quota.Verdict{{Limit: "calls", Seq: last.Seq, Units: 2, Target: 2, Known: true}}}
+	heardFrom(t, r, grant)
+	effects = step(r)
+	require.Len(t, kindsOf(effects, Reach), 1, "the module hears of it in the next step")
+	effects = step(r, Input{Kind: Reached, Link: r.supplies[0].link})
+	fetch := kindsOf(effects, Ask)
+	require.Len(t, fetch, 1)
+	assert.LessOrEqual(t, fetch[0].At, r.now+500*ms, "of no use once its part of the lease is over")
+	assert.Equal(t, int64(2), r.Claims().Lease.Units)
+}
+
+func TestLeaseThatLapsedIsHeardOfBeforeAnythingElse(t *testing.T) {
+	r := renting(t)
+	told(r, "CALLOUT 1 "+id(1)+" 3|ask")
+	r.leasing.told = 2
+	r.Step(r.now+20_000*ms, 1, []Input{}) // stood still: what it held is another's by now
+	assert.Zero(t, r.leasing.told)
+	assert.Empty(t, r.supplies)
+	var units []int
+	for _, e := range append(r.events, r.later...) {
+		if e.Kind == node.UnitsSet {
+			units = append(units, e.Units)
+		}
+	}
+	assert.Equal(t, []int{0}, units)
+}
+
+func TestWithoutALimitThereIsNoHolder(t *testing.T) {
+	r := sitting(t)
+	assert.Nil(t, r.Claims().Lease)
+	assert.Equal(t, int64(never), r.leaseDue())
+}
