--- a/claims/claims.go
+++ b/claims/claims.go
@@ -15,6 +15,7 @@
 
 const (
 	entryBytes  = 300     // of one claim beside its token, work and result: its record, indexes, and its part of a snapshot
+	backsMost   = 4       // heirs that may give a claim back, before it is let go: the fleet has no room
 	waitersMost = 16      // nodes that are told of the end of one claim; more ask again by themselves
 	itemsMost   = 1 << 17 // claims in one snapshot: far above what the bytes allow
 	bytesUsual  = 4 << 20 // bytes of a table until its council has said otherwise
@@ -83,6 +84,7 @@
 	Heir   Owner       `cbor:"13,keyasint,omitempty"` // Take
 	At     int64       `cbor:"14,keyasint,omitempty"` // Pass: the table's time it counts from
 	Most   int64       `cbor:"15,keyasint,omitempty"` // Pass: bytes of the table from now on
+	Back   bool        `cbor:"16,keyasint,omitempty"` // Release: by an heir that has no room; another may have it
 }
 
 // Answer is what became of a command.
@@ -126,6 +128,8 @@
 	Result []byte  `cbor:"11,keyasint,omitempty"`
 	Taken  bool    `cbor:"12,keyasint,omitempty"` // its owner is an heir
 	Asking []Owner `cbor:"13,keyasint,omitempty"` // to be told of its end
+	Last   Owner   `cbor:"14,keyasint,omitempty"` // the heir that gave it back
+	Backs  int     `cbor:"15,keyasint,omitempty"` // how often that happened
 	place  int
 }
 
@@ -188,9 +192,7 @@
 	case End:
 		t.end(c, e, &v)
 	case Release:
-		if e != nil && e.Fence == c.Fence && e.Owner == c.From && e.State <= Started {
-			t.drop(e)
-		}
+		t.release(c, e)
 	case Take:
 		t.take(c, e, &v)
 	case Doubt:
@@ -289,6 +291,21 @@
 	t.tell(e)
 }
 
+// release lets a claim go under which nothing ran. What an heir had no room for is nobody's until the next heir takes it.
+func (t *Table) release(c *Command, e *Entry) {
+	switch {
+	case e == nil || e.Fence != c.Fence || e.Owner != c.From || e.State > Started:
+	case c.Back && e.Taken && e.State == Claimed && e.Backs < backsMost:
+		t.leave(e)
+		t.fence++
+		e.Owner, e.Fence, e.Last = Owner{}, t.fence, c.From
+		e.Backs++
+		t.own(e)
+	default:
+		t.drop(e)
+	}
+}
+
 func (t *Table) take(c *Command, e *Entry, v *Verdict) {
 	if e == nil || e.Fence != c.Fence || e.State != Claimed {
 		t.Counters.Fenced++
@@ -347,7 +364,7 @@
 		t.owned[e.Owner] = all
 	}
 	all[e.Key] = e
-	if e.Taken && e.State == Claimed {
+	if e.Taken && e.State == Claimed && e.Owner != (Owner{}) {
 		t.taken[e.Key] = e
 	}
 }
--- a/claims/claims_test.go
+++ b/claims/claims_test.go
@@ -188,3 +188,25 @@
 	entries, bytes := x.Size()
 	b.ReportMetric(float64(bytes)/float64(entries), "bytes/claim")
 }
+
+func TestHeirWithoutRoomGivesBackSomeTimes(t *testing.T) {
+	x := NewTable()
+	fence := x.Apply(ask(a, "t")).Fence
+	heirs := []Owner{b, {"c", 1}}
+	for n := range backsMost {
+		heir := heirs[n%2]
+		fence = x.Apply(&Command{Kind: Take, Key: key("t"), Fence: fence, Heir: heir}).Fence
+		require.Len(t, x.Taken(), 1)
+		x.Apply(&Command{Kind: Release, From: heir, Key: key("t"), Fence: fence, Back: true})
+		e := x.Find(key("t"))
+		require.NotNil(t, e)
+		assert.Equal(t, heir, e.Last)
+		assert.Equal(t, []Owner{{}}, x.Owners(), "it is nobody's")
+		assert.Empty(t, x.Taken())
+		assert.Greater(t, e.Fence, fence)
+		fence = e.Fence
+	}
+	fence = x.Apply(&Command{Kind: Take, Key: key("t"), Fence: fence, Heir: b}).Fence
+	x.Apply(&Command{Kind: Release, From: b, Key: key("t"), Fence: fence, Back: true})
+	assert.Nil(t, x.Find(key("t")), "then the fleet has no room")
+}
--- a/claims/desk.go
+++ b/claims/desk.go
@@ -113,6 +113,7 @@
 	wait   int64
 	lookAt int64  // elsewhere: when to ask again
 	next   *claim // releasing: it came again meanwhile
+	given  bool   // of a node that was lost, and nobody here waits for it
 	gone   bool
 }
 
@@ -281,6 +282,8 @@
 	switch kind {
 	case Claim:
 		m.Fence, m.Body, m.For, m.Window, m.Work, m.Call = 0, c.body, max(0, c.due-d.now), c.window, c.work, c.call
+	case Release:
+		m.Back = c.given
 	case End:
 		m.Ending, m.Result = c.ending, c.result
 	}
@@ -418,7 +421,7 @@
 	switch {
 	case c == nil:
 		d.Counters.Heirs++
-		c = d.add(&claim{key: in.Key, step: granted, body: in.Body, due: d.now + in.For, window: in.Window, work: in.Work, call: in.Call, fence: in.Fence})
+		c = d.add(&claim{key: in.Key, step: granted, given: true, body: in.Body, due: d.now + in.For, window: in.Window, work: in.Work, call: in.Call, fence: in.Fence})
 		d.do(Action{Deed: Heir, Key: in.Key, Body: in.Body, For: in.For, Work: in.Work})
 	case c.step == asking || c.step == elsewhere || c.step == granted && c.fence < in.Fence:
 		if c.step != granted {
--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -334,7 +334,9 @@
 			return nil
 		}
 		end = func() error {
-			d.heal()
+			if d.heal(); n.Storm { // other faults go on meanwhile, and none may last longer for it
+				return nil
+			}
 			s.healed = n.until(d, int64(n.Calm*1e9), up)
 			if s.healed < 0 {
 				s.healed = 1_000 * second
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -153,6 +153,9 @@
 }
 
 func (p *Planner) lost(now int64, owner claims.Owner, m *Member) bool {
+	if owner == (claims.Owner{}) { // an heir gave them back
+		return true
+	}
 	if m == nil {
 		since, seen := p.unseen[owner]
 		if !seen {
@@ -172,7 +175,7 @@
 	least := math.Inf(1)
 	for i := range view {
 		m := &view[i]
-		if !m.Alive || !m.Fit || m.Owner == e.Owner || !room(m.Owner) {
+		if !m.Alive || !m.Fit || m.Owner == e.Owner || m.Owner == e.Last || !room(m.Owner) {
 			continue
 		}
 		if slices.Contains(e.Asking, m.Owner) {
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -165,3 +165,18 @@
 		p.Step(1, view, x, 0)
 	}
 }
+
+func TestWhatAnHeirGaveBackGoesToAnother(t *testing.T) {
+	x, p := held(lost, 0, 1), New()
+	commands, _ := p.Step(1, fleet(3), x, 0)
+	apply(x, commands)
+	p.Step(2, fleet(3), x, 0)
+	first := x.Find(key(0)).Owner
+	x.Apply(&claims.Command{Kind: claims.Release, From: first, Key: key(0), Fence: x.Find(key(0)).Fence, Back: true})
+	for now := int64(3); now < 5; now++ {
+		commands, _ = p.Step(now, fleet(3), x, 0)
+		apply(x, commands)
+	}
+	assert.NotEqual(t, first, x.Find(key(0)).Owner)
+	assert.NotEqual(t, claims.Owner{}, x.Find(key(0)).Owner)
+}
