Rig: an executor runs a call that is ordered again once, and tells missed notices anew

A node that stood still opens its silent link anew and orders again what may not have been read; the protocol says that nothing happens then for a call that runs, the rig's executor counted it as a run (storm.go, run), and kept no notices for a later link.

--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -25,6 +25,7 @@
 	tokensOpen  = 40               // tokens of which invocations are drawn at a time: each comes again and again
 	freshEvery  = 8                // of so many invocations one opens a new token and retires the oldest
 	runUsual    = 30               // ms of a run at the most
+	retold      = 64               // notices that a node hears anew which read none
 	historyMost = 2_000_000        // invocations that are remembered whole
 	answerMost  = 12 * time.Second // past the client timeout, then an invocation counts as lost
 	changeEvery = 40               // invocations after which a caller goes to another node
@@ -71,16 +72,16 @@
 }
 
 // bench is a node's executor, which outlives the node: what a node that was killed began goes on, and the next life hears
-// of its end. Numbers of notices start anew with each life.
+// of its end. A link gets all notices after the last one read; to one that read none, the last ones are told anew.
 type bench struct {
 	storm    *storm
 	listener net.Listener
 	mu       sync.Mutex
-	notices  int
 	conn     net.Conn
-	unheard  []string          // ends that nobody was there for
+	notices  []string          // forms that lack their number
+	ran      map[string]bool   // calls: one that is ordered again, as its order may not have been read, runs once
 	calls    bool              // each run makes a call
-	standing map[string]string // tokens of runs that wait for their call
+	standing map[string]string // results of runs that wait for their call
 }
 
 func newBench(s *storm, calls bool) (*bench, error) {
@@ -88,7 +89,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &bench{storm: s, listener: l, calls: calls, standing: map[string]string{}}
+	b := &bench{storm: s, listener: l, calls: calls, standing: map[string]string{}, ran: map[string]bool{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -113,14 +114,14 @@
 		b.mu.Lock()
 		switch {
 		case len(w) == 2 && w[0] == "JOIN":
-			if b.conn = conn; w[1] == "0" {
-				b.notices = 0
-			}
+			b.conn = conn
 			fmt.Fprint(conn, "WELCOME old 60000\r\n")
-			ends := b.unheard
-			b.unheard = nil
-			for _, end := range ends {
-				b.tell(end)
+			read, _ := strconv.Atoi(w[1])
+			if read == 0 && len(b.notices) > retold {
+				b.notices = b.notices[len(b.notices)-retold:]
+			}
+			for n := read; n < len(b.notices); n++ {
+				fmt.Fprintf(conn, b.notices[n], n+1)
 			}
 		case len(w) == 2 && w[0] == "METER":
 			fmt.Fprintf(conn, "METERS %s 0.1 1\r\n", w[1])
@@ -152,6 +153,14 @@
 // run has its effect at once and its end later.
 func (b *bench) run(call, token string) {
 	s := b.storm
+	b.mu.Lock()
+	again := b.ran[call]
+	b.ran[call] = true
+	b.mu.Unlock()
+	if again {
+		s.count("ordered_again", "")
+		return
+	}
 	s.mu.Lock()
 	s.runs[token]++
 	after := time.Duration(s.chance.Intn(s.runMost)) * time.Millisecond
@@ -169,16 +178,12 @@
 	})
 }
 
-// tell writes the next notice, or keeps it for whoever joins next.
-func (b *bench) tell(end string) {
+// tell writes the next notice; what is not read is told on the next link.
+func (b *bench) tell(notice string) {
+	b.notices = append(b.notices, notice)
 	if b.conn != nil {
-		if _, err := fmt.Fprintf(b.conn, end, b.notices+1); err == nil {
-			b.notices++
-			return
-		}
-		b.conn = nil
+		fmt.Fprintf(b.conn, notice, len(b.notices))
 	}
-	b.unheard = append(b.unheard, end)
 }
 
 // gone is the end of a link: a node that was killed hears no more on it.
@@ -215,7 +220,7 @@
 	o.Timeline = append(o.Timeline, s.wrong...)
 	o.History = s.history
 	m["twice"], m["tokens_run"], m["invocations"], m["wrong_answers"] = float64(twice), float64(len(s.runs)), float64(s.asked), float64(len(s.wrong))
-	for _, what := range []string{"succeeded", "kept", "throttled", "unknown", "errored", "broken", "lost"} {
+	for _, what := range []string{"succeeded", "kept", "throttled", "unknown", "errored", "broken", "lost", "ordered_again"} {
 		m[what] = float64(s.counts[what])
 	}
 	m["store_bytes"], m["per_s"] = float64(p.stored()), float64(s.asked)/(float64(p.now()-start)/1e9)
