--- a/council/council.go
+++ b/council/council.go
@@ -574,6 +574,9 @@
 		c.storage.Append(rd.Entries)
 		muted := c.muted()
 		for _, m := range rd.Messages {
+			if m.GetType() == pb.MsgSnap { // raft waits for word of it, sent or not
+				c.snapAt[m.GetTo()] = c.now
+			}
 			if !muted || c.whispers {
 				c.post(m)
 			}
@@ -592,9 +595,6 @@
 	if err != nil {
 		return
 	}
-	if m.GetType() == pb.MsgSnap {
-		c.snapAt[m.GetTo()] = c.now
-	}
 	for _, name := range c.names {
 		if c.seats[name].ID != m.GetTo() && c.heardOf[name] != m.GetTo() { // who sits there now may be news that this one lacks
 			continue
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -49,7 +49,8 @@
 	broke  map[string]bool // tokens whose caller lost its connection before an answer
 	after  map[string]bool // of them, those that were answered with their result later
 
-	runMost int // ms of a run
+	runMost int                 // ms of a run
+	where   map[string][]string // calls and executors of each run
 	history []Told
 }
 
@@ -68,7 +69,7 @@
 
 func newStorm(seed int64) *storm {
 	return &storm{stop: make(chan struct{}), chance: rand.New(rand.NewSource(seed)), counts: map[string]int{}, runs: map[string]int{},
-		broke: map[string]bool{}, after: map[string]bool{}, runMost: runUsual}
+		broke: map[string]bool{}, after: map[string]bool{}, runMost: runUsual, where: map[string][]string{}}
 }
 
 // bench is a node's executor, which outlives the node: what a node that was killed began goes on, and the next life hears
@@ -163,6 +164,7 @@
 	}
 	s.mu.Lock()
 	s.runs[token]++
+	s.where[token] = append(s.where[token], fmt.Sprintf("%s at %s", call, b.listener.Addr()))
 	after := time.Duration(s.chance.Intn(s.runMost)) * time.Millisecond
 	result := fmt.Sprintf("%s run %d", token, s.runs[token])
 	s.mu.Unlock()
@@ -214,7 +216,7 @@
 	for token, runs := range s.runs {
 		if runs > 1 {
 			twice++
-			o.Timeline = append(o.Timeline, fmt.Sprintf("%s ran %d times", token, runs))
+			o.Timeline = append(o.Timeline, fmt.Sprintf("%s ran %d times: %v", token, runs, s.where[token]))
 		}
 	}
 	o.Timeline = append(o.Timeline, s.wrong...)
