Quota: what is in use of a lapsed lease is not offered; units go round at little cost

A holder whose lease had just lapsed asked anew with Keep 0 while calls of that lease were in hand, so the book gave them to others (holder.go, Step). It now keeps at least what is in use; a test without the schedules fails without it.

--- a/quota/holder.go
+++ b/quota/holder.go
@@ -113,9 +113,9 @@
 		h.sent = now
 		send = append(send, h.open)
 	case h.asked == 0 && now >= h.next && (want > 0 || h.units > 0 || h.next == 0):
-		h.units = min(h.units, max(used, min(want, h.target)))
+		h.units = min(h.units, max(used, min(want, h.target))) // what is in use of a lease that lapsed is kept too
 		h.seq++
-		h.open = Command{Kind: Ask, From: h.self, Seq: h.seq, Limit: h.terms.Name, Keep: h.units, Want: want, For: h.terms.Term}
+		h.open = Command{Kind: Ask, From: h.self, Seq: h.seq, Limit: h.terms.Name, Keep: max(h.units, used), Want: want, For: h.terms.Term}
 		h.asked, h.sent, h.next = now, now, now+askEvery
 		h.Counters.Asked++
 		send = append(send, h.open)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math/bits"
 	"slices"
 	"strings"
 
@@ -17,6 +18,7 @@
 	ms = int64(1_000_000) // ns in a millisecond
 
 	turnEvery   = 5_000 * ms // ns after which units that can't be parted evenly go to others
+	turnBits    = 11         // of a name's hash that it is turned by then: no divisor of 64
 	limitsMost  = 256        // limits of a fleet
 	holdersMost = 2_000      // holders of one limit: above any table of members
 	unitsMost   = 1 << 30    // of one limit
@@ -183,18 +185,24 @@
 		}
 		open = rest
 	}
-	turn := time / turnEvery
-	slices.SortFunc(open, func(a, b int) int {
-		return cmp.Compare(l.order(a, turn), l.order(b, turn))
-	})
-	for _, i := range open[:min(int64(len(open)), left)] {
-		parts[i]++
+	if left == 0 {
+		return parts
+	}
+	turns := make([]turn, len(open))
+	for k, i := range open { // another order each time
+		turns[k] = turn{bits.RotateLeft64(xxhash.Sum64String(l.Leases[i].Who.Name), int(time/turnEvery*turnBits)), i}
+	}
+	slices.SortFunc(turns, func(a, b turn) int { return cmp.Compare(a.key, b.key) })
+	for _, t := range turns[:min(int64(len(turns)), left)] {
+		parts[t.lease]++
 	}
 	return parts
 }
 
-func (l *Limit) order(i int, turn int64) uint64 {
-	return xxhash.Sum64String(fmt.Sprint(l.Leases[i].Who.Name, turn))
+// turn is when a lease gets one of the units that can't be parted evenly.
+type turn struct {
+	key   uint64
+	lease int
 }
 
 // Limits are all of them, by name; they must not be changed.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -134,6 +134,16 @@
 	assert.Equal(t, int64(2), h.Allowed(1_600*ms), "is given up before it is offered")
 }
 
+func TestWhatIsInUseOfALapsedLeaseIsNotGivenBack(t *testing.T) {
+	h := NewHolder(terms, a)
+	h.Step(1_000*ms, 0, 4, nil)
+	h.Step(1_100*ms, 0, 4, []Verdict{{Limit: "calls", Seq: 1, Units: 6, Target: 6, Known: true}})
+	send, _ := h.Step(1_000*ms+terms.Term-terms.Hold, 3, 0, nil)
+	require.Len(t, send, 1)
+	assert.Equal(t, int64(3), send[0].Keep)
+	assert.Zero(t, h.Allowed(1_000*ms+terms.Term-terms.Hold))
+}
+
 func TestVerdictThatCameLateGivesOnlyWhatIsLeftOfItsLease(t *testing.T) {
 	h := NewHolder(terms, a)
 	h.Step(1_000*ms, 0, 4, nil)
