Table's time moves by half a second at once, and leases and windows are longer by that

The table's time was behind when a lease was granted and caught up in one step, so that the lease ended after 50 ms (claims.go, pass; quota.go, Apply).

--- a/claims/claims.go
+++ b/claims/claims.go
@@ -21,6 +21,10 @@
 	bytesUsual  = 4 << 20 // bytes of a table until its council has said otherwise
 )
 
+// LagMost is the most that the table's time moves on at once, in ns. The first such step after a command may count time
+// from before it, so windows are longer by that much: none ends early.
+const LagMost = 500 * ms
+
 // Key names a token fleet-wide: by name, as indices differ from node to node.
 type Key struct {
 	Operation string `cbor:"1,keyasint"`
@@ -261,7 +265,7 @@
 		t.bytes -= int64(len(e.Work))
 		e.State, e.Work = Started, nil
 		delete(t.taken, e.Key)
-		t.keep(e, t.time+e.Window)
+		t.keep(e, t.time+e.Window+LagMost)
 	}
 }
 
@@ -287,7 +291,7 @@
 	t.leave(e)
 	e.State, e.Ending, e.Result = Ended, c.Ending, c.Result
 	t.bytes += int64(len(c.Result))
-	t.keep(e, t.time+e.Window)
+	t.keep(e, t.time+e.Window+LagMost)
 	t.tell(e)
 }
 
@@ -347,7 +351,7 @@
 	if c.At != t.time || c.For <= 0 {
 		return
 	}
-	t.time += c.For
+	t.time += min(c.For, LagMost) // what is over is lost: an election's seconds
 	if c.Most > 0 {
 		t.most = c.Most
 	}
--- a/council/council_test.go
+++ b/council/council_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/claims"
+	"topazpost/quota"
 )
 
 // calm is a world whose council has a leader.
@@ -424,3 +425,7 @@
 	w.run(w.now + 20_000*ms)
 	assert.Empty(t, m.seat.pending)
 }
+
+func TestBothBooksGoByOneLag(t *testing.T) {
+	assert.Equal(t, claims.LagMost, quota.Lag)
+}
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -39,7 +39,7 @@
 func (t *Terms) Bound() string {
 	return fmt.Sprintf("at most %d %s in use fleet-wide at any cut, pause or restart, 0 over; a node uses none later than %g s after it asked for its "+
 		"last lease; units of a node that is lost are free again within %g s; a lower limit holds once all have asked again, within %g s at the most",
-		t.Units, t.Name, seconds(t.Term-t.Term/driftPart), seconds(t.Term+t.Term/driftPart), seconds(t.Term+t.Term/driftPart))
+		t.Units, t.Name, seconds(t.Term-t.Term/driftPart), seconds(t.Term+t.Term/driftPart+Lag), seconds(t.Term+t.Term/driftPart+Lag))
 }
 
 func seconds(ns int64) float64 { return float64(ns) / 1e9 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -24,6 +24,10 @@
 	unitsMost   = 1 << 30    // of one limit
 )
 
+// Lag is the most that the table's time moves on at once, in ns. The first such step after a grant may count time from
+// before it, later ones can't, so leases are longer by that much in the book than their holders use them.
+const Lag = 500 * ms
+
 // Who is one life of a node.
 type Who struct {
 	Name string `cbor:"1,keyasint"`
@@ -131,9 +135,9 @@
 	if c.Seq > x.Seq {
 		x.Units, x.Want, x.Seq = min(x.Units, max(0, c.Keep)), min(max(0, c.Want), unitsMost), c.Seq
 	}
-	x.Until = max(x.Until, time+max(0, c.For))
+	x.Until = max(x.Until, time+max(0, c.For)+Lag)
 	v.Target = l.fair(time)[k]
-	if free := l.Units - l.Held(); time >= l.Wait && free > 0 {
+	if free := l.Units - l.Held(); time >= l.Wait+Lag && free > 0 {
 		x.Units += min(free, max(0, v.Target-x.Units))
 	}
 	if v.Units = x.Units; x.Units == 0 && x.Want == 0 {
