--- a/quota/holder.go
+++ b/quota/holder.go
@@ -50,37 +50,36 @@
 type Holder struct {
 	Counters Counters
 
-	terms  Terms
-	self   Who
-	seq    uint64
-	units  int64 // that may be used
-	until  int64 // ns until which units may be taken up
-	target int64
-	asked  int64 // when the last ask was first sent, 0 while none is open
-	sent   int64
-	open   Command
-	next   int64
-	peaks  [2]int64 // of the need, in this half and the one before
-	turned int64
-	known  bool
+	terms   Terms
+	self    Who
+	seq     uint64
+	units   int64 // that may be used
+	until   int64 // ns until which units may be taken up
+	target  int64
+	asked   int64 // when the last ask was first sent, 0 while none is open
+	sent    int64
+	open    Command
+	next    int64
+	peaks   [2]int64 // of the need, in this half and the one before
+	granted int64    // when the lease was asked for
+	turned  int64
 }
 
 // Counters are what operators see.
 type Counters struct {
-	Asked   int   `json:"asked"`
-	Lapsed  int   `json:"lapsed"`     // times that a lease ended before another came
-	Short   int   `json:"short"`      // answers that gave less than was wanted
-	Worst   int64 `json:"worst_over"` // units in use over those allowed, at the worst that this node saw of itself
-	Units   int64 `json:"units"`
-	Wanted  int64 `json:"wanted"`
-	Used    int64 `json:"used"`
-	Target  int64 `json:"target"`
-	AgeMS   int64 `json:"age_ms"` // since the lease was asked for
-	started int64
+	Asked  int   `json:"asked"`
+	Lapsed int   `json:"lapsed"`     // times that a lease ended before another came
+	Short  int   `json:"short"`      // answers that gave less than was wanted
+	Worst  int64 `json:"worst_over"` // units in use over those allowed, at the worst that this node saw of itself
+	Units  int64 `json:"units"`
+	Wanted int64 `json:"wanted"`
+	Used   int64 `json:"used"`
+	Target int64 `json:"target"`
+	AgeMS  int64 `json:"age_ms"` // since the lease was asked for
 }
 
 // NewHolder holds nothing yet.
-func NewHolder(terms Terms, self Who) *Holder { return &Holder{terms: terms, self: self, next: 0} }
+func NewHolder(terms Terms, self Who) *Holder { return &Holder{terms: terms, self: self} }
 
 // Allowed is how many units may be in use now, those in use included; 0 while no lease goes on.
 func (h *Holder) Allowed(now int64) int64 {
@@ -121,7 +120,7 @@
 		send = append(send, h.open)
 	}
 	c := &h.Counters
-	c.Units, c.Wanted, c.Used, c.Target, c.AgeMS = h.Allowed(now), want, used, h.target, (now-c.started)/ms
+	c.Units, c.Wanted, c.Used, c.Target, c.AgeMS = h.Allowed(now), want, used, h.target, (now-h.granted)/ms
 	c.Worst = max(c.Worst, used-h.Allowed(now)-h.ending(now, used))
 	return send, h.due(now)
 }
@@ -139,9 +138,9 @@
 		return
 	}
 	lease := h.terms.Term - h.terms.Term/driftPart - h.terms.Hold
-	if h.known = v.Known; v.Known {
+	if v.Known {
 		h.units, h.until, h.target = v.Units, h.asked+lease, v.Target
-		h.Counters.started = h.asked
+		h.granted = h.asked
 		if v.Units < h.open.Want {
 			h.Counters.Short++
 		}
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -270,7 +270,6 @@
 
 // carryClaim does what the desk asks for.
 func (r *Reducer) carryClaim(a *claims.Action) {
-	c := &r.claimed
 	if a.Deed == claims.Ask {
 		r.askCouncil(a.Commands)
 		return
@@ -297,7 +296,6 @@
 			r.want(claims.Input{Want: claims.Drop, Key: a.Key})
 		}
 	}
-	r.Guard.Hold(c.desk != nil, "only a desk asks")
 }
 
 // askCouncil sends commands to a seat: this node's own while it knows a leader, else the one that answered last, and
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -41,7 +41,6 @@
 
 // Counters are what operators see.
 type Counters struct {
-	Lost    int `json:"lost_owners"`
 	Handed  int `json:"handed"`
 	Doubted int `json:"doubted"`
 	Waiting int `json:"-"` // claims of the lost that no heir has room for now
@@ -90,9 +89,8 @@
 			delete(p.handed, k)
 			continue
 		case h.fence == 0 && e.Owner == h.heir: // agreed on
-			h.fence, h.at = e.Fence, now-againAfter
+			h.fence, h.at = e.Fence, now
 			gifts = append(gifts, Gift{To: h.heir, From: h.from, Entry: e, For: e.Until - table.Time() - ahead, First: true})
-			h.at = now
 		case h.fence == 0 && now >= h.at+againAfter: // the proposal was lost
 			delete(p.handed, k)
 			continue
