--- a/lab/rig/cost_test.go
+++ b/lab/rig/cost_test.go
@@ -16,7 +16,7 @@
 	flowsOnce = 400   // invocations of each of them
 )
 
-// BenchmarkTokenedOnAFleet measures invocations of fresh tokens one after the other, with claims in memory of the node
+// BenchmarkTokenedOnAFleet measures invocations of fresh tokens one after the other, and idempotent ones, with claims in memory of the node
 // alone and agreed on by councils of one, three and five, and how many a council of three agrees on in a second:
 // go test -run NONE -bench TokenedOnAFleet -benchtime 1x ./lab/rig.
 func BenchmarkTokenedOnAFleet(b *testing.B) {
@@ -41,6 +41,15 @@
 					h.RecordValue(time.Since(began).Microseconds())
 				}
 				name := fmt.Sprintf("%d_seats_at_n%d_", seats, at)
+				idempotent := hdrhistogram.New(1, 10_000_000, 3)
+				for range asksOnce {
+					began := time.Now()
+					c.invoke("look", "x")
+					c.answer()
+					idempotent.RecordValue(time.Since(began).Microseconds())
+				}
+				b.ReportMetric(float64(idempotent.ValueAtQuantile(50)), name+"idempotent_p50_us")
+				b.ReportMetric(float64(idempotent.ValueAtQuantile(99)), name+"idempotent_p99_us")
 				b.ReportMetric(float64(h.ValueAtQuantile(50)), name+"p50_us")
 				b.ReportMetric(float64(h.ValueAtQuantile(99)), name+"p99_us")
 			}
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -333,7 +333,7 @@
 		for !ending && len(open) < openEach {
 			token, call := s.draw()
 			open[stream] = sent{token, time.Now()}
-			if _, err := conn.Write(invocation(stream, call, token)); err != nil {
+			if _, err := conn.Write(invocation("hold", stream, call, token)); err != nil {
 				return
 			}
 			stream++
@@ -372,8 +372,8 @@
 	}
 }
 
-func invocation(stream uint32, call, token string) []byte {
-	return frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "hold"}, {Name: "call", Value: call},
+func invocation(op string, stream uint32, call, token string) []byte {
+	return frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: op}, {Name: "call", Value: call},
 		{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "1"},
 		{Name: "heap", Value: "1"}, {Name: "token", Value: token}}, []byte(token))
 }
--- a/lab/rig/takeover_test.go
+++ b/lab/rig/takeover_test.go
@@ -131,9 +131,11 @@
 	return &caller{t: t, conn: conn}
 }
 
-func (c *caller) send(token string) {
+func (c *caller) send(token string) { c.invoke("hold", token) }
+
+func (c *caller) invoke(op, token string) {
 	c.last++
-	_, err := c.conn.Write(invocation(c.last, fmt.Sprintf("%08x%08x", c.conn.LocalAddr().(*net.TCPAddr).Port, c.last), token))
+	_, err := c.conn.Write(invocation(op, c.last, fmt.Sprintf("%08x%08x", c.conn.LocalAddr().(*net.TCPAddr).Port, c.last), token))
 	require.NoError(c.t, err)
 }
 
