--- a/lab/rig/takeover_test.go
+++ b/lab/rig/takeover_test.go
@@ -265,3 +265,10 @@
 		assert.Equal(t, 1, runs, token)
 	}
 }
+
+func TestCallsInHandKeepToTheLimitOfTheFleet(t *testing.T) {
+	m := storms(t, "quota-hard", map[string]string{"nodes": "5", "calls": "6", "seconds": "16", "faults": `[{"kind":"kill","at":"5 s","for":"1 s"},
+		{"kind":"pause","at":"8 s","for":"3 s"},{"kind":"cut","shape":"from","at":"11 s","for":"3 s"}]`})
+	assert.Zero(t, m["calls_over"])
+	assert.Positive(t, m["calls_most"])
+}
