Fleets: one way to ask the council, one fleet file of tests, one listener of the rig's stand-ins

Asking for claims and for leases chose a seat by two copies of the same lines (reducer/claims.go, quota.go); tests of streams wrote the fleet's file again, and the rig's two stand-ins their accept loops. The link's writer read the clock at each write, though only calls under a lease have a time past which they are of no use.

--- a/council/council.go
+++ b/council/council.go
@@ -744,7 +744,9 @@
 // flush sends what gathered in this step, one message for each node.
 func (c *Council) flush() {
 	for o := range c.grants {
-		c.verdicts[o] = append(c.verdicts[o], []claims.Verdict(nil)...)
+		if _, known := c.verdicts[o]; !known {
+			c.verdicts[o] = nil // one message brings both
+		}
 	}
 	for _, o := range owners(c.verdicts) {
 		c.send(o.Name, Message{Kind: Verdicts, Owner: o, Verdicts: c.verdicts[o], Grants: c.grants[o]})
--- a/integration/peers_test.go
+++ b/integration/peers_test.go
@@ -20,12 +20,19 @@
 )
 
 // fleet is the file of a fleet whose only other member is whoever sends to bind.
-func fleet(t testing.TB) (path, bind string) {
+func fleet(t testing.TB) (path, bind string) { return fleetWith(t, nil) }
+
+// fleetWith is the same with a council, if there is one.
+func fleetWith(t testing.TB, seats []string) (path, bind string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	bind = l.Addr().String()
 	l.Close()
-	text, err := json.Marshal(map[string]any{"fleet": "tests", "bind": bind, "seeds": []string{bind}})
+	charter := map[string]any{"fleet": "tests", "bind": bind, "seeds": []string{bind}}
+	if seats != nil {
+		charter["council"] = map[string]any{"seats": seats}
+	}
+	text, err := json.Marshal(charter)
 	require.NoError(t, err)
 	path = filepath.Join(t.TempDir(), "fleet.jsonnet")
 	require.NoError(t, os.WriteFile(path, text, 0o600))
--- a/integration/streams_test.go
+++ b/integration/streams_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -21,17 +20,7 @@
 )
 
 // convened is the file of a fleet of one, which is its own council.
-func convened(t testing.TB) (path, bind string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	bind = l.Addr().String()
-	l.Close()
-	text, err := json.Marshal(map[string]any{"fleet": "tests", "bind": bind, "seeds": []string{bind}, "council": map[string]any{"seats": []string{"n1"}}})
-	require.NoError(t, err)
-	path = filepath.Join(t.TempDir(), "fleet.jsonnet")
-	require.NoError(t, os.WriteFile(path, text, 0o600))
-	return path, bind
-}
+func convened(t testing.TB) (path, bind string) { return fleetWith(t, []string{"n1"}) }
 
 // stream opens one to a node, as a peer does.
 func stream(t testing.TB, to string) net.Conn {
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -86,21 +86,28 @@
 }
 
 func newBench(s *storm, calls bool) (*bench, error) {
+	b := &bench{storm: s, calls: calls, standing: map[string]string{}, ran: map[string]bool{}}
+	var err error
+	b.listener, err = accept(b.serve)
+	return b, err
+}
+
+// accept listens on loopback and serves each connection by itself.
+func accept(serve func(net.Conn)) (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	b := &bench{storm: s, listener: l, calls: calls, standing: map[string]string{}, ran: map[string]bool{}}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go b.serve(conn)
+			go serve(conn)
 		}
 	}()
-	return b, nil
+	return l, nil
 }
 
 func (b *bench) serve(conn net.Conn) {
--- a/lab/rig/supply.go
+++ b/lab/rig/supply.go
@@ -30,21 +30,10 @@
 }
 
 func newSupply(seed int64, limit int) (*supply, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	s := &supply{listener: l, limit: limit, chance: rand.New(rand.NewSource(seed + 2))}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn)
-		}
-	}()
-	return s, nil
+	s := &supply{limit: limit, chance: rand.New(rand.NewSource(seed + 2))}
+	var err error
+	s.listener, err = accept(s.serve)
+	return s, err
 }
 
 func (s *supply) change(by int) {
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -12,6 +12,7 @@
 	"topazpost/letter"
 	"topazpost/membership"
 	"topazpost/node"
+	"topazpost/quota"
 	"topazpost/results"
 	"topazpost/takeover"
 )
@@ -271,7 +272,7 @@
 // carryClaim does what the desk asks for.
 func (r *Reducer) carryClaim(a *claims.Action) {
 	if a.Deed == claims.Ask {
-		r.askCouncil(a.Commands)
+		r.askCouncil(a.Commands, nil)
 		return
 	}
 	key, known := r.resultKey(a.Key)
@@ -298,9 +299,9 @@
 	}
 }
 
-// askCouncil sends commands to a seat: this node's own while it knows a leader, else the one that answered last, and
-// another one where that is silent.
-func (r *Reducer) askCouncil(commands []claims.Command) {
+// askCouncil sends commands and asks for leases to a seat: this node's own while it knows a leader, else the one that
+// answered last, and another one where that is silent.
+func (r *Reducer) askCouncil(commands []claims.Command, leases []quota.Command) {
 	c := &r.claimed
 	if c.since == 0 {
 		c.since = r.now
@@ -308,11 +309,11 @@
 		c.asks, c.since = (c.asks+1)%len(c.seats), r.now
 	}
 	if c.seat != nil && c.seat.Leader() != "" {
-		c.heard = append(c.heard, council.Input{Own: slices.Clone(commands)})
+		c.heard = append(c.heard, council.Input{Own: slices.Clone(commands), Leases: leases})
 		return
 	}
 	if to := c.seats[c.asks]; to != c.self.Name {
-		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: commands})
+		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: commands, Leases: leases})
 	}
 }
 
--- a/reducer/quota.go
+++ b/reducer/quota.go
@@ -1,8 +1,6 @@
 package reducer
 
 import (
-	"topazpost/claims"
-	"topazpost/council"
 	"topazpost/node"
 	"topazpost/quota"
 )
@@ -52,7 +50,7 @@
 		r.tellModule(node.Event{Kind: node.UnitsSet, Units: units, Hold: l.terms.Hold / 2})
 	}
 	if len(send) > 0 {
-		r.askLeases(send)
+		r.askCouncil(nil, send)
 	}
 }
 
@@ -64,22 +62,6 @@
 	}
 }
 
-func (r *Reducer) askLeases(send []quota.Command) {
-	c := &r.claimed
-	if c.seat != nil && c.seat.Leader() != "" {
-		c.heard = append(c.heard, council.Input{Leases: send})
-		return
-	}
-	if c.since == 0 {
-		c.since = r.now
-	} else if r.now-c.since >= contactFor {
-		c.asks, c.since = (c.asks+1)%len(c.seats), r.now
-	}
-	if to := c.seats[c.asks]; to != c.self.Name {
-		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: []claims.Command{}, Leases: send})
-	}
-}
-
 // leaseDue is when the holder is to step again.
 func (r *Reducer) leaseDue() int64 {
 	l := &r.leasing
--- a/server/link.go
+++ b/server/link.go
@@ -126,9 +126,11 @@
 		}
 		by := l.by
 		l.mu.Unlock()
-		if now, _ := l.s.clock.Now(); by > 0 && now > by {
-			l.stop()
-			return
+		if by > 0 {
+			if now, _ := l.s.clock.Now(); now > by {
+				l.stop()
+				return
+			}
 		}
 		l.net.SetWriteDeadline(time.Now().Add(linkWriteEnd))
 		if _, err := l.net.Write(b); err != nil {
