Repeats are known by dedupe, tenants by org, stated deadlines by ttl

Cause: a probe on a scratch copy printed the fields of each frame. Repeats carry `dedupe` (32 hex digits), tenants come in `org` ("{op kiln-slot} ... {org atelier-bleu} ... {dedupe...}"), and where passes_deadline is true `ttl` has the milliseconds left. keep.fieldUsual named a field of our own, `token`, that no dispatcher sends (keep/keep.go:18); reducer.read passed `org` and `ttl` over (reducer/dispatchers.go), so all tenants were one. plate.operationsInto took the zero of a map for a word it did not know.

Change: the three fields are read; a tenant that the settings do not name, a token missing where repeats are dropped, and a time that is none are errors. Claims of a council are kept apart by tenant too. On sockets entry_kb, halt, skip shares and shared reads are left out, as the protocol has no word for them and records lie in the node's own memory; RecordsMost bounds them.

Tests: reducer/fields_test.go and plate_test.go fail on the code of before.

--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -9,7 +9,7 @@
 )
 
 const provision = "PROVISION\t7\tgrades.count=1\tgrades.0.name=catalogue\tgrades.0.aim=1000\t" +
-	"grades.0.give_up=3000\tfamily_info.n_cores=2\tfamily_info.memory_kb=9000\tguarantees.tip_multiple=4\n"
+	"grades.0.give_up=3000\tgrades.0.effect=idempotent\tfamily_info.n_cores=2\tfamily_info.memory_kb=9000\tguarantees.tip_multiple=4\n"
 
 const arrival = "WORK_ITEM\t9\t-\t1\t0.5\t1\t-\t0\t-\tcatalogue\t-\t-\t24.5\n"
 
--- a/control/control.go
+++ b/control/control.go
@@ -347,7 +347,8 @@
 
 // record guards against a second effect; a tokened invocation that finds no room is turned away unrun.
 func (p *Post) record(i int32, until int64) {
-	if p.recordKB()+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
+	room := p.plate.RecordsMost == 0 || len(p.records) < p.plate.RecordsMost
+	if room && p.recordKB()+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
 		p.do(node.Action{Kind: node.Record, Inv: i, For: until - p.now})
 		p.records = append(p.records, until)
 	} else if p.invs[i].op.Effect == node.Tokened {
--- a/deploy/kept.jsonnet
+++ b/deploy/kept.jsonnet
@@ -2,7 +2,7 @@
 // has none: there tokens are kept in memory only, where an operation is tokened.
 //     topazpost check --keep deploy/kept.jsonnet CONFIG.json
 {
-  token: 'token',
+  token: 'dedupe',
   durability: 'batched',
   folder: '/var/lib/topazpost/kept',
   trouble: 'refuse',
--- a/ember/ember_test.go
+++ b/ember/ember_test.go
@@ -13,7 +13,7 @@
 func split(line string) []string { return strings.Split(line, "\t") }
 
 func host(t *testing.T) *Host {
-	settings, err := Start(split("PROVISION\t7\tgrades.count=1\tgrades.0.name=catalogue\tgrades.0.aim=1700.0\t" +
+	settings, err := Start(split("PROVISION\t7\tgrades.count=1\tgrades.0.name=catalogue\tgrades.0.aim=1700.0\tgrades.0.effect=idempotent\t" +
 		"family_info.gauges=cpu_busy,runnable\ttenants=\tunknown.key=x"))
 	require.NoError(t, err)
 	return NewHost(settings)
--- a/integration/kept_test.go
+++ b/integration/kept_test.go
@@ -35,7 +35,7 @@
 	d.write(frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "catalogue"},
 		{Name: "call", Value: fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, stream)},
 		{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "4"},
-		{Name: "heap", Value: "24.5"}, {Name: "token", Value: token}}, []byte(body)))
+		{Name: "heap", Value: "24.5"}, {Name: "dedupe", Value: token}}, []byte(body)))
 }
 
 func topazpost(t *testing.T, args ...string) (string, error) {
@@ -175,7 +175,7 @@
 			{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "4"}, {Name: "heap", Value: "1"}}
 		if !strings.HasPrefix(mode, "idempotent") {
 			fields[0].Value = "hold"
-			fields = append(fields, frame.Field{Name: "token", Value: fmt.Sprint("t", stream)})
+			fields = append(fields, frame.Field{Name: "dedupe", Value: fmt.Sprint("t", stream)})
 		}
 		at := time.Now()
 		d.conn.SetDeadline(at.Add(bound))
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -130,7 +130,7 @@
 		"seed": "8c1f30d27a5be964", "stop_ms": 3_000,
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
 		"settings": map[string]any{
-			"grades": []any{map[string]any{"name": "catalogue", "aim": 5_000, "give_up": 9_000, "importance": 1}},
+			"grades": []any{map[string]any{"name": "catalogue", "aim": 5_000, "give_up": 9_000, "importance": 1, "effect": "idempotent"}},
 			"family_info": map[string]any{"n_cores": 2, "memory_kb": 9_000, "blowup": 4, "class_calls": []bool{true},
 				"below": "common", "calls_out": 50, "calls_over": 5_000, "linger": 100, "advert": "min_rank",
 				"gauges": []string{"cpu_busy", "runnable"}},
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	fieldUsual   = "token"
+	fieldUsual   = "dedupe"
 	resultUsual  = 4 << 10   // bytes of one result: the most that an answer carries
 	resultMost   = 15 << 10  // bytes of one result that a record of the store holds
 	memoryUsual  = 32 << 20  // bytes of tokens and results in memory
@@ -113,7 +113,7 @@
 	if w.Token != "" {
 		k.Field = w.Token
 	}
-	if strings.Contains(" op call recv src rep work heap crit row ", " "+k.Field+" ") {
+	if strings.Contains(" op call recv src org ttl rep work heap crit row ", " "+k.Field+" ") {
 		found = append(found, file.At([]string{"token"}, fmt.Sprintf("%q is a field of its own", k.Field), "name another one"))
 	}
 	k.Bounds, k.Gather = store.Bounds{Segment: segmentUsual, Most: sizeUsual}, gatherUsual
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -138,7 +138,7 @@
 		}
 		return path
 	}
-	operation := map[string]any{"name": "hold", "aim": 1_000, "give_up": 2_500, "importance": 1}
+	operation := map[string]any{"name": "hold", "aim": 1_000, "give_up": 2_500, "importance": 1, "effect": "idempotent"}
 	if p.night.Storm {
 		operation = map[string]any{"name": "hold", "aim": 2_000, "give_up": cmp.Or(int64(p.night.Timeout)/ms, 5_000),
 			"importance": 1, "effect": "deduplicated", "window": stormWindow}
@@ -150,7 +150,7 @@
 	config := file(".json", map[string]any{"name": name(i), "listen": "127.0.0.1:0",
 		"executor": p.benches[i].listener.Addr().String(), "control": p.control.Addr().String(), "catalog": p.supply.listener.Addr().String(),
 		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
-		"settings": map[string]any{"grades": []any{operation, map[string]any{"name": "look", "aim": 1_000, "give_up": 2_500, "importance": 1}},
+		"settings": map[string]any{"grades": []any{operation, map[string]any{"name": "look", "aim": 1_000, "give_up": 2_500, "importance": 1, "effect": "idempotent"}},
 			"family_info": map[string]any{"n_cores": cmp.Or(p.night.Cores, 8), "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{p.night.Calls > 0, false},
 				"below": below, "calls_out": share, "calls_over": 1_000, "linger": 0, "advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
 			"guarantees": map[string]any{"tip_multiple": 8, "drain_grace": 500},
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -382,7 +382,7 @@
 func invocation(op string, stream uint32, call, token string) []byte {
 	return frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: op}, {Name: "call", Value: call},
 		{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)}, {Name: "src", Value: "1"},
-		{Name: "heap", Value: "1"}, {Name: "token", Value: token}}, []byte(token))
+		{Name: "heap", Value: "1"}, {Name: "dedupe", Value: token}}, []byte(token))
 }
 
 func (s *storm) broken(open map[uint32]sent, caller int) {
--- a/node/node.go
+++ b/node/node.go
@@ -66,7 +66,8 @@
 	Cores         int
 	MemoryKB      float64
 	Blowup        float64
-	EntryKB       float64
+	EntryKB       float64 // of MemoryKB for each record
+	RecordsMost   int     // records that there is other room for; 0 for no bound but MemoryKB's
 	Halting       Halting
 	Advice        Advice
 	Peers         int
--- a/plate/plate.go
+++ b/plate/plate.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -115,6 +117,19 @@
 	return int(n)
 }
 
+// word reads one of the words that a setting may be. Guards against a word of another edition of the settings, which
+// would else be taken for the harmless one: an operation that may not run again for one that may.
+func word[T any](s *settings, path string, words map[string]T) (value T) {
+	text := s.text(path)
+	value, known := words[text]
+	if !known && s.err == nil {
+		may := slices.Sorted(maps.Keys(words))
+		s.err = fmt.Errorf("plate: %s: %q is not known; it may be %s", path, text, strings.Join(slices.DeleteFunc(may,
+			func(w string) bool { return w == "" }), ", "))
+	}
+	return value
+}
+
 func (s *settings) list(path string) []string {
 	if s.text(path) == "" {
 		return nil
@@ -148,12 +163,12 @@
 		WarmAfter:     s.time("guarantees.warm_after"),
 		TipMultiple:   s.number("guarantees.tip_multiple"),
 		DrainGrace:    s.time("guarantees.drain_grace"),
-		Halting: map[string]node.Halting{
-			"drop": node.DropHalt, "pause": node.PauseHalt}[s.text("family_info.halt")],
-		Advice: map[string]node.Advice{"min_rank": node.LevelAdvice, "tokens": node.CreditAdvice,
-			"bias": node.WeightAdvice}[s.text("family_info.advert")],
-		Below: map[string]node.Below{
-			"common": node.SharedBelow, "next_hop": node.TierBelow}[s.text("family_info.below")],
+		Halting: word(s, "family_info.halt", map[string]node.Halting{
+			"": node.NoHalt, "off": node.NoHalt, "drop": node.DropHalt, "pause": node.PauseHalt}),
+		Advice: word(s, "family_info.advert", map[string]node.Advice{"": node.NoAdvice, "off": node.NoAdvice,
+			"min_rank": node.LevelAdvice, "tokens": node.CreditAdvice, "bias": node.WeightAdvice}),
+		Below: word(s, "family_info.below", map[string]node.Below{"": node.NothingBelow, "off": node.NothingBelow,
+			"common": node.SharedBelow, "next_hop": node.TierBelow}),
 	}
 	if s.flag("limits.retry_after") {
 		plate.Nameplate.ComeBackMax = s.time("limits.max_retry_after")
@@ -179,8 +194,8 @@
 			BilledValue:   s.number(at + ".importance"),
 			LateShare:     s.number(at + ".late_share"),
 			MayCall:       i < len(calls) && calls[i] == "true",
-			Effect: map[string]node.Effect{"deduplicated": node.Tokened,
-				"at_most_once": node.NonIdempotent}[s.text(at+".effect")],
+			Effect: word(s, at+".effect", map[string]node.Effect{"idempotent": node.Idempotent,
+				"deduplicated": node.Tokened, "at_most_once": node.NonIdempotent}),
 		}
 		if i < len(skips) {
 			share, err := strconv.ParseFloat(skips[i], 64)
@@ -202,6 +217,8 @@
 	for name, i := range p.Operations {
 		if op := p.Nameplate.Operations[i]; name == "" || op.Objective <= 0 || op.ClientTimeout <= 0 {
 			return fmt.Errorf("plate: grades.%d: name, aim and give_up must be set", i)
+		} else if op.Effect == node.Tokened && op.Window <= 0 {
+			return fmt.Errorf("plate: grades.%d: window must be set where repeats are dropped", i)
 		}
 	}
 	if p.Nameplate.MemoryKB <= 0 {
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -35,6 +35,7 @@
 	self   claims.Owner
 	seats  []string
 	names  []string // of operations, by index
+	orgs   []string // of tenants, by index
 	wants  []claims.Input
 	heard  []council.Input
 	links  map[string]int // streams that nodes last spoke on
@@ -65,6 +66,10 @@
 	for name, i := range r.plate.Operations {
 		c.names[i] = name
 	}
+	c.orgs = make([]string, len(r.plate.Tenants))
+	for name, i := range r.plate.Tenants {
+		c.orgs[i] = name
+	}
 	if r.kept.keeper != nil {
 		c.desk = claims.NewDesk(c.self)
 	}
@@ -96,12 +101,20 @@
 }
 
 func (r *Reducer) claimKey(k results.Key) claims.Key {
-	return claims.Key{Operation: r.claimed.names[k.Operation], Token: k.Token}
+	key := claims.Key{Operation: r.claimed.names[k.Operation], Token: k.Token}
+	if k.Tenant >= 0 {
+		key.Tenant = r.claimed.orgs[k.Tenant]
+	}
+	return key
 }
 
 func (r *Reducer) resultKey(k claims.Key) (key results.Key, known bool) {
 	op, known := r.plate.Operations[k.Operation]
-	return results.Key{Operation: op, Tenant: -1, Token: k.Token}, known && k.Tenant == ""
+	tenant, named := r.plate.Tenants[k.Tenant]
+	if !named {
+		tenant = -1
+	}
+	return results.Key{Operation: op, Tenant: tenant, Token: k.Token}, known && named == (k.Tenant != "")
 }
 
 // unclaimed says whether a token's first invocation must be turned away, since nothing new can be claimed now.
@@ -338,7 +351,7 @@
 	}
 	v := invocation{live: true, conn: heir, call: w.Call, op: r.claimed.names[key.Operation], body: w.Body, key: key, hash: a.Body,
 		taken: r.now, due: r.now + a.For}
-	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: -1, Repeats: node.NoRepeat, Further: true,
+	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: key.Tenant, Repeats: node.NoRepeat, Further: true,
 		Due: r.now + a.For, HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
 	i := r.admit(v)
 	r.invs[i].arrival.Inv = i
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -208,7 +209,7 @@
 	e.Inv = r.admit(v)
 	if v.key.Token != "" {
 		r.invs[e.Inv].arrival, r.invs[e.Inv].taken = e, r.now
-		r.invs[e.Inv].due = r.now - e.Age + r.plate.Nameplate.Operations[e.Operation].ClientTimeout
+		r.invs[e.Inv].due = cmp.Or(e.Due, r.now-e.Age+r.plate.Nameplate.Operations[e.Operation].ClientTimeout)
 		r.hold(e.Inv, e.Repeats)
 	}
 	c.open[f.Stream] = e.Inv
@@ -225,6 +226,7 @@
 		return err
 	}
 	var op, call, recv, src, heap bool
+	left := int64(-1) // ms that the caller waits from the arrival on, where it says so
 	for _, field := range fields {
 		ok, n := true, 0.0
 		switch field.Name {
@@ -241,6 +243,13 @@
 		case "src":
 			e.Caller, ok = whole(field.Value)
 			src, ok = true, ok && e.Caller <= callerMost
+		case "org":
+			if len(r.plate.Tenants) > 0 {
+				e.Tenant, ok = r.plate.Tenants[field.Value]
+			}
+		case "ttl":
+			left, ok = whole(field.Value)
+			ok = ok && left <= ttlMost
 		case "rep":
 			e.Further, ok = true, field.Value == "1"
 		case "work":
@@ -264,6 +273,15 @@
 	if !(op && call && recv && src && heap) {
 		return fmt.Errorf("op, call, recv, src or heap: %w", errField)
 	}
+	if e.Tenant < 0 && len(r.plate.Tenants) > 0 {
+		return fmt.Errorf("field org: %w: the settings name tenants", errField)
+	}
+	if r.kept.keeper != nil && v.key.Token == "" && r.plate.Nameplate.Operations[e.Operation].Effect == node.Tokened {
+		return fmt.Errorf("field %s: %w: repeats of %s are known by it", r.kept.token, errField, v.op)
+	}
+	if left >= 0 {
+		e.Due = max(1, r.now-e.Age+left*ms) // 0 would say that it is not known
+	}
 	if _, known := r.calls[v.call]; known {
 		return fmt.Errorf("field call: %w: in use", errField)
 	}
--- /dev/null
+++ b/reducer/fields_test.go
@@ -0,0 +1,99 @@
+package reducer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/node"
+	"topazpost/plate"
+	"topazpost/results"
+)
+
+const customers = `{"grades":[{"name":"hold","aim":1000,"give_up":3000,"importance":5,"effect":"deduplicated","window":20000},
+	{"name":"look","aim":1000,"give_up":3000,"importance":1,"effect":"idempotent"}],
+	"tenants":[{"name":"north","quota_rps":9},{"name":"south","quota_rps":4}],
+	"family_info":{"n_cores":2,"memory_kb":9000,"blowup":4,"entry_kb":800,"halt":"drop","class_skip_worth":[0.5,0.5],"share_for":900,
+	"class_calls":[true,false],"below":"common","calls_out":9,"calls_over":5000,"linger":100,"advert":"min_rank",
+	"gauges":["cpu_busy","runnable","mem_used","sockets"]},
+	"guarantees":{"tip_multiple":8,"drain_grace":2000},"limits":{"retry_after":true,"max_retry_after":1000}}`
+
+// spy hands what the module is told to a test.
+type spy struct {
+	Decider
+	arrived *[]node.Event
+}
+
+func (s spy) Decide(now int64, events []node.Event) []node.Action {
+	for _, e := range events {
+		if e.Kind == node.Arrived {
+			*s.arrived = append(*s.arrived, e)
+		}
+	}
+	return s.Decider.Decide(now, events)
+}
+
+// serving is a node at a site with tenants; arrived are the invocations that its module is told of.
+func serving(t *testing.T) (r *Reducer, arrived *[]node.Event) {
+	p, err := plate.FromJSON(1, []byte(customers))
+	require.NoError(t, err)
+	r, arrived = New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3), new([]node.Event)
+	make := r.Decisions
+	r.Decisions = func(plate *node.Nameplate, born int64) Decider { return spy{make(plate, born), arrived} }
+	r.Keep(results.Rules{BytesMost: 1 << 20, ResultMost: 1_000, Window: 20_000 * ms}, "dedupe", false)
+	step(r, Input{Kind: Opened, Link: 7})
+	step(r, Input{Kind: Joined, Link: r.dialing})
+	told(r, "WELCOME old 0")
+	told(r, "METERS j1 0.1 1 0.1 3")
+	return r, arrived
+}
+
+func TestTenantAndStatedTimeReachTheModule(t *testing.T) {
+	r, arrived := serving(t)
+	now := r.now + ms
+	step(r, invoke(1, "op", "look", "org", "south", "ttl", "250"))
+	step(r, invoke(2, "op", "look", "call", id(2), "org", "north"))
+	require.Len(t, *arrived, 2)
+	first, second := (*arrived)[0], (*arrived)[1]
+	assert.Equal(t, []int32{1, 0}, []int32{first.Tenant, second.Tenant})
+	assert.Equal(t, now-first.Age+250*ms, first.Due)
+	assert.Zero(t, second.Due)
+}
+
+func TestOneThatCannotBeToldApartIsErrored(t *testing.T) {
+	for what, fields := range map[string][]string{"no tenant": {"org", "-"}, "another tenant": {"org", "norths"},
+		"no token": {"op", "hold", "org", "north"}, "time in words": {"org", "north", "ttl", "soon"},
+		"time gone by": {"org", "north", "ttl", "-5"}, "a time without end": {"org", "north", "ttl", "9000000000000000000"}} {
+		r, arrived := serving(t)
+		assert.Equal(t, []string{"51 on 1"}, answers(t, step(r, invoke(1, append([]string{"op", "look"}, fields...)...))), what)
+		assert.Empty(t, *arrived, what)
+	}
+}
+
+func TestAStatedTimeThatIsOverIsAnsweredAtOnce(t *testing.T) {
+	r, _ := serving(t)
+	assert.Equal(t, []string{"50 on 1"}, answers(t, step(r, invoke(1, "op", "look", "org", "north", "ttl", "0"))))
+}
+
+// A token of one tenant must not find the result of another's.
+func TestTokensOfTenantsAreKeptApart(t *testing.T) {
+	r, _ := serving(t)
+	assert.Equal(t, 1, runsOf(step(r, invoke(1, "op", "hold", "org", "north", "dedupe", "a", "call", id(1)))))
+	told(r, "EXIT 1 "+id(1)+" good 12 6|result")
+	assert.Equal(t, 1, runsOf(step(r, invoke(2, "op", "hold", "org", "south", "dedupe", "a", "call", id(2)))))
+	assert.Equal(t, []string{"20 on 3"}, answers(t, step(r, invoke(3, "op", "hold", "org", "north", "dedupe", "a", "call", id(3)))))
+}
+
+// Records lie in the node's own memory on sockets: entry_kb, of the executor's, would leave room for two of them.
+func TestRecordsAreBoundByTheNodesOwnMemory(t *testing.T) {
+	r, arrived := serving(t)
+	for n := range 8 {
+		step(r, invoke(uint32(n+1), "op", "hold", "org", "north", "dedupe", id(n), "call", id(n+1)))
+		told(r, "EXIT "+string(rune('1'+n))+" "+id(n+1)+" good 12 6|result")
+	}
+	assert.Equal(t, 8, r.Counters.Succeeded)
+	assert.Len(t, *arrived, 8)
+	assert.Equal(t, node.NoHalt, r.plate.Nameplate.Halting)
+	assert.Zero(t, r.plate.Nameplate.Operations[0].SkipShare)
+}
--- a/reducer/kept.go
+++ b/reducer/kept.go
@@ -39,6 +39,7 @@
 // Keep has the node keep results of tokened invocations, whose token comes in a field. With unread, tokened work is
 // turned away until KeptRead tells that the store was read.
 func (r *Reducer) Keep(rules results.Rules, field string, unread bool) {
+	r.plate.Nameplate.RecordsMost = rules.TokensMost()
 	r.kept = kept{keeper: results.New(rules), token: field, held: make(map[results.Key]*unrun), unread: unread}
 }
 
--- a/reducer/kept_test.go
+++ b/reducer/kept_test.go
@@ -24,7 +24,7 @@
 	p, err := plate.FromJSON(1, []byte(tokened))
 	require.NoError(t, err)
 	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
-	r.Keep(results.Rules{Durability: durability, BytesMost: 100_000, ResultMost: 1_000, Window: 20_000 * ms}, "token", false)
+	r.Keep(results.Rules{Durability: durability, BytesMost: 100_000, ResultMost: 1_000, Window: 20_000 * ms}, "dedupe", false)
 	step(r, Input{Kind: Opened, Link: 7})
 	step(r, Input{Kind: Joined, Link: r.dialing})
 	told(r, "WELCOME old 0")
@@ -38,7 +38,7 @@
 
 // hold is an invocation of a token on a stream.
 func hold(stream int, token string) Input {
-	return invoke(uint32(stream), "op", "hold", "call", id(stream), "token", token)
+	return invoke(uint32(stream), "op", "hold", "call", id(stream), "dedupe", token)
 }
 
 // runsOf counts the runs that effects start.
@@ -158,7 +158,7 @@
 func TestRepeatsOfOneTurnedAwayUnrunAreTakenInAnew(t *testing.T) {
 	r := keeping(t, results.OnDisk)
 	for n := range 24 { // more than run at once
-		step(r, invoke(uint32(n+1), "op", "hold", "call", id(n+1), "token", fmt.Sprint("t", n)))
+		step(r, invoke(uint32(n+1), "op", "hold", "call", id(n+1), "dedupe", fmt.Sprint("t", n)))
 	}
 	var first int32 = -1
 	for _, h := range r.kept.held {
@@ -167,7 +167,7 @@
 	require.GreaterOrEqual(t, first, int32(0), "some wait unrun")
 	v := r.invs[first]
 	open := r.open
-	step(r, invoke(100, "op", "hold", "call", id(100), "token", v.key.Token))
+	step(r, invoke(100, "op", "hold", "call", id(100), "dedupe", v.key.Token))
 	assert.Equal(t, open+1, r.open)
 	step(r, Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: frame.Gone, Stream: v.stream}})
 	step(r)
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -21,6 +21,7 @@
 	heapMost    = 2_000.0     // kB of memory that an invocation may be booked with
 	ageMost     = 60_000      // ms past which the stamp of an arrival can't be one: far above any client timeout
 	aheadMost   = 1_000       // ms that a stamp may lie ahead: a clock that was set back between it and its reading
+	ttlMost     = 86_400_000  // ms that a caller may say it waits: a day, far above any client timeout
 	callerMost  = 1 << 32     // numbers of callers: a few thousand in the largest fleet
 	workMost    = 1e7         // ms of work that may be expected: some hours
 	digitsMost  = 32          // bytes of a decimal number
@@ -192,7 +193,7 @@
 // New is the state of a node that has just started. Settings are those of its configuration, connections and
 // links the most that it is to keep of dispatchers and to the catalogue.
 func New(settings *plate.Plate, to Addresses, stop int64, connections, links int) *Reducer {
-	r := &Reducer{plate: settings, to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
+	r := &Reducer{plate: onSockets(settings), to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
 		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
 		metered: math.MinInt64 / 2, wait: redialFirst,
 		Decisions: func(plate *node.Nameplate, born int64) Decider { return control.New(plate, born) }}
@@ -202,6 +203,18 @@
 	return r
 }
 
+// onSockets leaves out of the settings what the protocol on sockets has no word for: to stop a run, to go on without a
+// call, to share the answer of a read. Records of tokens lie in the node's own memory there, not in the executor's.
+func onSockets(settings *plate.Plate) *plate.Plate {
+	own := *settings
+	n := &own.Nameplate
+	n.EntryKB, n.Halting, n.ReuseFor, n.Operations = 0, node.NoHalt, 0, slices.Clone(n.Operations)
+	for i := range n.Operations {
+		n.Operations[i].SkipShare = 0
+	}
+	return &own
+}
+
 func (r *Reducer) do(e Effect) { r.effects = append(r.effects, e) }
 
 func (r *Reducer) remark(level Level, text, id string, err error) {
--- a/results/results.go
+++ b/results/results.go
@@ -44,6 +44,9 @@
 
 const entryBytes = 160 // of one token beside its text and its result: its record, index and timers
 
+// TokensMost is how many tokens there is room for at the most, each with no result.
+func (r *Rules) TokensMost() int { return max(1, int(r.BytesMost/entryBytes)) }
+
 // Ending is how a run ended.
 type Ending uint8
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -16,7 +16,7 @@
 const config = `{"name":"n1","listen":"127.0.0.1:0","executor":"127.0.0.1:1","control":"127.0.0.1:1",
 	"catalog":"127.0.0.1:1","seed":"8c1f30d27a5be964","stop_ms":3200,
 	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
-	"settings":{"grades":[{"name":"hold","aim":1000,"give_up":2600}],"family_info":{"memory_kb":9000},
+	"settings":{"grades":[{"name":"hold","aim":1000,"give_up":2600,"effect":"idempotent"}],"family_info":{"memory_kb":9000},
 	"guarantees":{"tip_multiple":8}}}`
 
 func server(t *testing.T) *Server {
