What crosses an end is answered before it: last look, resume, and a drain that waits for its connections

The address of a last life is waited for 25 s instead of 3 s: 30 s are given.

One mechanism serves them all: a connection that is to end stays known to the reducer until it is gone. The reader, woken once all is written and no frame waits, looks once more; only if nothing lies unread does it close this side, and what comes after that is never run. A frame on the way takes the end back (Resume) before its turn is over. An idle connection whose place is wanted is told (48), heard for 60 ms, then ended; one that never brought anything ends at once, after the look. A drain ends when each connection has had its end and nobody can connect, 100 ms before the kill at the latest.

Also: the client for reports is one of each server, and links to the catalogue wait for the descriptor of one that was left.

--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -177,11 +177,12 @@
 	require.NoError(s.t, err)
 	require.NoError(s.t, s.command.Start())
 	s.t.Cleanup(func() { s.command.Process.Kill() })
+	command, ended := s.command, s.ended // a further life has its own
 	go func() {
 		for in := bufio.NewScanner(out); in.Scan(); {
 			s.log <- in.Text()
 		}
-		s.ended <- s.command.Wait()
+		ended <- command.Wait()
 	}()
 	var first struct{ Listen string }
 	require.NoError(s.t, json.Unmarshal([]byte(s.line("listening")), &first))
@@ -329,11 +330,15 @@
 // invoke sends an invocation; its id ends in the number of the stream.
 func (d *dispatcher) invoke(stream uint32, body string) string {
 	call := fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, stream)
-	d.write(frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "catalogue"},
+	d.write(invocation(call, stream, body))
+	return call
+}
+
+func invocation(call string, stream uint32, body string) []byte {
+	return frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "catalogue"},
 		{Name: "call", Value: call}, {Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)},
 		{Name: "src", Value: "4"}, {Name: "work", Value: "12.5"}, {Name: "heap", Value: "24.5"},
-		{Name: "crit", Value: "0.6"}}, []byte(body)))
-	return call
+		{Name: "crit", Value: "0.6"}}, []byte(body))
 }
 
 func (d *dispatcher) write(b []byte) {
--- a/lab/fleet/machine.go
+++ b/lab/fleet/machine.go
@@ -215,10 +215,12 @@
 	case reducer.Send:
 		m.send(e)
 	case reducer.Finish, reducer.Evict:
-		if c := m.conns[e.Link]; c != nil {
+		link := e.Link
+		if c := m.conns[link]; c != nil {
 			c.noMore = true
-			delete(m.conns, e.Link)
+			delete(m.conns, link)
 		}
+		m.later(hop, func() { m.put(reducer.Input{Kind: reducer.Closed, Link: link}) })
 	case reducer.Dial:
 		link := e.Link
 		m.later(hop, func() {
@@ -244,6 +246,7 @@
 		m.later(hop, func() { m.put(reducer.Input{Kind: reducer.Reported, Link: link}) })
 	case reducer.Shut:
 		m.shut = true
+		m.later(hop, func() { m.put(reducer.Input{Kind: reducer.Unheard}) })
 	case reducer.Turned:
 		m.level = e.Turn.ToName
 		m.total.turned(m, e.Turn)
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -25,11 +25,16 @@
 func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
 
 // opened takes a connection on. At the most that are kept an idle one makes room: one that brought nothing usable
-// before any other, then the one that has stood idle longest.
+// before any other, then the one that has stood idle longest. Those that end already do not count: there is room for
+// as many of them as the server takes beside.
 func (r *Reducer) opened(link int) {
 	if len(r.conns) >= r.connMost {
-		oldest, found := 0, false
+		oldest, found, stay := 0, false, 0
 		for id, c := range r.conns {
+			if c.evicted || c.ending {
+				continue
+			}
+			stay++
 			if !c.idle() || c.closing {
 				continue
 			}
@@ -42,10 +47,8 @@
 			}
 			oldest, found = id, true
 		}
-		if found {
-			r.Counters.Evicted++
-			delete(r.conns, oldest)
-			r.do(Effect{Kind: Evict, Link: oldest})
+		if found && stay >= r.connMost {
+			r.evict(oldest, r.conns[oldest])
 		}
 	}
 	c := &connection{open: make(map[uint32]int32), used: r.now}
@@ -56,6 +59,20 @@
 	}
 }
 
+// evict ends an idle connection whose place is wanted: one that never brought anything usable now, any other once what
+// crosses has had its time.
+func (r *Reducer) evict(link int, c *connection) {
+	r.Counters.Evicted++
+	c.evicted = true
+	if !c.usable {
+		c.closing, c.ending = true, true
+		r.do(Effect{Kind: Evict, Link: link})
+		return
+	}
+	r.noMore(link, c)
+	r.sweepAt = min(r.sweepAt, r.now+evictWait)
+}
+
 func (r *Reducer) fromDispatcher(in *Input, c *connection) {
 	switch in.Kind {
 	case Closed:
@@ -87,16 +104,17 @@
 // broken ends a connection that can't be understood, once what is open on it is answered.
 func (r *Reducer) broken(link int, c *connection, err error) {
 	r.remark(Warn, "connection can't be understood", "", err)
-	if c.noMore && c.closing {
+	if c.broken {
 		return
 	}
+	c.broken = true
 	r.Counters.BrokenConnections++
 	text := err.Error()
 	r.do(Effect{Kind: Send, Link: link,
 		Bytes: append(frame.Head(nil, frame.Answer, 0, frame.Errored, nil, len(text)), text...)})
 	r.noMore(link, c)
-	c.closing, c.ended = true, r.now
 	r.do(Effect{Kind: Ignore, Link: link})
+	c.closing = true
 	r.keepOpen(link, c)
 }
 
@@ -108,24 +126,24 @@
 	}
 }
 
-// keepConnections closes those that hold a descriptor to no use: that never brought anything usable, that stand
-// idle long after it, and what can't be understood with something still open on it.
+// keepConnections closes those that hold a descriptor to no use: that never brought anything usable, or that stand
+// idle long after it. Each is told before.
 func (r *Reducer) keepConnections() {
 	r.sweepAt = r.now + sweepEvery
 	for _, link := range slices.Sorted(maps.Keys(r.conns)) {
-		switch c := r.conns[link]; {
-		case c.closing:
-			if r.now-c.ended >= endWait {
-				for _, stream := range slices.Sorted(maps.Keys(c.open)) {
-					r.gone(c.open[stream])
-				}
-				r.finish(link, c)
-			}
-		case !c.idle():
-		case c.noMore && r.now-c.ended >= crossWait, !c.usable && r.now-c.used >= firstWait:
+		c := r.conns[link]
+		wait := crossWait
+		if c.evicted {
+			wait = evictWait
+		}
+		switch {
+		case c.closing || !c.idle():
+		case c.noMore && r.now-c.ended >= wait:
 			r.Counters.Idle++
 			r.finish(link, c)
-		case r.now-c.used >= idleWait:
+		case c.noMore:
+			r.sweepAt = min(r.sweepAt, c.ended+wait)
+		case r.now-c.used >= idleWait, !c.usable && r.now-c.used >= firstWait:
 			r.noMore(link, c)
 		}
 	}
@@ -134,6 +152,7 @@
 func (r *Reducer) noMore(link int, c *connection) {
 	if !c.noMore {
 		c.noMore, c.ended = true, r.now
+		r.sweepAt = min(r.sweepAt, r.now+crossWait)
 		r.do(Effect{Kind: Send, Link: link, Bytes: frame.Append(nil, frame.NoMore, 0, nil)})
 	}
 }
@@ -147,10 +166,22 @@
 	}
 }
 
+// finish has the server close a connection, which stays known until it is gone: what was read on it before is still
+// answered.
 func (r *Reducer) finish(link int, c *connection) {
 	c.closing = true
-	delete(r.conns, link)
-	r.do(Effect{Kind: Finish, Link: link})
+	if !c.ending {
+		c.ending = true
+		r.do(Effect{Kind: Finish, Link: link})
+	}
+}
+
+// keepEnding takes that back for an invocation or a check that came on it meanwhile and is not answered yet.
+func (r *Reducer) keepEnding(link int, c *connection) {
+	if c.ending {
+		c.ending = false
+		r.do(Effect{Kind: Resume, Link: link})
+	}
 }
 
 func (r *Reducer) gone(i int32) {
@@ -168,9 +199,15 @@
 	}
 }
 
-// intake takes an invocation in, or answers at once one that can't be used.
+// intake takes an invocation in, or answers at once one that can't be used. Where its connection can't be understood
+// any more it is turned away unrun, as it may be no invocation at all.
 func (r *Reducer) intake(link int, c *connection, f *frame.Frame) {
-	if c.closing {
+	if c.broken {
+		if f.Stream > c.last {
+			c.last = f.Stream
+			r.Counters.Invocations++
+			r.turnAway(link, f.Stream)
+		}
 		return
 	}
 	if f.Stream <= c.last {
@@ -201,11 +238,11 @@
 		r.turnAway(link, f.Stream)
 		return
 	}
-	if r.post == nil || r.reading(&v) {
-		r.Counters.Throttled++
-		r.send(link, f.Stream, frame.Throttled, nil, nil)
+	if r.post == nil || r.left || r.reading(&v) {
+		r.turnAway(link, f.Stream)
 		return
 	}
+	r.keepEnding(link, c)
 	e.Inv = r.admit(v)
 	if v.key.Token != "" {
 		r.invs[e.Inv].arrival, r.invs[e.Inv].taken = e, r.now
@@ -333,6 +370,7 @@
 		tag := "d" + strconv.Itoa(r.diagged)
 		r.diags[tag] = check{link, f.Stream, r.now + diagWait}
 		c.checks++
+		r.keepEnding(link, c)
 		r.tell("DIAG", tag)
 		return
 	}
--- a/reducer/helpers_test.go
+++ b/reducer/helpers_test.go
@@ -115,3 +115,10 @@
 	}
 	return got
 }
+
+func kinds(effects []Effect) (list []EffectKind) {
+	for _, e := range effects {
+		list = append(list, e.Kind)
+	}
+	return list
+}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -38,7 +38,8 @@
 	firstWait   = 2_000 * ms  // ns in which a connection must bring something usable: it is told of its end within 3 s
 	idleWait    = 15_000 * ms // ns of standing idle past which a connection is told to bring no more: callers close sooner
 	crossWait   = 200 * ms    // ns after that in which an invocation may cross, then it is closed
-	endWait     = 1_000 * ms  // ns that what is open on a connection that can't be understood may still take
+	evictWait   = 60 * ms     // ns of the same where its place is wanted: the 50 ms of the protocol, and a round trip
+	leaveMargin = 100 * ms    // ns before the kill at which the process ends, whoever has not read what he is owed
 	faultsMost  = 16          // invocations that can't be used on one connection, past which it is not heard any more
 	reportEvery = 1_000 * ms  // ns between reports, three to the time after which an entry lapses
 	stateEvery  = 1_000 * ms  // ns between samples of the state: fine beside what operators act on, a line a second
@@ -82,7 +83,10 @@
 	used    int64 // when it was opened, last brought something usable or had its last answer
 	ended   int64 // when it was told that nothing new may come, where noMore
 	noMore  bool
-	closing bool
+	evicted bool // its place is wanted
+	closing bool // it ends as soon as nothing is open on it
+	ending  bool // the server was asked to close it
+	broken  bool // it can't be understood
 }
 
 func (c *connection) idle() bool { return len(c.open)+c.checks == 0 }
@@ -177,6 +181,8 @@
 	reportAt            int64
 	reporting           int // the report that is under way, 0 where none is
 	noticed, shut, left bool
+	unheard             bool  // nobody connects any more
+	killAt              int64 // when the process is killed, once noticed
 
 	levels  ladder
 	peers   peers
@@ -281,6 +287,8 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
+	case Unheard:
+		r.unheard = true
 	case Notice:
 		r.drain()
 	case Reload:
@@ -305,8 +313,12 @@
 		r.meterAt = never
 		r.askGauges()
 	}
-	if r.link != 0 && r.welcomed == r.link && r.now-r.heardAt >= silentMost {
-		r.remark(Warn, "executor link is silent, opened anew", "", nil)
+	if r.link != 0 && r.now-r.heardAt >= silentMost {
+		if r.welcomed == r.link {
+			r.remark(Warn, "executor link is silent, opened anew", "", nil)
+		} else { // it may be late, or the link half open: a new one costs nothing, and one that waits for good serves nobody
+			r.remark(Info, "executor has not welcomed the link, opened anew", "", nil)
+		}
 		r.do(Effect{Kind: Part, Link: r.link})
 		r.partExecutor()
 		r.redialAt = r.now + r.wait
@@ -336,10 +348,16 @@
 	if len(r.conns) > 0 {
 		at = min(at, r.sweepAt)
 	}
+	if r.left && r.open == 0 {
+		at = min(at, r.leaveBy())
+	}
 	if r.link == 0 && r.dialing == 0 {
 		at = min(at, r.redialAt)
-	} else if r.link != 0 && r.welcomed == r.link {
-		at = min(at, r.meterAt, r.heardAt+silentMost)
+	} else if r.link != 0 {
+		at = min(at, r.heardAt+silentMost)
+		if r.welcomed == r.link {
+			at = min(at, r.meterAt)
+		}
 	}
 	if r.reporting == 0 && !r.noticed {
 		at = min(at, r.reportAt)
@@ -388,7 +406,7 @@
 	if r.noticed {
 		return
 	}
-	r.noticed = true
+	r.noticed, r.killAt = true, r.now+r.stop
 	r.remark(Info, "drain notice", "", nil)
 	if r.post == nil {
 		r.stopIntake()
@@ -434,14 +452,22 @@
 	}
 }
 
+// keepLeaving ends the node once nothing is owed: all is answered, and each connection has had its end, so that what
+// crosses is answered too. Shortly before the kill it waits for no peer any more.
 func (r *Reducer) keepLeaving() {
-	if r.left && r.open == 0 {
-		r.left = false
-		r.farewell()
-		r.do(Effect{Kind: Leave})
+	if !r.left || r.open > 0 || (len(r.conns) > 0 || !r.unheard) && r.now < r.leaveBy() {
+		return
+	}
+	r.left = false
+	if len(r.conns) > 0 {
+		r.remark(Warn, fmt.Sprintf("leaving with %d connections that have not ended", len(r.conns)), "", nil)
 	}
+	r.farewell()
+	r.do(Effect{Kind: Leave})
 }
 
+func (r *Reducer) leaveBy() int64 { return r.killAt - leaveMargin }
+
 // Admission of ids.
 
 func (r *Reducer) admit(v invocation) int32 {
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -86,7 +86,7 @@
 		r := up(t)
 		step(r, invoke(1))
 		assert.Equal(t, []string{"51 on 0", "no more"}, answers(t, step(r, bad)), what)
-		assert.Empty(t, step(r, invoke(2, "call", "0000000000000000")), "no invocation more: "+what)
+		assert.Equal(t, []string{"50 on 2"}, answers(t, step(r, invoke(2, "call", "0000000000000000"))), "never run: "+what)
 		end := told(r, "EXIT 1 "+callID+" good 12 6|result")
 		assert.Equal(t, []string{"20 on 1"}, answers(t, end), what)
 		assert.Equal(t, Finish, end[len(end)-1].Kind, what)
@@ -292,12 +292,27 @@
 	assert.Equal(t, 1, r.Counters.Throttled, "what came after intake ended is not run")
 	end := told(r, "EXIT 1 "+callID+" good 12 1|r")
 	assert.Equal(t, []string{"20 on 1"}, answers(t, end))
-	assert.Equal(t, Leave, end[len(end)-1].Kind)
+	assert.NotEqual(t, Leave, end[len(end)-1].Kind, "connection 7 has not ended, and somebody may still connect")
+	crossed := step(r, invoke(3, "call", "00000000000000bb"))
+	assert.Equal(t, []string{"50 on 3"}, answers(t, crossed), "it crossed the notice that no more may come")
+	r.now += crossWait
+	assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r))
+	assert.Empty(t, step(r, Input{Kind: Unheard}))
+	assert.Equal(t, []Effect{{Kind: Leave}}, step(r, Input{Kind: Closed, Link: 7}))
 }
 
-func TestNodeWithoutItsExecutorLeavesAtOnce(t *testing.T) {
-	got := step(fresh(t), Input{Kind: Notice})
-	assert.Equal(t, Leave, got[len(got)-1].Kind)
+func TestNodeWithoutItsExecutorLeavesOnceItsConnectionsHaveEnded(t *testing.T) {
+	r := fresh(t)
+	got := step(r, Input{Kind: Notice})
+	assert.Equal(t, []string{"no more"}, answers(t, got))
+	assert.Equal(t, []string{"50 on 1"}, answers(t, step(r, invoke(1))), "one that crosses is answered")
+	assert.Empty(t, step(r, Input{Kind: Unheard}))
+	assert.Equal(t, []Effect{{Kind: Leave}}, step(r, Input{Kind: Closed, Link: 7}))
+	r = fresh(t)
+	step(r, Input{Kind: Notice})
+	r.now = r.killAt - leaveMargin
+	got = step(r, Input{Kind: Unheard})
+	assert.Equal(t, Leave, got[len(got)-1].Kind, "no peer keeps it past its time")
 }
 
 func TestFullTableOfConnectionsMakesRoomAtTheLongestIdle(t *testing.T) {
@@ -312,8 +327,51 @@
 	step(r, check(9))
 	step(r, check(8))
 	assert.Equal(t, Effect{Kind: Evict, Link: 10}, step(r, Input{Kind: Opened, Link: 11})[0], "it brought nothing")
+	step(r, Input{Kind: Closed, Link: 10})
 	step(r, check(11))
-	assert.Equal(t, Effect{Kind: Evict, Link: 9}, step(r, Input{Kind: Opened, Link: 12})[0], "8 was heard of later")
+	step(r, Input{Kind: Opened, Link: 12})
+	assert.True(t, r.conns[9].noMore, "8 was heard of later")
+	assert.False(t, r.conns[8].noMore)
+	assert.Equal(t, 2, r.Counters.Evicted)
+	r.now += evictWait
+	assert.Equal(t, []Effect{{Kind: Finish, Link: 9}}, step(r))
+}
+
+// What is read on a connection that was to end is answered all the same, and the end waits for that.
+func TestInvocationThatCrossesAnEndIsAnsweredBeforeIt(t *testing.T) {
+	for what, evicted := range map[string]bool{"it stood idle": false, "its place is wanted": true} {
+		r := up(t)
+		step(r, invoke(1))
+		told(r, "EXIT 1 "+callID+" good 12 6|result")
+		if evicted {
+			for link := range 4 {
+				step(r, Input{Kind: Opened, Link: 8 + link})
+				step(r, Input{Kind: Read, Link: 8 + link, Frame: frame.Frame{Type: frame.Check, Payload: []byte{0}}})
+			}
+			r.now += evictWait
+		} else {
+			r.now, r.heardAt = r.now+idleWait, r.now+idleWait
+			assert.Equal(t, []string{"no more"}, answers(t, step(r)), what)
+			r.now += crossWait
+		}
+		assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r), what)
+		got := step(r, invoke(2, "call", "00000000000000aa", "recv", fmt.Sprint((r.now+ms)/ms+1_000_000)))
+		assert.Equal(t, Effect{Kind: Resume, Link: 7}, got[0], what)
+		assert.Equal(t, 1, runsOf(got), what)
+		got = told(r, "EXIT 2 00000000000000aa good 12 6|result")
+		assert.Equal(t, []string{"20 on 2"}, answers(t, got), what)
+		assert.Equal(t, Effect{Kind: Finish, Link: 7}, got[len(got)-1], what)
+		assert.Contains(t, r.conns, 7, what)
+		step(r, Input{Kind: Closed, Link: 7})
+		assert.NotContains(t, r.conns, 7, what)
+	}
+}
+
+func TestWhatFollowsWhatCannotBeUnderstoodIsTurnedAwayUnrun(t *testing.T) {
+	r := up(t)
+	got := step(r, Input{Kind: Read, Link: 7, Frame: frame.Frame{Type: 99}}, invoke(1))
+	assert.Equal(t, []string{"51 on 0", "no more", "50 on 1"}, answers(t, got))
+	assert.Zero(t, runsOf(got))
 }
 
 func TestConnectionsThatAreOfNoUseAreClosed(t *testing.T) {
@@ -321,7 +379,10 @@
 	step(r, invoke(1))
 	step(r, Input{Kind: Opened, Link: 8}) // brings nothing
 	r.now, r.heardAt = r.now+firstWait, r.now+firstWait
+	assert.Equal(t, []string{"no more"}, answers(t, step(r)))
+	r.now += sweepEvery
 	assert.Equal(t, []Effect{{Kind: Finish, Link: 8}}, step(r))
+	step(r, Input{Kind: Closed, Link: 8})
 	told(r, "EXIT 1 "+callID+" good 12 6|result")
 	r.now, r.heardAt = r.now+idleWait, r.now+idleWait
 	assert.Equal(t, []string{"no more"}, answers(t, step(r)))
@@ -338,9 +399,11 @@
 	}
 	assert.Equal(t, []string{"51 on 17", "51 on 0", "no more"}, answers(t, got))
 	assert.Equal(t, Effect{Kind: Ignore, Link: 7}, got[3])
-	r.now += endWait
-	assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r), "what is open has its bound")
-	assert.Empty(t, answers(t, told(r, "EXIT 1 "+callID+" good 12 6|result")))
+	r.now, r.heardAt = r.now+1_000*ms, r.now+1_000*ms
+	assert.NotContains(t, kinds(step(r)), Finish, "what is open is owed its answer")
+	got = told(r, "EXIT 1 "+callID+" good 12 6|result")
+	assert.Equal(t, []string{"20 on 1"}, answers(t, got))
+	assert.Equal(t, Effect{Kind: Finish, Link: 7}, got[len(got)-1])
 }
 
 func TestRunThatTheExecutorRefusesCountsAgainstItsConnection(t *testing.T) {
@@ -405,3 +468,17 @@
 	assert.Equal(t, r.now+reportEvery, r.reportAt)
 	assert.Zero(t, r.reporting)
 }
+
+// A link may be half open: one that is up and never welcomed must not keep a node from serving.
+func TestLinkThatIsNeverWelcomedIsOpenedAnew(t *testing.T) {
+	r := fresh(t)
+	link := r.link
+	r.now += silentMost
+	assert.Contains(t, step(r), Effect{Kind: Part, Link: link})
+	r.now = r.redialAt
+	assert.Contains(t, kinds(step(r)), Dial)
+	step(r, Input{Kind: Joined, Link: r.dialing})
+	told(r, "WELCOME new 3")
+	assert.Equal(t, []string{"check 20"}, answers(t, step(r, Input{Kind: Read, Link: 7,
+		Frame: frame.Frame{Type: frame.Check, Payload: []byte{0}}})))
+}
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -19,6 +19,7 @@
 	Read                           // a frame came on it
 	Malformed                      // what came on it can't be read any further
 	Closed                         // it is gone
+	Unheard                        // the listening socket is closed, and all that the system took there was handed on
 	Joined                         // a link to the executor is up
 	Told                           // a line came on it
 	Parted                         // it ended, or could not be had
@@ -66,8 +67,9 @@
 const (
 	Receive      EffectKind = iota // read frames from a new connection
 	Send                           // write to a connection
-	Finish                         // close it once all is written, giving the peer time to read that
-	Evict                          // close it at once: it is idle and its place is wanted
+	Finish                         // close it once all is written and nothing lies unread, giving the peer time to read; then Closed
+	Evict                          // the same without that time: nothing but its end was ever written to it
+	Resume                         // not yet: an invocation came on it meanwhile
 	Ignore                         // read on slowly, only to see its end: nothing on it can be used
 	Dial                           // open a link to the executor, giving Joined or Parted
 	Tell                           // write to the executor
@@ -76,8 +78,8 @@
 	Ask                            // write to the catalogue
 	Quit                           // close the link to the catalogue, giving Broke
 	Report                         // report to the control plane, giving Reported
-	Shut                           // close the listening socket
-	Leave                          // all is done: flush and end
+	Shut                           // close the listening socket once all that waits there is taken, giving Unheard
+	Leave                          // all is done: end
 	Wake                           // step again at this time at the latest
 	Remark                         // log
 	Sample                         // show the state
--- a/server/control.go
+++ b/server/control.go
@@ -24,15 +24,17 @@
 	number, ready := e.Link, e.Ready
 	s.group.Go(func() error {
 		defer end()
-		s.tell(reducer.Input{Kind: reducer.Reported, Link: number, Err: put(ctx, address.String(), ready)})
+		s.tell(reducer.Input{Kind: reducer.Reported, Link: number, Err: put(ctx, &s.reporter, address.String(), ready)})
 		return nil
 	})
 }
 
-// reporter opens a connection for each report: one that stood idle may have been forgotten at the other end.
-var reporter = http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+// newReporter opens a connection for each report: one that stood idle may have been forgotten at the other end.
+func newReporter() http.Client {
+	return http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
 
-func put(ctx context.Context, address string, ready bool) error {
+func put(ctx context.Context, reporter *http.Client, address string, ready bool) error {
 	condition := "NotReady"
 	if ready {
 		condition = "Ready"
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -18,21 +18,27 @@
 	pendingFew  = 8 << 10          // bytes of a few answers
 	writeWait   = 20 * time.Second // a peer that takes nothing for so long is cut off: no pause lasts as long
 	acceptAgain = 20 * time.Millisecond
-	acceptLast  = 5 * time.Millisecond   // for what waits to be accepted when intake stops
+	acceptTries = 2                      // that find nothing
+	acceptFree  = 64                     // connections taken in a row without waiting for a place, and
+	acceptQueue = 50 * time.Millisecond  // in such a time, past which those of before the end of intake are all taken, however many come
+	acceptLast  = 5 * time.Millisecond   // for what waits to be accepted when intake stops; tried twice, as the process may stand still
 	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
 	turnsMost   = 64                     // frames of one connection that may wait for the reducer: twice its streams
 	halfWait    = 2 * time.Second        // for the rest of a frame that has begun: it is written with one call
 	ignorePause = 20 * time.Millisecond  // between reads of what is of no use: never at the peer's full speed
 	ignoredOnce = 4 << 10                // bytes of it taken with one read
-	flushWait   = 150 * time.Millisecond // for the last answers to be taken before the node ends
 )
 
 // Why a connection is read no further.
 var (
 	errHalf    = errors.New("a frame was not brought to its end")
 	errIgnored = errors.New("nothing on it can be used")
+	errQuiet   = errors.New("closed by this node")
 )
 
+// longAgo as a deadline wakes a reader at once.
+var longAgo = time.Unix(1, 0)
+
 // connection is one from a dispatcher: a reader, and a writer that is started when there is something to
 // write and sends all that waits with one call.
 type connection struct {
@@ -43,20 +49,57 @@
 	pending  []byte
 	spare    []byte // the buffer that was last written
 	writing  bool
-	finished bool
-	ending   bool // all is written, and the peer's end is waited for
+	finished bool // it is to end: once all is written, no frame waits and nothing lies unread
+	brief    bool // without time for the peer's end
+	dead     bool // nothing that comes on it is handed on any more
+	ending   bool // this side of it is closed
 	over     bool
 	ignored  atomic.Bool
 	turns    chan struct{} // one for each of its frames that wait for the reducer
 }
 
-// due is when the next read is to end at the latest; at its end a connection has a time of its own.
+// due is when the next read is to end at the latest.
 func (k *connection) due(at time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.ending {
-		k.net.SetReadDeadline(at)
+	k.net.SetReadDeadline(at)
+}
+
+// rest lets the reader wait without end, but for a connection that can end.
+func (k *connection) rest() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.net.SetReadDeadline(time.Time{})
+	k.wake()
+}
+
+// can says whether this side can be closed as far as what was read and written goes. Frames that wait for the reducer
+// count until it has taken them: what it wants to be done for them, Resume above all, is done by then. mu is held.
+func (k *connection) can() bool {
+	return k.finished && !k.ending && !k.over && !k.writing && len(k.pending) == 0 && len(k.turns) == 0
+}
+
+// wake has the reader look whether something lies unread, once this side can be closed. mu is held.
+func (k *connection) wake() {
+	if k.can() {
+		k.net.SetReadDeadline(longAgo)
+	}
+}
+
+// end closes this side, if it still can be closed; the reader, which has just found nothing unread, asks for it.
+func (k *connection) end() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.can() {
+		k.net.SetReadDeadline(time.Time{})
+		return false
 	}
+	k.ending = true
+	if !k.brief {
+		k.net.CloseWrite()
+		k.net.SetReadDeadline(time.Now().Add(lingerWait))
+	}
+	return true
 }
 
 // connections are all of the dispatchers'. Only the loop adds to and takes from open.
@@ -76,25 +119,48 @@
 		slots: make(chan struct{}, kept+closing)}
 }
 
-// accept takes connections while descriptors last; without one it waits a little, and so never spins.
+// accept takes connections while descriptors last; without one it waits a little, and so never spins. After shut it
+// goes on until nothing waits to be accepted, for as long as that takes descriptors to come free.
 func (c *connections) accept() error {
+	last := 0 // tries that found nothing since the end of intake
+	free, since := 0, time.Time{}
+	end := func() error {
+		c.s.listener.Close()
+		c.s.log.Info().Msg("no connection more is taken")
+		c.s.put(reducer.Input{Kind: reducer.Unheard})
+		return nil
+	}
 	for next := 1; ; next++ {
 		select {
 		case c.slots <- struct{}{}:
-		case <-c.s.ctx.Done():
-			return nil
+		default:
+			select {
+			case c.slots <- struct{}{}:
+			case <-c.s.ctx.Done():
+				return nil
+			}
+			free, since = 0, time.Now()
 		}
 		conn, err := c.s.listener.Accept()
 		for err != nil {
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
-				c.s.listener.Close()
-				c.s.log.Info().Msg("no connection more is taken")
-				return nil
+			switch {
+			case errors.Is(err, os.ErrDeadlineExceeded) && last < acceptTries:
+				if last++; last == 1 {
+					free, since = 0, time.Now()
+				}
+				c.s.listener.SetDeadline(time.Now().Add(acceptLast))
+			case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
+				return end()
+			default:
+				c.s.loud.Warn().Err(err).Msg("no connection could be accepted")
+				time.Sleep(acceptAgain)
 			}
-			c.s.loud.Warn().Err(err).Msg("no connection could be accepted")
-			time.Sleep(acceptAgain)
 			conn, err = c.s.listener.Accept()
 		}
+		if last > 0 {
+			last = 1
+			c.s.listener.SetDeadline(time.Now().Add(acceptLast))
+		}
 		k := &connection{link: next, net: conn.(*net.TCPConn), turns: make(chan struct{}, turnsMost)}
 		c.mu.Lock()
 		c.open[next] = k
@@ -103,12 +169,15 @@
 			k.net.Close()
 			return nil
 		}
+		if free++; last > 0 && free >= acceptFree && time.Since(since) >= acceptQueue {
+			return end()
+		}
 	}
 }
 
 // shut ends the listening socket once all that the system took is accepted: an invocation written to a connection
 // that waits there would be lost with it.
-func (c *connections) shut() { c.s.listener.SetDeadline(time.Now().Add(acceptLast)) }
+func (c *connections) shut() { c.s.listener.SetDeadline(longAgo) }
 
 func (c *connections) get(link int) *connection {
 	c.mu.Lock()
@@ -122,40 +191,79 @@
 	}
 }
 
-// read gives the reducer all that comes, until it can't be parsed or is of no use; then it only looks for the end.
+// read gives the reducer all that comes, until it can't be parsed or is of no use; then it only looks for the end. A
+// close over bytes that lie unread would reset the connection, and take answers with it that are on their way.
 func (c *connections) read(k *connection) {
 	err := c.frames(k)
 	if unusable := errors.Is(err, frame.ErrLength) || errors.Is(err, errHalf); unusable || errors.Is(err, errIgnored) {
 		if unusable {
 			c.s.put(reducer.Input{Kind: reducer.Malformed, Link: k.link, Err: err})
 		}
-		k.due(time.Time{})
-		space := make([]byte, ignoredOnce)
-		for err = nil; err == nil; time.Sleep(ignorePause) {
-			_, err = k.net.Read(space)
-		}
+		k.mu.Lock()
+		k.dead = true
+		k.mu.Unlock()
+		k.rest()
+		err = c.discard(k)
+	} else if errors.Is(err, errQuiet) {
+		err = c.discard(k)
 	}
 	c.s.put(reducer.Input{Kind: reducer.Closed, Link: k.link, Err: err})
 	c.drop(k)
 }
 
-// frames hands on frames to the end, the first unreadable one, or the first that does not come to its end in time.
+// discard reads slowly on to the peer's end, or to lingerWait after this side was closed. Nothing of it is run: it
+// could not be answered.
+func (c *connections) discard(k *connection) error {
+	space := make([]byte, ignoredOnce)
+	for {
+		k.mu.Lock()
+		ended, brief := k.ending, k.brief
+		k.mu.Unlock()
+		if ended && brief {
+			return errQuiet
+		}
+		_, err := k.net.Read(space)
+		switch {
+		case err == nil:
+			time.Sleep(ignorePause)
+		case errors.Is(err, os.ErrDeadlineExceeded) && !ended:
+			k.end()
+		default:
+			return err
+		}
+	}
+}
+
+// frames hands on frames to the end, the first unreadable one, the first that does not come to its end in time, or
+// the last before this side was closed.
 func (c *connections) frames(k *connection) error {
 	var parser frame.Parser
-	half, late := false, false
+	var until time.Time // when the rest of a frame that has begun must have come
+	var lookedAt time.Time
+	half, late, looked := false, false, false
 	for {
 		n, err := k.net.Read(parser.Space())
-		if half && !late && errors.Is(err, os.ErrDeadlineExceeded) { // or the process stood still: the rest may lie there
-			late = true
-			k.due(time.Now().Add(catchUp))
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			switch now := time.Now(); {
+			case half && now.Before(until): // woken for the end, which waits for the rest of a frame
+				k.due(until)
+			case half && !late, !half && (!looked || now.Sub(lookedAt) > stoodStill): // a deadline that passed while the process stood still does not prove that nothing lies there
+				late, looked, lookedAt = half, !half, now
+				k.due(now.Add(catchUp))
+			case half:
+				return errHalf
+			default:
+				if k.end() {
+					return errQuiet
+				}
+				looked = false
+			}
 			continue
 		}
-		if half && errors.Is(err, os.ErrDeadlineExceeded) {
-			return errHalf
-		}
 		if err != nil {
 			return err
 		}
+		looked = false
 		parser.Wrote(n)
 		whole := false
 		for {
@@ -182,10 +290,10 @@
 		}
 		was := half
 		if half = parser.Half(); half && (whole || !was) {
-			late = false
-			k.due(time.Now().Add(halfWait))
+			late, until = false, time.Now().Add(halfWait)
+			k.due(until)
 		} else if !half && was {
-			k.due(time.Time{})
+			k.rest()
 		}
 	}
 }
@@ -199,6 +307,9 @@
 		}
 		if k := c.get(inputs[i].Link); k != nil {
 			<-k.turns
+			k.mu.Lock()
+			k.wake()
+			k.mu.Unlock()
 		}
 	}
 }
@@ -246,20 +357,22 @@
 	c.bytes.Add(int64(len(b)))
 }
 
-// finish closes a connection once all is written.
-func (c *connections) finish(link int) {
+// finish closes a connection once all is written and nothing lies unread; a brief end gives the peer no time for its own.
+func (c *connections) finish(link int, brief bool) {
 	if k := c.get(link); k != nil {
 		k.mu.Lock()
-		k.finished = true
+		k.finished, k.brief = true, brief
+		k.wake()
 		k.mu.Unlock()
-		c.dirty = append(c.dirty, k)
 	}
 }
 
-// evict closes a connection that is idle. What was written to it is still delivered.
-func (c *connections) evict(link int) {
+// resume takes finish back. It comes with the frame that is the reason, whose turn keeps this side open until now.
+func (c *connections) resume(link int) {
 	if k := c.get(link); k != nil {
-		k.net.Close()
+		k.mu.Lock()
+		k.finished = false
+		k.mu.Unlock()
 	}
 }
 
@@ -289,11 +402,7 @@
 		b := k.pending
 		if len(b) == 0 || k.over {
 			k.writing = false
-			if k.finished && !k.over { // the reader drops it at the peer's end, or when that does not come
-				k.ending = true
-				k.net.CloseWrite()
-				k.net.SetReadDeadline(time.Now().Add(lingerWait))
-			}
+			k.wake()
 			k.mu.Unlock()
 			return
 		}
@@ -315,28 +424,6 @@
 	}
 }
 
-// flushAll finishes every connection and waits a little for the peers to take what is owed.
-func (c *connections) flushAll() {
-	c.mu.Lock()
-	var links []int
-	for link := range c.open {
-		links = append(links, link)
-	}
-	c.mu.Unlock()
-	for _, link := range links {
-		c.finish(link)
-	}
-	c.flush()
-	for end := time.Now().Add(flushWait); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-		c.mu.Lock()
-		left := len(c.open)
-		c.mu.Unlock()
-		if left == 0 {
-			return
-		}
-	}
-}
-
 func (c *connections) closeAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/server/helpers_test.go
@@ -0,0 +1,18 @@
+package server
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+	"golang.org/x/sync/errgroup"
+)
+
+// No test of this package may leave a goroutine behind.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// groupOf is a group whose goroutines end with the test.
+func groupOf(t *testing.T) *errgroup.Group {
+	group, _ := errgroup.WithContext(t.Context())
+	t.Cleanup(func() { group.Wait() })
+	return group
+}
--- a/server/link.go
+++ b/server/link.go
@@ -50,6 +50,15 @@
 	s.links[number] = l
 	s.group.Go(func() error {
 		defer stop()
+		if kind.up == reducer.Reached { // one that was left may not have given its descriptor back yet
+			select {
+			case s.calls <- struct{}{}:
+				defer func() { <-s.calls }()
+			case <-ctx.Done():
+				s.tell(reducer.Input{Kind: kind.failed, Link: number, Err: ctx.Err()})
+				return nil
+			}
+		}
 		conn, err := (&net.Dialer{Timeout: dialWait}).DialContext(ctx, "tcp", address)
 		if err != nil {
 			s.tell(reducer.Input{Kind: kind.failed, Link: number, Err: err})
--- a/server/server.go
+++ b/server/server.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"net"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -32,7 +33,7 @@
 	linkLeast     = 4                     // of them where the limit is low
 	closingPart   = 16                    // part of the descriptors for connections that wait for their peer's end
 	closingLeast  = 4                     // of them where the limit is low
-	listenFor     = 3 * time.Second       // for the last life of the node to give its address up
+	listenFor     = 25 * time.Second      // for the last life of the node to give its address up: 30 s are given to be ready
 	listenAgain   = 50 * time.Millisecond // between tries at it
 	stoodStill    = 20 * time.Millisecond // past its time, a timer tells of a process that did not run
 	catchUp       = 2 * time.Millisecond  // for the readers to bring what came meanwhile, before time-outs count
@@ -62,6 +63,8 @@
 	listener  *net.TCPListener
 	conns     *connections
 	links     map[int]*link // only the loop's
+	reporter  http.Client
+	calls     chan struct{} // one for each descriptor that a link to the catalogue may have
 	endReport context.CancelFunc
 }
 
@@ -70,8 +73,9 @@
 	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1),
-		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}}
+		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}, reporter: newReporter()}
 	connections, _, links := nameplate.shares()
+	s.calls = make(chan struct{}, links)
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	if nameplate.Fleet != nil {
 		s.join(nameplate.Fleet)
@@ -282,7 +286,6 @@
 				if s.peers != nil {
 					s.peers.flush()
 				}
-				s.conns.flushAll()
 				return errLeft
 			default:
 				s.carry(&e)
@@ -326,9 +329,11 @@
 	case reducer.Send:
 		s.conns.send(e.Link, e.Bytes)
 	case reducer.Finish:
-		s.conns.finish(e.Link)
+		s.conns.finish(e.Link, false)
 	case reducer.Evict:
-		s.conns.evict(e.Link)
+		s.conns.finish(e.Link, true)
+	case reducer.Resume:
+		s.conns.resume(e.Link)
 	case reducer.Ignore:
 		s.conns.ignore(e.Link)
 	case reducer.Dial:
