A site with nothing below its nodes starts; a crowd is made room for at once where no place is left

Probe: 231 waits for a place at one node, up to 60 ms each, while those told to end had their 60 ms; connections that wait to be accepted count.

--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -25,16 +25,15 @@
 func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
 
 // opened takes a connection on. At the most that are kept an idle one makes room: one that brought nothing usable
-// before any other, then the one that has stood idle longest. Those that end already do not count: there is room for
-// as many of them as the server takes beside.
+// before any other, then the one that has stood idle longest. Those that end already do not count, as far as Spare goes.
 func (r *Reducer) opened(link int) {
 	if len(r.conns) >= r.connMost {
-		oldest, found, stay := 0, false, 0
+		oldest, found, told := 0, false, 0
 		for id, c := range r.conns {
 			if c.evicted || c.ending {
+				told++
 				continue
 			}
-			stay++
 			if !c.idle() || c.closing {
 				continue
 			}
@@ -47,8 +46,8 @@
 			}
 			oldest, found = id, true
 		}
-		if found && stay >= r.connMost {
-			r.evict(oldest, r.conns[oldest])
+		if found && len(r.conns)-told >= r.connMost {
+			r.evict(oldest, r.conns[oldest], told < r.Spare)
 		}
 	}
 	c := &connection{open: make(map[uint32]int32), used: r.now}
@@ -59,12 +58,13 @@
 	}
 }
 
-// evict ends an idle connection whose place is wanted: one that never brought anything usable now, any other once what
-// crosses has had its time.
-func (r *Reducer) evict(link int, c *connection) {
+// evict ends an idle connection whose place is wanted: once what crosses has had its time, or now if it never brought
+// anything usable or there is no place beside. The latter guards against a crowd that connects faster than those who
+// rest can be told; it does harm to an invocation that crosses the end, which its dispatcher sends again.
+func (r *Reducer) evict(link int, c *connection, beside bool) {
 	r.Counters.Evicted++
 	c.evicted = true
-	if !c.usable {
+	if !c.usable || !beside {
 		c.closing, c.ending = true, true
 		r.do(Effect{Kind: Evict, Link: link})
 		return
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -138,6 +138,7 @@
 	Guard     must.Guard
 	Counters  Counters
 	Decisions func(plate *node.Nameplate, born int64) Decider // made once the executor is up
+	Spare     int                                             // connections that may be kept beside the most, while they end
 
 	plate    *plate.Plate
 	stop     int64 // ns from the notice to the kill
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -326,6 +326,7 @@
 	}
 	step(r, check(9))
 	step(r, check(8))
+	r.Spare = 1
 	assert.Equal(t, Effect{Kind: Evict, Link: 10}, step(r, Input{Kind: Opened, Link: 11})[0], "it brought nothing")
 	step(r, Input{Kind: Closed, Link: 10})
 	step(r, check(11))
@@ -333,6 +334,8 @@
 	assert.True(t, r.conns[9].noMore, "8 was heard of later")
 	assert.False(t, r.conns[8].noMore)
 	assert.Equal(t, 2, r.Counters.Evicted)
+	step(r, check(12))
+	assert.Equal(t, Effect{Kind: Evict, Link: 8}, step(r, Input{Kind: Opened, Link: 13})[0], "no place is left beside")
 	r.now += evictWait
 	assert.Equal(t, []Effect{{Kind: Finish, Link: 9}}, step(r))
 }
@@ -341,6 +344,7 @@
 func TestInvocationThatCrossesAnEndIsAnsweredBeforeIt(t *testing.T) {
 	for what, evicted := range map[string]bool{"it stood idle": false, "its place is wanted": true} {
 		r := up(t)
+		r.Spare = 1
 		step(r, invoke(1))
 		told(r, "EXIT 1 "+callID+" good 12 6|result")
 		if evicted {
--- a/server/config.go
+++ b/server/config.go
@@ -10,6 +10,7 @@
 
 	"topazpost/charter"
 	"topazpost/keep"
+	"topazpost/node"
 	"topazpost/plate"
 	"topazpost/reducer"
 )
@@ -73,6 +74,9 @@
 	}
 	for _, address := range []struct{ field, value string }{{"listen", f.Listen}, {"executor", f.Executor},
 		{"control", f.Control}, {"catalog", f.Catalog}} {
+		if address.field == "catalog" && address.value == "" {
+			continue // a site may have nothing below its nodes: its settings say so
+		}
 		if _, _, err := net.SplitHostPort(address.value); err != nil {
 			return nil, fmt.Errorf("configuration: %s: %w", address.field, err)
 		}
@@ -101,6 +105,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
+	if f.Catalog == "" && settings.Nameplate.Below != node.NothingBelow {
+		return nil, fmt.Errorf("configuration: catalog: missing, though family_info.below says that there is something below; set both or none")
+	}
 	return &Nameplate{Name: f.Name, Listen: f.Listen, Executor: f.Executor, Control: f.Control,
 		Catalog: f.Catalog, StopMS: f.StopMS, Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB),
 		Sockets: int(f.Limits.Sockets), Settings: settings, settings: compact.Bytes()}, nil
--- a/server/server.go
+++ b/server/server.go
@@ -74,9 +74,10 @@
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1),
 		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}, reporter: newReporter()}
-	connections, _, links := nameplate.shares()
+	connections, spare, links := nameplate.shares()
 	s.calls = make(chan struct{}, links)
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
+	s.state.Spare = spare - 1 // the last place is for the next one to be accepted
 	if nameplate.Fleet != nil {
 		s.join(nameplate.Fleet)
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/rs/zerolog"
@@ -86,3 +87,15 @@
 		assert.ErrorContains(t, err, field)
 	}
 }
+
+// A site with nothing below its nodes names no catalogue; one that has something must.
+func TestCatalogueIsNeededOnlyWhereSomethingLiesBelow(t *testing.T) {
+	without := strings.Replace(config, `"catalog":"127.0.0.1:1",`, "", 1)
+	n, err := ReadNameplate([]byte(without))
+	require.NoError(t, err)
+	s := New(n, zerolog.Nop(), SystemClock())
+	s.Drain()
+	assert.NoError(t, s.Run(context.Background()))
+	_, err = ReadNameplate([]byte(strings.Replace(without, `"memory_kb":9000`, `"memory_kb":9000,"below":"common"`, 1)))
+	assert.ErrorContains(t, err, "catalog")
+}
