--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -200,13 +200,14 @@
 }
 
 // intake takes an invocation in, or answers at once one that can't be used. Where its connection can't be understood
-// any more it is turned away unrun, as it may be no invocation at all.
+// any more it is errored unrun: it may be no invocation at all, and a throttle would say that it never ran before.
 func (r *Reducer) intake(link int, c *connection, f *frame.Frame) {
 	if c.broken {
 		if f.Stream > c.last {
 			c.last = f.Stream
 			r.Counters.Invocations++
-			r.turnAway(link, f.Stream)
+			r.Counters.Errored++
+			r.send(link, f.Stream, frame.Errored, nil, nil)
 		}
 		return
 	}
@@ -238,7 +239,7 @@
 		r.turnAway(link, f.Stream)
 		return
 	}
-	if r.post == nil || r.left || r.reading(&v) {
+	if r.post == nil || r.reading(&v) {
 		r.turnAway(link, f.Stream)
 		return
 	}
--- a/server/helpers_test.go
+++ b/server/helpers_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 	"golang.org/x/sync/errgroup"
 )
@@ -16,3 +17,5 @@
 	t.Cleanup(func() { group.Wait() })
 	return group
 }
+
+var quiet = zerolog.Nop()
