Tokens are known past their window, slow senders are heard, a second notice answers all

- A repeat that came within its window and lay unread past its end ran again: the keeper let the token go at the end of the window, by the clock at which the repeat is read, and stamps are whole milliseconds (a process test saw a second run 699.6 ms after the first at a window of 700).
Tokens are now known for their operation's client timeout longer: what lies unread past that is not run.
TestRepeatThatLayUnreadPastItsWindowDoesNotRun fails without that.
- A frame that came slowly was cut off 2 s after its first byte, though its last one may come within the client timeout; now 2 s after its last byte, and after the longest client timeout.
Where its place is wanted it is cut off at once, also in its end.
- A second SIGTERM broke off what was in hand unanswered.
It now aborts and answers it (Server.Hurry), and the connections have their ends within a second; a third one stops.

--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -52,7 +52,7 @@
 	return server.ReadNameplate(text)
 }
 
-// Run serves until a signal to end has been heeded. The first one drains, a second one ends the drain.
+// Run serves until a signal to end has been heeded. The first one drains, a second one aborts what is in hand and answers it, a third one stops at once.
 func (c *serve) Run() error {
 	nameplate, err := c.read()
 	if err != nil {
@@ -156,7 +156,7 @@
 
 func main() {
 	var line struct {
-		Serve   serve   `cmd:"" help:"Serve as one node: SIGTERM drains, a second one stops, SIGHUP reads the configuration anew."`
+		Serve   serve   `cmd:"" help:"Serve as one node: SIGTERM drains, a second one aborts what is in hand, a third one stops, SIGHUP reads the configuration anew."`
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Plan    plans   `cmd:"" help:"Look at plans of levels of reduced service."`
 		Levels  ladders `cmd:"" help:"Look at what levels nodes were at."`
--- a/cmd/topazpost/signals.go
+++ b/cmd/topazpost/signals.go
@@ -18,19 +18,20 @@
 
 var (
 	hups = make(chan os.Signal, 1)
-	ends = make(chan os.Signal, 2)
+	ends = make(chan os.Signal, 3)
 )
 
 // heed maps signals to the node: SIGHUP to Reload with what the file says then, the first to end to Drain, the
-// second to stop. A file that is unusable changes nothing; it is named in the log and read again a little later.
+// second to Hurry, the third to stop. A file that is unusable changes nothing; it is named in the log and read again a little later.
 func (c *serve) heed(node *server.Server, log zerolog.Logger, stop context.CancelFunc) {
 	var again <-chan time.Time
-	end, wait, left := node.Drain, rereadFirst, 0
+	ending := []func(){node.Drain, node.Hurry, stop}
+	wait, left := rereadFirst, 0
 	for {
 		select {
 		case <-ends:
-			end()
-			end = stop
+			ending[0]()
+			ending = ending[min(1, len(ending)-1):]
 			continue
 		case <-hups:
 			wait, left = rereadFirst, rereadTimes
--- a/integration/repeats_test.go
+++ b/integration/repeats_test.go
@@ -65,6 +65,11 @@
 func TestARepeatRunsAgainOnlyAfterItsWindow(t *testing.T) {
 	const window = 700 * time.Millisecond
 	s := dropping(t, int(window/time.Millisecond))
+	grade := s.config["settings"].(map[string]any)["grades"].([]any)[0].(map[string]any)
+	grade["give_up"], grade["aim"] = 800, 600 // a token is known for so much longer than its window
+	s.signal(syscall.SIGKILL)
+	await(t, s.ended)
+	s.run()
 	d := s.dial()
 	from := time.Now()
 	d.invokeToken(1, "a", "result")
--- a/keep/keep.go
+++ b/keep/keep.go
@@ -70,7 +70,7 @@
 func longest(operations []node.Operation) (window int64) {
 	for _, op := range operations {
 		if op.Effect == node.Tokened {
-			window = max(window, op.Window)
+			window = max(window, op.Window+op.ClientTimeout) // repeats may lie unread for so long
 		}
 	}
 	return window
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -28,10 +28,13 @@
 // before any other, then the one that has stood idle longest. Those that end already do not count, as far as Spare goes.
 func (r *Reducer) opened(link int) {
 	if len(r.conns) >= r.connMost {
-		oldest, found, told := 0, false, 0
+		oldest, found, told, slow := 0, false, 0, 0
 		for id, c := range r.conns {
 			if c.evicted || c.ending {
 				told++
+				if c.ending && !c.hastened && (slow == 0 || c.ended < r.conns[slow].ended || c.ended == r.conns[slow].ended && id < slow) {
+					slow = id
+				}
 				continue
 			}
 			if !c.idle() || c.closing {
@@ -49,6 +52,10 @@
 		if found && len(r.conns)-told >= r.connMost {
 			r.evict(oldest, r.conns[oldest], told < r.Spare)
 		}
+		if told >= r.Spare && slow != 0 { // one that takes its time over half a frame, or over its own end
+			r.conns[slow].hastened = true
+			r.do(Effect{Kind: Evict, Link: slow})
+		}
 	}
 	c := &connection{open: make(map[uint32]int32), used: r.now}
 	r.conns[link] = c
@@ -65,7 +72,7 @@
 	r.Counters.Evicted++
 	c.evicted = true
 	if !c.usable || !beside {
-		c.closing, c.ending = true, true
+		c.closing, c.ending, c.hastened = true, true, true
 		r.do(Effect{Kind: Evict, Link: link})
 		return
 	}
@@ -179,7 +186,7 @@
 // keepEnding takes that back for an invocation or a check that came on it meanwhile and is not answered yet.
 func (r *Reducer) keepEnding(link int, c *connection) {
 	if c.ending {
-		c.ending = false
+		c.ending, c.hastened = false, false
 		r.do(Effect{Kind: Resume, Link: link})
 	}
 }
--- a/reducer/fields_test.go
+++ b/reducer/fields_test.go
@@ -97,3 +97,20 @@
 	assert.Equal(t, node.NoHalt, r.plate.Nameplate.Halting)
 	assert.Zero(t, r.plate.Nameplate.Operations[0].SkipShare)
 }
+
+// Two nodes of one process that were given the same settings share nothing through them.
+func TestNodesOfOneProcessShareNothing(t *testing.T) {
+	p, err := plate.FromJSON(1, []byte(customers))
+	require.NoError(t, err)
+	before := p.Nameplate
+	first := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
+	second := New(p, Addresses{"executor:2", "catalogue:2", "control:2"}, 5_000*ms, 4, 3)
+	first.Keep(results.Rules{BytesMost: 1 << 20, ResultMost: 1_000, Window: 20_000 * ms}, "dedupe", false)
+	step(first)
+	step(first, Input{Kind: Joined, Link: first.dialing})
+	told(first, "WELCOME new 0")
+	assert.True(t, first.plate.Nameplate.Fresh)
+	assert.False(t, second.plate.Nameplate.Fresh, "it has heard of no executor")
+	assert.Zero(t, second.plate.Nameplate.RecordsMost)
+	assert.Equal(t, before, p.Nameplate)
+}
--- a/reducer/kept.go
+++ b/reducer/kept.go
@@ -104,13 +104,17 @@
 	r.ask(i)
 }
 
+// late is how much longer than its window a token is known. Guards against a repeat that came within the window and lay
+// unread past its end: until its caller has gone it could be run again. Stamps are whole milliseconds, so one more.
+func (r *Reducer) late(op int32) int64 { return r.plate.Nameplate.Operations[op].ClientTimeout + ms }
+
 // ask hands an invocation to the keeper, which decides whether it runs, joins or is answered.
 func (r *Reducer) ask(i int32) {
 	v := &r.invs[i]
 	v.asked = true
 	until := v.window
 	if until == 0 {
-		until = r.now + r.plate.Nameplate.Operations[v.key.Operation].Window
+		until = r.now + r.plate.Nameplate.Operations[v.key.Operation].Window + r.late(v.key.Operation)
 	}
 	r.keeper(results.Input{Kind: results.Asked, Asker: i, Key: v.key, Body: v.hash, For: until - r.now})
 }
@@ -282,7 +286,7 @@
 			return
 		}
 		r.do(Effect{Kind: Keep, Kept: &results.Stored{Key: a.Key, Done: true, Ending: a.Ending, Result: a.Result,
-			For: r.plate.Nameplate.Operations[a.Key.Operation].Window}})
+			For: r.plate.Nameplate.Operations[a.Key.Operation].Window + r.late(a.Key.Operation)}})
 	case results.Drop:
 		if r.claimed.desk != nil {
 			r.want(claims.Input{Want: claims.Drop, Key: r.claimKey(a.Key)})
--- a/reducer/kept_test.go
+++ b/reducer/kept_test.go
@@ -183,3 +183,17 @@
 	assert.Equal(t, 2, runsOf(step(r, hold(1, "a"), hold(2, "a"))))
 	assert.Nil(t, r.Results())
 }
+
+// A repeat that came within the window and lay unread past its end gets the result: it must not run again.
+func TestRepeatThatLayUnreadPastItsWindowDoesNotRun(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	first := hold(1, "a")
+	assert.Equal(t, 1, runsOf(step(r, first)))
+	came := r.now
+	told(r, "EXIT 1 "+id(1)+" good 12 6|result")
+	r.now, r.heardAt = came+20_000*ms+1_500*ms, came+20_000*ms+1_500*ms
+	stamp := fmt.Sprint((came+19_900*ms)/ms + 1_000_000)
+	got := step(r, invoke(2, "op", "hold", "call", id(2), "dedupe", "a", "recv", stamp))
+	assert.Zero(t, runsOf(got))
+	assert.Equal(t, []string{"20 on 2"}, answers(t, got))
+}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -39,6 +39,7 @@
 	idleWait    = 15_000 * ms // ns of standing idle past which a connection is told to bring no more: callers close sooner
 	crossWait   = 200 * ms    // ns after that in which an invocation may cross, then it is closed
 	evictWait   = 60 * ms     // ns of the same where its place is wanted: the 50 ms of the protocol, and a round trip
+	hurryFor    = 1_000 * ms  // ns from a second notice to the end: for connections to be told, heard once more and closed
 	leaveMargin = 100 * ms    // ns before the kill at which the process ends, whoever has not read what he is owed
 	faultsMost  = 16          // invocations that can't be used on one connection, past which it is not heard any more
 	reportEvery = 1_000 * ms  // ns between reports, three to the time after which an entry lapses
@@ -75,18 +76,19 @@
 
 // connection is a dispatcher's connection.
 type connection struct {
-	last    uint32 // highest stream seen
-	open    map[uint32]int32
-	checks  int   // deep checks that wait for the executor
-	usable  bool  // it brought something that could be used
-	faults  int   // invocations on it that could not be
-	used    int64 // when it was opened, last brought something usable or had its last answer
-	ended   int64 // when it was told that nothing new may come, where noMore
-	noMore  bool
-	evicted bool // its place is wanted
-	closing bool // it ends as soon as nothing is open on it
-	ending  bool // the server was asked to close it
-	broken  bool // it can't be understood
+	last     uint32 // highest stream seen
+	open     map[uint32]int32
+	checks   int   // deep checks that wait for the executor
+	usable   bool  // it brought something that could be used
+	faults   int   // invocations on it that could not be
+	used     int64 // when it was opened, last brought something usable or had its last answer
+	ended    int64 // when it was told that nothing new may come, where noMore
+	noMore   bool
+	evicted  bool // its place is wanted
+	closing  bool // it ends as soon as nothing is open on it
+	ending   bool // the server was asked to close it
+	broken   bool // it can't be understood
+	hastened bool // without time for what it may still send, as its place is wanted
 }
 
 func (c *connection) idle() bool { return len(c.open)+c.checks == 0 }
@@ -292,6 +294,9 @@
 		r.unheard = true
 	case Notice:
 		r.drain()
+	case Hurry:
+		r.drain()
+		r.hurry()
 	case Reload:
 		r.reload(in.To)
 		r.adopt(in.Plan)
@@ -394,7 +399,7 @@
 	case node.Reuse:
 		r.reuse(a.Inv)
 	case node.Record:
-		r.invs[a.Inv].window = r.now + a.For
+		r.invs[a.Inv].window = r.now + a.For + r.late(r.invs[a.Inv].key.Operation)
 	case node.Release:
 		r.release(a.Inv)
 	default:
@@ -417,6 +422,16 @@
 	r.events = append(r.events, node.Event{Kind: node.DrainNotice, Kill: r.now + r.stop})
 }
 
+// hurry brings the kill forward: all that is in hand is answered in this step, and the node leaves once its connections
+// have had their end.
+func (r *Reducer) hurry() {
+	r.remark(Info, "drain notice again: what is in hand is aborted", "", nil)
+	r.killAt = min(r.killAt, r.now+hurryFor)
+	if r.post != nil {
+		r.events = append(r.events, node.Event{Kind: node.DrainNotice, Kill: r.now})
+	}
+}
+
 func (r *Reducer) newLink() int {
 	r.lastLink++
 	return r.lastLink
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -29,6 +29,7 @@
 	Broke                          // it ended
 	Reported                       // a report to the control plane ended
 	Notice                         // the node is to drain
+	Hurry                          // it is to be done with that now: what is in hand is aborted and answered
 	Reload                         // the peers have new addresses, and there may be another plan of levels
 	KeptRecords                    // records of an earlier life that the store held
 	KeptRead                       // all of them were read
@@ -68,7 +69,7 @@
 	Receive      EffectKind = iota // read frames from a new connection
 	Send                           // write to a connection
 	Finish                         // close it once all is written and nothing lies unread, giving the peer time to read; then Closed
-	Evict                          // the same without that time: nothing but its end was ever written to it
+	Evict                          // the same without that time, and without waiting for the rest of a frame; it may follow Finish
 	Resume                         // not yet: an invocation came on it meanwhile
 	Ignore                         // read on slowly, only to see its end: nothing on it can be used
 	Dial                           // open a link to the executor, giving Joined or Parted
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -24,7 +24,7 @@
 	acceptLast  = 5 * time.Millisecond   // for what waits to be accepted when intake stops; tried twice, as the process may stand still
 	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
 	turnsMost   = 64                     // frames of one connection that may wait for the reducer: twice its streams
-	halfWait    = 2 * time.Second        // for the rest of a frame that has begun: it is written with one call
+	halfWait    = 2 * time.Second        // without a byte more of a frame that has begun: it is written with one call
 	ignorePause = 20 * time.Millisecond  // between reads of what is of no use: never at the peer's full speed
 	ignoredOnce = 4 << 10                // bytes of it taken with one read
 )
@@ -86,6 +86,13 @@
 	}
 }
 
+// hasty says whether the place of a connection is wanted more than the rest of a frame.
+func (k *connection) hasty() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.finished && k.brief
+}
+
 // end closes this side, if it still can be closed; the reader, which has just found nothing unread, asks for it.
 func (k *connection) end() bool {
 	k.mu.Lock()
@@ -104,18 +111,23 @@
 
 // connections are all of the dispatchers'. Only the loop adds to and takes from open.
 type connections struct {
-	s     *Server
-	mu    sync.Mutex
-	open  map[int]*connection
-	dirty []*connection // with something to write since the last flush
-	bytes atomic.Int64  // pending on all
-	most  int64         // that may be
-	slots chan struct{}
+	s       *Server
+	mu      sync.Mutex
+	open    map[int]*connection
+	dirty   []*connection // with something to write since the last flush
+	bytes   atomic.Int64  // pending on all
+	most    int64         // that may be
+	slots   chan struct{}
+	slowest int64 // ns, the longest client timeout
 }
 
 func newConnections(s *Server) *connections {
 	kept, closing, _ := s.plate.shares()
-	return &connections{s: s, open: make(map[int]*connection), most: int64(s.plate.MemoryMB) << 20 / pendingPart,
+	slowest := int64(halfWait)
+	for _, op := range s.plate.Settings.Nameplate.Operations {
+		slowest = max(slowest, op.ClientTimeout)
+	}
+	return &connections{s: s, slowest: slowest, open: make(map[int]*connection), most: int64(s.plate.MemoryMB) << 20 / pendingPart,
 		slots: make(chan struct{}, kept+closing)}
 }
 
@@ -238,14 +250,14 @@
 // the last before this side was closed.
 func (c *connections) frames(k *connection) error {
 	var parser frame.Parser
-	var until time.Time // when the rest of a frame that has begun must have come
+	var until, latest time.Time // when more of a frame that has begun must have come, and the rest of it
 	var lookedAt time.Time
 	half, late, looked := false, false, false
 	for {
 		n, err := k.net.Read(parser.Space())
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			switch now := time.Now(); {
-			case half && now.Before(until): // woken for the end, which waits for the rest of a frame
+			case half && now.Before(until) && !k.hasty(): // woken for the end, which waits for the rest of a frame
 				k.due(until)
 			case half && !late, !half && (!looked || now.Sub(lookedAt) > stoodStill): // a deadline that passed while the process stood still does not prove that nothing lies there
 				late, looked, lookedAt = half, !half, now
@@ -289,8 +301,18 @@
 			}
 		}
 		was := half
-		if half = parser.Half(); half && (whole || !was) {
-			late, until = false, time.Now().Add(halfWait)
+		if half = parser.Half(); half {
+			now := time.Now()
+			if whole || !was { // past the longest client timeout nobody waits for it
+				latest = now.Add(time.Duration(c.slowest))
+			}
+			late, until = false, now.Add(halfWait)
+			if until.After(latest) {
+				until = latest
+			}
+			if k.hasty() {
+				until = now
+			}
 			k.due(until)
 		} else if !half && was {
 			k.rest()
@@ -362,7 +384,9 @@
 	if k := c.get(link); k != nil {
 		k.mu.Lock()
 		k.finished, k.brief = true, brief
-		k.wake()
+		if k.wake(); brief && k.ending {
+			k.net.SetReadDeadline(longAgo)
+		}
 		k.mu.Unlock()
 	}
 }
--- a/server/server.go
+++ b/server/server.go
@@ -54,6 +54,7 @@
 	inputs chan reducer.Input // of dispatchers
 	heard  chan reducer.Input // of the node's own peers; they never wait behind dispatchers
 	notice chan struct{}
+	hurry  chan struct{}
 	reload chan *Nameplate
 	ctx    context.Context
 	group  *errgroup.Group
@@ -72,7 +73,7 @@
 func New(nameplate *Nameplate, log zerolog.Logger, clock Clock) *Server {
 	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
 	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
-		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1),
+		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
 		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}, reporter: newReporter()}
 	connections, spare, links := nameplate.shares()
 	s.calls = make(chan struct{}, links)
@@ -111,6 +112,14 @@
 	}
 }
 
+// Hurry ends a drain early, and starts one where none is: what is in hand is aborted and answered, then Run returns.
+func (s *Server) Hurry() {
+	select {
+	case s.hurry <- struct{}{}:
+	default:
+	}
+}
+
 // Reload goes on with the peers' addresses and the levels of another nameplate, at any time of the node's life. All
 // else in it takes a new start; what differs there is logged.
 func (s *Server) Reload(next *Nameplate) {
@@ -263,6 +272,8 @@
 		case <-notice:
 			notice = nil
 			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
+		case <-s.hurry:
+			inputs = append(inputs, reducer.Input{Kind: reducer.Hurry})
 		case next := <-s.reload:
 			for _, field := range s.plate.differs(next) {
 				s.log.Warn().Str("field", field).Msg("configuration: a new value here takes a new start")
