--- /dev/null
+++ b/integration/ramp_test.go
@@ -0,0 +1,163 @@
+package integration
+
+import (
+	"bufio"
+	"fmt"
+	"math"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// dependency is one that all nodes of a fleet share. A call stays in its hands for a while, and so do those that are given up.
+type dependency struct {
+	listener net.Listener
+	mu       sync.Mutex
+	inHand   int
+	changes  []change
+}
+
+type change struct {
+	at     time.Time
+	inHand int
+}
+
+func (d *dependency) add(by int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.inHand += by
+	d.changes = append(d.changes, change{time.Now(), d.inHand})
+}
+
+func (d *dependency) serve(conn net.Conn) {
+	defer conn.Close()
+	for in := bufio.NewScanner(conn); in.Scan(); {
+		words := strings.Fields(in.Text())
+		if len(words) != 4 || words[0] != "FETCH" {
+			continue
+		}
+		d.add(1)
+		time.Sleep(80 * time.Millisecond)
+		d.add(-1)
+		fmt.Fprintf(conn, "%s DATA 2\r\nok\r\n", words[1])
+	}
+}
+
+// most is the highest mean of calls in hand over any span between two changes.
+func (d *dependency) most(span time.Duration) (most float64) {
+	area, from := 0.0, 0
+	at := func(k int) float64 {
+		return float64(d.changes[k].inHand) * d.changes[k+1].at.Sub(d.changes[k].at).Seconds()
+	}
+	for k := range len(d.changes) - 1 {
+		area += at(k)
+		for d.changes[k+1].at.Sub(d.changes[from].at) > span {
+			area -= at(from)
+			from++
+		}
+		most = max(most, area/span.Seconds())
+	}
+	return most
+}
+
+// Twenty processes that have more calls to make than they may, all killed and started again at once, keep to the budget of
+// what they share: beyond N calls in the mean only 2 times the root of N and 2 are chance.
+func TestCallsOfTwentyProcessesKeepToTheirBudgetThroughRestarts(t *testing.T) {
+	const nodes, share, span = 20, 1.5, time.Second
+	shared := &dependency{listener: listen(t)}
+	var fleet []*site
+	for range nodes {
+		s := start(t, false, func(c map[string]any) {
+			c["catalog"] = shared.listener.Addr().String()
+			info := c["settings"].(map[string]any)["family_info"].(map[string]any)
+			info["calls_out"], info["calls_over"], info["memory_kb"], info["n_cores"] = share, span.Milliseconds(), 90_000, 8
+		})
+		s.config["listen"] = s.address
+		fleet = append(fleet, s)
+	}
+	go fleet[0].accept(shared.listener, shared.serve)
+	over := make(chan struct{})
+	var load sync.WaitGroup
+	for _, s := range fleet {
+		address := s.address
+		load.Go(func() {
+			for {
+				select {
+				case <-over:
+					return
+				default:
+					keepBusy(t, address, over)
+					time.Sleep(5 * time.Millisecond)
+				}
+			}
+		})
+	}
+	calls := func() int {
+		shared.mu.Lock()
+		defer shared.mu.Unlock()
+		return len(shared.changes)
+	}
+	until := func(n int) { // a budget's worth of calls has been made
+		for end := time.Now().Add(bound); calls() < n && time.Now().Before(end); {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	until(2 * 2 * nodes * share * 10)
+	for _, s := range fleet {
+		s.signal(syscall.SIGKILL)
+	}
+	for _, s := range fleet {
+		await(t, s.ended)
+		s.mu.Lock()
+		s.link, s.notices, s.state = nil, nil, "new"
+		s.mu.Unlock()
+		s.run()
+	}
+	until(calls() + 2*2*nodes*share*10)
+	close(over)
+	load.Wait()
+	shared.mu.Lock()
+	defer shared.mu.Unlock()
+	budget := float64(nodes) * share
+	most := shared.most(span)
+	t.Logf("%.1f calls in the mean at the most, the budget is %g", most, budget)
+	assert.LessOrEqual(t, most, budget+2*math.Sqrt(budget)+2)
+	assert.Greater(t, most, budget/3, "the budget is used")
+}
+
+// keepBusy has sixteen invocations that make a call open at a node until the connection or the test ends.
+func keepBusy(t *testing.T, address string, over chan struct{}) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	d := &dispatcher{t: t, conn: conn}
+	stream := uint32(0)
+	send := func() error {
+		stream++
+		_, err := conn.Write(invocation(fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, stream), stream, "call"))
+		return err
+	}
+	for range 16 {
+		if send() != nil {
+			return
+		}
+	}
+	for {
+		conn.SetReadDeadline(time.Now().Add(time.Second))
+		if _, ok := d.next(); !ok || send() != nil {
+			return
+		}
+		select {
+		case <-over:
+			return
+		default:
+		}
+	}
+}
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -91,6 +91,7 @@
 	mu      sync.Mutex
 	link    net.Conn
 	notices []string
+	state   string // of the executor in its welcome
 }
 
 func listen(t testing.TB) net.Listener {
@@ -109,7 +110,7 @@
 func startWith(t testing.TB, late bool, change func(config map[string]any), flags ...string) *site {
 	s := &site{t: t, flags: flags, log: make(chan string, 1_000), ended: make(chan error, 1), reports: make(chan string, 100),
 		told: make(chan []string, 1_000), asked: make(chan []string, 1_000), links: make(chan net.Conn, 100),
-		supplied: make(chan net.Conn, 100), left: make(chan net.Conn, 100), up: make(chan struct{}), reply: func(call string) string { return call + " DATA 5\r\nreply\r\n" }}
+		supplied: make(chan net.Conn, 100), left: make(chan net.Conn, 100), up: make(chan struct{}), state: "old", reply: func(call string) string { return call + " DATA 5\r\nreply\r\n" }}
 	if !late {
 		close(s.up)
 	}
@@ -253,7 +254,7 @@
 			after, _ := strconv.Atoi(w[1])
 			s.mu.Lock()
 			s.link = conn
-			fmt.Fprint(conn, "WELCOME old 5\r\n", strings.Join(s.notices[after:], ""))
+			fmt.Fprint(conn, "WELCOME "+s.state+" 5\r\n", strings.Join(s.notices[after:], ""))
 			s.mu.Unlock()
 			s.links <- conn
 			return
