--- a/cmd/topazpost/signals.go
+++ b/cmd/topazpost/signals.go
@@ -22,10 +22,10 @@
 )
 
 // heed maps signals to the node: SIGHUP to Reload with what the file says then, the first to end to Drain, the
-// second to Hurry, the third to stop. A file that is unusable changes nothing; it is named in the log and read again a little later.
+// second to Abort, the third to stop. A file that is unusable changes nothing; it is named in the log and read again a little later.
 func (c *serve) heed(node *server.Server, log zerolog.Logger, stop context.CancelFunc) {
 	var again <-chan time.Time
-	ending := []func(){node.Drain, node.Hurry, stop}
+	ending := []func(){node.Drain, node.Abort, stop}
 	wait, left := rereadFirst, 0
 	for {
 		select {
--- a/lab/fleet/machine.go
+++ b/lab/fleet/machine.go
@@ -214,7 +214,7 @@
 	switch e.Kind {
 	case reducer.Send:
 		m.send(e)
-	case reducer.Finish, reducer.Evict:
+	case reducer.CloseAfterFlush, reducer.Evict:
 		link := e.Link
 		if c := m.conns[link]; c != nil {
 			c.noMore = true
@@ -244,9 +244,9 @@
 	case reducer.Report:
 		link := e.Link
 		m.later(hop, func() { m.put(reducer.Input{Kind: reducer.Reported, Link: link}) })
-	case reducer.Shut:
+	case reducer.StopAccepting:
 		m.shut = true
-		m.later(hop, func() { m.put(reducer.Input{Kind: reducer.Unheard}) })
+		m.later(hop, func() { m.put(reducer.Input{Kind: reducer.ListenerClosed}) })
 	case reducer.Turned:
 		m.level = e.Turn.ToName
 		m.total.turned(m, e.Turn)
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -147,7 +147,7 @@
 		case c.closing || !c.idle():
 		case c.noMore && r.now-c.ended >= wait:
 			r.Counters.Idle++
-			r.finish(link, c)
+			r.closeAfterFlush(link, c)
 		case c.noMore:
 			r.sweepAt = min(r.sweepAt, c.ended+wait)
 		case r.now-c.used >= idleWait, !c.usable && r.now-c.used >= firstWait:
@@ -168,18 +168,18 @@
 func (r *Reducer) keepOpen(link int, c *connection) {
 	if c.idle() {
 		if c.used = r.now; c.closing {
-			r.finish(link, c)
+			r.closeAfterFlush(link, c)
 		}
 	}
 }
 
-// finish has the server close a connection, which stays known until it is gone: what was read on it before is still
+// closeAfterFlush has the server close a connection, which stays known until it is gone: what was read on it before is still
 // answered.
-func (r *Reducer) finish(link int, c *connection) {
+func (r *Reducer) closeAfterFlush(link int, c *connection) {
 	c.closing = true
 	if !c.ending {
 		c.ending = true
-		r.do(Effect{Kind: Finish, Link: link})
+		r.do(Effect{Kind: CloseAfterFlush, Link: link})
 	}
 }
 
--- a/reducer/peers_test.go
+++ b/reducer/peers_test.go
@@ -97,7 +97,7 @@
 	assert.False(t, r.Members().Self().Facts.NoUse)
 	r.Step(noUseAfter+ms, 1, nil)
 	assert.True(t, r.Members().Self().Facts.NoUse)
-	effects := r.Step(noUseAfter+2*ms, 1, []Input{{Kind: Notice}, {Kind: Unheard}}) // it never had an executor, and leaves at once
+	effects := r.Step(noUseAfter+2*ms, 1, []Input{{Kind: Notice}, {Kind: ListenerClosed}}) // it never had an executor, and leaves at once
 	last := 0
 	for _, e := range kindsOf(effects, PeerSend) {
 		var msg membership.Message
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -39,7 +39,7 @@
 	idleWait    = 15_000 * ms // ns of standing idle past which a connection is told to bring no more: callers close sooner
 	crossWait   = 200 * ms    // ns after that in which an invocation may cross, then it is closed
 	evictWait   = 60 * ms     // ns of the same where its place is wanted: the 50 ms of the protocol, and a round trip
-	hurryFor    = 1_000 * ms  // ns from a second notice to the end: for connections to be told, heard once more and closed
+	abortFor    = 1_000 * ms  // ns from a second notice to the end: for connections to be told, heard once more and closed
 	leaveMargin = 100 * ms    // ns before the kill at which the process ends, whoever has not read what he is owed
 	faultsMost  = 16          // invocations that can't be used on one connection, past which it is not heard any more
 	reportEvery = 1_000 * ms  // ns between reports, three to the time after which an entry lapses
@@ -184,7 +184,7 @@
 	reportAt            int64
 	reporting           int // the report that is under way, 0 where none is
 	noticed, shut, left bool
-	unheard             bool  // nobody connects any more
+	listenerClosed      bool  // nobody connects any more
 	killAt              int64 // when the process is killed, once noticed
 
 	levels  ladder
@@ -290,13 +290,13 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
-	case Unheard:
-		r.unheard = true
+	case ListenerClosed:
+		r.listenerClosed = true
 	case Notice:
 		r.drain()
-	case Hurry:
+	case Abort:
 		r.drain()
-		r.hurry()
+		r.abort()
 	case Reload:
 		r.reload(in.To)
 		r.adopt(in.Plan)
@@ -422,11 +422,11 @@
 	r.events = append(r.events, node.Event{Kind: node.DrainNotice, Kill: r.now + r.stop})
 }
 
-// hurry brings the kill forward: all that is in hand is answered in this step, and the node leaves once its connections
+// abort brings the kill forward: all that is in hand is answered in this step, and the node leaves once its connections
 // have had their end.
-func (r *Reducer) hurry() {
+func (r *Reducer) abort() {
 	r.remark(Info, "drain notice again: what is in hand is aborted", "", nil)
-	r.killAt = min(r.killAt, r.now+hurryFor)
+	r.killAt = min(r.killAt, r.now+abortFor)
 	if r.post != nil {
 		r.events = append(r.events, node.Event{Kind: node.DrainNotice, Kill: r.now})
 	}
@@ -462,7 +462,7 @@
 		return
 	}
 	r.shut = true
-	r.do(Effect{Kind: Shut})
+	r.do(Effect{Kind: StopAccepting})
 	for _, link := range slices.Sorted(maps.Keys(r.conns)) {
 		r.noMore(link, r.conns[link])
 	}
@@ -471,7 +471,7 @@
 // keepLeaving ends the node once nothing is owed: all is answered, and each connection has had its end, so that what
 // crosses is answered too. Shortly before the kill it waits for no peer any more.
 func (r *Reducer) keepLeaving() {
-	if !r.left || r.open > 0 || (len(r.conns) > 0 || !r.unheard) && r.now < r.leaveBy() {
+	if !r.left || r.open > 0 || (len(r.conns) > 0 || !r.listenerClosed) && r.now < r.leaveBy() {
 		return
 	}
 	r.left = false
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -89,7 +89,7 @@
 		assert.Equal(t, []string{"51 on 2"}, answers(t, step(r, invoke(2, "call", "0000000000000000"))), "never run: "+what)
 		end := told(r, "EXIT 1 "+callID+" good 12 6|result")
 		assert.Equal(t, []string{"20 on 1"}, answers(t, end), what)
-		assert.Equal(t, Finish, end[len(end)-1].Kind, what)
+		assert.Equal(t, CloseAfterFlush, end[len(end)-1].Kind, what)
 	}
 }
 
@@ -296,8 +296,8 @@
 	crossed := step(r, invoke(3, "call", "00000000000000bb"))
 	assert.Equal(t, []string{"50 on 3"}, answers(t, crossed), "it crossed the notice that no more may come")
 	r.now += crossWait
-	assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r))
-	assert.Empty(t, step(r, Input{Kind: Unheard}))
+	assert.Equal(t, []Effect{{Kind: CloseAfterFlush, Link: 7}}, step(r))
+	assert.Empty(t, step(r, Input{Kind: ListenerClosed}))
 	assert.Equal(t, []Effect{{Kind: Leave}}, step(r, Input{Kind: Closed, Link: 7}))
 }
 
@@ -306,12 +306,12 @@
 	got := step(r, Input{Kind: Notice})
 	assert.Equal(t, []string{"no more"}, answers(t, got))
 	assert.Equal(t, []string{"50 on 1"}, answers(t, step(r, invoke(1))), "one that crosses is answered")
-	assert.Empty(t, step(r, Input{Kind: Unheard}))
+	assert.Empty(t, step(r, Input{Kind: ListenerClosed}))
 	assert.Equal(t, []Effect{{Kind: Leave}}, step(r, Input{Kind: Closed, Link: 7}))
 	r = fresh(t)
 	step(r, Input{Kind: Notice})
 	r.now = r.killAt - leaveMargin
-	got = step(r, Input{Kind: Unheard})
+	got = step(r, Input{Kind: ListenerClosed})
 	assert.Equal(t, Leave, got[len(got)-1].Kind, "no peer keeps it past its time")
 }
 
@@ -337,7 +337,7 @@
 	step(r, check(12))
 	assert.Equal(t, Effect{Kind: Evict, Link: 8}, step(r, Input{Kind: Opened, Link: 13})[0], "no place is left beside")
 	r.now += evictWait
-	assert.Equal(t, []Effect{{Kind: Finish, Link: 9}}, step(r))
+	assert.Equal(t, []Effect{{Kind: CloseAfterFlush, Link: 9}}, step(r))
 }
 
 // What is read on a connection that was to end is answered all the same, and the end waits for that.
@@ -358,13 +358,13 @@
 			assert.Equal(t, []string{"no more"}, answers(t, step(r)), what)
 			r.now += crossWait
 		}
-		assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r), what)
+		assert.Equal(t, []Effect{{Kind: CloseAfterFlush, Link: 7}}, step(r), what)
 		got := step(r, invoke(2, "call", "00000000000000aa", "recv", fmt.Sprint((r.now+ms)/ms+1_000_000)))
 		assert.Equal(t, Effect{Kind: Resume, Link: 7}, got[0], what)
 		assert.Equal(t, 1, runsOf(got), what)
 		got = told(r, "EXIT 2 00000000000000aa good 12 6|result")
 		assert.Equal(t, []string{"20 on 2"}, answers(t, got), what)
-		assert.Equal(t, Effect{Kind: Finish, Link: 7}, got[len(got)-1], what)
+		assert.Equal(t, Effect{Kind: CloseAfterFlush, Link: 7}, got[len(got)-1], what)
 		assert.Contains(t, r.conns, 7, what)
 		step(r, Input{Kind: Closed, Link: 7})
 		assert.NotContains(t, r.conns, 7, what)
@@ -385,13 +385,13 @@
 	r.now, r.heardAt = r.now+firstWait, r.now+firstWait
 	assert.Equal(t, []string{"no more"}, answers(t, step(r)))
 	r.now += sweepEvery
-	assert.Equal(t, []Effect{{Kind: Finish, Link: 8}}, step(r))
+	assert.Equal(t, []Effect{{Kind: CloseAfterFlush, Link: 8}}, step(r))
 	step(r, Input{Kind: Closed, Link: 8})
 	told(r, "EXIT 1 "+callID+" good 12 6|result")
 	r.now, r.heardAt = r.now+idleWait, r.now+idleWait
 	assert.Equal(t, []string{"no more"}, answers(t, step(r)))
 	r.now += sweepEvery
-	assert.Equal(t, []Effect{{Kind: Finish, Link: 7}}, step(r), "nothing crossed")
+	assert.Equal(t, []Effect{{Kind: CloseAfterFlush, Link: 7}}, step(r), "nothing crossed")
 }
 
 func TestConnectionThatBringsNothingUsableIsNotHeardAnyMore(t *testing.T) {
@@ -404,10 +404,10 @@
 	assert.Equal(t, []string{"51 on 17", "51 on 0", "no more"}, answers(t, got))
 	assert.Equal(t, Effect{Kind: Ignore, Link: 7}, got[3])
 	r.now, r.heardAt = r.now+1_000*ms, r.now+1_000*ms
-	assert.NotContains(t, kinds(step(r)), Finish, "what is open is owed its answer")
+	assert.NotContains(t, kinds(step(r)), CloseAfterFlush, "what is open is owed its answer")
 	got = told(r, "EXIT 1 "+callID+" good 12 6|result")
 	assert.Equal(t, []string{"20 on 1"}, answers(t, got))
-	assert.Equal(t, Effect{Kind: Finish, Link: 7}, got[len(got)-1])
+	assert.Equal(t, Effect{Kind: CloseAfterFlush, Link: 7}, got[len(got)-1])
 }
 
 func TestRunThatTheExecutorRefusesCountsAgainstItsConnection(t *testing.T) {
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -50,7 +50,7 @@
 	spare    []byte // the buffer that was last written
 	writing  bool
 	finished bool // it is to end: once all is written, no frame waits and nothing lies unread
-	brief    bool // without time for the peer's end
+	noLinger bool // without time for the peer's end
 	dead     bool // nothing that comes on it is handed on any more
 	ending   bool // this side of it is closed
 	over     bool
@@ -65,44 +65,44 @@
 	k.net.SetReadDeadline(at)
 }
 
-// rest lets the reader wait without end, but for a connection that can end.
-func (k *connection) rest() {
+// clearDeadline lets the reader wait without end, but for a connection that can end.
+func (k *connection) clearDeadline() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.net.SetReadDeadline(time.Time{})
 	k.wake()
 }
 
-// can says whether this side can be closed as far as what was read and written goes. Frames that wait for the reducer
+// closable says whether this side can be closed as far as what was read and written goes. Frames that wait for the reducer
 // count until it has taken them: what it wants to be done for them, Resume above all, is done by then. mu is held.
-func (k *connection) can() bool {
+func (k *connection) closable() bool {
 	return k.finished && !k.ending && !k.over && !k.writing && len(k.pending) == 0 && len(k.turns) == 0
 }
 
 // wake has the reader look whether something lies unread, once this side can be closed. mu is held.
 func (k *connection) wake() {
-	if k.can() {
+	if k.closable() {
 		k.net.SetReadDeadline(longAgo)
 	}
 }
 
-// hasty says whether the place of a connection is wanted more than the rest of a frame.
-func (k *connection) hasty() bool {
+// evicting says whether the place of a connection is wanted more than the rest of a frame.
+func (k *connection) evicting() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.finished && k.brief
+	return k.finished && k.noLinger
 }
 
 // end closes this side, if it still can be closed; the reader, which has just found nothing unread, asks for it.
 func (k *connection) end() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.can() {
+	if !k.closable() {
 		k.net.SetReadDeadline(time.Time{})
 		return false
 	}
 	k.ending = true
-	if !k.brief {
+	if !k.noLinger {
 		k.net.CloseWrite()
 		k.net.SetReadDeadline(time.Now().Add(lingerWait))
 	}
@@ -131,7 +131,7 @@
 		slots: make(chan struct{}, kept+closing)}
 }
 
-// accept takes connections while descriptors last; without one it waits a little, and so never spins. After shut it
+// accept takes connections while descriptors last; without one it waits a little, and so never spins. After stopAccepting it
 // goes on until nothing waits to be accepted, for as long as that takes descriptors to come free.
 func (c *connections) accept() error {
 	last := 0 // tries that found nothing since the end of intake
@@ -139,7 +139,7 @@
 	end := func() error {
 		c.s.listener.Close()
 		c.s.log.Info().Msg("no connection more is taken")
-		c.s.put(reducer.Input{Kind: reducer.Unheard})
+		c.s.put(reducer.Input{Kind: reducer.ListenerClosed})
 		return nil
 	}
 	for next := 1; ; next++ {
@@ -164,7 +164,7 @@
 			case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 				return end()
 			default:
-				c.s.loud.Warn().Err(err).Msg("no connection could be accepted")
+				c.s.limited.Warn().Err(err).Msg("no connection could be accepted")
 				time.Sleep(acceptAgain)
 			}
 			conn, err = c.s.listener.Accept()
@@ -187,9 +187,9 @@
 	}
 }
 
-// shut ends the listening socket once all that the system took is accepted: an invocation written to a connection
+// stopAccepting ends the listening socket once all that the system took is accepted: an invocation written to a connection
 // that waits there would be lost with it.
-func (c *connections) shut() { c.s.listener.SetDeadline(longAgo) }
+func (c *connections) stopAccepting() { c.s.listener.SetDeadline(longAgo) }
 
 func (c *connections) get(link int) *connection {
 	c.mu.Lock()
@@ -214,7 +214,7 @@
 		k.mu.Lock()
 		k.dead = true
 		k.mu.Unlock()
-		k.rest()
+		k.clearDeadline()
 		err = c.discard(k)
 	} else if errors.Is(err, errQuiet) {
 		err = c.discard(k)
@@ -229,9 +229,9 @@
 	space := make([]byte, ignoredOnce)
 	for {
 		k.mu.Lock()
-		ended, brief := k.ending, k.brief
+		ended, noLinger := k.ending, k.noLinger
 		k.mu.Unlock()
-		if ended && brief {
+		if ended && noLinger {
 			return errQuiet
 		}
 		_, err := k.net.Read(space)
@@ -257,7 +257,7 @@
 		n, err := k.net.Read(parser.Space())
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			switch now := time.Now(); {
-			case half && now.Before(until) && !k.hasty(): // woken for the end, which waits for the rest of a frame
+			case half && now.Before(until) && !k.evicting(): // woken for the end, which waits for the rest of a frame
 				k.due(until)
 			case half && !late, !half && (!looked || now.Sub(lookedAt) > stoodStill): // a deadline that passed while the process stood still does not prove that nothing lies there
 				late, looked, lookedAt = half, !half, now
@@ -310,12 +310,12 @@
 			if until.After(latest) {
 				until = latest
 			}
-			if k.hasty() {
+			if k.evicting() {
 				until = now
 			}
 			k.due(until)
 		} else if !half && was {
-			k.rest()
+			k.clearDeadline()
 		}
 	}
 }
@@ -368,7 +368,7 @@
 		most = pendingFew
 	}
 	if len(k.pending)+len(b) > most {
-		c.s.loud.Warn().Int("connection", link).Msg("peer reads too slowly, cut off")
+		c.s.limited.Warn().Int("connection", link).Msg("peer reads too slowly, cut off")
 		k.net.Close() // the reader sees it and drops it
 		return
 	}
@@ -379,19 +379,19 @@
 	c.bytes.Add(int64(len(b)))
 }
 
-// finish closes a connection once all is written and nothing lies unread; a brief end gives the peer no time for its own.
-func (c *connections) finish(link int, brief bool) {
+// closeAfterFlush closes a connection once all is written and nothing lies unread; with noLinger the peer gets no time for its own end.
+func (c *connections) closeAfterFlush(link int, noLinger bool) {
 	if k := c.get(link); k != nil {
 		k.mu.Lock()
-		k.finished, k.brief = true, brief
-		if k.wake(); brief && k.ending {
+		k.finished, k.noLinger = true, noLinger
+		if k.wake(); noLinger && k.ending {
 			k.net.SetReadDeadline(longAgo)
 		}
 		k.mu.Unlock()
 	}
 }
 
-// resume takes finish back. It comes with the frame that is the reason, whose turn keeps this side open until now.
+// resume takes that back. It comes with the frame that is the reason, whose turn keeps this side open until now.
 func (c *connections) resume(link int) {
 	if k := c.get(link); k != nil {
 		k.mu.Lock()
--- a/server/endings_test.go
+++ b/server/endings_test.go
@@ -110,7 +110,7 @@
 		h := hold(t)
 		h.write(check(1))
 		h.arrives(len(check(1)))
-		h.s.conns.finish(1, brief)
+		h.s.conns.closeAfterFlush(1, brief)
 		h.s.conns.flush()
 		h.s.conns.receive(1)
 		h.answered(h.input())
@@ -129,7 +129,7 @@
 	h.s.conns.receive(1)
 	h.write(check(1))
 	in := h.input()
-	h.s.conns.finish(1, false)
+	h.s.conns.closeAfterFlush(1, false)
 	assert.False(t, h.k.end(), "its turn is not over")
 	h.s.conns.resume(1) // it opened a stream
 	h.s.conns.taken([]reducer.Input{in})
@@ -138,7 +138,7 @@
 	h.answered(h.input())
 	stream, ended := h.next()
 	assert.Equal(t, []any{uint32(2), false}, []any{stream, ended})
-	h.s.conns.finish(1, false)
+	h.s.conns.closeAfterFlush(1, false)
 	_, ended = h.next()
 	assert.True(t, ended)
 }
@@ -151,7 +151,7 @@
 	in := h.input()
 	require.Equal(t, uint32(1), in.Frame.Stream)
 	h.s.conns.taken([]reducer.Input{in})
-	h.s.conns.finish(1, false)
+	h.s.conns.closeAfterFlush(1, false)
 	h.write(check(2)[6:])
 	h.answered(h.input())
 	stream, ended := h.next()
@@ -179,8 +179,8 @@
 	h := hold(t)
 	h.s.conns.receive(1)
 	h.write(check(1)[:6])
-	h.s.conns.finish(1, false)
-	h.s.conns.finish(1, true)
+	h.s.conns.closeAfterFlush(1, false)
+	h.s.conns.closeAfterFlush(1, true)
 	assert.Equal(t, reducer.Malformed, h.input().Kind)
 	assert.Equal(t, reducer.Closed, h.input().Kind)
 }
@@ -190,7 +190,7 @@
 	h := hold(t)
 	h.s.conns.receive(1)
 	h.write(check(1)[:6])
-	h.s.conns.finish(1, false)
+	h.s.conns.closeAfterFlush(1, false)
 	assert.Equal(t, reducer.Malformed, h.input().Kind)
 	_, ended := h.next()
 	assert.True(t, ended)
@@ -200,7 +200,7 @@
 func TestNothingThatIsReadAfterTheEndIsHandedOn(t *testing.T) {
 	h := hold(t)
 	h.s.conns.receive(1)
-	h.s.conns.finish(1, false)
+	h.s.conns.closeAfterFlush(1, false)
 	_, ended := h.next()
 	require.True(t, ended)
 	h.write(check(1))
@@ -220,7 +220,7 @@
 	h.s.conns.send(1, frame.Append(nil, frame.Answer, 1, body))
 	h.s.conns.taken([]reducer.Input{in})
 	h.s.conns.flush()
-	h.s.conns.finish(1, false)
+	h.s.conns.closeAfterFlush(1, false)
 	h.write(check(2)) // and one that crosses
 	h.answered(h.input())
 	got, err := io.ReadAll(h.peer)
@@ -256,13 +256,13 @@
 		}
 	}
 	assert.Equal(t, reducer.Opened, input().Kind)
-	s.conns.shut()
+	s.conns.stopAccepting()
 	for range 3 {
 		<-s.conns.slots
 		assert.Equal(t, reducer.Opened, input().Kind)
 	}
 	<-s.conns.slots
-	assert.Equal(t, reducer.Unheard, input().Kind)
+	assert.Equal(t, reducer.ListenerClosed, input().Kind)
 	_, err := net.Dial("tcp", s.Addr().String())
 	assert.Error(t, err)
 	for link, peer := range peers {
--- a/server/kept.go
+++ b/server/kept.go
@@ -99,7 +99,7 @@
 			k.write(k.gather(first))
 		case <-expire.C:
 			if err := k.log.Expire(k.now()); err != nil {
-				k.s.loud.Warn().Err(err).Msg("segments can't be removed")
+				k.s.limited.Warn().Err(err).Msg("segments can't be removed")
 			}
 		case <-k.s.ctx.Done():
 			for range len(k.in) {
--- a/server/link.go
+++ b/server/link.go
@@ -87,7 +87,7 @@
 		for {
 			line, ok, err := parser.Next()
 			if err != nil {
-				l.s.loud.Warn().Err(err).Msg("link can't be parsed")
+				l.s.limited.Warn().Err(err).Msg("link can't be parsed")
 				return err
 			}
 			if !ok {
@@ -112,7 +112,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.pending)+len(b) > linkPending {
-		s.loud.Warn().Int("link", number).Msg("link takes nothing, opened anew")
+		s.limited.Warn().Int("link", number).Msg("link takes nothing, opened anew")
 		l.stop()
 		return
 	}
@@ -150,8 +150,8 @@
 	}
 }
 
-// hangUp closes a link, or gives up opening it.
-func (s *Server) hangUp(number int) {
+// disconnect closes a link, or gives up opening it.
+func (s *Server) disconnect(number int) {
 	if l := s.links[number]; l != nil {
 		l.stop()
 	}
--- a/server/peers.go
+++ b/server/peers.go
@@ -129,7 +129,7 @@
 			return
 		}
 		if err != nil {
-			p.s.loud.Warn().Err(err).Msg("no datagram could be read")
+			p.s.limited.Warn().Err(err).Msg("no datagram could be read")
 			time.Sleep(acceptAgain)
 			continue
 		}
@@ -143,7 +143,7 @@
 		}
 		if !pace.Allow() {
 			p.counters.Flooded.Add(1)
-			p.s.loud.Warn().Stringer("from", from).Msg("peer floods, its datagrams are dropped")
+			p.s.limited.Warn().Stringer("from", from).Msg("peer floods, its datagrams are dropped")
 			continue
 		}
 		if n > letter.DatagramMost {
@@ -170,7 +170,7 @@
 		_, err = p.udp.WriteToUDPAddrPort(e.Bytes, to)
 	}
 	if err != nil && !errors.Is(err, net.ErrClosed) {
-		p.s.loud.Debug().Err(err).Msg("datagram could not be sent")
+		p.s.limited.Debug().Err(err).Msg("datagram could not be sent")
 	}
 }
 
@@ -195,7 +195,7 @@
 			return
 		}
 		if err != nil {
-			p.s.loud.Warn().Err(err).Msg("no exchange could be accepted")
+			p.s.limited.Warn().Err(err).Msg("no exchange could be accepted")
 			time.Sleep(acceptAgain)
 			continue
 		}
@@ -231,7 +231,7 @@
 		text, err = readLetter(io.MultiReader(bytes.NewReader(head[:]), conn))
 	}
 	if err != nil {
-		p.s.loud.Debug().Err(err).Msg("exchange of a peer ended early")
+		p.s.limited.Debug().Err(err).Msg("exchange of a peer ended early")
 		return
 	}
 	answer := make(chan []byte, 1)
--- a/server/server.go
+++ b/server/server.go
@@ -46,18 +46,18 @@
 
 // Server is one node.
 type Server struct {
-	plate  *Nameplate
-	log    zerolog.Logger
-	loud   zerolog.Logger // for what peers can cause any number of times
-	clock  Clock
-	state  *reducer.Reducer
-	inputs chan reducer.Input // of dispatchers
-	heard  chan reducer.Input // of the node's own peers; they never wait behind dispatchers
-	notice chan struct{}
-	hurry  chan struct{}
-	reload chan *Nameplate
-	ctx    context.Context
-	group  *errgroup.Group
+	plate   *Nameplate
+	log     zerolog.Logger
+	limited zerolog.Logger // for what peers can cause any number of times
+	clock   Clock
+	state   *reducer.Reducer
+	inputs  chan reducer.Input // of dispatchers
+	heard   chan reducer.Input // of the node's own peers; they never wait behind dispatchers
+	notice  chan struct{}
+	abort   chan struct{}
+	reload  chan *Nameplate
+	ctx     context.Context
+	group   *errgroup.Group
 
 	peers     *peering // nil without a fleet
 	kept      *keeping // nil without a store
@@ -71,9 +71,9 @@
 
 // New makes a node that Run starts. What a logger and a clock are handed in for is the embedder's to choose.
 func New(nameplate *Nameplate, log zerolog.Logger, clock Clock) *Server {
-	loud := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
-	s := &Server{plate: nameplate, log: log, loud: loud, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
-		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1), hurry: make(chan struct{}, 1),
+	limited := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
+	s := &Server{plate: nameplate, log: log, limited: limited, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
+		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1), abort: make(chan struct{}, 1),
 		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}, reporter: newReporter()}
 	connections, spare, links := nameplate.shares()
 	s.calls = make(chan struct{}, links)
@@ -112,10 +112,10 @@
 	}
 }
 
-// Hurry ends a drain early, and starts one where none is: what is in hand is aborted and answered, then Run returns.
-func (s *Server) Hurry() {
+// Abort ends a drain early, and starts one where none is: what is in hand is aborted and answered, then Run returns.
+func (s *Server) Abort() {
 	select {
-	case s.hurry <- struct{}{}:
+	case s.abort <- struct{}{}:
 	default:
 	}
 }
@@ -272,8 +272,8 @@
 		case <-notice:
 			notice = nil
 			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
-		case <-s.hurry:
-			inputs = append(inputs, reducer.Input{Kind: reducer.Hurry})
+		case <-s.abort:
+			inputs = append(inputs, reducer.Input{Kind: reducer.Abort})
 		case next := <-s.reload:
 			for _, field := range s.plate.differs(next) {
 				s.log.Warn().Str("field", field).Msg("configuration: a new value here takes a new start")
@@ -340,10 +340,10 @@
 		s.conns.receive(e.Link)
 	case reducer.Send:
 		s.conns.send(e.Link, e.Bytes)
-	case reducer.Finish:
-		s.conns.finish(e.Link, false)
+	case reducer.CloseAfterFlush:
+		s.conns.closeAfterFlush(e.Link, false)
 	case reducer.Evict:
-		s.conns.finish(e.Link, true)
+		s.conns.closeAfterFlush(e.Link, true)
 	case reducer.Resume:
 		s.conns.resume(e.Link)
 	case reducer.Ignore:
@@ -355,11 +355,11 @@
 	case reducer.Tell, reducer.Ask:
 		s.write(e.Link, e.Bytes, e.At)
 	case reducer.Part, reducer.Quit:
-		s.hangUp(e.Link)
+		s.disconnect(e.Link)
 	case reducer.Report:
 		s.report(e)
-	case reducer.Shut:
-		s.conns.shut()
+	case reducer.StopAccepting:
+		s.conns.stopAccepting()
 	case reducer.Sample:
 		s.log.Debug().Interface("state", e.State).Msg("state")
 	case reducer.Turned:
@@ -379,12 +379,12 @@
 	case reducer.PeerStream:
 		s.peers.streams.send(e)
 	case reducer.PeerHangUp:
-		s.peers.streams.hangUp(e.Link)
+		s.peers.streams.disconnect(e.Link)
 	case reducer.ViewChanged:
 		s.viewChanged(e.Change)
 	case reducer.Remark:
 		level := [...]zerolog.Level{zerolog.DebugLevel, zerolog.InfoLevel, zerolog.WarnLevel}[e.Level]
-		line := s.loud.WithLevel(level).Err(e.Err)
+		line := s.limited.WithLevel(level).Err(e.Err)
 		if e.ID != "" {
 			line = line.Str("id", e.ID)
 		}
--- a/server/streams.go
+++ b/server/streams.go
@@ -132,8 +132,8 @@
 	}
 }
 
-// hangUp carries out PeerHangUp.
-func (s *streams) hangUp(number int) {
+// disconnect carries out PeerHangUp.
+func (s *streams) disconnect(number int) {
 	s.mu.Lock()
 	x := s.byNumber[number]
 	s.mu.Unlock()
@@ -161,7 +161,7 @@
 		}
 		s.failed[x.address] = time.Now()
 		s.mu.Unlock()
-		s.p.s.loud.Debug().Err(err).Str("to", x.address).Msg("stream to a peer could not be opened")
+		s.p.s.limited.Debug().Err(err).Str("to", x.address).Msg("stream to a peer could not be opened")
 		return
 	}
 	s.carry(x, conn)
@@ -191,7 +191,7 @@
 		return nil
 	})
 	if err := s.read(x, conn); err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
-		s.p.s.loud.Debug().Err(err).Stringer("peer", conn.RemoteAddr()).Msg("stream of a peer ended")
+		s.p.s.limited.Debug().Err(err).Stringer("peer", conn.RemoteAddr()).Msg("stream of a peer ended")
 	}
 	x.end()
 	<-done
