A node that waits for its address, or is leaving, is ended by its notice and starts nothing

Found by reading the ends again: with 25 s for the last life's address a notice would have waited for it, and an executor that came up while a node without one was leaving would have started work on it.

--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -155,7 +155,7 @@
 func (r *Reducer) welcome(words []string) {
 	r.welcomed = r.link
 	r.tell("METER", r.syncTag())
-	if r.post != nil {
+	if r.post != nil || r.left { // the latter: it came too late for a node that is leaving
 		return
 	}
 	age, err := strconv.ParseFloat(words[2], 64)
--- a/server/server.go
+++ b/server/server.go
@@ -163,8 +163,11 @@
 
 // Listen opens the listening socket, for programs that want to know its address before Run. An address that is
 // still in use is tried again for a while: the node's last life may not have ended to the full.
-func (s *Server) Listen() error {
-	for end := time.Now().Add(listenFor); ; time.Sleep(listenAgain) {
+func (s *Server) Listen() error { return s.listen(context.Background()) }
+
+// listen waits no longer than ctx and the notice to drain: a node that nobody could reach owes nothing.
+func (s *Server) listen(ctx context.Context) error {
+	for end := time.Now().Add(listenFor); ; {
 		listener, err := net.Listen("tcp", s.plate.Listen)
 		if err == nil {
 			s.listener = listener.(*net.TCPListener)
@@ -173,13 +176,22 @@
 		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
 			return fmt.Errorf("server: %w", err)
 		}
+		select {
+		case <-time.After(listenAgain):
+		case <-s.notice:
+			return errLeft
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
 }
 
 // Run serves until the drain is over, which is no error, or until ctx ends, which stops at once.
 func (s *Server) Run(ctx context.Context) error {
 	if s.listener == nil {
-		if err := s.Listen(); err != nil {
+		if err := s.listen(ctx); errors.Is(err, errLeft) {
+			return nil
+		} else if err != nil {
 			return err
 		}
 	}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -78,6 +78,22 @@
 	s.listener.Close()
 }
 
+// A drain notice, or the end of the context, that comes while the address is still taken ends the node at once.
+func TestNodeThatWaitsForItsAddressCanBeEnded(t *testing.T) {
+	last, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer last.Close()
+	s := server(t)
+	s.plate.Listen = last.Addr().String()
+	s.Drain()
+	assert.NoError(t, s.Run(context.Background()))
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	s = server(t)
+	s.plate.Listen = last.Addr().String()
+	assert.ErrorIs(t, s.Run(ctx), context.Canceled)
+}
+
 func TestUnusableNameplatesNameTheirField(t *testing.T) {
 	for field, text := range map[string]string{"name": `{}`, "listen": `{"name":"n"}`,
 		"seed":          `{"name":"n","listen":":1","executor":":1","control":":1","catalog":":1","seed":"x"}`,
