Answers of the step in which a node leaves are written before it ends

TestADrainDuringAReloadAnswersAll: "the connection ended" instead of 51: the step that aborted what was in hand came after the time to leave, so abort and Leave fell into one step, and the landing of ends had taken the flush at a Leave away (server.loop returned with the answers pending). Mended: flushAll gets out what is pending, 60 ms at the most, and closes this side of each connection. The other, TestASecondSignalAbortsAndAnswersWhatIsInHand, did not wait for its own run to begin; it does now.

--- a/integration/hostile_test.go
+++ b/integration/hostile_test.go
@@ -21,6 +21,7 @@
 	d, rests := s.dial(), s.dial()
 	rests.invoke(1, "fine")
 	assert.Equal(t, "20 on 1 fine", rests.answer())
+	await(t, s.told)
 	d.invoke(1, "hold")
 	await(t, s.told)
 	s.signal(syscall.SIGTERM)
@@ -57,6 +58,30 @@
 	assert.NoError(t, await(t, s.ended))
 }
 
+// A process that stood still past its time to leave aborts and leaves in one step: the answers must be out before it ends.
+func TestADrainWhoseTimeWentByWhileTheProcessStoodStillAnswersAll(t *testing.T) {
+	const stop = 800 * time.Millisecond
+	s := start(t, false, func(c map[string]any) { c["stop_ms"] = stop.Milliseconds() })
+	var all []*dispatcher
+	for range 8 {
+		d := s.dial()
+		d.invoke(1, "hold")
+		await(t, s.told)
+		all = append(all, d)
+	}
+	s.signal(syscall.SIGTERM)
+	s.line("drain notice")
+	s.signal(syscall.SIGSTOP)
+	time.Sleep(stop)
+	s.signal(syscall.SIGCONT)
+	for _, d := range all {
+		assert.Equal(t, "no more", d.answer())
+		assert.Equal(t, "51 on 1 ", d.answer())
+		d.ends()
+	}
+	assert.NoError(t, await(t, s.ended))
+}
+
 func TestADrainDuringAReloadAnswersAll(t *testing.T) {
 	s := start(t, false, func(c map[string]any) { c["stop_ms"] = 1_500 })
 	d := s.dial()
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -24,6 +24,7 @@
 	acceptLast  = 5 * time.Millisecond   // for what waits to be accepted when intake stops; tried twice, as the process may stand still
 	lingerWait  = 300 * time.Millisecond // for the peer's end after ours, so that no answer is lost to a reset
 	turnsMost   = 64                     // frames of one connection that may wait for the reducer: twice its streams
+	flushWait   = 60 * time.Millisecond  // for the last answers to be written where the node may wait no longer: inside the time before the kill
 	halfWait    = 2 * time.Second        // without a byte more of a frame that has begun: it is written with one call
 	ignorePause = 20 * time.Millisecond  // between reads of what is of no use: never at the peer's full speed
 	ignoredOnce = 4 << 10                // bytes of it taken with one read
@@ -118,6 +119,7 @@
 	bytes   atomic.Int64  // pending on all
 	most    int64         // that may be
 	slots   chan struct{}
+	writers sync.WaitGroup
 	slowest int64 // ns, the longest client timeout
 }
 
@@ -413,7 +415,8 @@
 		k.mu.Lock()
 		if !k.writing && !k.over {
 			k.writing = true
-			c.s.group.Go(func() error { c.write(k); return nil })
+			c.writers.Add(1)
+			c.s.group.Go(func() error { defer c.writers.Done(); c.write(k); return nil })
 		}
 		k.mu.Unlock()
 	}
@@ -448,6 +451,28 @@
 	}
 }
 
+// flushAll gets out what is owed before the node ends, whoever does not read. It closes this side of each connection,
+// so that one over unread bytes brings the peer its answers first.
+func (c *connections) flushAll() {
+	c.flush()
+	written := make(chan struct{})
+	go func() {
+		c.writers.Wait()
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(flushWait):
+		c.closeAll() // those who do not read; it ends their writers, and with them the wait
+		<-written
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, k := range c.open {
+		k.net.CloseWrite()
+	}
+}
+
 func (c *connections) closeAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/server/server.go
+++ b/server/server.go
@@ -307,6 +307,7 @@
 					Interface("results", s.state.Results()).Interface("peers", s.peerCounts()).
 					Interface("claims", s.state.Claims()).
 					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
+				s.conns.flushAll()
 				if s.peers != nil {
 					s.peers.flush()
 				}
