--- a/control/control.go
+++ b/control/control.go
@@ -174,8 +174,10 @@
 	}
 	if plate.Fresh {
 		p.open = plate.ColdFrom
-		for k := int64(callSlices); k > 0; k-- { // what a life before this may have held, as the dependency counts on
-			p.callUsed.Add(now-k*plate.CallSpan/callSlices, callRoom*plate.CallShare*float64(plate.CallSpan)/callSlices)
+		// What a life before this one may have held counts as used: the dependency's mean still holds it.
+		part := callRoom * plate.CallShare * float64(plate.CallSpan) / callSlices
+		for k := int64(callSlices); k > 0; k-- {
+			p.callUsed.Add(now-k*plate.CallSpan/callSlices, part)
 		}
 	}
 	return p
