--- a/integration/integration_test.go
+++ b/integration/integration_test.go
@@ -331,7 +331,6 @@
 
 func TestHostileClientsAreRefusedOrClosedBesideASoundOne(t *testing.T) {
 	s := start(t, false, nil)
-	sound := s.dial()
 	half := frame.Append(nil, frame.Invocation, 1, make([]byte, 500))[:300]
 	broken := frame.Append(nil, frame.Invocation, 1, []byte{9})
 	endless, many := []byte{}, []byte{}
@@ -353,6 +352,7 @@
 			ended <- what
 		}()
 	}
+	sound := s.dial()
 	for stream := range uint32(50) {
 		sound.invoke(stream+1, "fine")
 		assert.Equal(t, fmt.Sprintf("20 on %d fine", stream+1), sound.answer())
