--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -261,6 +262,9 @@
 		case "METER":
 			fmt.Fprintf(conn, "METERS %s 0.1 1\r\n", w[1])
 			return
+		}
+		s.told <- append(slices.Clone(w), string(l.Body)) // before what follows from it
+		switch w[0] {
 		case "EXEC":
 			switch body := string(l.Body); body {
 			case "bad":
@@ -274,7 +278,6 @@
 		case "RETURN":
 			s.notify("EXIT %d " + w[1] + " good 3 " + strconv.Itoa(len(l.Body)) + "\r\n" + string(l.Body) + "\r\n")
 		}
-		s.told <- append(w, string(l.Body))
 	})
 }
 
