How long a token is known, and an executor's new life in tests, are each said in one place

Found on reading the change once more: window plus what may lie unread stood three times in the reducer, the reset of the stand-in's notices three times in the process tests.

--- a/integration/endings_test.go
+++ b/integration/endings_test.go
@@ -173,9 +173,7 @@
 		} else {
 			last.Process.Signal(syscall.SIGTERM)
 		}
-		s.mu.Lock()
-		s.link, s.notices = nil, nil // an executor numbers anew for each start
-		s.mu.Unlock()
+		s.renew("old")
 		s.ended = make(chan error, 1)
 		from := time.Now()
 		s.run()
--- a/integration/ramp_test.go
+++ b/integration/ramp_test.go
@@ -113,9 +113,7 @@
 	}
 	for _, s := range fleet {
 		await(t, s.ended)
-		s.mu.Lock()
-		s.link, s.notices, s.state = nil, nil, "new"
-		s.mu.Unlock()
+		s.renew("new")
 		s.run()
 	}
 	until(calls() + 2*2*nodes*share*10)
--- a/integration/repeats_test.go
+++ b/integration/repeats_test.go
@@ -120,9 +120,7 @@
 	assert.Equal(t, "20 on 1 result", d.answer())
 	s.signal(syscall.SIGKILL)
 	await(t, s.ended)
-	s.mu.Lock()
-	s.link, s.notices = nil, nil
-	s.mu.Unlock()
+	s.renew("old")
 	s.run()
 	for range 2 {
 		d = s.dial()
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -196,6 +196,13 @@
 	}
 }
 
+// renew has the executor know nothing of the node's last life: it numbers anew for each start.
+func (s *site) renew(state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.link, s.notices, s.state = nil, nil, state
+}
+
 // line waits for a line of the log.
 func (s *site) line(text string) string {
 	for {
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -148,7 +148,7 @@
 		return
 	}
 	r.want(claims.Input{Want: claims.Arrived, Key: r.claimKey(v.key), Body: v.hash, For: v.due - r.now, Call: v.call, Work: text,
-		Window: r.plate.Nameplate.Operations[v.key.Operation].Window + r.late(v.key.Operation)})
+		Window: r.known(v.key.Operation)})
 }
 
 // fromStream takes what a node says on a stream.
--- a/reducer/kept.go
+++ b/reducer/kept.go
@@ -108,13 +108,16 @@
 // unread past its end: until its caller has gone it could be run again. Stamps are whole milliseconds, so one more.
 func (r *Reducer) late(op int32) int64 { return r.plate.Nameplate.Operations[op].ClientTimeout + ms }
 
+// known is how long a token is known from the arrival of its first invocation on.
+func (r *Reducer) known(op int32) int64 { return r.plate.Nameplate.Operations[op].Window + r.late(op) }
+
 // ask hands an invocation to the keeper, which decides whether it runs, joins or is answered.
 func (r *Reducer) ask(i int32) {
 	v := &r.invs[i]
 	v.asked = true
 	until := v.window
 	if until == 0 {
-		until = r.now + r.plate.Nameplate.Operations[v.key.Operation].Window + r.late(v.key.Operation)
+		until = r.now + r.known(v.key.Operation)
 	}
 	r.keeper(results.Input{Kind: results.Asked, Asker: i, Key: v.key, Body: v.hash, For: until - r.now})
 }
@@ -286,7 +289,7 @@
 			return
 		}
 		r.do(Effect{Kind: Keep, Kept: &results.Stored{Key: a.Key, Done: true, Ending: a.Ending, Result: a.Result,
-			For: r.plate.Nameplate.Operations[a.Key.Operation].Window + r.late(a.Key.Operation)}})
+			For: r.known(a.Key.Operation)}})
 	case results.Drop:
 		if r.claimed.desk != nil {
 			r.want(claims.Input{Want: claims.Drop, Key: r.claimKey(a.Key)})
