Membership pays for what changed: links of both ends, orders, the view's hash and what is owed are kept

Each look followed all links through a map and a search, sorted four orders of the fleet, and each change hashed the whole view; each link scanned all members.

Change: the links that both ends tell of are kept by index as records change; orders are merged and not sorted anew; the hash goes with each change; what is owed is a bit a link, a table of 8 bytes a member in place of up to 32. Debug builds hold each against the whole.

--- a/membership/links.go
+++ b/membership/links.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"topazpost/must"
 )
 
 // open takes up a link to a member. Where all are taken, the one that is unwanted longest makes room.
@@ -24,12 +26,10 @@
 		if l.member >= 0 {
 			continue
 		}
-		owe := l.owe
-		clear(owe)
-		*l = link{member: i, asked: m.t, proof: -m.charter.Silence, heard: -m.charter.Silence, owe: owe, healed: m.t,
-			next: m.t}
+		m.oweNothing(int8(k))
+		*l = link{member: i, asked: m.t, proof: -m.charter.Silence, heard: -m.charter.Silence, healed: m.t, next: m.t}
 		m.members[i].link = int8(k)
-		m.oweTo(l, 0)
+		m.oweTo(int8(k), 0)
 		return l
 	}
 	return nil
@@ -67,18 +67,8 @@
 	if m.members[0].rec.Left || m.t < m.refused {
 		return
 	}
-	for r := range m.order {
-		order := m.order[r][:0]
-		for i := range m.members {
-			b := &m.members[i]
-			if i == 0 || b.rec.Name != "" && !b.rec.Left && (b.in || m.t < b.hope) {
-				order = append(order, int32(i))
-			}
-		}
-		slices.SortFunc(order, func(a, b int32) int {
-			return cmp.Or(cmp.Compare(m.members[a].keys[r], m.members[b].keys[r]), cmp.Compare(m.members[a].id, m.members[b].id))
-		})
-		m.order[r] = order
+	m.keepOrders()
+	for _, order := range m.order {
 		at := slices.Index(order, 0)
 		for _, side := range [...]int{1, -1} {
 			passed := 0
@@ -99,6 +89,68 @@
 	}
 }
 
+// keepOrders has each order hold those that may be watched, sorted: who is there no more is taken out, and those who
+// came are sorted among themselves and merged in, so that a look costs one pass and not a sort of all.
+func (m *Members) keepOrders() {
+	m.joined = m.joined[:0]
+	for i := range m.members {
+		b := &m.members[i]
+		may := i == 0 || b.rec.Name != "" && !b.rec.Left && (b.in || m.t < b.hope)
+		if may && !b.ringed {
+			m.joined = append(m.joined, int32(i))
+		} else if !may && b.ringed {
+			b.ringed, m.unringed = false, true
+		}
+	}
+	for r := range m.order {
+		if m.unringed { // a place in the table that was forgotten and taken again counts as new
+			m.order[r] = slices.DeleteFunc(m.order[r], func(i int32) bool { return !m.members[i].ringed })
+		}
+		m.order[r] = m.merge(r, m.order[r], m.joined)
+	}
+	m.unringed = false
+	for _, i := range m.joined {
+		m.members[i].ringed = true
+	}
+	if must.Debug {
+		for r, order := range m.order {
+			n := 0
+			for i := range m.members {
+				if m.members[i].ringed {
+					n++
+				}
+			}
+			m.Guard.Hold(n == len(order) && slices.IsSortedFunc(order, func(a, b int32) int { return m.along(r, a, b) }), "an order is whole and sorted")
+		}
+	}
+}
+
+// along compares members in an order.
+func (m *Members) along(r int, i, j int32) int {
+	a, b := &m.members[i], &m.members[j]
+	return cmp.Or(cmp.Compare(a.key(r), b.key(r)), cmp.Compare(a.id, b.id))
+}
+
+// merge takes some more into an order.
+func (m *Members) merge(r int, order, more []int32) []int32 {
+	if len(more) == 0 {
+		return order
+	}
+	slices.SortFunc(more, func(a, b int32) int { return m.along(r, a, b) })
+	old := len(order)
+	order = append(order, more...)
+	for at, left, right := len(order)-1, old-1, len(more)-1; right >= 0; at-- { // from the end on
+		if left >= 0 && m.along(r, order[left], more[right]) > 0 {
+			order[at] = order[left]
+			left--
+		} else {
+			order[at] = more[right]
+			right--
+		}
+	}
+	return order
+}
+
 func (m *Members) want(i int32) *link {
 	var l *link
 	if k := m.members[i].link; k >= 0 {
@@ -174,6 +226,7 @@
 	}
 	m.dirtySelf, m.published, m.publishAt = false, m.t, m.t+publishEvery
 	if !slices.Equal(ids, m.members[0].rec.Links) {
+		m.relink(0, m.members[0].rec.Links, ids)
 		m.members[0].rec.Links = ids
 		m.renew()
 	}
@@ -193,28 +246,36 @@
 func (m *Members) spread(i int32, from int8) {
 	for k := range m.links {
 		if l := &m.links[k]; l.member >= 0 && int8(k) != from && l.member != i {
-			m.oweTo(l, i)
+			m.oweTo(int8(k), i)
 		}
 	}
 }
 
-func (m *Members) oweTo(l *link, i int32) {
-	if need := len(m.members) - len(l.owe); need > 0 {
-		l.owe = append(l.owe, make([]uint8, need+16)...)
+func (m *Members) oweTo(k int8, i int32) {
+	bit := uint32(1) << k
+	if m.owed[i]&bit == 0 {
+		m.owed[i] |= bit
+		m.links[k].owing++
 	}
-	if l.owe[i] == 0 {
-		l.owing++
+	if m.twice[i] &^= bit; m.inView < 2*rings { // few links bring each record: twice on each
+		m.twice[i] |= bit
 	}
-	l.owe[i] = 1
-	if m.inView < 2*rings { // few links bring each record: twice on each
-		l.owe[i] = 2
+}
+
+func (m *Members) settleOwed(k int8, i int32) {
+	if bit := uint32(1) << k; m.owed[i]&bit != 0 {
+		m.owed[i] &^= bit
+		m.twice[i] &^= bit
+		m.links[k].owing--
 	}
 }
 
-func (m *Members) settleOwed(l *link, i int32) {
-	if int(i) < len(l.owe) && l.owe[i] > 0 {
-		l.owe[i] = 0
-		l.owing--
+// oweNothing forgets all that is owed on a link.
+func (m *Members) oweNothing(k int8) {
+	m.links[k].owing = 0
+	for i := range m.owed {
+		m.owed[i] &^= 1 << k
+		m.twice[i] &^= 1 << k
 	}
 }
 
@@ -226,38 +287,13 @@
 			continue
 		}
 		if l.quiet(m.t) > m.charter.Silence { // it is healed once it is back
-			clear(l.owe)
-			l.owing = 0
+			m.oweNothing(int8(k))
 			continue
 		}
-		var records []Record
-		size := 0
-		for k := range len(m.members) + 1 { // its own first, then in turn
-			i := 0
-			if k > 0 {
-				if i = l.from; i == 0 {
-					l.from = 1 % len(m.members)
-					continue
-				}
-			}
-			if i < len(l.owe) && l.owe[i] > 0 && m.members[i].rec.Name != "" {
-				r := &m.members[i].rec
-				if size += r.size(); len(records) > 0 && (size > roomOfNews || len(records) == recordsOnce) {
-					break
-				}
-				records = append(records, *r)
-				if l.owe[i]--; l.owe[i] == 0 {
-					l.owing--
-				}
-			}
-			if k > 0 {
-				l.from = (l.from + 1) % len(m.members)
-			}
-		}
+		records := m.newsOn(int8(k))
 		l.newsAt = m.t + newsEvery
 		if len(records) == 0 {
-			clear(l.owe)
-			l.owing = 0
+			m.oweNothing(int8(k))
 			continue
 		}
 		if l.owing > recordsOnce {
@@ -266,3 +302,42 @@
 		m.send(m.members[l.member].rec.Address, &Message{Kind: News, Records: records})
 	}
 }
+
+// newsOn takes what is to be sent next on a link: this node's own record first, then what is owed, in turn from the
+// member on at which the last datagram ended.
+func (m *Members) newsOn(k int8) (records []Record) {
+	l, bit, size, found := &m.links[k], uint32(1)<<k, 0, 0
+	owing := l.owing
+	take := func(i int) bool {
+		r := &m.members[i].rec
+		if size += r.size(); len(records) > 0 && (size > roomOfNews || len(records) == recordsOnce) {
+			return false
+		}
+		records = append(records, *r)
+		found++
+		if m.twice[i]&bit != 0 {
+			m.twice[i] &^= bit
+		} else {
+			m.owed[i] &^= bit
+			l.owing--
+		}
+		return true
+	}
+	if m.owed[0]&bit != 0 {
+		take(0)
+	}
+	at := l.from
+	for range m.members {
+		if found == owing { // no more can follow: the turn stays where it is
+			return records
+		}
+		if at > 0 && m.owed[at]&bit != 0 && m.members[at].rec.Name != "" && !take(at) {
+			break
+		}
+		if at++; at == len(m.members) {
+			at = 0
+		}
+	}
+	l.from = at
+	return records
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -12,13 +12,14 @@
 type member struct {
 	rec     Record
 	id      ID
-	keys    [rings]uint64
-	link    int8 // its place in links, -1 without one
-	in      bool // the view
-	counted bool // its record is part of what tables are compared by
-	reached bool // a path of links leads to it
-	was     bool // in the view at some time
-	word    ID   // whose link to it went last
+	near    []int32 // those with whom it has a link of which both ends tell
+	link    int8    // its place in links, -1 without one
+	ringed  bool    // in the orders of the rings
+	in      bool    // the view
+	counted bool    // its record is part of what tables are compared by
+	reached bool    // a path of links leads to it
+	was     bool    // in the view at some time
+	word    ID      // whose link to it went last
 	lost    int64
 	grace   int64 // until which a new life need not be reached
 	out     int64 // when it left the view or became known, whichever came last
@@ -42,8 +43,7 @@
 	seq            uint32
 	sent           [sentKept]int64
 	differ, healed int64
-	owe            []uint8 // by member: times that its record is still to be sent
-	owing, from    int
+	owing, from    int // records that are owed; the member after the one sent last
 	newsAt         int64
 }
 
@@ -61,12 +61,17 @@
 	free     []int32
 	byID     map[ID]int32
 	links    [linksMost]link // member < 0 where free
+	owed     []uint32        // by member: a bit for each link on which its record is still to be sent
+	twice    []uint32        // by member: on which it is to be sent once more after that
 	order    [rings][]int32
+	unringed bool // one of the orders was forgotten
+	joined   []int32
 	effects  []Effect
 	mark     []uint32 // by member, stamp of the last look
 	stamp    uint32
 	stack    []int32
 	digest   uint64
+	hash     uint64 // of the view: of the names and lives in it
 	number   uint64
 	inView   int
 	alone    bool
@@ -98,7 +103,7 @@
 	self := Record{Name: charter.Name, Address: charter.Address, Born: wall, Inc: max(uint64(max(wall, 1)), kept+1),
 		Facts: Facts{Version: charter.Version, Zone: charter.Zone}}
 	m.add(&self)
-	m.members[0].in, m.members[0].was, m.inView = true, true, 1
+	m.members[0].in, m.members[0].was, m.inView, m.hash = true, true, 1, m.members[0].life()
 	m.joinAt, m.seed = now+m.jitter(joinEvery/2), m.chance.Intn(len(charter.Seeds)+1)
 	m.knockAt, m.seedAt = now+m.jitter(knockEvery), now+m.jitter(joinEvery)
 	return m
@@ -115,6 +120,12 @@
 	return x ^ x>>31
 }
 
+// key is a member's place in an order of the fleet.
+func (b *member) key(ring int) uint64 { return mix(uint64(b.id), uint64(ring)) }
+
+// life is a member's part in the hash of views.
+func (b *member) life() uint64 { return mix(uint64(b.id), uint64(b.rec.Born)) }
+
 func (b *member) hash() uint64 { return mix(mix(uint64(b.id), b.rec.Inc), uint64(b.rec.Ver)) }
 
 func (m *Members) do(e Effect) { m.effects = append(m.effects, e) }
@@ -297,12 +308,13 @@
 	if known {
 		b := &m.members[i]
 		if from >= 0 && !b.rec.newer(r) { // it has this one already
-			m.settleOwed(&m.links[from], i)
+			m.settleOwed(from, i)
 		}
 		if !r.newer(&b.rec) {
 			return
 		}
 		m.dropped(b, r)
+		m.relink(i, b.rec.Links, r.Links)
 		if b.rec.Born != r.Born && b.in {
 			b.grace = m.t + m.charter.Silence + m.charter.Settle
 			b.since = m.t
@@ -319,7 +331,13 @@
 		if !b.in && r.Inc > b.rec.Inc {
 			b.hope = m.t + m.charter.Silence
 		}
+		if b.in {
+			m.hash ^= b.life()
+		}
 		b.rec = *r
+		if b.in {
+			m.hash ^= b.life()
+		}
 	}
 	b := &m.members[i]
 	b.counted = true
@@ -404,20 +422,19 @@
 	} else {
 		m.members = append(m.members, member{})
 		m.mark = append(m.mark, 0)
+		m.owed, m.twice = append(m.owed, 0), append(m.twice, 0)
 	}
 	b := &m.members[i]
-	*b = member{rec: *r, id: IDOf(r.Name), link: -1, out: m.t, hope: m.t + m.charter.Silence, since: m.t}
-	for k := range b.keys {
-		b.keys[k] = mix(uint64(b.id), uint64(k))
-	}
+	*b = member{rec: *r, id: IDOf(r.Name), near: b.near[:0], link: -1, out: m.t, hope: m.t + m.charter.Silence, since: m.t}
 	m.byID[b.id] = i
+	m.relink(i, nil, r.Links)
 	if i == 0 {
 		b.counted = true
 		m.digest ^= b.hash()
 	}
 	for k := range m.links {
-		if l := &m.links[k]; l.member >= 0 && int(i) < len(l.owe) && l.owe[i] > 0 {
-			m.settleOwed(l, i)
+		if m.links[k].member >= 0 {
+			m.settleOwed(int8(k), i)
 		}
 	}
 	return i
@@ -433,9 +450,14 @@
 	}
 	if b.in {
 		m.inView--
+		m.hash ^= b.life()
+	}
+	for _, j := range b.near {
+		m.members[j].unlink(i)
 	}
+	m.unringed = m.unringed || b.ringed
 	delete(m.byID, b.id)
-	*b = member{link: -1}
+	*b = member{near: b.near[:0], link: -1}
 	m.free = append(m.free, i)
 	m.dirtyRings, m.dirtyView = true, true
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"topazpost/must"
 )
 
 // follow finds whom a path of links leads to: links that both ends tell of, from this node on.
@@ -13,18 +15,16 @@
 	for len(m.stack) > 0 {
 		i := m.stack[len(m.stack)-1]
 		m.stack = m.stack[:len(m.stack)-1]
-		u := &m.members[i]
-		for _, id := range u.rec.Links {
-			j, known := m.byID[id]
-			if !known || m.mark[j] == m.stamp || m.members[j].rec.Left {
-				continue
-			}
-			if _, both := slices.BinarySearch(m.members[j].rec.Links, u.id); both {
+		for _, j := range m.members[i].near {
+			if m.mark[j] != m.stamp && !m.members[j].rec.Left {
 				m.mark[j] = m.stamp
 				m.stack = append(m.stack, j)
 			}
 		}
 	}
+	if must.Debug {
+		m.checkNear()
+	}
 	for i := range m.members {
 		b := &m.members[i]
 		b.reached = m.mark[i] == m.stamp
@@ -36,6 +36,61 @@
 	}
 }
 
+// relink has the links that both ends tell of follow a member's record, whose links were others before.
+func (m *Members) relink(i int32, before, after []ID) {
+	b := &m.members[i]
+	for _, id := range before {
+		if j, known := m.byID[id]; known && !tells(after, id) && b.unlink(j) {
+			m.members[j].unlink(i)
+		}
+	}
+	for _, id := range after {
+		if tells(before, id) || !tells(after, id) {
+			continue
+		}
+		if j, known := m.byID[id]; known && j != i && tells(m.members[j].rec.Links, b.id) && !slices.Contains(b.near, j) {
+			b.near = append(b.near, j)
+			m.members[j].near = append(m.members[j].near, i)
+		}
+	}
+}
+
+// unlink takes a member out of those that another is linked with, and says whether it was one.
+func (b *member) unlink(j int32) bool {
+	at := slices.Index(b.near, j)
+	if at < 0 {
+		return false
+	}
+	last := len(b.near) - 1
+	b.near[at] = b.near[last]
+	b.near = b.near[:last]
+	return true
+}
+
+// tells says whether an id is among the links of a record.
+func tells(links []ID, id ID) bool {
+	_, found := slices.BinarySearch(links, id)
+	return found
+}
+
+// checkNear holds the links that are kept against those of the records.
+func (m *Members) checkNear() {
+	for i := range m.members {
+		b, n := &m.members[i], 0
+		if b.rec.Name == "" {
+			m.Guard.Hold(len(b.near) == 0, "nobody is linked with the forgotten")
+			continue
+		}
+		for j := range m.members {
+			if o := &m.members[j]; i != j && o.rec.Name != "" && tells(b.rec.Links, o.id) && tells(o.rec.Links, b.id) {
+				n++
+				m.Guard.Hold(slices.Contains(b.near, int32(j)), "a link that both ends tell of is kept")
+			}
+		}
+		m.Guard.Hold(n == len(b.near), "a link is kept only where both ends tell of it")
+	}
+}
+
 // keepView lets the view follow what is reached: those that come at once, those that are lost once that has lasted.
 // A node without any link doubts itself, and not all others.
 func (m *Members) keepView() {
@@ -113,6 +168,7 @@
 	}
 	b.in, b.was = true, true
 	m.inView++
+	m.hash ^= b.life()
 	if !b.counted {
 		b.counted = true
 		m.digest ^= b.hash()
@@ -125,6 +181,7 @@
 func (m *Members) leave(b *member, cause Cause) {
 	b.in, b.out, b.hope = false, m.t, 0
 	m.inView--
+	m.hash ^= b.life()
 	m.status(b, map[bool]Status{true: Left, false: Dead}[cause == Departed])
 	after := int64(0)
 	if b.lost > 0 {
@@ -144,9 +201,11 @@
 func (m *Members) changed(cause Cause, b *member, inc uint64, word string, after int64) {
 	m.number++
 	m.Counters.Views++
-	hash, size := m.Hash()
+	if must.Debug {
+		m.Guard.Hold(m.hash == m.View().Hash, "the hash is that of the view")
+	}
 	m.do(Effect{Kind: Changed, Change: Change{Number: m.number, Cause: cause, Who: b.rec.Name, Inc: inc, Word: word,
-		After: after, Size: size, Hash: hash}})
+		After: after, Size: m.inView, Hash: m.hash}})
 }
 
 // keepTies looks for those with whom there is no link: seeds, the lost, and neighbours whose table stays different.
@@ -371,7 +430,7 @@
 			Facts: b.rec.Facts, Links: len(b.rec.Links), Since: m.t - b.since, Born: b.rec.Born}
 		v.Members = append(v.Members, s)
 		if b.in {
-			v.Hash ^= mix(uint64(b.id), uint64(b.rec.Born))
+			v.Hash ^= b.life()
 		}
 		if !b.rec.Left {
 			known++
@@ -394,14 +453,7 @@
 }
 
 // Hash tells views apart without making one: of names and lives.
-func (m *Members) Hash() (hash uint64, size int) {
-	for i := range m.members {
-		if b := &m.members[i]; b.in {
-			hash ^= mix(uint64(b.id), uint64(b.rec.Born))
-		}
-	}
-	return hash, m.inView
-}
+func (m *Members) Hash() (hash uint64, size int) { return m.hash, m.inView }
 
 // AddressOf is where a member hears its peers, false for one that is not known.
 func (m *Members) AddressOf(name string) (string, bool) {
