What is followed lies close together, and members with nothing due are passed over

Cause: at 1,300 members a step's cost was that of memory: each follow and each look at the view touched 1,300 records of 300 bytes, of 1,300 nodes in turn.

Change: a member's links by index in 66 bytes beside each other; reach compared by number; a flag for those that are alive and unchanged, which the view, the orders and the knocks pass over. Debug builds hold them against the records.

--- a/membership/links.go
+++ b/membership/links.go
@@ -94,29 +94,33 @@
 func (m *Members) keepOrders() {
 	m.joined = m.joined[:0]
 	for i := range m.members {
+		if m.calm[i] && m.ringed[i] {
+			continue
+		}
 		b := &m.members[i]
 		may := i == 0 || b.rec.Name != "" && !b.rec.Left && (b.in || m.t < b.hope)
-		if may && !b.ringed {
+		if may && !m.ringed[i] {
 			m.joined = append(m.joined, int32(i))
-		} else if !may && b.ringed {
-			b.ringed, m.unringed = false, true
+		} else if !may && m.ringed[i] {
+			m.ringed[i], m.unringed = false, true
 		}
 	}
 	for r := range m.order {
 		if m.unringed { // a place in the table that was forgotten and taken again counts as new
-			m.order[r] = slices.DeleteFunc(m.order[r], func(i int32) bool { return !m.members[i].ringed })
+			m.order[r] = slices.DeleteFunc(m.order[r], func(i int32) bool { return !m.ringed[i] })
 		}
 		m.order[r] = m.merge(r, m.order[r], m.joined)
 	}
 	m.unringed = false
 	for _, i := range m.joined {
-		m.members[i].ringed = true
+		m.ringed[i] = true
 	}
 	if must.Debug {
 		for r, order := range m.order {
 			n := 0
 			for i := range m.members {
-				if m.members[i].ringed {
+				b := &m.members[i]
+				if may := i == 0 || b.rec.Name != "" && !b.rec.Left && (b.in || m.t < b.hope); may {
 					n++
 				}
 			}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -12,14 +12,12 @@
 type member struct {
 	rec     Record
 	id      ID
-	near    []int32 // those with whom it has a link of which both ends tell
-	link    int8    // its place in links, -1 without one
-	ringed  bool    // in the orders of the rings
-	in      bool    // the view
-	counted bool    // its record is part of what tables are compared by
-	reached bool    // a path of links leads to it
-	was     bool    // in the view at some time
-	word    ID      // whose link to it went last
+	link    int8 // its place in links, -1 without one
+	in      bool // the view
+	counted bool // its record is part of what tables are compared by
+	reached bool // a path of links leads to it
+	was     bool // in the view at some time
+	word    ID   // whose link to it went last
 	lost    int64
 	grace   int64 // until which a new life need not be reached
 	out     int64 // when it left the view or became known, whichever came last
@@ -30,6 +28,13 @@
 	since   int64 // of its status
 }
 
+// near is what following links needs of a member, in little room: all of them are gone over at each change.
+type near struct {
+	at   [linksMost]uint16 // those with whom it has a link of which both ends tell
+	n    uint8
+	left bool
+}
+
 // link is one to a member that this node watches, or that watches this node.
 type link struct {
 	member         int32
@@ -63,6 +68,11 @@
 	links    [linksMost]link // member < 0 where free
 	owed     []uint32        // by member: a bit for each link on which its record is still to be sent
 	twice    []uint32        // by member: on which it is to be sent once more after that
+	near     []near          // by member
+	followed []uint32        // by member: the follow, by its number, that led to it last
+	follows  uint32
+	calm     []bool // by member: alive in the view or no member, and unchanged since it was looked at: nothing is due
+	ringed   []bool // by member: in the orders of the rings
 	order    [rings][]int32
 	unringed bool // one of the orders was forgotten
 	joined   []int32
@@ -96,7 +106,8 @@
 
 // New starts a node. Wall is Unix time in nanoseconds, kept the incarnation of its last life where a disk kept it.
 func New(charter Charter, now, wall int64, kept uint64, seed int64) *Members {
-	m := &Members{charter: charter, chance: rand.New(rand.NewSource(seed)), byID: map[ID]int32{}, t: now, joinFor: joinEvery}
+	m := &Members{charter: charter, chance: rand.New(rand.NewSource(seed)), byID: map[ID]int32{}, t: now, joinFor: joinEvery, follows: 1}
+	m.charter.MembersMost = min(charter.MembersMost, tableMost)
 	for k := range m.links {
 		m.links[k].member = -1
 	}
@@ -335,6 +346,7 @@
 			m.hash ^= b.life()
 		}
 		b.rec = *r
+		m.near[i].left, m.calm[i] = r.Left, false
 		if b.in {
 			m.hash ^= b.life()
 		}
@@ -423,9 +435,12 @@
 		m.members = append(m.members, member{})
 		m.mark = append(m.mark, 0)
 		m.owed, m.twice = append(m.owed, 0), append(m.twice, 0)
+		m.near, m.followed = append(m.near, near{}), append(m.followed, 0)
+		m.calm, m.ringed = append(m.calm, false), append(m.ringed, false)
 	}
+	m.near[i].left, m.followed[i], m.calm[i] = r.Left, 0, false
 	b := &m.members[i]
-	*b = member{rec: *r, id: IDOf(r.Name), near: b.near[:0], link: -1, out: m.t, hope: m.t + m.charter.Silence, since: m.t}
+	*b = member{rec: *r, id: IDOf(r.Name), link: -1, out: m.t, hope: m.t + m.charter.Silence, since: m.t}
 	m.byID[b.id] = i
 	m.relink(i, nil, r.Links)
 	if i == 0 {
@@ -452,12 +467,13 @@
 		m.inView--
 		m.hash ^= b.life()
 	}
-	for _, j := range b.near {
-		m.members[j].unlink(i)
+	for _, j := range m.linked(i) {
+		m.unlink(int32(j), i)
 	}
-	m.unringed = m.unringed || b.ringed
+	m.near[i], m.followed[i], m.calm[i] = near{}, 0, false
+	m.unringed, m.ringed[i] = m.unringed || m.ringed[i], false
 	delete(m.byID, b.id)
-	*b = member{near: b.near[:0], link: -1}
+	*b = member{link: -1}
 	m.free = append(m.free, i)
 	m.dirtyRings, m.dirtyView = true, true
 }
--- a/membership/types.go
+++ b/membership/types.go
@@ -17,6 +17,7 @@
 	sentKept     = 8           // pings on a link whose answer still counts: more than are sent while it may be silent
 	recordsOnce  = 6           // records in one datagram: 1,200 bytes of the largest that are usual
 	roomOfNews   = 1_000       // bytes of records in one datagram, the rest of 1,200 is for its head
+	tableMost    = 1<<16 - 1   // members: places in the table are two bytes in what is followed
 	nameMost     = 64          // bytes of a name
 	addressMost  = 64          // bytes of an address
 	factMost     = 32          // bytes of a fact
--- a/membership/view.go
+++ b/membership/view.go
@@ -9,61 +9,79 @@
 
 // follow finds whom a path of links leads to: links that both ends tell of, from this node on.
 func (m *Members) follow() {
-	m.stamp++
-	m.mark[0] = m.stamp
+	last := m.follows
+	m.follows++
+	m.followed[0], m.members[0].reached = m.follows, true
 	m.stack = append(m.stack[:0], 0)
 	for len(m.stack) > 0 {
 		i := m.stack[len(m.stack)-1]
 		m.stack = m.stack[:len(m.stack)-1]
-		for _, j := range m.members[i].near {
-			if m.mark[j] != m.stamp && !m.members[j].rec.Left {
-				m.mark[j] = m.stamp
-				m.stack = append(m.stack, j)
+		for _, j := range m.linked(i) {
+			if m.followed[j] == m.follows || m.near[j].left {
+				continue
+			}
+			if m.followed[j] != last {
+				b := &m.members[j]
+				b.reached, b.lost, m.calm[j] = true, 0, false
 			}
+			m.followed[j] = m.follows
+			m.stack = append(m.stack, int32(j))
 		}
 	}
-	if must.Debug {
-		m.checkNear()
-	}
-	for i := range m.members {
+	for i, at := range m.followed {
+		if at != last {
+			continue
+		}
 		b := &m.members[i]
-		b.reached = m.mark[i] == m.stamp
-		if b.reached {
-			b.lost = 0
-		} else if b.in && b.lost == 0 {
+		if b.reached, m.calm[i] = false, false; b.in && b.lost == 0 {
 			b.lost = m.t
 		}
 	}
+	if must.Debug {
+		m.checkNear()
+	}
+}
+
+// linked are those with whom a member has a link that both ends tell of.
+func (m *Members) linked(i int32) []uint16 {
+	n := &m.near[i]
+	return n.at[:n.n]
 }
 
 // relink has the links that both ends tell of follow a member's record, whose links were others before.
 func (m *Members) relink(i int32, before, after []ID) {
-	b := &m.members[i]
+	self := m.members[i].id
 	for _, id := range before {
-		if j, known := m.byID[id]; known && !tells(after, id) && b.unlink(j) {
-			m.members[j].unlink(i)
+		if j, known := m.byID[id]; known && !tells(after, id) && m.unlink(i, j) {
+			m.unlink(j, i)
 		}
 	}
 	for _, id := range after {
 		if tells(before, id) || !tells(after, id) {
 			continue
 		}
-		if j, known := m.byID[id]; known && j != i && tells(m.members[j].rec.Links, b.id) && !slices.Contains(b.near, j) {
-			b.near = append(b.near, j)
-			m.members[j].near = append(m.members[j].near, i)
+		if j, known := m.byID[id]; known && j != i && tells(m.members[j].rec.Links, self) && !slices.Contains(m.linked(i), uint16(j)) {
+			m.near[i].link(j)
+			m.near[j].link(i)
 		}
 	}
 }
 
-// unlink takes a member out of those that another is linked with, and says whether it was one.
-func (b *member) unlink(j int32) bool {
-	at := slices.Index(b.near, j)
+// link takes a member up among those that another is linked with: one for each id of its record at the most.
+func (n *near) link(j int32) {
+	n.at[n.n] = uint16(j)
+	n.n++
+}
+
+// unlink takes a member out of them, and says whether it was one.
+func (m *Members) unlink(i, j int32) bool {
+	n := &m.near[i]
+	at := slices.Index(m.linked(i), uint16(j))
 	if at < 0 {
 		return false
 	}
-	last := len(b.near) - 1
-	b.near[at] = b.near[last]
-	b.near = b.near[:last]
+	n.n--
+	n.at[at] = n.at[n.n]
 	return true
 }
 
@@ -76,18 +94,19 @@
 // checkNear holds the links that are kept against those of the records.
 func (m *Members) checkNear() {
 	for i := range m.members {
-		b, n := &m.members[i], 0
+		b, n, kept := &m.members[i], 0, m.linked(int32(i))
+		m.Guard.Hold(i == 0 || m.near[i].left == b.rec.Left && b.reached == (m.followed[i] == m.follows), "what is followed is as the records are")
 		if b.rec.Name == "" {
-			m.Guard.Hold(len(b.near) == 0, "nobody is linked with the forgotten")
+			m.Guard.Hold(len(kept) == 0, "nobody is linked with the forgotten")
 			continue
 		}
 		for j := range m.members {
 			if o := &m.members[j]; i != j && o.rec.Name != "" && tells(b.rec.Links, o.id) && tells(o.rec.Links, b.id) {
 				n++
-				m.Guard.Hold(slices.Contains(b.near, int32(j)), "a link that both ends tell of is kept")
+				m.Guard.Hold(slices.Contains(kept, uint16(j)), "a link that both ends tell of is kept")
 			}
 		}
-		m.Guard.Hold(n == len(b.near), "a link is kept only where both ends tell of it")
+		m.Guard.Hold(n == len(kept), "a link is kept only where both ends tell of it")
 	}
 }
 
@@ -109,8 +128,12 @@
 	}
 	m.viewAt = m.t + viewEvery
 	for i := 1; i < len(m.members); i++ {
+		if m.calm[i] {
+			continue
+		}
 		b := &m.members[i]
 		if b.rec.Name == "" {
+			m.calm[i] = true
 			continue
 		}
 		switch {
@@ -133,6 +156,7 @@
 				b.falls = 0
 			}
 			m.status(b, Alive)
+			m.calm[i] = b.falls == 0
 		case b.reached && !b.rec.Left && m.t >= m.backAt(b):
 			m.enter(b)
 		case b.reached && !b.rec.Left:
@@ -268,6 +292,9 @@
 func (m *Members) knock() {
 	for range m.members {
 		m.knockPos = (m.knockPos + 1) % len(m.members)
+		if m.calm[m.knockPos] {
+			continue
+		}
 		b := &m.members[m.knockPos]
 		if b.rec.Name == "" || b.in || b.rec.Left || b.link >= 0 || m.knockPos == 0 {
 			continue
