Hollow nodes: what nodes do among themselves, many to a process, and a Go API that commands them

A fleet of 1,300 whole daemons does not fit one machine, so neither capacity nor faults at that size could be played on sockets.

A hollow node is reducer and server with membership, letters, streams, claims desk, quota holder and a seat where it has one, on real UDP and TCP of loopback, without dispatchers, executor link, reports and module. topazlab hollow runs some of them in a process, with a filter between node and socket for cuts, loss and delay; hollow.Start runs a fleet of such processes and sums their figures a second. Its load are tokens claimed a second and calls wanted, by inputs that only a hollow node takes.

--- a/cmd/topazlab/main.go
+++ b/cmd/topazlab/main.go
@@ -110,7 +110,8 @@
 
 func main() {
 	var line struct {
-		Run run `cmd:"" help:"Play the variants of an experiment side by side, and say of each claim whether it held."`
+		Run    run         `cmd:"" help:"Play the variants of an experiment side by side, and say of each claim whether it held."`
+		Hollow hollowNodes `cmd:"" help:"Run hollow nodes of a fleet as lines on stdin say, and tell figures on stdout: experiments start it."`
 	}
 	c := kong.Parse(&line, kong.Name("topazlab"), kong.Description("Plays fleets in virtual time. Its figures are simulated."))
 	c.FatalIfErrorf(c.Run())
--- /dev/null
+++ b/lab/hollow/fleet.go
@@ -0,0 +1,452 @@
+package hollow
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand"
+	"net"
+	"os"
+	"os/exec"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	nodesEach     = 110             // nodes in one process where nothing else is said: a core carries some hundreds that are idle
+	processesMost = 200             // a few hundred are allowed beside whole daemons
+	contactsUsual = 3               // seeds
+	leaveTime     = 5 * time.Second // for a process to end once its commands end; then it is killed
+	look          = 20 * time.Millisecond
+	keptSeconds   = 7_200 // figures of so many seconds are kept
+	blockFirst    = 64    // 127.64 to 127.191: blocks that a fleet may have
+	blocks        = 128   // of them
+)
+
+// Options are what a fleet is started with. Only Nodes is needed.
+type Options struct {
+	Nodes           int // hollow ones
+	Processes       int // 0: one for each 110 nodes
+	Seats           int // of the council: the first nodes of the fleet. 0 for none
+	TokensPerSecond float64
+	Calls           int            // wanted at a time, of a limit Limit; needs seats
+	Limit           int            // of calls in hand fleet-wide, 0 for none
+	Fleet           map[string]any // further fields of the fleet's file: probe, silence, settle...
+	Config          []byte         // configuration of a node without its name; nil for one operation and no tenant
+	Layout          Layout
+	JoinOver        time.Duration // over which the starts are spread; 0 for a herd
+	Seed            int64
+	Events          func(process int, events []Event) // told of changes of views; must not wait
+	Log             io.Writer                         // stderr of the processes, nil for this one's
+
+	Whole    []int // nodes that the caller runs itself behind relays; the others of 0 to Nodes+len(Whole)-1 are hollow
+	Block    int   // of loopback addresses, 0 to have a free one chosen
+	Contacts []int // seeds, nil for the first three
+	Idle     bool  // starts no node yet
+}
+
+// Fleet is hollow nodes in processes of a program that has the command "hollow": cmd/topazlab.
+type Fleet struct {
+	Block   int
+	options Options
+	total   int
+	members []*member
+
+	mu      sync.Mutex
+	up      []bool
+	last    []Event // of each node
+	seconds map[int64][]*Second
+	failed  error
+}
+
+// member is one process.
+type member struct {
+	nodes   []int
+	command *exec.Cmd
+	mu      sync.Mutex
+	in      io.WriteCloser
+	ended   chan struct{}
+}
+
+// Start runs a fleet. Program is the built topazlab; its processes end with ctx or Close.
+func Start(ctx context.Context, program string, o Options) (*Fleet, error) {
+	if o.Nodes < 1 || o.Nodes+len(o.Whole) > Most {
+		return nil, fmt.Errorf("hollow: %d nodes: choose 1 to %d, whole ones included", o.Nodes, Most)
+	}
+	if o.Processes <= 0 {
+		o.Processes = (o.Nodes + nodesEach - 1) / nodesEach
+	}
+	o.Processes = min(o.Processes, o.Nodes, processesMost)
+	f := &Fleet{Block: o.Block, options: o, total: o.Nodes + len(o.Whole), seconds: map[int64][]*Second{}}
+	f.up, f.last = make([]bool, f.total), make([]Event, f.total)
+	whole := set(f.total, o.Whole)
+	var hollow []int
+	for i := range f.total {
+		if !whole[i] {
+			hollow = append(hollow, i)
+		}
+	}
+	if f.Block == 0 {
+		var err error
+		if f.Block, err = freeBlock(); err != nil {
+			return nil, err
+		}
+	}
+	if o.Contacts == nil {
+		for i := range min(contactsUsual, f.total) {
+			o.Contacts = append(o.Contacts, i)
+		}
+	}
+	fleet, err := json.Marshal(FleetFields(&o, f.total))
+	if err != nil {
+		return nil, err
+	}
+	if o.Config == nil {
+		o.Config = UsualConfig()
+	}
+	for k := range o.Processes {
+		nodes := hollow[k*len(hollow)/o.Processes : (k+1)*len(hollow)/o.Processes]
+		m, err := f.begin(ctx, program, k, &spec{Block: f.Block, All: f.total, Nodes: nodes, Whole: o.Whole, Contacts: o.Contacts, Layout: o.Layout,
+			Fleet: fleet, Config: o.Config, Seed: o.Seed*processesMost + int64(k)})
+		if err != nil {
+			f.Close()
+			return nil, err
+		}
+		f.members = append(f.members, m)
+	}
+	if !o.Idle {
+		f.Start(hollow...)
+	}
+	f.Tokens(o.TokensPerSecond)
+	f.Calls(o.Calls)
+	return f, nil
+}
+
+// FleetFields are those of the fleet's file that all nodes of a fleet share.
+func FleetFields(o *Options, total int) map[string]any {
+	fields := map[string]any{"fleet": "rig"}
+	if total > 400 { // of 512 that are usual, with lost ones
+		fields["members"] = min(total+total/8, 1_500)
+	}
+	if o.Seats > 0 {
+		var seats []string
+		for i := range o.Seats {
+			seats = append(seats, NodeName(i))
+		}
+		council := map[string]any{"seats": seats}
+		if o.Limit > 0 {
+			council["calls"] = map[string]any{"limit": o.Limit, "hold": "500 ms", "lease": "3 s"}
+		}
+		fields["council"] = council
+	}
+	maps.Copy(fields, o.Fleet)
+	return fields
+}
+
+// UsualConfig is the configuration of a node with one operation and no tenant.
+func UsualConfig() []byte {
+	text, err := json.Marshal(map[string]any{"listen": "127.0.0.1:0", "executor": "127.0.0.1:1", "control": "127.0.0.1:1", "catalog": "127.0.0.1:1",
+		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
+		"settings": map[string]any{"grades": []any{map[string]any{"name": "hold", "aim": 2_000, "give_up": 5_000, "importance": 1,
+			"effect": "deduplicated", "window": 10_000}},
+			"family_info": map[string]any{"n_cores": 8, "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{false},
+				"below": "off", "calls_out": 0, "calls_over": 1_000, "linger": 0, "advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
+			"guarantees": map[string]any{"tip_multiple": 8, "drain_grace": 500},
+			"limits":     map[string]any{"retry_after": true, "max_retry_after": 1_000}}})
+	if err != nil {
+		panic(err) // of constants
+	}
+	return text
+}
+
+// freeBlock finds a block of loopback addresses that nobody uses. Two fleets at once must not choose alike, so the chance is
+// not from a seed.
+func freeBlock() (int, error) {
+	first := rand.Intn(blocks)
+	var err error
+	for k := range blocks {
+		block := blockFirst + (first+k)%blocks
+		var l net.Listener
+		if l, err = net.Listen("tcp", At(Bind(block, 0))); err == nil {
+			l.Close()
+			return block, nil
+		}
+	}
+	return 0, fmt.Errorf("hollow: no block of loopback addresses is free: %w", err)
+}
+
+func (f *Fleet) begin(ctx context.Context, program string, k int, s *spec) (*member, error) {
+	m := &member{nodes: s.Nodes, command: exec.CommandContext(ctx, program, "hollow"), ended: make(chan struct{})}
+	m.command.Stderr = f.options.Log
+	if f.options.Log == nil {
+		m.command.Stderr = os.Stderr
+	}
+	out, err := m.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if m.in, err = m.command.StdinPipe(); err != nil {
+		return nil, err
+	}
+	if err := m.command.Start(); err != nil {
+		return nil, err
+	}
+	go func() {
+		defer close(m.ended)
+		lines := bufio.NewScanner(out)
+		lines.Buffer(make([]byte, 64<<10), lineMost)
+		for lines.Scan() {
+			var l line
+			if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
+				f.fail(fmt.Errorf("hollow: process %d said what can't be read: %w", k, err))
+				continue
+			}
+			f.heard(k, &l)
+		}
+		io.Copy(io.Discard, out)
+		m.command.Wait()
+	}()
+	return m, m.say(s)
+}
+
+func (f *Fleet) fail(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = errors.Join(f.failed, err)
+}
+
+func (f *Fleet) heard(k int, l *line) {
+	if l.Failed != "" {
+		f.fail(errors.New(l.Failed))
+	}
+	f.mu.Lock()
+	if l.Second != nil {
+		f.seconds[l.Second.Unix] = append(f.seconds[l.Second.Unix], l.Second)
+		delete(f.seconds, l.Second.Unix-keptSeconds)
+	}
+	for _, e := range l.Events {
+		if i := int(e[EventNode]); i < len(f.last) {
+			f.last[i] = e
+		}
+	}
+	f.mu.Unlock()
+	if len(l.Events) > 0 && f.options.Events != nil {
+		f.options.Events(k, l.Events)
+	}
+}
+
+func (m *member) say(what any) error {
+	text, err := json.Marshal(what)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, err = m.in.Write(append(text, '\n'))
+	return err
+}
+
+// all says the same to all processes.
+func (f *Fleet) all(c *command) {
+	for k, m := range f.members {
+		if err := m.say(c); err != nil {
+			f.fail(fmt.Errorf("hollow: process %d hears no command: %w", k, err))
+		}
+	}
+}
+
+// Err is what went wrong so far, nil for nothing.
+func (f *Fleet) Err() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.failed
+}
+
+func (f *Fleet) mark(up bool, nodes []int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range nodes {
+		f.up[i] = up
+		f.last[i] = Event{}
+	}
+}
+
+// Start begins lives of nodes that are not up, over Options.JoinOver.
+func (f *Fleet) Start(nodes ...int) {
+	f.mark(true, nodes)
+	f.all(&command{Start: nodes, Over: f.options.JoinOver.Seconds()})
+}
+
+// Kill ends lives of nodes at once, without a word to anybody.
+func (f *Fleet) Kill(nodes ...int) {
+	f.mark(false, nodes)
+	f.all(&command{Kill: nodes})
+}
+
+// Leave ends lives of nodes as a drain does.
+func (f *Fleet) Leave(nodes ...int) {
+	f.mark(false, nodes)
+	f.all(&command{Leave: nodes})
+}
+
+// Restart drains nodes and starts each again as soon as it ended.
+func (f *Fleet) Restart(nodes ...int) {
+	f.mark(true, nodes)
+	f.all(&command{Restart: nodes})
+}
+
+// Cut has nothing of some nodes come to others, until Heal.
+func (f *Fleet) Cut(from, to []int) { f.all(&command{Cut: &cutting{from, to}}) }
+
+// Heal ends all cuts.
+func (f *Fleet) Heal() { f.all(&command{Heal: true}) }
+
+// Lose drops a part of the datagrams.
+func (f *Fleet) Lose(part float64) { f.all(&command{Loss: &part}) }
+
+// Delay holds each datagram up by a drawn time.
+func (f *Fleet) Delay(most time.Duration) {
+	ms := float64(most) / 1e6
+	f.all(&command{Delay: &ms})
+}
+
+// Tokens has nodes claim so many tokens a second, all together.
+func (f *Fleet) Tokens(rate float64) {
+	for k, m := range f.members {
+		part := rate * float64(len(m.nodes)) / float64(f.options.Nodes)
+		if err := m.say(&command{Tokens: &part}); err != nil {
+			f.fail(fmt.Errorf("hollow: process %d hears no command: %w", k, err))
+		}
+	}
+}
+
+// Calls has nodes want so many calls at a time, all together.
+func (f *Fleet) Calls(n int) {
+	done := 0
+	for k, m := range f.members {
+		done += len(m.nodes)
+		before := n * (done - len(m.nodes)) / f.options.Nodes
+		part := n*done/f.options.Nodes - before
+		if err := m.say(&command{Calls: &part}); err != nil {
+			f.fail(fmt.Errorf("hollow: process %d hears no command: %w", k, err))
+		}
+	}
+}
+
+// Tell says whether each change of a view is told to Options.Events, or but the last of each node in a tenth of a second.
+func (f *Fleet) Tell(each bool) { f.all(&command{Events: &each}) }
+
+// Last is the last change that each node's view is known to have had in its life now.
+func (f *Fleet) Last() []Event {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.last)
+}
+
+// Agreed waits until all nodes that are up hold one view of just them and of others who are up elsewhere. It says when the last
+// of them came to it, and false where that took too long.
+func (f *Fleet) Agreed(timeout time.Duration, others int) (at time.Time, agreed bool) {
+	for end := time.Now().Add(timeout); ; time.Sleep(look) {
+		if at, agreed = f.agreed(others); agreed || time.Now().After(end) {
+			return at, agreed
+		}
+	}
+}
+
+func (f *Fleet) agreed(others int) (at time.Time, agreed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	up, hash, last := others, uint64(0), uint64(0)
+	for _, u := range f.up {
+		if u {
+			up++
+		}
+	}
+	first := true
+	for i, u := range f.up {
+		if !u {
+			continue
+		}
+		e := &f.last[i]
+		if up > 1 && int(e[EventSize]) != up || !first && e[EventHash] != hash {
+			return at, false
+		}
+		hash, first, last = e[EventHash], false, max(last, e[EventAt])
+	}
+	return time.UnixMilli(int64(last)), true
+}
+
+// Sample are the figures of each second that all processes told, oldest first, of all nodes together.
+func (f *Fleet) Sample() (list []Second) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, unix := range slices.Sorted(maps.Keys(f.seconds)) {
+		if parts := f.seconds[unix]; len(parts) == len(f.members) {
+			list = append(list, together(parts))
+		}
+	}
+	return list
+}
+
+func together(parts []*Second) Second {
+	s := Second{Unix: parts[0].Unix, Sent: map[string]Traffic{}, Received: map[string]Traffic{}, Views: map[string]int{}, WorstNode: -1}
+	begun := 0.0
+	add := func(to, from map[string]Traffic) {
+		for k, t := range from {
+			to[k] = Traffic{to[k].Bytes + t.Bytes, to[k].Messages + t.Messages}
+		}
+	}
+	for _, p := range parts {
+		add(s.Sent, p.Sent)
+		add(s.Received, p.Received)
+		for v, n := range p.Views {
+			s.Views[v] += n
+		}
+		s.Nodes, s.FromWhole, s.Cut, s.Changes = s.Nodes+p.Nodes, s.FromWhole+p.FromWhole, s.Cut+p.Cut, s.Changes+p.Changes
+		s.Dropped, s.Flooded, s.Refused = s.Dropped+p.Dropped, s.Flooded+p.Flooded, s.Refused+p.Refused
+		if s.WorstNode < 0 || p.WorstSent > s.WorstSent {
+			s.WorstNode, s.WorstSent = p.WorstNode, p.WorstSent
+		}
+		s.WorstMost, s.LastChange, s.Late = max(s.WorstMost, p.WorstMost), max(s.LastChange, p.LastChange), max(s.Late, p.Late)
+		s.CPU, s.RSS, s.Peak = s.CPU+p.CPU, s.RSS+p.RSS, s.Peak+p.Peak
+		t, u := &s.Tokens, &p.Tokens
+		t.Wanted, t.TurnedAway, t.Begun, t.Kept = t.Wanted+u.Wanted, t.TurnedAway+u.TurnedAway, t.Begun+u.Begun, t.Kept+u.Kept
+		t.Late, t.Taken, t.BeginMost = t.Late+u.Late, t.Taken+u.Taken, max(t.BeginMost, u.BeginMost)
+		begun += u.BeginMS * float64(u.Begun)
+		s.Calls = Calls{s.Calls.Wanted + p.Calls.Wanted, s.Calls.Allowed + p.Calls.Allowed, s.Calls.InHand + p.Calls.InHand}
+	}
+	if s.Tokens.Begun > 0 {
+		s.Tokens.BeginMS = begun / float64(s.Tokens.Begun)
+	}
+	if n := float64(s.Nodes); n > 0 {
+		for _, t := range s.Sent {
+			s.PerNode += float64(t.Bytes) / n
+			s.MessagesOut += float64(t.Messages) / n
+		}
+		s.CPUPerNode, s.RSSPerNode = s.CPU/n, float64(s.RSS)/n
+	}
+	return s
+}
+
+// Close ends all processes.
+func (f *Fleet) Close() {
+	for _, m := range f.members {
+		m.mu.Lock()
+		m.in.Close()
+		m.mu.Unlock()
+	}
+	late := time.After(leaveTime)
+	for _, m := range f.members {
+		select {
+		case <-m.ended:
+		case <-late:
+			m.command.Process.Kill()
+			<-m.ended
+		}
+	}
+}
--- /dev/null
+++ b/lab/hollow/hollow_test.go
@@ -0,0 +1,92 @@
+package hollow
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "hollow")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(folder, "topazlab")
+	if out, err := exec.Command("go", "build", "-o", program, "topazpost/cmd/topazlab").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+const generous = 30 * time.Second // for what takes a second on a machine that is idle
+
+// quick are fields of a fleet whose losses are known soon.
+var quick = map[string]any{"probe": "100 ms", "silence": "1 s", "settle": "200 ms"}
+
+func begin(t *testing.T, o Options) *Fleet {
+	ctx, end := context.WithCancel(context.Background())
+	f, err := Start(ctx, program, o)
+	require.NoError(t, err)
+	t.Cleanup(func() { f.Close(); end(); assert.NoError(t, f.Err()) })
+	_, agreed := f.Agreed(generous, 0)
+	require.True(t, agreed, "all come to one view: %v", f.Last())
+	return f
+}
+
+// seen waits until a second is sampled of which something holds.
+func seen(t *testing.T, f *Fleet, what string, holds func(s *Second) bool) {
+	require.Eventually(t, func() bool {
+		for _, s := range f.Sample() {
+			if holds(&s) {
+				return true
+			}
+		}
+		return false
+	}, generous, look, what)
+}
+
+func TestHollowNodesAreOneFleetThroughDeathsCutsAndRestarts(t *testing.T) {
+	f := begin(t, Options{Nodes: 12, Processes: 3, Fleet: quick, Layout: Layout{Regions: 2, Zones: 4, Racks: 8}})
+	f.Kill(5, 9)
+	_, agreed := f.Agreed(generous, 0)
+	assert.True(t, agreed, "the dead are known to all: %v", f.Last())
+	f.Start(5, 9)
+	_, agreed = f.Agreed(generous, 0)
+	assert.True(t, agreed, "and that they are back: %v", f.Last())
+	f.Restart(0, 4)
+	_, agreed = f.Agreed(generous, 0)
+	assert.True(t, agreed, "those who left are back: %v", f.Last())
+	some, others := []int{0, 4, 8}, []int{1, 2, 3, 5, 6, 7, 9, 10, 11}
+	f.Cut(some, others)
+	f.Cut(others, some)
+	seen(t, f, "each side has a view of its own", func(s *Second) bool {
+		return len(s.Views) == 2 && s.Nodes == 12
+	})
+	f.Heal()
+	_, agreed = f.Agreed(generous, 0)
+	assert.True(t, agreed, "sides come together: %v", f.Last())
+	seen(t, f, "figures", func(s *Second) bool {
+		return s.Sent["datagrams"].Messages > 0 && s.Received["datagrams"].Bytes > 0 && s.RSS > 0 && s.WorstSent > 0 && s.PerNode > 0
+	})
+}
+
+func TestTokensAndCallsOfHollowNodesGoThroughTheCouncil(t *testing.T) {
+	f := begin(t, Options{Nodes: 9, Processes: 3, Seats: 3, Limit: 20, Fleet: quick})
+	f.Tokens(60)
+	f.Calls(40)
+	seen(t, f, "tokens are kept", func(s *Second) bool { return s.Tokens.Kept > 10 && s.Tokens.BeginMS > 0 && s.Sent["streams"].Messages > 0 })
+	seen(t, f, "the limit is in use", func(s *Second) bool { return s.Calls.Wanted == 40 && s.Calls.InHand >= 10 })
+	for _, s := range f.Sample() {
+		assert.LessOrEqual(t, s.Calls.Allowed, int64(20), "never over the limit")
+	}
+}
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -70,7 +70,7 @@
 	for name, i := range r.plate.Tenants {
 		c.orgs[i] = name
 	}
-	if r.kept.keeper != nil {
+	if r.kept.keeper != nil || r.hollow.on {
 		c.desk = claims.NewDesk(c.self)
 	}
 	if c.asks = slices.Index(c.seats, self.Name); c.asks >= 0 {
@@ -288,6 +288,10 @@
 		r.askCouncil(a.Commands, nil)
 		return
 	}
+	if r.hollow.on {
+		r.carryHollow(a)
+		return
+	}
 	key, known := r.resultKey(a.Key)
 	if !known {
 		r.want(claims.Input{Want: claims.Drop, Key: a.Key})
@@ -365,6 +369,10 @@
 func (r *Reducer) sweepWaiting() {
 	c := &r.claimed
 	c.sweep = r.now + sweepClaims
+	if r.hollow.on {
+		r.sweepHollow()
+		return
+	}
 	for _, k := range c.desk.Unrun() {
 		key, _ := r.resultKey(k)
 		if r.kept.held[key] != nil {
--- /dev/null
+++ b/reducer/hollow.go
@@ -0,0 +1,167 @@
+package reducer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazpost/claims"
+	"topazpost/node"
+	"topazpost/results"
+)
+
+const (
+	hollowFor    = 5_000 * ms  // ns that a hollow token may wait for the fleet: a usual client timeout
+	hollowWindow = 10_000 * ms // ns that it is known once it ended
+	hollowRun    = 40 * ms     // ns of its run
+	hollowBody   = 256         // bytes of what an heir would need
+	hollowResult = 64          // bytes of its result
+	hollowMost   = 4_096       // tokens in hand at one node; more are turned away
+)
+
+// HollowCounters count what a hollow node was asked to do; they are read while it runs. Times are nanoseconds.
+type HollowCounters struct {
+	Wanted, TurnedAway, Begun, Kept, Late, Taken atomic.Int64 // tokens: asked for, refused at once, begun, ended and kept, given up, of lost nodes
+	BeginSum, BeginMost                          atomic.Int64 // from asking to the agreed start
+	Calls, Allowed, InHand                       atomic.Int64 // calls wanted, allowed by the lease, in hand
+}
+
+// hollow is what a node without dispatchers, executor, reports and module has in their place: tokens and calls that inputs
+// ask for, and runs that take their time and nothing else.
+type hollow struct {
+	on       bool
+	counters *HollowCounters
+	tokens   map[claims.Key]*hollowToken
+	calls    int // wanted at a time
+}
+
+type hollowToken struct {
+	came, due, ends int64 // ends is set while it runs
+	running, over   bool  // over: its end is on its way to the council
+}
+
+// Hollow has the node do only what nodes do among themselves, before Peer, Convene and Lease. TokenWanted and CallsWanted
+// are its load.
+func (r *Reducer) Hollow(counters *HollowCounters) {
+	r.hollow = hollow{on: true, counters: counters, tokens: map[claims.Key]*hollowToken{}}
+	r.listenerClosed = true // there is none
+}
+
+// fromLoad takes what a hollow node is asked to do.
+func (r *Reducer) fromLoad(in *Input) {
+	h := &r.hollow
+	if !r.Guard.Hold(h.on, "only a hollow node has its load from inputs") {
+		return
+	}
+	if in.Kind == CallsWanted {
+		h.calls = in.Link
+		h.counters.Calls.Store(int64(h.calls))
+		r.leasing.at = r.now
+		return
+	}
+	h.counters.Wanted.Add(1)
+	c := &r.claimed
+	if c.desk == nil || !c.desk.Reached() || !c.desk.Room() || len(h.tokens) >= hollowMost {
+		h.counters.TurnedAway.Add(1)
+		return
+	}
+	key := claims.Key{Operation: r.hollowOperation(), Token: string(in.Bytes)}
+	if h.tokens[key] != nil {
+		return
+	}
+	h.tokens[key] = &hollowToken{came: r.now, due: r.now + hollowFor}
+	hash := xxhash.Sum64(in.Bytes)
+	want := claims.Input{Want: claims.Arrived, Key: key, Body: hash, For: hollowFor, Window: hollowWindow, Call: fmt.Sprintf("%016x", hash),
+		Work: binary.LittleEndian.AppendUint64(make([]byte, hollowBody-8), hash)}
+	r.want(want)
+	want.Want = claims.Begin
+	r.want(want)
+	c.sweep = min(c.sweep, r.now+sweepClaims)
+}
+
+// hollowOperation is the first that is deduplicated.
+func (r *Reducer) hollowOperation() string {
+	for i, name := range r.claimed.names {
+		if r.plate.Nameplate.Operations[i].Effect == node.Tokened {
+			return name
+		}
+	}
+	return "hollow"
+}
+
+// carryHollow does what the desk asks a hollow node for.
+func (r *Reducer) carryHollow(a *claims.Action) {
+	h := &r.hollow
+	t := h.tokens[a.Key]
+	switch a.Deed {
+	case claims.Run:
+		if t == nil {
+			r.want(claims.Input{Want: claims.Drop, Key: a.Key})
+			return
+		}
+		t.running, t.ends = true, r.now+hollowRun
+		took := r.now - t.came
+		h.counters.Begun.Add(1)
+		h.counters.BeginSum.Add(took)
+		if took > h.counters.BeginMost.Load() {
+			h.counters.BeginMost.Store(took)
+		}
+	case claims.Kept:
+		if t != nil {
+			h.counters.Kept.Add(1)
+			delete(h.tokens, a.Key)
+		}
+	case claims.Heir:
+		h.counters.Taken.Add(1)
+		if t == nil {
+			h.tokens[a.Key] = &hollowToken{came: r.now, due: r.now + a.For}
+			r.want(claims.Input{Want: claims.Begin, Key: a.Key, Body: a.Body, For: a.For, Window: hollowWindow, Work: a.Work})
+		}
+	default: // it ended elsewhere, or there is no room for it
+		if t != nil {
+			h.counters.Late.Add(1)
+			delete(h.tokens, a.Key)
+		}
+	}
+}
+
+// sweepHollow ends runs, and gives up what waited too long for the fleet.
+func (r *Reducer) sweepHollow() {
+	for key, t := range r.hollow.tokens {
+		switch {
+		case t.running && !t.over && r.now >= t.ends:
+			t.over = true
+			r.want(claims.Input{Want: claims.Finish, Key: key, Ending: uint8(results.Succeeded), Result: make([]byte, hollowResult)})
+		case !t.running && r.now >= t.due-dueLead:
+			r.hollow.counters.Late.Add(1)
+			delete(r.hollow.tokens, key)
+			r.want(claims.Input{Want: claims.Drop, Key: key})
+		}
+	}
+}
+
+// need is how many calls are in hand and how many are wanted beside them; a node without its module has none.
+func (r *Reducer) need() (inHand, standing int, decides bool) {
+	if h := &r.hollow; h.on {
+		inHand = int(min(int64(h.calls), r.leasing.holder.Allowed(r.now)))
+		h.counters.InHand.Store(int64(inHand))
+		return inHand, h.calls - inHand, true
+	}
+	if r.post == nil {
+		return 0, 0, false
+	}
+	state := r.post.State()
+	return state.InHand, state.Standing, true
+}
+
+// hollowWake is when a hollow node is to step again.
+func (r *Reducer) hollowWake() int64 {
+	at := min(r.peersDue(), r.claimsDue(), r.leaseDue())
+	if at == math.MaxInt64 {
+		return never
+	}
+	return max(at, r.now+1)
+}
--- a/reducer/peers.go
+++ b/reducer/peers.go
@@ -146,7 +146,7 @@
 	} else if p.loose < 0 {
 		p.loose = r.now
 	}
-	f.NoUse = p.loose >= 0 && r.now-p.loose >= noUseAfter
+	f.NoUse = !r.hollow.on && p.loose >= 0 && r.now-p.loose >= noUseAfter
 	switch {
 	case r.shut:
 		f.Beat = 3
@@ -188,7 +188,7 @@
 		return never
 	}
 	at := p.wakeAt
-	if p.loose >= 0 && r.now-p.loose < noUseAfter {
+	if p.loose >= 0 && r.now-p.loose < noUseAfter && !r.hollow.on {
 		at = min(at, p.loose+noUseAfter)
 	}
 	return max(at, r.now+1)
--- a/reducer/quota.go
+++ b/reducer/quota.go
@@ -31,18 +31,20 @@
 // keepLeases has the module hear how many calls may be in hand, before anybody else is told of what it gave back.
 func (r *Reducer) keepLeases() {
 	l := &r.leasing
-	if l.holder == nil || r.post == nil || r.now < l.at && len(l.grants) == 0 {
+	if l.holder == nil || r.now < l.at && len(l.grants) == 0 {
+		return
+	}
+	inHand, standing, decides := r.need()
+	if !decides {
 		return
 	}
-	state := r.post.State()
-	standing := state.Standing
 	if r.shut {
 		standing = 0 // what is left to make in a drain is made with what is held
 	}
-	send, wake := l.holder.Step(r.now, int64(state.InHand), int64(standing), l.grants)
+	send, wake := l.holder.Step(r.now, int64(inHand), int64(standing), l.grants)
 	l.grants = l.grants[:0]
 	l.at = min(wake, r.now+leaseLook)
-	if state.InHand+state.Standing == 0 && wake > r.now+leaseLook {
+	if inHand+standing == 0 && wake > r.now+leaseLook {
 		l.at = wake
 	}
 	if units := int(l.holder.Allowed(r.now)); units != l.told {
@@ -65,7 +67,7 @@
 // leaseDue is when the holder is to step again.
 func (r *Reducer) leaseDue() int64 {
 	l := &r.leasing
-	if l.holder == nil || r.post == nil {
+	if l.holder == nil || r.post == nil && !r.hollow.on {
 		return never
 	}
 	return max(l.at, r.now+1)
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -192,6 +192,7 @@
 	kept    kept
 	claimed claimed
 	leasing leasing
+	hollow  hollow
 	later   []node.Event   // what the module is told in the next step: it was deciding
 	decided bool           // the module has decided in this step, or had nothing to decide
 	stateAt int64          // when the next sample of the state is due
@@ -290,6 +291,8 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
+	case TokenWanted, CallsWanted:
+		r.fromLoad(in)
 	case ListenerClosed:
 		r.listenerClosed = true
 	case Notice:
@@ -307,6 +310,9 @@
 
 // keepTimers does what is due.
 func (r *Reducer) keepTimers() {
+	if r.hollow.on {
+		return
+	}
 	if r.now >= r.redialAt && r.link == 0 && r.dialing == 0 {
 		r.dialing = r.newLink()
 		r.do(Effect{Kind: Dial, Link: r.dialing, Address: r.to.Executor})
@@ -347,6 +353,9 @@
 
 // wake is when the next of the timers is due.
 func (r *Reducer) wake() int64 {
+	if r.hollow.on {
+		return r.hollowWake()
+	}
 	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue())
 	if len(r.later) > 0 {
 		at = r.now + 1
@@ -462,7 +471,9 @@
 		return
 	}
 	r.shut = true
-	r.do(Effect{Kind: StopAccepting})
+	if !r.hollow.on {
+		r.do(Effect{Kind: StopAccepting})
+	}
 	for _, link := range slices.Sorted(maps.Keys(r.conns)) {
 		r.noMore(link, r.conns[link])
 	}
@@ -518,6 +529,9 @@
 
 // tellModule tells the module of something, in the next step if it has decided in this one.
 func (r *Reducer) tellModule(e node.Event) {
+	if r.hollow.on {
+		return // it has none
+	}
 	if r.decided {
 		r.later = append(r.later, e)
 	} else {
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -42,6 +42,8 @@
 	PeerTold                        // a letter on a stream of a peer
 	PeerHungUp                      // a stream ended
 	Adopt                           // there is a plan of levels, another one, or none any more
+	TokenWanted                     // a hollow node is to claim a token, Bytes
+	CallsWanted                     // a hollow node wants so many calls at a time, Link
 )
 
 // Addresses are where the peers of a node are.
--- a/server/config.go
+++ b/server/config.go
@@ -26,6 +26,7 @@
 	Levels                                   *reducer.Plan  // of reduced service, nil for none; from a file of its own
 	Fleet                                    *charter.Fleet // nil for a node that shares nothing; from a file of its own
 	Keep                                     *keep.Keep     // what is kept of tokened invocations; nil for what is usual
+	Hollow                                   *Hollow        // nil for a whole node
 	settings                                 []byte         // as they were read
 }
 
--- /dev/null
+++ b/server/hollow.go
@@ -0,0 +1,88 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+
+	"golang.org/x/sync/errgroup"
+
+	"topazpost/membership"
+	"topazpost/reducer"
+)
+
+// StreamMark is what a stream begins with, in the place of the length that an exchange begins with, little-endian.
+const StreamMark = streamMark
+
+// Datagrams are the socket of a node for its peers' datagrams.
+type Datagrams interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error)
+	Close() error
+}
+
+// Wire stands between a hollow node and its sockets, for cuts, loss and counts of the laboratory.
+type Wire interface {
+	Datagrams(Datagrams) Datagrams
+	Conn(conn net.Conn, to string) net.Conn // to is where it was dialled to, empty for one that was accepted
+}
+
+// Hollow makes a node that is only what nodes do among themselves: fleet, claims, leases. It listens to no dispatcher, has no
+// executor and reports nothing; its load comes from WantToken and WantCalls.
+type Hollow struct {
+	Wire     Wire                     // nil for none
+	Changed  func(*membership.Change) // called at each change of its view, and must not wait
+	Counters *reducer.HollowCounters
+}
+
+// runHollow is Run of a hollow node.
+func (s *Server) runHollow(ctx context.Context) error {
+	s.group, s.ctx = errgroup.WithContext(ctx)
+	s.conns = newConnections(s)
+	if s.peers == nil {
+		return errors.New("server: a hollow node without a fleet has nothing to do")
+	}
+	if err := s.peers.run(); err != nil {
+		return err
+	}
+	s.group.Go(func() error { return s.loop() })
+	if err := s.group.Wait(); !errors.Is(err, errLeft) {
+		return err
+	}
+	return nil
+}
+
+// WantToken has a hollow node claim a token; what there is no room for is lost, and told so.
+func (s *Server) WantToken(token string) bool {
+	return s.want(reducer.Input{Kind: reducer.TokenWanted, Bytes: []byte(token)})
+}
+
+// WantCalls has a hollow node want so many calls at a time.
+func (s *Server) WantCalls(n int) bool {
+	return s.want(reducer.Input{Kind: reducer.CallsWanted, Link: n})
+}
+
+func (s *Server) want(in reducer.Input) bool {
+	select {
+	case s.heard <- in:
+		return true
+	default:
+		return false
+	}
+}
+
+// Peered are the counts of the node's fleet sockets, nil outside a fleet.
+func (s *Server) Peered() *PeerCounters {
+	if s.peers == nil {
+		return nil
+	}
+	return &s.peers.counters
+}
+
+func (p *peering) wired(conn net.Conn, to string) net.Conn {
+	if h := p.s.plate.Hollow; h != nil && h.Wire != nil {
+		return h.Wire.Conn(conn, to)
+	}
+	return conn
+}
--- a/server/peers.go
+++ b/server/peers.go
@@ -49,7 +49,7 @@
 type peering struct {
 	s        *Server
 	fleet    *charter.Fleet
-	udp      *net.UDPConn
+	udp      Datagrams
 	tcp      net.Listener
 	in       chan reducer.Input
 	out      chan reducer.Effect
@@ -91,9 +91,14 @@
 	if err != nil {
 		return fmt.Errorf("fleet: bind: %w", err)
 	}
-	if p.udp, err = net.ListenUDP("udp", bind); err != nil {
+	udp, err := net.ListenUDP("udp", bind)
+	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
+	p.udp = udp
+	if h := s.plate.Hollow; h != nil && h.Wire != nil {
+		p.udp = h.Wire.Datagrams(udp)
+	}
 	if p.tcp, err = net.Listen("tcp", p.fleet.Bind); err != nil {
 		p.udp.Close()
 		return fmt.Errorf("fleet: %w", err)
@@ -204,7 +209,7 @@
 			p.s.group.Go(func() error {
 				free := sync.OnceFunc(func() { <-places })
 				defer func() { conn.Close(); free() }()
-				p.exchange(conn, free)
+				p.exchange(p.wired(conn, ""), free)
 				return nil
 			})
 		default:
@@ -279,7 +284,7 @@
 	}
 	p.s.group.Go(func() error {
 		defer func() { <-p.opened }()
-		answer, err := Swap(p.s.ctx, p.fleet.Bind, address, text)
+		answer, err := swap(p.s.ctx, p.fleet.Bind, address, text, p.wired)
 		if err != nil {
 			p.give(reducer.Input{Kind: reducer.PeerMissed, Link: link, Err: err})
 		} else {
@@ -292,6 +297,10 @@
 // Swap opens an exchange with a node: one letter there, one back. From is the local address it is dialled from, empty
 // for any.
 func Swap(ctx context.Context, from, to string, text []byte) ([]byte, error) {
+	return swap(ctx, from, to, text, func(conn net.Conn, _ string) net.Conn { return conn })
+}
+
+func swap(ctx context.Context, from, to string, text []byte, wired func(conn net.Conn, to string) net.Conn) ([]byte, error) {
 	ctx, end := context.WithTimeout(ctx, exchangeWait)
 	defer end()
 	dialer := net.Dialer{}
@@ -304,6 +313,7 @@
 	if err != nil {
 		return nil, err
 	}
+	conn = wired(conn, to)
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	if err := writeLetter(conn, text); err != nil {
@@ -346,6 +356,10 @@
 
 // viewChanged logs a change of the view; membership bounds how often it can come.
 func (s *Server) viewChanged(c *membership.Change) {
+	if h := s.plate.Hollow; h != nil && h.Changed != nil {
+		h.Changed(c)
+		return
+	}
 	line := s.log.Info().Uint64("number", c.Number).Str("cause", membership.Causes[c.Cause]).Str("who", c.Who).
 		Uint64("incarnation", c.Inc).Int("size", c.Size).Str("view", fmt.Sprintf("%016x", c.Hash))
 	if c.Word != "" && c.Word != c.Who {
--- a/server/server.go
+++ b/server/server.go
@@ -79,10 +79,13 @@
 	s.calls = make(chan struct{}, links)
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	s.state.Spare = spare - 1 // the last place is for the next one to be accepted
+	if h := nameplate.Hollow; h != nil {
+		s.state.Hollow(h.Counters)
+	}
 	if nameplate.Fleet != nil {
 		s.join(nameplate.Fleet)
 	}
-	if nameplate.Keep == nil {
+	if nameplate.Keep == nil && nameplate.Hollow == nil {
 		nameplate.Keep = keep.Usual(nameplate.Settings.Nameplate.Operations, nameplate.MemoryMB)
 	}
 	convened := nameplate.Fleet != nil && nameplate.Fleet.Council != nil
@@ -188,6 +191,9 @@
 
 // Run serves until the drain is over, which is no error, or until ctx ends, which stops at once.
 func (s *Server) Run(ctx context.Context) error {
+	if s.plate.Hollow != nil {
+		return s.runHollow(ctx)
+	}
 	if s.listener == nil {
 		if err := s.listen(ctx); errors.Is(err, errLeft) {
 			return nil
--- a/server/streams.go
+++ b/server/streams.go
@@ -152,6 +152,7 @@
 	}
 	conn, err := dialer.DialContext(s.p.s.ctx, "tcp", x.address)
 	if err == nil {
+		conn = s.p.wired(conn, x.address)
 		_, err = conn.Write(binary.LittleEndian.AppendUint32(nil, streamMark))
 	}
 	if err != nil {
