A beat of the module goes over the tenants seen of late, not over all that there are

Each 50 ms beat went over the counts of all tenants. They are kept now as callers are, only while seen, in one type (tally.Recent); a tenant is forgotten under 2^-53, where one more arrival makes no difference, so the decisions stay bit for bit the same: fingerprints over drawn events were taken on the code of before.

--- a/control/control.go
+++ b/control/control.go
@@ -36,6 +36,7 @@
 	paceMemory   = 24.0       // samples of the pace: fewer and a few skewed runs look like a slow node
 	awayTimes    = 2.0        // times the mean number off the cores that may be off them: calls come in waves
 	callerGone   = 0.05       // arrivals of late under which a caller is forgotten: what it heard has lapsed
+	tenantGone   = 0x1p-53    // arrivals of late under which a tenant is forgotten: one more makes no difference
 	callPart     = 3.0        // one call may take one of so many parts of the share left: some more must fit
 	awayMemory   = 1e9        // ns over which the mean number off the cores is taken: some runs
 	patienceBins = 24         // parts of a client timeout: fine beside the spread of run times
@@ -146,12 +147,11 @@
 	unhealthy, free, drained                       bool  // free: a core was idle at the last beat
 	spare                                          bool  // what levels refuse is served last, the rest whole
 
-	open, said                  float64           // open is the part of all that could be asked for
-	allFull                     bool              // other nodes seem to turn work away too
-	arrivals, echoes, throttled float64           // of late; echoes are further tries among the arrivals
-	levelled                    float64           // of late, throttled as their level leaves nothing of them
-	callers                     map[int64]float64 // arrivals from each caller of late
-	tenants                     []float64         // arrivals of late, first those of none
+	open, said                  float64      // open is the part of all that could be asked for
+	allFull                     bool         // other nodes seem to turn work away too
+	arrivals, echoes, throttled float64      // of late; echoes are further tries among the arrivals
+	levelled                    float64      // of late, throttled as their level leaves nothing of them
+	callers, tenants            tally.Recent // arrivals of late, of each that was seen
 }
 
 func ratios(memory float64) tally.Ratios { return tally.NewRatios(binCount, binsAnOctave, memory) }
@@ -165,7 +165,7 @@
 		callUsed: tally.NewWindow(plate.CallSpan, callSlices),
 		windowAt: now, cores: cores, limit: cores, open: 1, tightest: math.Inf(1), said: -1,
 		units: math.MaxInt, hold: math.MaxInt64 / 4,
-		patient: 1, callers: make(map[int64]float64), tenants: make([]float64, len(plate.TenantRates)+1)}
+		patient: 1}
 	for i := range plate.Operations {
 		p.ops = append(p.ops, operation{Operation: &plate.Operations[i], usual: ratios(longMemory),
 			away: ratios(longMemory), asked: tally.NewWindow(askedSpan, askedSlices)})
@@ -305,13 +305,13 @@
 	p.shift(v, held)
 	p.lag += (float64(e.Age) - p.lag) / lagMemory
 	p.arrivals++
-	p.callers[e.Caller]++
+	p.callers.Add(e.Caller)
 	if e.Further {
 		p.echoes++
 	} else {
 		op.asked.Add(p.now, v.base*op.usual.Mean(1)*p.slowness())
 	}
-	p.tenants[e.Tenant+1]++
+	p.tenants.Add(int64(e.Tenant))
 	v.ran = e.Repeats == node.EndedRepeat || e.Repeats >= 0 && p.invs[e.Repeats].ran
 	switch {
 	case p.noticed != 0 && p.now >= p.intakeEnd:
@@ -519,7 +519,7 @@
 		return 1
 	}
 	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers)) * float64(beat) / 1e9 / (1 - fade)
-	inside := share / max(share, p.tenants[tenant+1])
+	inside := share / max(share, p.tenants.Of(int64(tenant)))
 	return inside + (1-inside)*p.plate.OverShare
 }
 
@@ -784,16 +784,12 @@
 	p.arrivals, p.echoes = p.arrivals*fade, p.echoes*fade
 	p.throttled, p.levelled = p.throttled*fade, p.levelled*fade
 	sum, squares := 0.0, 1e-9
-	for caller, n := range p.callers {
-		if p.callers[caller] = n * fade; n < callerGone {
-			delete(p.callers, caller)
-		}
+	for _, n := range p.callers.Counts() {
 		sum, squares = sum+math.Round(n), squares+math.Round(n)*math.Round(n)
 	}
 	p.allFull = p.throttled > echoShare/2*p.arrivals && (p.allFull || p.echoes > echoShare*p.arrivals)
-	for t := range p.tenants {
-		p.tenants[t] *= fade
-	}
+	p.callers.Fade(fade, callerGone)
+	p.tenants.Fade(fade, tenantGone)
 	if wait := p.wait(); wait > pressureHigh*p.tightest {
 		p.open = max(adviceLow, p.open*(1-adviceDown))
 	} else if wait < pressureLow*p.tightest {
@@ -823,7 +819,7 @@
 		Pace: p.pace.Mean(1), Stall: p.stall, Patient: p.patient, CallTime: p.callTime.Mean(0) * p.tightest,
 		CallFails: p.callFails.Mean(0), CallRoom: float64(p.callRoom()), Open: p.open, Said: p.said,
 		CallUsed: p.callUsed.Sum() / max(1, p.plate.CallShare*float64(p.plate.CallSpan)),
-		Arrivals: p.arrivals, Echoes: p.echoes, Throttled: p.throttled, Callers: len(p.callers),
+		Arrivals: p.arrivals, Echoes: p.echoes, Throttled: p.throttled, Callers: len(p.callers.Counts()),
 		Memory: p.memory, AllFull: p.allFull, Unhealthy: p.unhealthy, Free: p.free}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -48,7 +49,14 @@
 
 func TestTenantOverItsShareComesAfterOthers(t *testing.T) {
 	p := post(func(n *node.Nameplate) { n.TenantRates = []float64{2, 2}; n.OverShare = 0.1 })
-	p.tenants = []float64{0, 25, 2.5}
+	for k := range 50 {
+		p.tenants.Add(0)
+		if k < 5 {
+			p.tenants.Add(1)
+		}
+	}
+	p.tenants.Fade(0.5, 0)
+	assert.Equal(t, []float64{25, 2.5}, []float64{p.tenants.Of(0), p.tenants.Of(1)})
 	assert.InDelta(t, (1+9*0.1)/10, p.withinShare(0), 1e-9)
 	assert.Equal(t, 1.0, p.withinShare(1))
 }
@@ -410,7 +418,7 @@
 func TestCreditForManyCallersIsNeverRoundedToNothing(t *testing.T) {
 	p := post(func(n *node.Nameplate) { n.Advice = node.CreditAdvice })
 	for caller := range int64(1_000) {
-		p.callers[caller] = 1
+		p.callers.Add(caller)
 	}
 	p.open = adviceLow
 	p.adjustAdvice()
@@ -548,3 +556,37 @@
 	n, _ = calls()
 	assert.Zero(t, n, "none without a lease")
 }
+
+// The decisions over drawn events are those that were taken before tenants and callers were kept only as seen.
+func TestDecisionsOverDrawnEventsAreBitForBitThoseOfBefore(t *testing.T) {
+	assert.Equal(t, uint64(0xe63a7b50bd46e0b5), decisions(t, 7, 4_000))
+	assert.Equal(t, uint64(0x7324ac1415f427a1), decisions(t, 8, 4_000))
+}
+
+// What a beat costs is that of the tenants seen of late, not of those that there are.
+func TestBeatGoesOverTheTenantsSeenOnly(t *testing.T) {
+	for _, all := range []int{0, 1_000, 130_000} {
+		p := post(func(n *node.Nameplate) { n.TenantRates = make([]float64, all) })
+		for k := range int32(40) {
+			p.Decide(p.now, []node.Event{{Kind: node.Arrived, Inv: k, Tenant: min(k, int32(all)) - 1, Repeats: node.NoRepeat, HeldKB: 1}})
+		}
+		assert.Len(t, p.tenants.Counts(), min(40, all+1))
+		for range 2_100 { // beats of 50 ms: nobody comes
+			p.adjustAdvice()
+		}
+		assert.Empty(t, p.tenants.Counts(), "forgotten once it makes no difference any more")
+	}
+}
+
+func BenchmarkBeat(b *testing.B) {
+	for _, all := range []int{0, 1_000, 130_000} {
+		b.Run(fmt.Sprint(all, " tenants"), func(b *testing.B) {
+			p := post(func(n *node.Nameplate) { n.TenantRates = make([]float64, all) })
+			now := start
+			for b.Loop() {
+				now += beat
+				p.Decide(now, []node.Event{{Kind: node.TimerDue, Busy: 0.5, Runnable: 1}})
+			}
+		})
+	}
+}
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -1,6 +1,13 @@
 package control
 
 import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand"
+	"slices"
+	"testing"
+
 	"topazpost/node"
 )
 
@@ -43,3 +50,73 @@
 	}
 	return list
 }
+
+// decisions is the fingerprint of all actions over steps of events drawn from a seed, with 500 tenants of which some
+// go quiet for minutes, and callers that come and go.
+func decisions(t *testing.T, seed int64, steps int) uint64 {
+	t.Helper()
+	chance := rand.New(rand.NewSource(seed))
+	p := post(func(n *node.Nameplate) {
+		n.Seed, n.OverShare, n.Advice, n.MemoryKB = seed, 0.1, node.CreditAdvice, 100_000
+		for range 500 {
+			n.TenantRates = append(n.TenantRates, float64(1+chance.Intn(4)))
+		}
+	})
+	print, now := fnv.New64a(), start
+	var free []int32
+	type runs struct {
+		inv     int32
+		ends    int64
+		outcome node.Outcome
+	}
+	var running []runs
+	next, busy := int32(0), 0.5
+	for k := range steps {
+		now += int64(1+chance.Intn(30)) * ms
+		if chance.Intn(400) == 0 {
+			now += 200_000 * ms // all fall silent, to come back
+		}
+		var events []node.Event
+		running = slices.DeleteFunc(running, func(r runs) bool {
+			if r.ends <= now {
+				events = append(events, node.Event{Kind: node.RunEnded, Inv: r.inv, Outcome: r.outcome})
+			}
+			return r.ends <= now
+		})
+		for range chance.Intn(4) {
+			i := next
+			if n := len(free); n > 0 {
+				i, free = free[n-1], free[:n-1]
+			} else {
+				next++
+			}
+			events = append(events, node.Event{Kind: node.Arrived, Inv: i, Operation: int32(chance.Intn(2)), Tenant: int32(chance.Intn(1 + min(499, 1+k/4))),
+				Caller: int64(chance.Intn(30 + k/20)), Repeats: node.NoRepeat, Further: chance.Intn(5) == 0, Hint: int64(20+chance.Intn(200)) * ms,
+				HeldKB: 1 + 10*chance.Float64()})
+		}
+		if now >= p.next {
+			busy = 0.7*busy + 0.4*chance.Float64()
+			events = append(events, node.Event{Kind: node.TimerDue, Busy: busy, Runnable: 4 * busy})
+		}
+		for _, a := range p.Decide(now, events) {
+			fmt.Fprintf(print, "%+v;", a)
+			switch a.Kind {
+			case node.Release:
+				free = append(free, a.Inv)
+			case node.Run:
+				running = append(running, runs{inv: a.Inv, ends: now + int64(20+chance.Intn(400))*ms})
+			case node.Stop:
+				for j := range running {
+					if running[j].inv == a.Inv {
+						running[j].ends, running[j].outcome = now, node.Withdrawn
+					}
+				}
+			}
+		}
+		fmt.Fprintf(print, "%+v", p.State())
+		for _, v := range p.live {
+			fmt.Fprintf(print, "%x", math.Float64bits(p.invs[v].key))
+		}
+	}
+	return print.Sum64()
+}
--- /dev/null
+++ b/tally/recent.go
@@ -0,0 +1,65 @@
+package tally
+
+// Recent counts what was seen of late, by key; what it costs is that of the keys seen, however many there may be.
+// The zero value is ready.
+type Recent struct {
+	at     map[int64]int32 // place of each key that is remembered
+	keys   []int64
+	counts []float64
+}
+
+// Add counts one of a key.
+func (r *Recent) Add(key int64) {
+	i, known := r.at[key]
+	if !known {
+		if r.at == nil {
+			r.at = make(map[int64]int32)
+		}
+		i = int32(len(r.keys))
+		r.at[key], r.keys, r.counts = i, append(r.keys, key), append(r.counts, 0)
+	}
+	r.counts[i]++
+}
+
+// Of is what is remembered of a key.
+func (r *Recent) Of(key int64) float64 {
+	if i, known := r.at[key]; known {
+		return r.counts[i]
+	}
+	return 0
+}
+
+// Counts are what is remembered of all keys, valid until the next change.
+func (r *Recent) Counts() []float64 { return r.counts }
+
+// Fade keeps a part of each count, and forgets the keys whose count was under least.
+func (r *Recent) Fade(part, least float64) {
+	for i := 0; i < len(r.keys); i++ {
+		if n := r.counts[i]; n >= least {
+			r.counts[i] = n * part
+			continue
+		}
+		r.forgetAt(int32(i))
+		i--
+	}
+}
+
+// Forget drops what is remembered of a key.
+func (r *Recent) Forget(key int64) {
+	if i, known := r.at[key]; known {
+		r.forgetAt(i)
+	}
+}
+
+func (r *Recent) forgetAt(i int32) {
+	last := len(r.keys) - 1
+	delete(r.at, r.keys[i])
+	if int(i) != last {
+		r.keys[i], r.counts[i] = r.keys[last], r.counts[last]
+		r.at[r.keys[i]] = i
+	}
+	r.keys, r.counts = r.keys[:last], r.counts[:last]
+	if last == 0 {
+		*r = Recent{} // a map that once was large keeps its room
+	}
+}
--- a/tally/tally_test.go
+++ b/tally/tally_test.go
@@ -34,3 +34,23 @@
 	w.Add(9_000, 1)
 	assert.Equal(t, 1.0, w.Sum())
 }
+
+func TestRecentForgetsKeysAsTheyFade(t *testing.T) {
+	var r Recent
+	assert.Zero(t, r.Of(4))
+	r.Add(4)
+	r.Add(5)
+	r.Add(5)
+	r.Add(6)
+	assert.Equal(t, 2.0, r.Of(5))
+	r.Fade(0.5, 0.7)
+	assert.Equal(t, []float64{0.5, 1, 0.5}, []float64{r.Of(4), r.Of(5), r.Of(6)})
+	r.Fade(0.5, 0.7)
+	assert.Equal(t, []float64{0.5}, r.Counts())
+	assert.Equal(t, 0.5, r.Of(5))
+	r.Add(6)
+	r.Forget(5)
+	assert.Equal(t, []float64{1}, r.Counts())
+	r.Fade(0.5, 2)
+	assert.Empty(t, r.Counts())
+}
