A configuration is read as a stream, and names lie in an index of their own

Seen at 4,700 operations and 130,000 tenants: 155 MB resident, 179 MB after SIGHUP, of which the text, a tree of it, a map of all its paths and a compact copy for comparison were most. The file is decoded item by item now; names lie in pages under linear hashing (plate.Names), where one more name costs the same however many there are; a digest takes the place of the copy, so order and space make no difference any more; memory that reading took is given back before the node serves and a second after SIGHUP.

--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -45,11 +45,12 @@
 	if w.Config == "" {
 		return nil, fmt.Errorf("configuration: no path is given and GW_CONFIG is not set")
 	}
-	text, err := os.ReadFile(w.Config)
+	file, err := os.Open(w.Config)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	return server.ReadNameplate(text)
+	defer file.Close()
+	return server.DecodeNameplate(file)
 }
 
 // Run serves until a signal to end has been heeded. The first one drains, a second one aborts what is in hand and answers it, a third one stops at once.
@@ -78,6 +79,7 @@
 		return err
 	}
 	node := server.New(nameplate, log, server.SystemClock())
+	debug.FreeOSMemory() // what reading a large file took; nobody is served yet
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go c.heed(node, log, stop)
@@ -92,7 +94,7 @@
 	}
 	fmt.Printf("%s listens on %s; executor %s, catalogue %s, control plane %s; %d operations, %g cores, %d MB, "+
 		"%d descriptors, %g ms from the notice to the kill\n", n.Name, n.Listen, n.Executor, n.Catalog, n.Control,
-		len(n.Settings.Operations), n.Cores, n.MemoryMB, n.Sockets, n.StopMS)
+		n.Settings.Operations.Len(), n.Cores, n.MemoryMB, n.Sockets, n.StopMS)
 	if c.Fleet != "" {
 		fleet, err := charter.Read(c.Fleet, n.Name)
 		if err != nil {
@@ -124,7 +126,7 @@
 
 // tooShort names the tokened operations whose work can't be taken over in time.
 func tooShort(n *server.Nameplate, fleet *charter.Fleet) {
-	for name, i := range n.Settings.Operations {
+	for i, name := range n.Settings.Operations.All() {
 		if op := &n.Settings.Nameplate.Operations[i]; op.Effect == node.Tokened && op.ClientTimeout <= fleet.Known() {
 			fmt.Printf("note: %s has a client timeout of %g s, and a death is known after %g s: what a lost node held of it is not taken over in "+
 				"time; shorten silence, settle and probe\n", name, float64(op.ClientTimeout)/1e9, float64(fleet.Known())/1e9)
--- a/cmd/topazpost/plans.go
+++ b/cmd/topazpost/plans.go
@@ -55,7 +55,7 @@
 	}
 	if len(c.Mix) == 0 {
 		c.Mix = make(map[string]float64)
-		for name := range nameplate.Settings.Operations {
+		for _, name := range nameplate.Settings.Operations.All() {
 			c.Mix[name] = 1
 		}
 	}
--- a/cmd/topazpost/signals.go
+++ b/cmd/topazpost/signals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -13,6 +14,7 @@
 const (
 	rereadFirst = 50 * time.Millisecond // to the first new try at a configuration that is unusable: half written, perhaps
 	rereadMost  = 2 * time.Second       // to any further try
+	tidyAfter   = time.Second           // from a reload until the memory that reading took is given back: the node is done with it
 	rereadTimes = 12                    // tries; then the next SIGHUP is waited for
 )
 
@@ -24,7 +26,7 @@
 // heed maps signals to the node: SIGHUP to Reload with what the file says then, the first to end to Drain, the
 // second to Abort, the third to stop. A file that is unusable changes nothing; it is named in the log and read again a little later.
 func (c *serve) heed(node *server.Server, log zerolog.Logger, stop context.CancelFunc) {
-	var again <-chan time.Time
+	var again, tidy <-chan time.Time
 	ending := []func(){node.Drain, node.Abort, stop}
 	wait, left := rereadFirst, 0
 	for {
@@ -36,6 +38,10 @@
 		case <-hups:
 			wait, left = rereadFirst, rereadTimes
 		case <-again:
+		case <-tidy:
+			tidy = nil
+			debug.FreeOSMemory() // of a large file most was for the reading of it
+			continue
 		}
 		again = nil
 		nameplate, err := c.read()
@@ -44,6 +50,7 @@
 		}
 		if err == nil {
 			node.Reload(nameplate)
+			tidy = time.After(tidyAfter)
 			continue
 		}
 		log.Warn().Err(err).Int("tries_left", left).Msg("configuration can't be used, the one of before stays")
--- a/ember/ember.go
+++ b/ember/ember.go
@@ -220,12 +220,12 @@
 		e.Hint = hint
 	}
 	e.HeldKB = f.number()
-	op, ok := h.plate.Operations[operation]
+	op, ok := h.plate.Operations.Lookup(operation)
 	if !ok {
 		f.fail(operation)
 	}
 	e.Operation, e.Tenant, e.Repeats = op, -1, node.NoRepeat
-	if t, ok := h.plate.Tenants[tenant]; ok {
+	if t, ok := h.plate.Tenants.Lookup(tenant); ok {
 		e.Tenant = t
 	}
 	if f.err != nil {
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -20,6 +20,7 @@
 	"topazpost/lab/baselines"
 	"topazpost/lab/fleet"
 	"topazpost/plan"
+	"topazpost/plate"
 	"topazpost/reducer"
 	"topazpost/settings"
 )
@@ -225,9 +226,9 @@
 	d := &x.Day
 	day := &fleet.Day{Seed: seed, Nodes: d.Nodes, Length: int64(d.Length), Reading: float64(d.Reading), Rate: d.Rate,
 		Slots: d.Slots, Subjects: d.Subjects}
-	index := map[string]int32{}
+	index := new(plate.Names)
 	for k, op := range d.Operations {
-		index[op.Name] = int32(k)
+		index.Put(int32(k), op.Name)
 		day.Operations = append(day.Operations, fleet.Operation{Name: op.Name, Share: float64(op.Share), Work: float64(op.Work),
 			Call: float64(op.Call), Calls: op.Calls, Objective: int64(op.Objective), Timeout: int64(op.Timeout),
 			LateShare: float64(op.Late), Value: op.Value, Reduced: op.Form, ReducedWork: float64(op.FormWork),
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -101,7 +101,7 @@
 }
 
 // Read reads a plan for the operations of a plate, evaluating the file in this process.
-func Read(path string, operations map[string]int32) (*reducer.Plan, error) {
+func Read(path string, operations *plate.Names) (*reducer.Plan, error) {
 	file, err := settings.Read(path)
 	if err != nil {
 		return nil, err
@@ -110,7 +110,7 @@
 }
 
 // From reads a plan from a file that was evaluated. All that is wrong with it is told at once.
-func From(file *settings.File, operations map[string]int32) (*reducer.Plan, error) {
+func From(file *settings.File, operations *plate.Names) (*reducer.Plan, error) {
 	if err := file.Check(schema()); err != nil {
 		return nil, err
 	}
@@ -143,12 +143,12 @@
 		p.Idle = w.Idle.bounds()
 	}
 	found := settings.Problems{}
-	names := names(operations)
+	names := operations.All()
 	for k := range w.Levels {
 		found = append(found, addRung(p, file, &w, k, operations, names)...)
 	}
 	if len(found) == 0 { // else what follows from those would be told beside them
-		for _, fault := range p.Check(len(operations)) {
+		for _, fault := range p.Check(operations.Slots()) {
 			found = append(found, file.At(fault.Path, fault.What, fault.Mend))
 		}
 	}
@@ -158,22 +158,14 @@
 	return p, nil
 }
 
-func names(operations map[string]int32) []string {
-	list := make([]string, len(operations))
-	for name, i := range operations {
-		list[i] = name
-	}
-	return list
-}
-
-func addRung(p *reducer.Plan, file *settings.File, w *written, k int, operations map[string]int32,
+func addRung(p *reducer.Plan, file *settings.File, w *written, k int, operations *plate.Names,
 	names []string) (found settings.Problems) {
 	at := func(what ...string) []string { return append([]string{"levels", fmt.Sprint(k)}, what...) }
 	from := &w.Levels[k]
 	rung := levels.Rung{Name: from.Name, Service: make([]node.Service, len(names)), Exit: from.Exit.bounds()}
 	forms := make([]string, len(names))
 	unknown := func(name string, path []string) (int32, bool) {
-		i, known := operations[name]
+		i, known := operations.Lookup(name)
 		if !known {
 			mend := "the operations are " + strings.Join(names, ", ")
 			if near := settings.Nearest(name, names); near != "" {
@@ -232,7 +224,7 @@
 // Show prints a plan as a table: what each level leaves, what it saves of the work and gives up of the billed value,
 // and its conditions. The mix tells the share of each operation in the work; one that it lacks has none.
 func Show(w io.Writer, p *reducer.Plan, of *plate.Plate, mix map[string]float64) error {
-	names := names(of.Operations)
+	names := of.Operations.All()
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(t, "plan %s\n", p.Name)
 	fmt.Fprintf(t, "level\t%s\tsaves of the work\tgives up of the value\tenter\texit\n", strings.Join(names, "\t"))
--- /dev/null
+++ b/plate/names.go
@@ -0,0 +1,186 @@
+package plate
+
+import (
+	"encoding/binary"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	pageBits = 16            // of an offset within a page of names: growth never copies the names
+	pageSize = 1 << pageBits // bytes; a longer name has a page of its own
+)
+
+// Names is an index of names both ways, small beside a map: names lie in pages, chains of indices hang in buckets that
+// are split one at a time (linear hashing), so that one more name costs the same however many there are. Of two equal
+// names the one that was put last is found. The zero value is ready.
+type Names struct {
+	pages [][]byte         // names, each behind its length
+	at    []uint32         // by index: page and offset, 0 for an index without a name
+	next  []int32          // by index: the next in its bucket, -1 for none
+	heads []int32          // by bucket: the first index in it, -1 for none
+	rooms map[int][]uint32 // by length: where names were that are removed
+	live  int
+}
+
+// NewNames is the index of some names in their order.
+func NewNames(names ...string) *Names {
+	n := new(Names)
+	for i, name := range names {
+		n.Put(int32(i), name)
+	}
+	return n
+}
+
+// Len is how many indices have a name.
+func (n *Names) Len() int {
+	if n == nil {
+		return 0
+	}
+	return n.live
+}
+
+// Slots is how many indices there are, those whose name was removed included.
+func (n *Names) Slots() int {
+	if n == nil {
+		return 0
+	}
+	return len(n.at)
+}
+
+// Lookup is the index of a name.
+func (n *Names) Lookup(name string) (int32, bool) {
+	if n == nil || len(n.heads) == 0 {
+		return 0, false
+	}
+	for i := n.heads[n.bucket(xxhash.Sum64String(name))]; i >= 0; i = n.next[i] {
+		if string(n.text(i)) == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Name is the name of an index, empty where it has none.
+func (n *Names) Name(i int32) string {
+	if n == nil || int(i) >= len(n.at) || i < 0 || n.at[i] == 0 {
+		return ""
+	}
+	return string(n.text(i))
+}
+
+// Has says whether an index has a name.
+func (n *Names) Has(i int32) bool { return i >= 0 && int(i) < len(n.at) && n.at[i] != 0 }
+
+// All lists the names by index, empty where an index has none.
+func (n *Names) All() []string {
+	list := make([]string, n.Slots())
+	for i := range list {
+		list[i] = n.Name(int32(i))
+	}
+	return list
+}
+
+// Put names an index that has no name. It may be the next one after all there are.
+func (n *Names) Put(i int32, name string) {
+	for int(i) >= len(n.at) {
+		n.at, n.next = append(n.at, 0), append(n.next, -1)
+	}
+	n.at[i] = n.store(name)
+	if n.live++; n.live > len(n.heads) {
+		n.split()
+	}
+	n.link(i)
+}
+
+// Remove takes the name of an index away.
+func (n *Names) Remove(i int32) {
+	text := n.text(i)
+	for at := &n.heads[n.bucket(xxhash.Sum64(text))]; *at >= 0; at = &n.next[*at] {
+		if *at == i {
+			*at = n.next[i]
+			break
+		}
+	}
+	if n.rooms == nil {
+		n.rooms = make(map[int][]uint32)
+	}
+	n.rooms[len(text)] = append(n.rooms[len(text)], n.at[i])
+	n.at[i], n.next[i] = 0, -1
+	n.live--
+}
+
+// text is a name as it lies in its page.
+func (n *Names) text(i int32) []byte {
+	page := n.pages[n.at[i]>>pageBits][n.at[i]&(pageSize-1):]
+	length, k := binary.Uvarint(page)
+	return page[k : k+int(length)]
+}
+
+// store puts a name where one of its length was, or behind the last. Where it lies is never 0.
+func (n *Names) store(name string) uint32 {
+	if rooms := n.rooms[len(name)]; len(rooms) > 0 {
+		at := rooms[len(rooms)-1]
+		n.rooms[len(name)] = rooms[:len(rooms)-1]
+		page := n.pages[at>>pageBits][at&(pageSize-1):]
+		_, k := binary.Uvarint(page)
+		copy(page[k:], name)
+		return at
+	}
+	need := binary.MaxVarintLen32 + len(name)
+	last := len(n.pages) - 1
+	if last < 0 || len(n.pages[last])+need > cap(n.pages[last]) {
+		size := min(pageSize, max(256, 2*n.room())) // small where names are few
+		n.pages = append(n.pages, make([]byte, 1, max(size, 1+need)))
+		last++
+	}
+	at := uint32(last)<<pageBits | uint32(len(n.pages[last]))
+	n.pages[last] = append(binary.AppendUvarint(n.pages[last], uint64(len(name))), name...)
+	return at
+}
+
+// room is what the pages hold, as far as that is less than one page.
+func (n *Names) room() int {
+	if len(n.pages) > 1 && cap(n.pages[len(n.pages)-1]) >= pageSize {
+		return pageSize
+	}
+	sum := 0
+	for _, page := range n.pages {
+		sum += cap(page)
+	}
+	return sum
+}
+
+// bucket is that of a hash: with b bits for all buckets, those not split yet have one bit less.
+func (n *Names) bucket(hash uint64) uint64 {
+	b := bits.Len(uint(len(n.heads) - 1))
+	at := hash & (1<<b - 1)
+	if at >= uint64(len(n.heads)) {
+		at &= 1<<(b-1) - 1
+	}
+	return at
+}
+
+func (n *Names) link(i int32) {
+	head := &n.heads[n.bucket(xxhash.Sum64(n.text(i)))]
+	n.next[i], *head = *head, i
+}
+
+// split adds a bucket and parts one other's chain between both.
+func (n *Names) split() {
+	n.heads = append(n.heads, -1)
+	last := len(n.heads) - 1
+	if last == 0 {
+		return
+	}
+	from := &n.heads[last&^(1<<(bits.Len(uint(last))-1))]
+	var chain []int32
+	for i := *from; i >= 0; i = n.next[i] {
+		chain = append(chain, i)
+	}
+	*from = -1
+	for k := len(chain) - 1; k >= 0; k-- { // from its end, so that the last one put stays ahead
+		n.link(chain[k])
+	}
+}
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -34,8 +34,6 @@
 	seat   *council.Council
 	self   claims.Owner
 	seats  []string
-	names  []string // of operations, by index
-	orgs   []string // of tenants, by index
 	wants  []claims.Input
 	heard  []council.Input
 	links  map[string]int // streams that nodes last spoke on
@@ -62,14 +60,6 @@
 	self := r.peers.members.Self()
 	c := &r.claimed
 	*c = claimed{self: claims.Owner{Name: self.Name, Life: uint64(self.Born)}, seats: slices.Sorted(slices.Values(seats)), links: map[string]int{}}
-	c.names = make([]string, len(r.plate.Nameplate.Operations))
-	for name, i := range r.plate.Operations {
-		c.names[i] = name
-	}
-	c.orgs = make([]string, len(r.plate.Tenants))
-	for name, i := range r.plate.Tenants {
-		c.orgs[i] = name
-	}
 	if r.kept.keeper != nil {
 		c.desk = claims.NewDesk(c.self)
 	}
@@ -101,16 +91,16 @@
 }
 
 func (r *Reducer) claimKey(k results.Key) claims.Key {
-	key := claims.Key{Operation: r.claimed.names[k.Operation], Token: k.Token}
+	key := claims.Key{Operation: r.plate.Operations.Name(k.Operation), Token: k.Token}
 	if k.Tenant >= 0 {
-		key.Tenant = r.claimed.orgs[k.Tenant]
+		key.Tenant = r.plate.Tenants.Name(k.Tenant)
 	}
 	return key
 }
 
 func (r *Reducer) resultKey(k claims.Key) (key results.Key, known bool) {
-	op, known := r.plate.Operations[k.Operation]
-	tenant, named := r.plate.Tenants[k.Tenant]
+	op, known := r.plate.Operations.Lookup(k.Operation)
+	tenant, named := r.plate.Tenants.Lookup(k.Tenant)
 	if !named {
 		tenant = -1
 	}
@@ -349,7 +339,7 @@
 	if _, known := r.kept.keeper.Body(key); known {
 		return nil
 	}
-	v := invocation{live: true, conn: heir, call: w.Call, op: r.claimed.names[key.Operation], body: w.Body, key: key, hash: a.Body,
+	v := invocation{live: true, conn: heir, call: w.Call, op: r.plate.Operations.Name(key.Operation), body: w.Body, key: key, hash: a.Body,
 		taken: r.now, due: r.now + a.For}
 	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: key.Tenant, Repeats: node.NoRepeat, Further: true,
 		Due: r.now + a.For, HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -276,7 +276,7 @@
 		ok, n := true, 0.0
 		switch field.Name {
 		case "op":
-			e.Operation, ok = r.plate.Operations[field.Value]
+			e.Operation, ok = r.plate.Operations.Lookup(field.Value)
 			v.op, op = field.Value, true
 		case "call":
 			v.call, call, ok = field.Value, true, hex16(field.Value)
@@ -289,8 +289,8 @@
 			e.Caller, ok = whole(field.Value)
 			src, ok = true, ok && e.Caller <= callerMost
 		case "org":
-			if len(r.plate.Tenants) > 0 {
-				e.Tenant, ok = r.plate.Tenants[field.Value]
+			if r.plate.Tenants.Len() > 0 {
+				e.Tenant, ok = r.plate.Tenants.Lookup(field.Value)
 			}
 		case "ttl":
 			left, ok = whole(field.Value)
@@ -318,7 +318,7 @@
 	if !(op && call && recv && src && heap) {
 		return fmt.Errorf("op, call, recv, src or heap: %w", errField)
 	}
-	if e.Tenant < 0 && len(r.plate.Tenants) > 0 {
+	if e.Tenant < 0 && r.plate.Tenants.Len() > 0 {
 		return fmt.Errorf("field org: %w: the settings name tenants", errField)
 	}
 	if r.kept.keeper != nil && v.key.Token == "" && r.plate.Nameplate.Operations[e.Operation].Effect == node.Tokened {
--- a/reducer/levels.go
+++ b/reducer/levels.go
@@ -154,7 +154,8 @@
 		return op, ""
 	}
 	level = l.plan.LevelName(l.steps.Level())
-	class = l.plan.Forms[l.steps.Level()-1][r.plate.Operations[op]]
+	i, _ := r.plate.Operations.Lookup(op)
+	class = l.plan.Forms[l.steps.Level()-1][i]
 	if !r.Guard.Hold(class != "", "a reduced run has a form that the executor knows") {
 		return op, ""
 	}
--- /dev/null
+++ b/server/config_test.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/plate"
+)
+
+// large is a configuration with so many operations and tenants.
+func large(operations, tenants int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"name":"n","listen":"127.0.0.1:0","executor":"127.0.0.1:1","control":"127.0.0.1:1","catalog":"127.0.0.1:1","seed":"1",
+"stop_ms":25000,"limits":{"cores":2,"memory_mb":512,"sockets":512},"settings":{"family_info":{"memory_kb":9000,"n_cores":2},
+"guarantees":{"tip_multiple":4},"grades":[`)
+	for i := range operations {
+		fmt.Fprintf(&b, `%s{"name":"route-%04d","aim":%d,"give_up":%d,"window":10000,"importance":%d,"effect":"%s"}`, strings.Repeat(",", min(i, 1)), i,
+			200+i%7*100, 1000+i%5*500, 1+i%3, []string{"idempotent", "deduplicated", "at_most_once"}[i%3])
+	}
+	b.WriteString(`],"tenants":[`)
+	for i := range tenants {
+		fmt.Fprintf(&b, `%s{"name":"tenant-%06d","quota_rps":%d}`, strings.Repeat(",", min(i, 1)), i, 1+i%9)
+	}
+	b.WriteString(`]}}`)
+	return []byte(b.String())
+}
+
+// watched is a reader that looks at the live heap now and then while it is read.
+type watched struct {
+	io.Reader
+	left int
+	most uint64
+}
+
+func (w *watched) Read(b []byte) (int, error) {
+	if w.left--; w.left%16 == 0 {
+		w.most = max(w.most, live())
+	}
+	return w.Reader.Read(b)
+}
+
+func live() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// A large configuration is never held as a whole, neither while it is read nor after: 8 MB for 4,700 operations and 130,000
+// tenants, of which a map with its strings takes more alone.
+func TestLargeConfigurationIsReadAsAStreamIntoLittle(t *testing.T) {
+	text := large(4_700, 130_000)
+	before := live()
+	w := &watched{Reader: bytes.NewReader(text)}
+	n, err := DecodeNameplate(w)
+	require.NoError(t, err)
+	held := live() - before
+	assert.Less(t, held, uint64(8<<20))
+	assert.Less(t, w.most-before, uint64(8<<20))
+	assert.Less(t, w.left, -50, "it was read in pieces")
+	i, known := n.Settings.Tenants.Lookup("tenant-129999")
+	assert.True(t, known)
+	assert.Equal(t, int32(129_999), i)
+	assert.Equal(t, 1+129_999%9, int(n.Settings.Nameplate.TenantRates[i]))
+	runtime.KeepAlive(text)
+}
+
+// Only other settings are another digest: order and space are none.
+func TestSettingsDifferByWhatTheySay(t *testing.T) {
+	read := func(from, to string) *Nameplate {
+		text := strings.Replace(string(large(3, 3)), from, to, 1)
+		n, err := ReadNameplate([]byte(text))
+		require.NoError(t, err)
+		return n
+	}
+	n := read("", "")
+	assert.Empty(t, n.differs(read(`"aim":200,"give_up":1000`, `"give_up" : 1000, "aim":200`)))
+	for from, to := range map[string]string{`"quota_rps":2`: `"quota_rps":3`, `"aim":200`: `"aim":201`, `"n_cores":2`: `"n_cores":3`,
+		`"route-0002"`: `"route-2"`} {
+		assert.Equal(t, []string{"settings"}, n.differs(read(from, to)), to)
+	}
+}
+
+// What is wrong in a large file is named with its place.
+func TestFaultsDeepInALargeFileAreNamed(t *testing.T) {
+	for from, to := range map[string]string{`"tenant-000077","quota_rps":6`: `"tenant-000077","quota_rps":"many"`,
+		`"route-0031","aim":500`: `"route-0031","aim":-1`} {
+		_, err := ReadNameplate(bytes.Replace(large(40, 100), []byte(from), []byte(to), 1))
+		assert.ErrorContains(t, err, map[string]string{`"many"`: "tenants.77.quota_rps", "-1": "grades.31"}[to[strings.LastIndex(to, ":")+1:]])
+	}
+	_, err := ReadNameplate(large(40, 100)[:2_000])
+	assert.ErrorContains(t, err, "byte")
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// asPairs are settings as the pairs of a wire.
+func asPairs(t *testing.T, path string, tree any) (list []string) {
+	switch v := tree.(type) {
+	case map[string]any:
+		for key, sub := range v {
+			list = append(list, asPairs(t, strings.TrimPrefix(path+"."+key, "."), sub)...)
+		}
+	case []any:
+		var plain []string
+		for i, sub := range v {
+			if _, object := sub.(map[string]any); object {
+				list = append(list, asPairs(t, fmt.Sprint(path, ".", i), sub)...)
+			} else {
+				plain = append(plain, fmt.Sprint(sub))
+			}
+		}
+		if len(plain) == len(v) {
+			return append(list, path+"="+strings.Join(plain, ","))
+		}
+		list = append(list, fmt.Sprint(path, ".count=", len(v)))
+	case nil:
+	default:
+		list = append(list, fmt.Sprint(path, "=", v))
+	}
+	return list
+}
+
+// samePlate compares what a stream gives with what the same settings give as pairs.
+func samePlate(t *testing.T, text []byte, n *Nameplate) {
+	var f struct{ Settings any }
+	d := json.NewDecoder(bytes.NewReader(text))
+	d.UseNumber()
+	require.NoError(t, d.Decode(&f))
+	pairs, err := plate.FromPairs(n.Settings.Nameplate.Seed, asPairs(t, "", f.Settings))
+	require.NoError(t, err)
+	assert.Equal(t, pairs, n.Settings)
+}
--- a/server/server.go
+++ b/server/server.go
@@ -123,9 +123,11 @@
 // Reload goes on with the peers' addresses and the levels of another nameplate, at any time of the node's life. All
 // else in it takes a new start; what differs there is logged.
 func (s *Server) Reload(next *Nameplate) {
+	light := *next
+	light.Settings = nil // by far the most of it, and not taken
 	for {
 		select {
-		case s.reload <- next:
+		case s.reload <- &light:
 			return
 		case <-s.reload: // an older one that was not taken yet
 		}
