--- a/control/control.go
+++ b/control/control.go
@@ -101,9 +101,14 @@
 	spent, since      float64 // ns of one whole core so far, core clock when it last came on
 }
 
-// operation is an operation with what was measured of it.
+// operation is the terms of an operation, and what is of it under any terms.
 type operation struct {
-	*node.Operation
+	node.Operation
+	*measured
+}
+
+// measured is what was measured of an operation, and what its level leaves of it.
+type measured struct {
 	usual tally.Ratios // own core time of runs, over their base
 	away  tally.Ratios // time a run spent off the cores, over the objective
 	asked tally.Window // ns of core time that first tries of late asked for, were all run whole
@@ -117,11 +122,13 @@
 	chance          *rand.Rand
 	born, now, next int64 // next is when the beat is due
 	out             []node.Action
-	ops             []operation
+	ops             []*operation // by index, nil where it is no operation's
 	invs            []invocation
 	live, order     []int32 // not ended, in order of arrival; the hold, in the order it is to run
 	tightest, cores float64 // ns of the shortest latency objective; how many cores there are
 	slowest         int64   // ns of the longest latency objective
+	objectives      tally.Extremes
+	callUnit        float64 // ns in which lengths of calls are counted: the shortest objective at birth
 
 	onCores, standing, inHand  int     // on the cores, off them with no call made, with one in hand
 	waiting                    int     // held
@@ -167,11 +174,11 @@
 		units: math.MaxInt, hold: math.MaxInt64 / 4,
 		patient: 1}
 	for i := range plate.Operations {
-		p.ops = append(p.ops, operation{Operation: &plate.Operations[i], usual: ratios(longMemory),
-			away: ratios(longMemory), asked: tally.NewWindow(askedSpan, askedSlices)})
-		p.tightest = min(p.tightest, float64(plate.Operations[i].Objective))
-		p.slowest = max(p.slowest, plate.Operations[i].Objective)
+		if p.ops = append(p.ops, nil); !plate.Operations[i].Gone {
+			p.setOperation(int32(i), &plate.Operations[i], nil)
+		}
 	}
+	p.callUnit = p.tightest
 	if plate.Fresh {
 		p.open = plate.ColdFrom
 		// What a life before this one may have held counts as used: the dependency's mean still holds it.
@@ -241,6 +248,8 @@
 		}
 	case e.Kind == node.UnitsSet:
 		p.units, p.hold = e.Units, e.Hold
+	case e.Kind == node.OperationSet:
+		p.setOperation(e.Operation, e.Terms, e.Services)
 	case e.Kind == node.LevelSet:
 		p.setLevel(e.Services, e.Spare)
 	case p.invs[i].state == ended:
@@ -296,7 +305,7 @@
 // intake takes what was read into the hold, joins it to the invocation it repeats, or turns it away.
 func (p *Post) intake(e *node.Event) {
 	p.invs = append(p.invs, make([]invocation, max(0, int(e.Inv)+1-len(p.invs)))...)
-	v, op, arrived := &p.invs[e.Inv], &p.ops[e.Operation], p.now-e.Age
+	v, op, arrived := &p.invs[e.Inv], p.ops[e.Operation], p.now-e.Age
 	*v = invocation{op: op, tenant: e.Tenant, further: e.Further, arrived: arrived, kb: e.HeldKB,
 		due:  cmp.Or(e.Due, arrived+op.ClientTimeout),
 		base: float64(cmp.Or(e.Hint, op.Objective/8)), part: 1, worth: 1}
@@ -328,13 +337,43 @@
 	}
 }
 
+// setOperation gives an index the terms of its operation, other terms, or none. What was measured stays with the
+// index as long as it is an operation's; what was taken keeps the terms that it was taken under.
+func (p *Post) setOperation(i int32, terms *node.Operation, service []node.Service) {
+	p.ops = append(p.ops, make([]*operation, max(0, int(i)+1-len(p.ops)))...)
+	was := p.ops[i]
+	if was != nil {
+		p.objectives.Remove(was.Objective)
+	}
+	if p.ops[i] = nil; terms != nil {
+		op := &operation{Operation: *terms}
+		if was != nil {
+			op.measured = was.measured
+		} else {
+			op.measured = &measured{usual: ratios(longMemory), away: ratios(longMemory),
+				asked: tally.NewWindow(askedSpan, askedSlices)}
+		}
+		if len(service) > 0 {
+			op.service = service[0]
+		}
+		p.ops[i] = op
+		p.objectives.Add(op.Objective)
+	}
+	if p.objectives.Len() > 0 {
+		p.tightest, p.slowest = float64(p.objectives.Least()), p.objectives.Most()
+	}
+}
+
 // setLevel applies a level of reduced service: what waits unrun and is refused now goes at once,
 // unless the plan leaves it the spare room.
 func (p *Post) setLevel(services []node.Service, spare bool) {
 	p.spare = spare
-	for k := range p.ops {
-		if p.ops[k].service = (node.Service{}); services != nil {
-			p.ops[k].service = services[k]
+	for k, op := range p.ops {
+		if op == nil {
+			continue
+		}
+		if op.service = (node.Service{}); k < len(services) {
+			op.service = services[k]
 		}
 	}
 	for _, i := range p.live {
@@ -445,7 +484,7 @@
 
 // callWait is how long one that comes to a call now would stand there until it is made.
 func (p *Post) callWait() float64 {
-	return float64(p.standing) / float64(max(1, p.inHand)) * p.callTime.Mean(0) * p.tightest
+	return float64(p.standing) / float64(max(1, p.inHand)) * p.callTime.Mean(0) * p.callUnit
 }
 
 func (p *Post) objective(v *invocation) float64 {
@@ -635,14 +674,14 @@
 		if skippable {
 			until = min(until, latest)
 		} else if v.op.Effect == node.Idempotent && v.tries < callTries/2 && p.callTime.Mean(0) > 0 {
-			until = min(until, p.now+int64(callLong*p.callTime.Mean(0)*p.tightest))
+			until = min(until, p.now+int64(callLong*p.callTime.Mean(0)*p.callUnit))
 		}
 		switch {
 		case skippable && (failed || latest <= p.now || p.chance.Float64() < p.callFails.Mean(0)):
 			p.do(node.Action{Kind: node.SkipCall, Inv: i})
 			p.shift(v, running)
 		case failed, !skippable && v.op.LateShare == 0 && p.inHand > 0 &&
-			float64(p.now)+p.callTime.Mean(0)*p.tightest > p.objective(v):
+			float64(p.now)+p.callTime.Mean(0)*p.callUnit > p.objective(v):
 			p.giveUp(i, node.Callless)
 		case room > 0 && until > p.now && p.inHand < p.units:
 			v.callAt, v.callUntil, v.tries = p.now, until, v.tries+1
@@ -667,7 +706,7 @@
 			spare -= float64(max(0, v.callUntil-p.now)) + linger
 		}
 	}
-	usual := p.callTime.Mean(0) * p.tightest
+	usual := p.callTime.Mean(0) * p.callUnit
 	room := max(spare/callPart-linger, min(spare-linger, callTimes*usual))
 	if room < 2*usual {
 		return 0
@@ -679,7 +718,7 @@
 // Guards against replies spoilt or lost; does harm where a dependency fails for the calls that it gets.
 func (p *Post) callEnded(v *invocation, outcome node.Outcome) {
 	took := float64(p.now - v.callAt)
-	p.callTime.Add(took / p.tightest)
+	p.callTime.Add(took / p.callUnit)
 	if outcome == node.Succeeded {
 		v.op.away.Add(took / float64(v.op.Objective))
 		p.callFails.Add(0)
@@ -816,7 +855,7 @@
 	return node.State{Limit: p.limit, OnCores: p.onCores, Held: p.waiting, Standing: p.standing,
 		InHand: p.inHand, Away: p.away,
 		Wait: p.wait(), CallWait: p.callWait(), Lag: p.lag, Reading: p.reading, MeanReading: p.meanReading,
-		Pace: p.pace.Mean(1), Stall: p.stall, Patient: p.patient, CallTime: p.callTime.Mean(0) * p.tightest,
+		Pace: p.pace.Mean(1), Stall: p.stall, Patient: p.patient, CallTime: p.callTime.Mean(0) * p.callUnit,
 		CallFails: p.callFails.Mean(0), CallRoom: float64(p.callRoom()), Open: p.open, Said: p.said,
 		CallUsed: p.callUsed.Sum() / max(1, p.plate.CallShare*float64(p.plate.CallSpan)),
 		Arrivals: p.arrivals, Echoes: p.echoes, Throttled: p.throttled, Callers: len(p.callers.Counts()),
@@ -826,9 +865,13 @@
 // Measure tells of the present what concerns more than one invocation, into m.
 func (p *Post) Measure(m *node.Measures) {
 	m.Asked = m.Asked[:0]
-	for k := range p.ops {
-		p.ops[k].asked.Add(p.now, 0)
-		m.Asked = append(m.Asked, p.ops[k].asked.Sum()/(float64(askedSpan)*p.cores))
+	for _, op := range p.ops {
+		if op == nil {
+			m.Asked = append(m.Asked, 0)
+			continue
+		}
+		op.asked.Add(p.now, 0)
+		m.Asked = append(m.Asked, op.asked.Sum()/(float64(askedSpan)*p.cores))
 	}
 	m.Reading = min(p.meanReading, p.cores) / max(p.cores, float64(p.onCores)+p.meanReading)
 	m.Wait, m.Lag, m.Calls = p.wait()/p.tightest, p.lag/p.tightest, p.callWait()/p.tightest
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -590,3 +590,41 @@
 		})
 	}
 }
+
+func TestOperationsChangeWhileWhatWasTakenKeepsItsTerms(t *testing.T) {
+	p := post()
+	v := put(p, 0, running)
+	v.op.usual.Add(4)
+	usual := v.op.usual.Mean(1)
+	set := func(i int32, terms *node.Operation, left ...node.Service) {
+		p.take(&node.Event{Kind: node.OperationSet, Operation: i, Terms: terms, Services: left})
+	}
+	set(0, &node.Operation{Objective: 200 * ms, ClientTimeout: 400 * ms, BilledValue: 9}, node.Service{Form: node.Refused})
+	assert.Equal(t, 3_000*ms, v.op.ClientTimeout)
+	assert.Equal(t, 1.0, v.op.BilledValue)
+	w := put(p, 0, held)
+	assert.Equal(t, p.now+400*ms, w.due)
+	assert.Equal(t, usual, w.op.usual.Mean(1), "what was learnt of it stays")
+	assert.Equal(t, node.Refused, w.op.service.Form)
+	assert.Equal(t, []float64{float64(200 * ms), float64(1_000 * ms)}, []float64{p.tightest, float64(p.slowest)})
+	set(3, &node.Operation{Objective: 7_000 * ms, ClientTimeout: 9_000 * ms})
+	assert.Equal(t, 7_000*ms, p.slowest)
+	var m node.Measures
+	p.Measure(&m)
+	assert.Len(t, m.Asked, 4)
+	p.setLevel([]node.Service{{}, {Form: node.Refused}}, false)
+	assert.Equal(t, node.Refused, p.ops[1].service.Form)
+	set(0, nil)
+	set(3, nil)
+	assert.Equal(t, []int64{1_000 * ms, 1_000 * ms}, []int64{int64(p.tightest), p.slowest})
+	p.Decide(p.now+100*ms, []node.Event{{Kind: node.RunEnded, Inv: 0, Outcome: node.Succeeded}})
+	set(0, &node.Operation{Objective: 500 * ms, ClientTimeout: 900 * ms})
+	assert.Equal(t, 1.0, p.ops[0].usual.Mean(1), "another one begins anew")
+}
+
+// A node that starts with indices that no operation has goes on without them.
+func TestIndicesOfNoOperationCountForNothing(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Operations = append(n.Operations, node.Operation{Gone: true}) })
+	assert.Equal(t, float64(1_000*ms), p.tightest)
+	p.Decide(p.now+beat, []node.Event{{Kind: node.TimerDue, Busy: 0.5, Runnable: 1}})
+}
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -33,7 +33,7 @@
 
 // put adds an invocation that arrived now, in the given state, and returns it.
 func put(p *Post, op int, s state) *invocation {
-	p.invs = append(p.invs, invocation{op: &p.ops[op], tenant: -1, arrived: p.now, base: float64(100 * ms), part: 1, worth: 1,
+	p.invs = append(p.invs, invocation{op: p.ops[op], tenant: -1, arrived: p.now, base: float64(100 * ms), part: 1, worth: 1,
 		due: p.now + p.ops[op].ClientTimeout, kb: 10, ran: s == running || s == standing || s == calling})
 	p.live = append(p.live, int32(len(p.invs)-1))
 	p.opened++
--- a/node/node.go
+++ b/node/node.go
@@ -54,6 +54,7 @@
 	LateShare     float64
 	SkipShare     float64
 	MayCall       bool
+	Gone          bool // the index is no operation's now
 }
 
 // Nameplate is what a node reads at start. Times are nanoseconds, memory is in kilobytes.
@@ -100,6 +101,10 @@
 	RunEnded
 	LevelSet // what is left of each operation from now on
 	UnitsSet // how many calls the fleet's limit leaves this node
+
+	// OperationSet gives an operation its terms, or other ones; what was taken before keeps those it was taken under. Limits
+	// of the nameplate may change too: they are read from it whenever they are needed.
+	OperationSet
 )
 
 // Outcome is how a run or a call ended.
@@ -149,6 +154,9 @@
 	Services []Service // by index of the operation, nil for full service; the sender's
 	Spare    bool      // what is refused is served last, what is reduced whole while next to nothing is held
 
+	// OperationSet; Services has what is left of this one at present, or nothing
+	Terms *Operation // the receiver's; nil where nothing refers to the index any more
+
 	// UnitsSet
 	Units int   // calls that may be in hand from now on
 	Hold  int64 // ns that one may take at the most
