Rig: a run that stands at a call ends with its request, as executors have it

Cause of 'it is used' falling short: the stand-in of the executor never ended a run at a call whose invocation was answered without it.

A storm of calls now wants more than the limit, at all nodes and at two of them in turn, and the ledger keeps how many calls are wanted and how many units in use at each moment (measures used_part, wanted_s, used_whole, wanted_whole_s).

--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -193,7 +193,7 @@
 	d.lose(0)
 	d.heal()
 	if storming {
-		defer p.storm.measure(o, p, start)
+		defer p.storm.measure(o, p, spans, start)
 	}
 	o.Measures["worst_bytes"] = worst
 	o.Measures["agree_s"] = seconds(n.until(d, int64(n.Calm*1e9), up))
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"topazpost/membership"
-	"topazpost/settings"
 )
 
 const (
@@ -65,15 +64,16 @@
 		latest: make([]Event, n.Nodes)}
 	chance := rand.New(rand.NewSource(seed))
 	var err error
-	p.storm = newStorm(seed)
-	if n.Longest > 0 {
-		p.storm.runMost = int(n.Longest / settings.Time(ms))
-	}
+	p.storm = newStorm(seed, n)
 	if p.supply, err = newSupply(seed, n.Calls); err != nil {
 		return nil, err
 	}
 	for range n.Nodes {
-		b, err := newBench(p.storm, n.Calls > 0)
+		var calls *supply
+		if n.Calls > 0 {
+			calls = p.supply
+		}
+		b, err := newBench(p.storm, calls)
 		if err != nil {
 			return nil, err
 		}
@@ -140,7 +140,7 @@
 	}
 	operation := map[string]any{"name": "hold", "aim": 1_000, "give_up": 2_500, "importance": 1, "effect": "idempotent"}
 	if p.night.Storm {
-		operation = map[string]any{"name": "hold", "aim": 2_000, "give_up": cmp.Or(int64(p.night.Timeout)/ms, 5_000),
+		operation = map[string]any{"name": "hold", "aim": 2_000, "give_up": int64(p.storm.timeout) / ms,
 			"importance": 1, "effect": "deduplicated", "window": stormWindow}
 	}
 	below, share := "off", 0.0
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,20 +18,26 @@
 	"time"
 
 	"topazpost/frame"
+	"topazpost/settings"
 )
 
 const (
-	callers     = 8                // connections of a storm, each with some invocations open
-	openEach    = 4                // of them
-	tokensOpen  = 40               // tokens of which invocations are drawn at a time: each comes again and again
-	freshEvery  = 8                // of so many invocations one opens a new token and retires the oldest
-	runUsual    = 30               // ms of a run at the most
-	retold      = 64               // notices that a node hears anew which read none
-	historyMost = 2_000_000        // invocations that are remembered whole
-	answerMost  = 12 * time.Second // past the client timeout, then an invocation counts as lost
-	changeEvery = 40               // invocations after which a caller goes to another node
-	pace        = 2                // ms that a caller waits between answers at the most
-	stormWindow = 600_000          // ms: no token's window ends in a storm
+	callers     = 8                     // connections of a storm, each with some invocations open
+	openEach    = 4                     // of them
+	tokensOpen  = 40                    // tokens of which invocations are drawn at a time: each comes again and again
+	freshEvery  = 8                     // of so many invocations one opens a new token and retires the oldest
+	freshCalls  = 2                     // the same in a storm of calls, in which more are wanted than may be
+	callersMore = 2                     // times as many callers in it
+	backMost    = 50 * time.Millisecond // that they wait where they are told to come back: their need is to go on
+	runUsual    = 30                    // ms of a run at the most
+	retold      = 64                    // notices that a node hears anew which read none
+	historyMost = 2_000_000             // invocations that are remembered whole
+	answerMost  = 12 * time.Second      // past the client timeout, then an invocation counts as lost
+	changeEvery = 40                    // invocations after which a caller goes to another node
+	pace        = 2                     // ms that a caller waits between answers at the most
+	stormWindow = 600_000               // ms: no token's window ends in a storm
+	// client timeout in a storm, where none is given
+	stormTimeout = settings.Time(5_000 * ms)
 )
 
 // storm is callers that repeat tokens at any node, and the ledger of all that the executors did.
@@ -51,6 +58,13 @@
 
 	runMost int                 // ms of a run
 	where   map[string][]string // calls and executors of each run
+	timeout time.Duration       // client timeout
+	callers int
+	fresh   int           // of so many invocations one opens a new token
+	back    time.Duration // that a caller waits at the most where it is told to come back
+	began   time.Time
+	turns   int64             // ns after which callers go to other nodes, 0 in a storm without calls
+	runners map[string]*bench // where each call runs, until its request is over
 	history []Told
 }
 
@@ -63,13 +77,21 @@
 
 // sent is an invocation that waits for its answer.
 type sent struct {
-	token string
-	at    time.Time
+	token, call string
+	at          time.Time
 }
 
-func newStorm(seed int64) *storm {
-	return &storm{stop: make(chan struct{}), chance: rand.New(rand.NewSource(seed)), counts: map[string]int{}, runs: map[string]int{},
-		broke: map[string]bool{}, after: map[string]bool{}, runMost: runUsual, where: map[string][]string{}}
+func newStorm(seed int64, n *Night) *storm {
+	s := &storm{stop: make(chan struct{}), chance: rand.New(rand.NewSource(seed)), counts: map[string]int{}, runs: map[string]int{},
+		broke: map[string]bool{}, after: map[string]bool{}, runMost: runUsual, where: map[string][]string{},
+		runners: map[string]*bench{}, timeout: time.Duration(cmp.Or(n.Timeout, stormTimeout)), callers: callers, fresh: freshEvery, back: answerMost}
+	if n.Longest > 0 {
+		s.runMost = int(n.Longest / settings.Time(ms))
+	}
+	if n.Calls > 0 {
+		s.callers, s.fresh, s.back, s.turns = callers*callersMore, freshCalls, backMost, turnFor
+	}
+	return s
 }
 
 // bench is a node's executor, which outlives the node: what a node that was killed began goes on, and the next life hears
@@ -81,12 +103,12 @@
 	conn     net.Conn
 	notices  []string          // forms that lack their number
 	ran      map[string]bool   // calls: one that is ordered again, as its order may not have been read, runs once
-	calls    bool              // each run makes a call
+	supply   *supply           // that each run makes a call of, or nil
 	standing map[string]string // results of runs that wait for their call
 }
 
-func newBench(s *storm, calls bool) (*bench, error) {
-	b := &bench{storm: s, calls: calls, standing: map[string]string{}, ran: map[string]bool{}}
+func newBench(s *storm, calls *supply) (*bench, error) {
+	b := &bench{storm: s, supply: calls, standing: map[string]string{}, ran: map[string]bool{}}
 	var err error
 	b.listener, err = accept(b.serve)
 	return b, err
@@ -143,11 +165,12 @@
 			}
 			b.run(w[1], string(body[:size]))
 		}
-		if len(w) == 3 && w[0] == "RETURN" {
+		if len(w) == 3 && w[0] == "RETURN" && b.supply != nil {
 			size, _ := strconv.Atoi(w[2])
 			if _, err := io.CopyN(io.Discard, in, int64(size)+2); err != nil {
 				return
 			}
+			b.supply.returned(w[1])
 			b.mu.Lock()
 			if result, stands := b.standing[w[1]]; stands {
 				delete(b.standing, w[1])
@@ -171,15 +194,25 @@
 	}
 	s.mu.Lock()
 	s.runs[token]++
+	s.runners[call] = b
 	s.where[token] = append(s.where[token], fmt.Sprintf("%s at %s", call, b.listener.Addr()))
 	after := time.Duration(s.chance.Intn(s.runMost)) * time.Millisecond
 	result := fmt.Sprintf("%s run %d", token, s.runs[token])
 	s.mu.Unlock()
+	if b.supply != nil {
+		time.AfterFunc(s.timeout, func() { s.over(call) })
+	}
 	time.AfterFunc(after, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		if b.calls {
-			b.standing[call] = result
+		if b.supply != nil {
+			if b.standing[call] = result; !s.running(call) {
+				b.cut(call)
+				return
+			}
+			if b.conn != nil {
+				b.supply.wants(call, b)
+			}
 			b.tell(fmt.Sprintf("CALLOUT %%d %s 3\r\nask\r\n", call))
 			return
 		}
@@ -187,6 +220,35 @@
 	})
 }
 
+// cut ends a run that stands at a call for a request that is over, as executors do: left to stand it would hold a place at
+// its node for good.
+func (b *bench) cut(call string) {
+	if _, stands := b.standing[call]; stands {
+		delete(b.standing, call)
+		b.supply.returned(call)
+		b.tell(fmt.Sprintf("EXIT %%d %s cut 5 0\r\n\r\n", call))
+	}
+}
+
+func (s *storm) running(call string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runners[call] != nil
+}
+
+// over is the end of a request: it was answered, or its client timeout has passed.
+func (s *storm) over(call string) {
+	s.mu.Lock()
+	b := s.runners[call]
+	delete(s.runners, call)
+	s.mu.Unlock()
+	if b != nil && b.supply != nil {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.cut(call)
+	}
+}
+
 // tell writes the next notice; what is not read is told on the next link.
 func (b *bench) tell(notice string) {
 	b.notices = append(b.notices, notice)
@@ -200,20 +262,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.conn == conn {
-		b.conn = nil
+		if b.conn = nil; b.supply != nil {
+			b.supply.gone(b)
+		}
 	}
 	conn.Close()
 }
 
 // begin sends the callers out.
 func (s *storm) begin(p *processes) {
-	for k := range callers {
+	s.began = time.Now()
+	for k := range s.callers {
 		s.group.Go(func() { s.call(p, k, rand.New(rand.NewSource(int64(k)))) })
 	}
 }
 
 // measure ends the storm and holds what callers were told against the ledger.
-func (s *storm) measure(o *Outcome, p *processes, start int64) {
+func (s *storm) measure(o *Outcome, p *processes, spans []*span, start int64) {
 	close(s.stop)
 	s.group.Wait()
 	s.mu.Lock()
@@ -234,7 +299,7 @@
 	}
 	m["store_bytes"], m["per_s"] = float64(p.stored()), float64(s.asked)/(float64(p.now()-start)/1e9)
 	m["broken_tokens"], m["answered_later"] = float64(len(s.broke)), float64(len(s.after))
-	p.supply.measure(m)
+	o.Timeline = append(o.Timeline, p.supply.measure(m, p, spans, start)...)
 	m["taken"], m["unknown_claims"], m["settled"], m["taken_ended"] = 0, 0, 0, 1
 	for i := range p.daemons {
 		pic, err := p.claims(i)
@@ -285,7 +350,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asked++
-	if len(s.tokens) < tokensOpen || s.chance.Intn(freshEvery) == 0 {
+	if len(s.tokens) < tokensOpen || s.chance.Intn(s.fresh) == 0 {
 		s.next++
 		s.tokens = append(s.tokens, fmt.Sprint("t", s.next))
 		if len(s.tokens) > tokensOpen {
@@ -313,10 +378,26 @@
 	}
 }
 
+// turn counts the spans in which callers go to the same nodes.
+func (s *storm) turn() int64 {
+	if s.turns == 0 {
+		return 0
+	}
+	return int64(time.Since(s.began)) / s.turns
+}
+
 // call is one caller: some invocations open at a time on a connection to a node, then on one to another.
 func (s *storm) call(p *processes, caller int, chance *rand.Rand) {
 	for !s.ending() {
+		turn := s.turn()
 		_, addresses := p.serving()
+		if turn%2 == 1 && len(addresses) > turnNodes { // all need is at some nodes, others each time
+			first, all := int(turn)*turnNodes, addresses
+			addresses = nil
+			for k := range turnNodes {
+				addresses = append(addresses, all[(first+k)%len(all)])
+			}
+		}
 		if len(addresses) == 0 {
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -326,20 +407,20 @@
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
-		s.converse(conn, caller, chance)
+		s.converse(conn, caller, chance, turn)
 		conn.Close()
 	}
 }
 
-func (s *storm) converse(conn net.Conn, caller int, chance *rand.Rand) {
+func (s *storm) converse(conn net.Conn, caller int, chance *rand.Rand, turn int64) {
 	open := map[uint32]sent{}
 	defer func() { s.broken(open, caller) }()
 	var parser frame.Parser
 	for stream := uint32(1); ; {
-		ending := s.ending() || stream > changeEvery
+		ending := s.ending() || stream > changeEvery || s.turn() != turn
 		for !ending && len(open) < openEach {
 			token, call := s.draw()
-			open[stream] = sent{token, time.Now()}
+			open[stream] = sent{token, call, time.Now()}
 			if _, err := conn.Write(invocation("hold", stream, call, token)); err != nil {
 				return
 			}
@@ -375,7 +456,7 @@
 				back = max(back, s.answered(open, &f, caller))
 			}
 		}
-		time.Sleep(back + time.Duration(chance.Intn(pace*1_000))*time.Microsecond)
+		time.Sleep(min(back, s.back) + time.Duration(chance.Intn(pace*1_000))*time.Microsecond)
 	}
 }
 
@@ -410,6 +491,7 @@
 		return
 	}
 	delete(open, f.Stream)
+	s.over(o.call)
 	fields, body, err := frame.Fields(f.Payload[1:])
 	if err != nil {
 		s.count("wrong", err.Error())
--- a/lab/rig/supply.go
+++ b/lab/rig/supply.go
@@ -4,21 +4,38 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-const serveMost = 120 // ms that a call takes at the most; one that is given up goes on to its end
+const (
+	serveMost = 120            // ms that a call takes at the most; one that is given up goes on to its end
+	callHold  = 500 * ms       // longest use of a unit
+	callLease = 3_000 * ms     // of calls in hand
+	bookLag   = 500 * ms       // that the book's leases are longer by
+	moveMost  = 1_310 * ms     // a need of before is looked back on for 1 s at the most, an ask comes within 0.25 s, the other's within 0.06 s
+	electMost = 2 * 1_200 * ms // until a council whose leader is gone has another: the longest wait of two seats that stood at once
+	turnFor   = 5 * second     // that callers keep to the same nodes in a storm of calls: all of them, then some, and so on
+	turnNodes = 2              // they go to so many in every other turn
+	turnLeast = second         // of wanted time in a turn that is judged
+	traceMost = 4_000_000      // changes that are remembered
+)
 
 // supply is what lies below all nodes, and counts the calls that it works on by itself.
 type supply struct {
 	listener net.Listener
 	limit    int
 	mu       sync.Mutex
+	stands   map[string]*wish // calls that runs stand at
+	wanted   int
+	used     int
+	trace    []use
 	chance   *rand.Rand
 	inHand   int
 	most     int
@@ -29,8 +46,21 @@
 	began    time.Time
 }
 
+// wish is a call that a run stands at, from the word of its executor to its result there. Its unit is in use from its
+// arrival below to that result, for the longest use of a unit at the most.
+type wish struct {
+	bench *bench
+	used  bool
+}
+
+// use is how many calls were wanted and how many units were in use from a moment on.
+type use struct {
+	at           time.Time
+	wanted, used int
+}
+
 func newSupply(seed int64, limit int) (*supply, error) {
-	s := &supply{limit: limit, chance: rand.New(rand.NewSource(seed + 2))}
+	s := &supply{limit: limit, chance: rand.New(rand.NewSource(seed + 2)), stands: map[string]*wish{}}
 	var err error
 	s.listener, err = accept(s.serve)
 	return s, err
@@ -68,6 +98,7 @@
 			s.over++
 		}
 		s.most = max(s.most, s.inHand)
+		s.uses(w[1])
 		after := time.Duration(s.chance.Intn(serveMost)) * time.Millisecond
 		s.mu.Unlock()
 		time.AfterFunc(after, func() {
@@ -79,11 +110,151 @@
 	}
 }
 
+// note remembers how things stand.
+func (s *supply) note() {
+	if len(s.trace) < traceMost {
+		s.trace = append(s.trace, use{time.Now(), s.wanted, s.used})
+	}
+}
+
+// wants is a run that stands at a call.
+func (s *supply) wants(call string, b *bench) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stands[call] == nil {
+		s.stands[call] = &wish{bench: b}
+		s.wanted++
+		s.note()
+	}
+}
+
+// uses is a call that came, under the lock.
+func (s *supply) uses(call string) {
+	x := s.stands[call]
+	if x == nil || x.used {
+		return
+	}
+	x.used = true
+	s.used++
+	s.note()
+	time.AfterFunc(time.Duration(callHold), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.frees(x)
+	})
+}
+
+func (s *supply) frees(x *wish) {
+	if x.used {
+		x.used = false
+		s.used--
+		s.note()
+	}
+}
+
+// returned is a call's result at the executor; none of a link that is gone comes any more.
+func (s *supply) returned(call string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends(call)
+}
+
+func (s *supply) ends(call string) {
+	if x := s.stands[call]; x != nil {
+		delete(s.stands, call)
+		s.frees(x)
+		s.wanted--
+		s.note()
+	}
+}
+
+func (s *supply) gone(b *bench) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for call, x := range s.stands {
+		if x.bench == b {
+			s.ends(call)
+		}
+	}
+}
+
+// turn is which of the spans a moment falls in.
+func turn(since int64) int64 { return since / turnFor }
+
+// part is how much of a limit was in use while all of it was wanted: the least of all turns, and over them all, with the
+// seconds that were judged. Out holds spans that are left out, from and to in ns since the start.
+func part(trace []use, limit int, start, end time.Time, out [][2]int64) (least, whole, seconds float64, lines []string) {
+	area, length := map[int64]float64{}, map[int64]float64{}
+	for k, u := range trace {
+		until := end
+		if k+1 < len(trace) {
+			until = trace[k+1].at
+		}
+		from, to := int64(u.at.Sub(start)), int64(until.Sub(start))
+		if u.wanted < limit {
+			continue
+		}
+		for at := max(0, from); at < to; {
+			next := min(to, (turn(at)+1)*turnFor)
+			free := true
+			for _, o := range out {
+				if at < o[0] {
+					next = min(next, o[0])
+				} else if at < o[1] {
+					next, free = min(next, o[1]), false
+				}
+			}
+			if free {
+				area[turn(at)] += float64(min(u.used, limit)) / float64(limit) * float64(next-at)
+				length[turn(at)] += float64(next - at)
+			}
+			at = next
+		}
+	}
+	sum, least := 0.0, 1.0
+	for _, k := range slices.Sorted(maps.Keys(length)) {
+		lines = append(lines, fmt.Sprintf("%9.3f calls: %.3f of the limit in use in %.3f s in which it was wanted", float64(k*turnFor)/1e9, area[k]/length[k], length[k]/1e9))
+		sum, seconds = sum+area[k], seconds+length[k]/1e9
+		if length[k] >= float64(turnLeast) {
+			least = min(least, area[k]/length[k])
+		}
+	}
+	if seconds == 0 {
+		return 0, 0, 0, nil
+	}
+	return least, sum / seconds / 1e9, seconds, lines
+}
+
+// left are the spans in which bounds of the design leave units unused: those after the first grant's wait, after a fault,
+// and as load moves.
+func left(spans []*span, start, end int64) (out [][2]int64) {
+	lost := callLease + callLease/50 + bookLag
+	out = append(out, [2]int64{0, lost + moveMost})
+	for _, s := range spans {
+		if s.kind == "loss" {
+			continue
+		}
+		out = append(out, [2]int64{s.from - start, max(s.from+lost, s.to) - start + electMost + moveMost})
+	}
+	for at := int64(0); at < end; at += turnFor {
+		out = append(out, [2]int64{at, at + moveMost})
+	}
+	return out
+}
+
 // measure tells how many calls were in hand at the most and in the mean, and how often there were too many.
-func (s *supply) measure(m map[string]float64) {
+func (s *supply) measure(m map[string]float64, p *processes, spans []*span, start int64) (lines []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.change(0)
 	m["calls"], m["calls_most"], m["calls_over"] = float64(s.calls), float64(s.most), float64(s.over)
 	m["calls_mean"] = s.area / max(1, time.Since(s.began).Seconds())
+	if s.limit == 0 {
+		return nil
+	}
+	began, end := p.began.Add(time.Duration(start)), time.Now()
+	var whole []string
+	m["used_part"], _, m["wanted_s"], lines = part(s.trace, s.limit, began, end, left(spans, start, int64(end.Sub(began))))
+	_, m["used_whole"], m["wanted_whole_s"], whole = part(s.trace, s.limit, began, end, nil)
+	return append(lines, whole...)
 }
