--- a/lab/rig/supply.go
+++ b/lab/rig/supply.go
@@ -4,21 +4,39 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-const serveMost = 120 // ms that a call takes at the most; one that is given up goes on to its end
+const (
+	serveMost = 120            // ms that a call takes at the most; one that is given up goes on to its end
+	callHold  = 500 * ms       // longest use of a unit
+	callLease = 3_000 * ms     // of calls in hand
+	bookLag   = 500 * ms       // that the book's leases are longer by
+	moveMost  = 1_310 * ms     // a need of before is looked back on for 1 s at the most, an ask comes within 0.25 s, the other's within 0.06 s
+	electMost = 2 * 1_200 * ms // until a council whose leader is gone has another: the longest wait of two seats that stood at once
+	turnFor   = 5 * second     // that callers keep to the same nodes in a storm of calls: all of them, then some, and so on
+	turnNodes = 2              // they go to so many in every other turn
+	traceMost = 4_000_000      // changes that are remembered
+)
 
 // supply is what lies below all nodes, and counts the calls that it works on by itself.
 type supply struct {
 	listener net.Listener
 	limit    int
 	mu       sync.Mutex
+	stands   map[string]*wish // calls that runs stand at
+	wanted   int
+	used     int
+	trace    []use
+	works    map[*work]bool // calls in hand
+	overs    []string
 	chance   *rand.Rand
 	inHand   int
 	most     int
@@ -27,10 +45,31 @@
 	area     float64 // calls in hand times seconds
 	since    time.Time
 	began    time.Time
+	started  time.Time // of the storm
+}
+
+// wish is a call that a run stands at, from the word of its executor to its result there. Its unit is in use from its
+// arrival below to that result, for the longest use of a unit at the most.
+type wish struct {
+	bench *bench
+	used  bool
+}
+
+// work is a call in hand. Its end counts from when it is due: a timer that comes late on a busy machine makes none longer,
+// as the dependency is to be done with a call within half of what a use of one unit may last.
+type work struct {
+	call        string
+	from, until time.Time
+}
+
+// use is how many calls were wanted and how many units were in use from a moment on.
+type use struct {
+	at           time.Time
+	wanted, used int
 }
 
 func newSupply(seed int64, limit int) (*supply, error) {
-	s := &supply{limit: limit, chance: rand.New(rand.NewSource(seed + 2))}
+	s := &supply{limit: limit, chance: rand.New(rand.NewSource(seed + 2)), stands: map[string]*wish{}, works: map[*work]bool{}}
 	var err error
 	s.listener, err = accept(s.serve)
 	return s, err
@@ -64,26 +103,197 @@
 		}
 		s.mu.Lock()
 		s.calls++
+		after := time.Duration(s.chance.Intn(serveMost)) * time.Millisecond
+		now := time.Now()
+		x := &work{w[1], now, now.Add(after)}
+		for other := range s.works {
+			if !other.until.After(now) {
+				s.done(other)
+			}
+		}
+		s.works[x] = true
 		if s.change(1); s.inHand > s.limit {
 			s.over++
+			s.tellOver()
 		}
 		s.most = max(s.most, s.inHand)
-		after := time.Duration(s.chance.Intn(serveMost)) * time.Millisecond
+		s.uses(w[1])
 		s.mu.Unlock()
 		time.AfterFunc(after, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			s.change(-1)
+			s.done(x)
 			fmt.Fprintf(conn, "%s DATA 2\r\nok\r\n", w[1])
 		})
 	}
 }
 
+func (s *supply) done(x *work) {
+	if s.works[x] {
+		delete(s.works, x)
+		s.change(-1)
+	}
+}
+
+// tellOver says who has what in hand when there is one too many.
+func (s *supply) tellOver() {
+	if len(s.overs) >= shown {
+		return
+	}
+	now, of := time.Now(), map[string][]int64{}
+	for x := range s.works {
+		who := "a node that is gone or gave it up"
+		if run := s.stands[x.call]; run != nil {
+			who = run.bench.name
+		}
+		of[who] = append(of[who], now.Sub(x.from).Milliseconds())
+	}
+	text := ""
+	for _, who := range slices.Sorted(maps.Keys(of)) {
+		text += fmt.Sprintf("; %s has %d, came %v ms ago", who, len(of[who]), of[who])
+	}
+	s.overs = append(s.overs, fmt.Sprintf("%9.3f calls: %d in hand%s", now.Sub(s.started).Seconds(), s.inHand, text))
+}
+
+// note remembers how things stand.
+func (s *supply) note() {
+	if len(s.trace) < traceMost {
+		s.trace = append(s.trace, use{time.Now(), s.wanted, s.used})
+	}
+}
+
+// wants is a run that stands at a call.
+func (s *supply) wants(call string, b *bench) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stands[call] == nil {
+		s.stands[call] = &wish{bench: b}
+		s.wanted++
+		s.note()
+	}
+}
+
+// uses is a call that came, under the lock.
+func (s *supply) uses(call string) {
+	x := s.stands[call]
+	if x == nil || x.used {
+		return
+	}
+	x.used = true
+	s.used++
+	s.note()
+	time.AfterFunc(time.Duration(callHold), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.frees(x)
+	})
+}
+
+func (s *supply) frees(x *wish) {
+	if x.used {
+		x.used = false
+		s.used--
+		s.note()
+	}
+}
+
+// returned is a call's result at the executor; none of a link that is gone comes any more.
+func (s *supply) returned(call string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends(call)
+}
+
+func (s *supply) ends(call string) {
+	if x := s.stands[call]; x != nil {
+		delete(s.stands, call)
+		s.frees(x)
+		s.wanted--
+		s.note()
+	}
+}
+
+func (s *supply) gone(b *bench) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for call, x := range s.stands {
+		if x.bench == b {
+			s.ends(call)
+		}
+	}
+}
+
+// part is how much of a limit was in use while all of it was wanted: of turns in which all nodes want, of those in which
+// some do, and over both, with the seconds that were judged. Out holds spans that are left out, in ns since the start.
+func part(trace []use, limit int, start, end time.Time, out [][2]int64) (of [2]float64, whole, judged float64, lines []string) {
+	area, length := map[int64]float64{}, map[int64]float64{}
+	for k, u := range trace {
+		until := end
+		if k+1 < len(trace) {
+			until = trace[k+1].at
+		}
+		if u.wanted < limit {
+			continue
+		}
+		to := int64(until.Sub(start))
+		for at := max(0, int64(u.at.Sub(start))); at < to; {
+			next, free := min(to, (at/turnFor+1)*turnFor), true
+			for _, o := range out {
+				if at < o[0] {
+					next = min(next, o[0])
+				} else if at < o[1] {
+					next, free = min(next, o[1]), false
+				}
+			}
+			if free {
+				area[at/turnFor] += float64(min(u.used, limit)) / float64(limit) * float64(next-at)
+				length[at/turnFor] += float64(next - at)
+			}
+			at = next
+		}
+	}
+	var areas, lengths [2]float64
+	for _, k := range slices.Sorted(maps.Keys(length)) {
+		lines = append(lines, fmt.Sprintf("%9.3f calls: %.3f of the limit in use in %.3f s in which it was wanted", float64(k*turnFor)/1e9, area[k]/length[k], length[k]/1e9))
+		areas[k%2], lengths[k%2] = areas[k%2]+area[k], lengths[k%2]+length[k]
+	}
+	for k := range of {
+		of[k] = areas[k] / max(1, lengths[k])
+	}
+	judged = lengths[0] + lengths[1]
+	return of, (areas[0] + areas[1]) / max(1, judged), judged / 1e9, lines
+}
+
+// left are the spans in which bounds of the design leave units unused: before the first grants, after a fault, and as load
+// moves. Times are ns since the start, first that of the first call.
+func left(spans []*span, start, first, end int64) (out [][2]int64) {
+	lost := callLease + callLease/50 + bookLag
+	out = append(out, [2]int64{0, max(lost, first) + moveMost})
+	for _, s := range spans {
+		if s.kind != "loss" {
+			out = append(out, [2]int64{s.from - start, max(s.from+lost, s.to) - start + electMost + moveMost})
+		}
+	}
+	for at := int64(0); at < end; at += turnFor {
+		out = append(out, [2]int64{at, at + moveMost})
+	}
+	return out
+}
+
 // measure tells how many calls were in hand at the most and in the mean, and how often there were too many.
-func (s *supply) measure(m map[string]float64) {
+func (s *supply) measure(m map[string]float64, p *processes, spans []*span) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.change(0)
 	m["calls"], m["calls_most"], m["calls_over"] = float64(s.calls), float64(s.most), float64(s.over)
 	m["calls_mean"] = s.area / max(1, time.Since(s.began).Seconds())
+	if s.limit == 0 {
+		return nil
+	}
+	began, end := p.storm.began, time.Now()
+	first, start := int64(s.began.Sub(began)), int64(began.Sub(p.began))
+	of, _, judged, lines := part(s.trace, s.limit, began, end, left(spans, start, first, int64(end.Sub(began))))
+	m["used_spread"], m["used_moved"], m["wanted_s"] = of[0], of[1], judged
+	_, m["used_whole"], _, _ = part(s.trace, s.limit, began, end, nil)
+	return append(s.overs, lines...)
 }
