--- /dev/null
+++ b/council/claims.go
@@ -0,0 +1,145 @@
+package council
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"topazpost/claims"
+	"topazpost/takeover"
+)
+
+const passEvery = 250 * ms // ns that the table's time may lag
+
+type asked struct {
+	owner claims.Owner
+	seq   uint64
+}
+
+// claimTable is the council's table of claims: who waits here for a verdict, who is to be told that a claim is over, and
+// while this seat leads, time and hand-overs.
+type claimTable struct {
+	seat     *Seat
+	most     int64 // bytes of the table, 0 for the usual
+	view     []takeover.Member
+	table    *claims.Table
+	plan     *takeover.Planner
+	passedAt int64 // when this seat carried out the last Pass
+	queued   []claims.Command
+	pending  map[asked]int64 // when
+	verdicts map[claims.Owner][]claims.Verdict
+	tells    map[claims.Owner][]claims.Key
+	alter    func(command *claims.Command, table *claims.Table) // of tests that want a fault to be found
+}
+
+func (x *claimTable) forget() {
+	x.table, x.plan, x.passedAt, x.queued = claims.NewTable(), nil, x.seat.now, nil
+	x.pending, x.verdicts, x.tells = map[asked]int64{}, map[claims.Owner][]claims.Verdict{}, map[claims.Owner][]claims.Key{}
+}
+
+func (x *claimTable) lead() { x.plan = takeover.New() }
+
+// wanted takes a command of a node on; without a leader it is dropped, and the node asks again.
+func (x *claimTable) wanted(command claims.Command) {
+	if x.seat.leader == 0 || len(x.pending) >= pendingMost {
+		return
+	}
+	x.pending[asked{command.From, command.Seq}] = x.seat.now
+	x.queued = append(x.queued, command)
+}
+
+func (x *claimTable) sweep() {
+	for key, at := range x.pending {
+		if x.seat.now-at >= pendingFor {
+			delete(x.pending, key)
+		}
+	}
+}
+
+// rule is what a leader proposes of its own: time and hand-overs.
+func (x *claimTable) rule() {
+	now := x.seat.now
+	if now-x.passedAt >= passEvery {
+		x.queued = append(x.queued, claims.Command{Kind: claims.Pass, At: x.table.Time(), For: now - x.passedAt, Most: x.most})
+	}
+	commands, gifts := x.plan.Step(now, x.view, x.table, now-x.passedAt)
+	x.queued = append(x.queued, commands...)
+	for i := range gifts {
+		g := &gifts[i]
+		if g.For <= 0 {
+			continue
+		}
+		if g.First {
+			x.seat.remark(false, "claim %s of %s is taken over by %s: fence %d, %d ms to its due time", g.Entry.Key, g.From.Name, g.To.Name,
+				g.Entry.Fence, g.For/ms)
+		}
+		x.seat.send(g.To.Name, Message{Kind: Gift, Owner: g.To, Entry: g.Entry, For: g.For})
+	}
+}
+
+func (x *claimTable) next() (part []byte) {
+	part, x.queued = nextPart(x.queued)
+	return part
+}
+
+// nextPart encodes the first of what is queued, as many as an entry may have of a kind.
+func nextPart[T any](queued []T) (part []byte, rest []T) {
+	n := min(len(queued), entryMost)
+	if n == 0 {
+		return nil, nil
+	}
+	part, err := cbor.Marshal(queued[:n])
+	if err != nil {
+		return nil, nil // asked for again
+	}
+	return part, queued[n:]
+}
+
+// Apply carries claims' part of an entry out; the time is the table's own.
+func (x *claimTable) Apply(_ int64, part []byte) {
+	var list []claims.Command
+	if decode.Unmarshal(part, &list) != nil {
+		return
+	}
+	if slices.ContainsFunc(list, func(c claims.Command) bool { return c.Kind >= claims.Kinds }) {
+		panic("a command of a newer version: the others' tables would not be this one's any more")
+	}
+	for i := range list {
+		x.carryOut(&list[i])
+	}
+}
+
+func (x *claimTable) carryOut(command *claims.Command) {
+	x.seat.Counters.Agreed++
+	key := asked{command.From, command.Seq}
+	if x.alter != nil {
+		x.alter(command, x.table)
+	}
+	v := x.table.Apply(command)
+	if command.Kind == claims.Pass {
+		x.passedAt = x.seat.now
+	}
+	if _, here := x.pending[key]; here {
+		delete(x.pending, key)
+		x.verdicts[command.From] = append(x.verdicts[command.From], v)
+	}
+	if x.seat.leads() {
+		for _, t := range x.table.Told {
+			for _, o := range t.Asking {
+				x.tells[o] = append(x.tells[o], t.Key)
+			}
+		}
+	}
+}
+
+// Snapshot is the table of claims.
+func (x *claimTable) Snapshot() ([]byte, error) { return x.table.Snapshot() }
+
+// Restore takes the place of the table of claims.
+func (x *claimTable) Restore(text []byte) (err error) {
+	x.passedAt = x.seat.now
+	if x.table = claims.NewTable(); len(text) > 0 {
+		x.table, err = claims.Restore(text)
+	}
+	return err
+}
