Council: a seat on a disk goes on from it, and an old disk is told by the others

A council in memory forgets when all of it is lost at once. A seat that is back asks the others for the last write that they heard of it, which they keep with their own, and begins anew under a fresh number where its disk is behind that.

In memory nothing changes.

--- a/council/claims.go
+++ b/council/claims.go
@@ -77,6 +77,8 @@
 	}
 }
 
+func (x *claimTable) apart() bool { return false }
+
 func (x *claimTable) next() (part []byte) {
 	part, x.queued = nextPart(x.queued)
 	return part
--- a/council/council.go
+++ b/council/council.go
@@ -27,6 +27,10 @@
 	Verdicts                 // their answers
 	Tells                    // claims that the receiver waits for are over
 	Gift                     // the receiver inherits a claim
+	Return                   // a seat that is back from its disk asks what was heard of it
+	Heard                    // the answer
+	Want                     // a seat asks for a piece of what a snapshot names
+	Piece                    // the answer
 )
 
 // Message is what seats and nodes tell each other.
@@ -46,6 +50,11 @@
 	For      int64            `cbor:"13,keyasint,omitempty"` // Gift: ns to its due time
 	Leases   []quota.Command  `cbor:"15,keyasint,omitempty"` // Propose
 	Grants   []quota.Verdict  `cbor:"16,keyasint,omitempty"` // Verdicts
+	Number   uint64           `cbor:"17,keyasint,omitempty"` // Raft: the last write that counts at the sender; Heard: the last that was heard
+	Part     string           `cbor:"18,keyasint,omitempty"` // Want, Piece: its digest
+	Offset   int              `cbor:"19,keyasint,omitempty"` // in it
+	Size     int              `cbor:"20,keyasint,omitempty"` // of it
+	Bytes    []byte           `cbor:"21,keyasint,omitempty"`
 	Leader   string           `cbor:"14,keyasint,omitempty"` // who leads the council, as far as the sender knows
 }
 
@@ -55,6 +64,9 @@
 	Own     []claims.Command
 	Leases  []quota.Command   // of this node's own
 	View    []takeover.Member // nil where it did not change
+
+	Persisted uint64 // writes up to this number count
+	Err       error  // of the disk: that and all later ones can't be written
 }
 
 // EffectKind names what is to be done.
@@ -62,8 +74,9 @@
 
 // The effects.
 const (
-	Send   EffectKind = iota // to the node To
-	Remark                   // tell operators
+	Send    EffectKind = iota // to the node To
+	Remark                    // tell operators
+	Persist                   // write to the disk, in order, then say so
 )
 
 // Effect is one thing to do. A message to this node's own name is one to itself.
@@ -73,6 +86,7 @@
 	Message Message
 	Text    string
 	Warn    bool
+	Write   *Write
 }
 
 // Picture is what a node shows of claims.
@@ -171,6 +185,9 @@
 		c.wanted(in.Own[i])
 	}
 	c.lease(in.Leases)
+	if in.Persisted > 0 || in.Err != nil {
+		c.kept(in.Persisted, in.Err)
+	}
 	m := in.Message
 	if m == nil {
 		return
@@ -187,6 +204,16 @@
 		c.hailed(m)
 	case Raft:
 		c.fromSeat(m)
+	case Return:
+		if slices.Contains(c.names, m.From) {
+			c.answerReturn(m.From, m.ID)
+		}
+	case Heard:
+		c.toldHeard(m)
+	case Want:
+		c.wantedPiece(m)
+	case Piece:
+		c.gotPiece(m)
 	}
 }
 
--- a/council/helpers_test.go
+++ b/council/helpers_test.go
@@ -31,6 +31,7 @@
 	ended   map[claims.Key]string
 	waking  int64
 	backlog []event
+	disk    *disk // nil for one that is in memory only; it outlives the machine's lives
 }
 
 // ask is one caller's try.
@@ -81,6 +82,10 @@
 	careless bool // mutation: fences are not compared
 	taken    int
 	checked  uint64
+	disks    bool                    // seats have disks
+	extra    func(i int, c *Council) // done to each seat before it takes part
+	resumed  int                     // seats that went on from their disks
+	slow     int64                   // ns that a write may take, beside the usual
 }
 
 func newWorld(seed int64, nodes, seats int) *world {
@@ -128,11 +133,17 @@
 	if m.up {
 		return
 	}
-	*m = machine{name: m.name, up: true, life: uint64(w.now)<<8 | uint64(i), asks: map[claims.Key][]*ask{}, held: map[claims.Key]bool{},
+	*m = machine{name: m.name, disk: m.disk, up: true, life: uint64(w.now)<<8 | uint64(i), asks: map[claims.Key][]*ask{}, held: map[claims.Key]bool{},
 		begun: map[claims.Key]bool{}, ended: map[claims.Key]string{}, waking: -1}
 	m.desk = claims.NewDesk(claims.Owner{Name: m.name, Life: m.life})
 	if i < len(w.seats) {
 		m.seat = New(w.seats, m.name, m.life, w.now, w.chance.Int63())
+		if w.extra != nil {
+			w.extra(i, m.seat)
+		}
+		if w.disks {
+			w.recover(m)
+		}
 		if w.careless {
 			m.seat.alter = func(c *claims.Command, t *claims.Table) {
 				if e := t.Find(c.Key); e != nil && (c.Kind == claims.Start || c.Kind == claims.End) {
@@ -154,6 +165,9 @@
 		return
 	}
 	m.up = false
+	if m.disk != nil {
+		m.disk.crash(w.chance)
+	}
 	for _, a := range w.asked {
 		if a.node == i {
 			w.answer(a, "lost")
@@ -200,8 +214,11 @@
 			effects, wake := m.seat.Step(w.now, in)
 			next = min(next, wake)
 			for k := range effects {
-				if e := &effects[k]; e.Kind == Send {
+				switch e := &effects[k]; e.Kind {
+				case Send:
 					w.send(i, e.To, e.Message)
+				case Persist:
+					w.persist(i, e.Write)
 				}
 			}
 			w.check(m.seat)
--- a/council/leases.go
+++ b/council/leases.go
@@ -59,6 +59,8 @@
 	}
 }
 
+func (x *leaseTable) apart() bool { return false }
+
 func (x *leaseTable) next() (part []byte) {
 	part, x.asks = nextPart(x.asks)
 	return part
--- a/council/seat.go
+++ b/council/seat.go
@@ -1,6 +1,7 @@
 package council
 
 import (
+	"errors"
 	"fmt"
 	"math/rand"
 	"slices"
@@ -52,9 +53,12 @@
 	forget()      // a life of the seat begins: nothing is known or waited for
 	lead()        // this seat leads from now on
 	rule()        // a look at what is to be proposed as the leader's own
+	apart() bool  // it is large and changes seldom: snapshots name it by its digest
 	next() []byte // the next part of what is to be proposed, nil where nothing is; it is handed out once
 }
 
+var errLacks = errors.New("a part that the snapshot names is not here")
+
 // incumbent is who sits there: a life, under a number of its own in raft. One that comes back without what it knew is another
 // number, so that it can't vote or answer for what it forgot.
 type incumbent struct {
@@ -113,11 +117,19 @@
 	hailAt    int64
 	ruleAt    int64
 	whisperAt int64
-	whispers  bool // in this step, though it is muted
+	whispers  bool // in the next words, though it is muted
+
+	disk drive
+	born uint64 // life of the process
+
+	parts   map[string][]byte // of snapshots, by digest: those that are not within them
+	named   []string          // by the last snapshot but one
+	digests []string          // of held, where they are known
+	fetch   *fetch            // nil where no snapshot waits
 }
 
 func newSeat(names []string, self string, life uint64, now, seed int64) *Seat {
-	return &Seat{self: self, life: life, names: slices.Sorted(slices.Values(names)), chance: rand.New(rand.NewSource(seed ^ int64(life))), now: now}
+	return &Seat{self: self, life: life, born: life, names: slices.Sorted(slices.Values(names)), chance: rand.New(rand.NewSource(seed ^ int64(life))), now: now}
 }
 
 // begin is a life of this seat, with nothing known.
@@ -127,7 +139,12 @@
 	x.seats, x.hails = map[string]incumbent{}, map[string]Message{}
 	x.applied, x.snapped, x.confState, x.founded, x.bound = 0, 0, nil, false, 0
 	x.leader, x.answered, x.snapAt, x.heardOf = 0, map[uint64]int64{}, map[uint64]int64{}, map[string]uint64{}
-	x.held = make([][]byte, len(x.tables))
+	x.held, x.digests, x.whispers = make([][]byte, len(x.tables)), make([]string, len(x.tables)), false
+	x.parts, x.named, x.fetch = map[string][]byte{}, nil, nil
+	x.disk.marks, x.disk.marked, x.disk.owed, x.disk.returning = map[uint64]uint64{}, false, nil, nil
+	if x.disk.on && x.disk.written {
+		x.write(Write{Forget: true}, nil)
+	}
 	for _, t := range x.tables {
 		t.forget()
 	}
@@ -160,8 +177,8 @@
 		x.timers()
 		x.propose()
 		x.ready()
+		x.whispers = x.whispers && x.disk.owed != nil
 	})
-	x.whispers = false
 }
 
 func (x *Seat) stand() { x.electAt = x.now + electLeast + x.chance.Int63n(electLeast) }
@@ -201,8 +218,7 @@
 	defer func() {
 		if what := recover(); what != nil {
 			x.Counters.Broken++
-			x.life++
-			x.begin()
+			x.anew()
 			x.remark(true, "the council's seat could not go on and begins anew: %v", what)
 		}
 	}()
@@ -211,13 +227,14 @@
 
 func (x *Seat) fromSeat(in *Message) {
 	m := new(pb.Message)
-	if proto.Unmarshal(in.Raft, m) != nil || m.GetTo() != x.id || !slices.Contains(x.names, in.From) {
+	if proto.Unmarshal(in.Raft, m) != nil || m.GetTo() != x.id || !slices.Contains(x.names, in.From) || x.disk.returning != nil {
 		return
 	}
 	if len(x.answered) >= numbersMost {
 		clear(x.answered)
 	}
 	x.answered[m.GetFrom()], x.heardOf[in.From] = x.now, m.GetFrom()
+	x.heardWrite(m.GetFrom(), in.Number, in.From)
 	switch m.GetType() {
 	case pb.MsgPreVote, pb.MsgVote: // who hears a leader, or leads, does not help to unseat it
 		if x.leader != 0 && x.now < x.heardAt+electLeast && m.GetFrom() != x.leader {
@@ -229,6 +246,9 @@
 			x.stand()
 		}
 	}
+	if m.GetType() == pb.MsgSnap && x.lacks(m, in.From) {
+		return
+	}
 	x.node.Step(m) // what it refuses is old
 	x.lead()
 }
@@ -276,10 +296,13 @@
 func (x *Seat) timers() {
 	if !x.founded {
 		x.found()
-	} else if x.applied == 1 && x.leader == 0 && x.now-x.boundAt > foundFor {
-		x.life++ // nothing was ever agreed on; others may have given this founding up
-		x.begin()
+	} else if x.disk.returning != nil {
+		x.comeBack()
+		return
+	} else if last, _ := x.storage.LastIndex(); last == 1 && x.applied == 1 && x.leader == 0 && x.now-x.boundAt > foundFor {
+		x.anew() // nothing was ever agreed on or acknowledged; others may have given this founding up
 	}
+	x.ask()
 	if x.leads() {
 		if x.now >= x.beatAt {
 			x.beatAt = x.now + beatEvery
@@ -354,34 +377,54 @@
 	}
 }
 
-// ready carries out what raft wants done, until there is nothing more.
+// ready carries out what raft wants done, until there is nothing more, or the disk is waited for.
 func (x *Seat) ready() {
-	for x.node.HasReady() {
+	for x.disk.owed == nil && !x.disk.failed && x.node.HasReady() {
 		rd := x.node.Ready()
-		if !raft.IsEmptySnap(rd.Snapshot) {
-			x.storage.ApplySnapshot(rd.Snapshot)
-			x.restore(rd.Snapshot)
-		}
-		if !raft.IsEmptyHardState(rd.HardState) {
-			x.storage.SetHardState(rd.HardState)
-		}
-		x.storage.Append(rd.Entries)
-		muted := x.muted()
-		for _, m := range rd.Messages {
-			if m.GetType() == pb.MsgSnap { // raft waits for word of it, sent or not
-				x.snapAt[m.GetTo()] = x.now
-			}
-			if !muted || x.whispers {
-				x.post(m)
+		if x.disk.on && !(raft.IsEmptySnap(rd.Snapshot) && raft.IsEmptyHardState(rd.HardState) && len(rd.Entries) == 0) {
+			if x.disk.rash {
+				x.say(rd.Messages)
+				rd.Messages = nil
 			}
+			x.persist(&rd)
+			return
+		}
+		x.carry(&rd)
+	}
+	if x.disk.owed == nil {
+		x.compact()
+	}
+}
+
+// carry does what raft wants done, once it is on the disk where there is one.
+func (x *Seat) carry(rd *raft.Ready) {
+	if !raft.IsEmptySnap(rd.Snapshot) {
+		x.storage.ApplySnapshot(rd.Snapshot)
+		x.restore(rd.Snapshot)
+	}
+	if !raft.IsEmptyHardState(rd.HardState) {
+		x.storage.SetHardState(rd.HardState)
+	}
+	x.storage.Append(rd.Entries)
+	x.say(rd.Messages)
+	for _, e := range rd.CommittedEntries {
+		x.apply(e)
+	}
+	x.node.Advance(*rd)
+	x.lead()
+}
+
+// say posts raft's messages, where this seat is not muted.
+func (x *Seat) say(messages []*pb.Message) {
+	muted := x.muted()
+	for _, m := range messages {
+		if m.GetType() == pb.MsgSnap { // raft waits for word of it, sent or not
+			x.snapAt[m.GetTo()] = x.now
 		}
-		for _, e := range rd.CommittedEntries {
-			x.apply(e)
+		if !muted || x.whispers {
+			x.post(m)
 		}
-		x.node.Advance(rd)
-		x.lead()
 	}
-	x.compact()
 }
 
 func (x *Seat) post(m *pb.Message) {
@@ -393,7 +436,7 @@
 		if x.seats[name].ID != m.GetTo() && x.heardOf[name] != m.GetTo() { // who sits there now may be news that this one lacks
 			continue
 		}
-		x.send(name, Message{Kind: Raft, Raft: text})
+		x.send(name, Message{Kind: Raft, Raft: text, Number: x.disk.persisted})
 		return
 	}
 }
@@ -460,8 +503,8 @@
 	}
 	for i, t := range x.tables {
 		var text []byte
-		if part := parts[keySeats+1+uint8(i)]; err == nil && part != nil {
-			err = cbor.Unmarshal(part, &text)
+		if err == nil {
+			text, x.digests[i], err = x.unpart(parts[keySeats+1+uint8(i)])
 		}
 		if err == nil {
 			err = t.Restore(text)
@@ -475,21 +518,15 @@
 	x.confState = s.GetMetadata().GetConfState()
 	x.applied, x.snapped = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
 	x.founded = true
+	x.trim()
 	x.Counters.Snapshots++
 }
 
 // snapshot is all that is known here. What did not change since the last one is not written anew.
 func (x *Seat) snapshot() []byte {
 	all := map[uint8]any{keySeats: x.seats}
-	for i, t := range x.tables {
-		if x.held[i] == nil {
-			text, err := t.Snapshot()
-			if err != nil {
-				panic(err)
-			}
-			x.held[i] = text
-		}
-		all[keySeats+1+uint8(i)] = x.held[i]
+	for i := range x.tables {
+		all[keySeats+1+uint8(i)] = x.part(i)
 	}
 	text, err := canonical.Marshal(all)
 	if err != nil {
@@ -512,6 +549,8 @@
 	x.Counters.Snapshots++
 	x.snapped = x.applied
 	x.storage.Compact(x.applied - min(x.applied-1, entriesKept))
+	x.trim()
+	x.rebase()
 }
 
 // due is when the next of the timers is.
@@ -520,6 +559,12 @@
 	if !x.founded {
 		at = min(at, x.hailAt)
 	}
+	if x.disk.returning != nil {
+		return min(at, x.disk.returnAt)
+	}
+	if x.fetch != nil {
+		at = min(at, x.fetch.askAt)
+	}
 	if x.leads() {
 		return min(at, x.beatAt, x.ruleAt)
 	}
@@ -538,8 +583,7 @@
 		x.bound, x.boundAt = bound, x.now
 		x.hailAt = x.now
 	case x.bound != 0 && x.now-x.boundAt > bindFor:
-		x.life++ // nobody can count on that number any more: it took part in nothing
-		x.begin()
+		x.anew() // nobody can count on that number any more: it took part in nothing
 	}
 	if x.bound != 0 && x.allBound() {
 		x.establish()
@@ -602,6 +646,7 @@
 	x.storage.ApplySnapshot(&pb.Snapshot{Data: x.snapshot(), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: &one, Term: &one}})
 	x.storage.SetHardState(&pb.HardState{Term: &one, Commit: &one})
 	x.confState, x.applied, x.snapped, x.founded = conf, 1, 1, true
+	x.rebase()
 	x.raft(1)
 	x.stand()
 	if len(x.names) == 1 {
