--- /dev/null
+++ b/configuration/board.go
@@ -0,0 +1,73 @@
+package configuration
+
+import (
+	"cmp"
+	"slices"
+)
+
+const standingsMost = 2_000 // nodes that a seat knows reports of: above any table of members
+
+// Standing is what one node reported last.
+type Standing struct {
+	Name    string
+	Mark    Mark
+	Refused Mark
+	Why     string
+	Age     int64 // ns since Mark was in force there, when it reported
+	At      int64 // when it reported
+}
+
+// Board is what nodes reported to one seat. It isn't agreed on: all seats' boards together say how the fleet stands.
+// The zero value is empty.
+type Board struct {
+	nodes    map[string]*Standing
+	refusers map[string]*Standing // those of nodes that can't take something
+}
+
+// Report notes what a node has. The one that was silent longest makes room.
+func (b *Board) Report(now int64, name string, has, refused Mark, why string, age int64) {
+	s := b.nodes[name]
+	if s == nil {
+		if b.nodes == nil {
+			b.nodes, b.refusers = map[string]*Standing{}, map[string]*Standing{}
+		}
+		if len(b.nodes) >= standingsMost {
+			var old *Standing
+			for _, s := range b.nodes {
+				if old == nil || cmp.Or(cmp.Compare(s.At, old.At), cmp.Compare(s.Name, old.Name)) < 0 {
+					old = s
+				}
+			}
+			delete(b.nodes, old.Name)
+			delete(b.refusers, old.Name)
+		}
+		s = &Standing{Name: name}
+		b.nodes[name] = s
+	}
+	s.Mark, s.Refused, s.Why, s.Age, s.At = has, refused, cut(why, reasonMost), age, now
+	if refused.Version > 0 {
+		b.refusers[name] = s
+	} else {
+		delete(b.refusers, name)
+	}
+}
+
+// Standings are all that are known, by name.
+func (b *Board) Standings() []Standing {
+	list := make([]Standing, 0, len(b.nodes))
+	for _, s := range b.nodes {
+		list = append(list, *s)
+	}
+	slices.SortFunc(list, func(x, y Standing) int { return cmp.Compare(x.Name, y.Name) })
+	return list
+}
+
+// refusal is a node that can't take a version, the first by name.
+func (b *Board) refusal(mark Mark) (who, why string, ok bool) {
+	for _, s := range b.refusers {
+		if s.Refused == mark && mark.Version > 0 && (!ok || s.Name < who) {
+			who, why, ok = s.Name, s.Why, true
+		}
+	}
+	return who, why, ok
+}
--- /dev/null
+++ b/configuration/content.go
@@ -0,0 +1,473 @@
+// Package configuration decides which version of a fleet's settings is agreed on, which a node has, and whom it asks for
+// what is missing. It does no I/O, reads no clock, and never looks into a value: items are names and canonical JSON.
+package configuration
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The parts of a configuration.
+const (
+	Operations = "operations"
+	Tenants    = "tenants"
+	Limits     = "limits"
+)
+
+const (
+	fan         = 32               // pages, and blocks of a page: a change copies one page and one block
+	Blocks      = fan * fan        // ranges of hashes of names: some 9 kB each at 4,700 operations and 130,000 tenants
+	blockBits   = 10               // of a hash that say the block
+	nameMost    = 256              // bytes of a name
+	valueMost   = 4 << 10          // bytes of a value: several times an operation with all its settings
+	blockMost   = 40 << 10         // bytes of a block: it travels whole in one exchange, beside a head
+	contentMost = 16 << 20         // bytes of a content: what letter takes as a snapshot
+	seedSecond  = 0x63_6f_6e_66_32 // of the second half of a digest
+	digestBytes = 16
+)
+
+var partNames = [...]string{Operations, Tenants, Limits}
+
+const parts = len(partNames)
+
+// Item is one setting: a part, a name, and the canonical JSON of its value, nil where it is removed.
+type Item struct {
+	Part  string `cbor:"1,keyasint"`
+	Name  string `cbor:"2,keyasint"`
+	Value []byte `cbor:"3,keyasint,omitempty"`
+}
+
+// Digest is of a set of items: the sum of their hashes, so it doesn't depend on order and changes with one item at the
+// cost of that item. It finds faults; it doesn't withstand somebody who computes forgeries.
+type Digest struct {
+	_    struct{} `cbor:",toarray"`
+	A, B uint64
+}
+
+func (d Digest) String() string { return fmt.Sprintf("%016x%016x", d.A, d.B) }
+
+func (d Digest) plus(e Digest) Digest  { return Digest{A: d.A + e.A, B: d.B + e.B} }
+func (d Digest) minus(e Digest) Digest { return Digest{A: d.A - e.A, B: d.B - e.B} }
+
+func (d Digest) append(to []byte) []byte {
+	return binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(to, d.A), d.B)
+}
+
+func digestAt(b []byte, k int) Digest {
+	b = b[k*digestBytes:]
+	return Digest{A: binary.LittleEndian.Uint64(b), B: binary.LittleEndian.Uint64(b[8:])}
+}
+
+// digestOf is of one encoded item.
+func digestOf(text []byte) Digest {
+	var second xxhash.Digest
+	second.ResetWithSeed(seedSecond)
+	_, _ = second.Write(text)
+	return Digest{A: xxhash.Sum64(text), B: second.Sum64()}
+}
+
+// page is some blocks with their digests. A block is its items in order of part and name, each a byte of part and two
+// strings with their lengths before them; it is never changed.
+type page struct {
+	blocks [fan][]byte
+	sums   [fan]Digest
+	sum    Digest
+}
+
+// Content is a whole configuration. It is never changed: one that differs in an item shares all but a page and a block.
+// The zero value is empty.
+type Content struct {
+	pages [fan]*page
+	sums  [parts]Digest
+	items [parts]int
+	bytes int
+}
+
+// Digest is of the whole.
+func (c *Content) Digest() (sum Digest) {
+	for _, d := range c.sums {
+		sum = sum.plus(d)
+	}
+	return sum
+}
+
+// PartDigest is of one part.
+func (c *Content) PartDigest(part string) (sum Digest) {
+	if k := slices.Index(partNames[:], part); k >= 0 {
+		sum = c.sums[k]
+	}
+	return sum
+}
+
+// Len is how many items a part has.
+func (c *Content) Len(part string) int {
+	if k := slices.Index(partNames[:], part); k >= 0 {
+		return c.items[k]
+	}
+	return 0
+}
+
+// Bytes is how much names and values take, encoded.
+func (c *Content) Bytes() int { return c.bytes }
+
+// Block is one range as it travels, and its digest. It must not be changed.
+func (c *Content) Block(n int) ([]byte, Digest) {
+	if p := c.pages[n/fan]; p != nil {
+		return p.blocks[n%fan], p.sums[n%fan]
+	}
+	return nil, Digest{}
+}
+
+// pageSums are the digests of all pages in a row.
+func (c *Content) pageSums() []byte {
+	to := make([]byte, 0, fan*digestBytes)
+	for _, p := range c.pages {
+		if p == nil {
+			p = &page{}
+		}
+		to = p.sum.append(to)
+	}
+	return to
+}
+
+// index is the digests of all blocks in a row; their sum is the digest of the whole.
+func (c *Content) index() []byte {
+	to := make([]byte, 0, Blocks*digestBytes)
+	for k := range fan {
+		to = c.pageIndex(to, k)
+	}
+	return to
+}
+
+func (c *Content) pageIndex(to []byte, k int) []byte {
+	for n := range fan {
+		_, sum := c.Block(k*fan + n)
+		to = sum.append(to)
+	}
+	return to
+}
+
+// blockOf is where an item is.
+func blockOf(part byte, name string) int {
+	var room [nameMost + 1]byte
+	return int(xxhash.Sum64(append(append(room[:0], part), name...)) >> (64 - blockBits))
+}
+
+// entry is an item as it stands in a block.
+type entry struct {
+	part  byte
+	name  []byte
+	value []byte
+	text  []byte // all of it
+}
+
+func (e *entry) item() Item { return Item{partNames[e.part], string(e.name), e.value} }
+
+func (e *entry) compare(part byte, name string) int {
+	if n := cmp.Compare(e.part, part); n != 0 {
+		return n
+	}
+	return strings.Compare(string(e.name), name) // no copy is made of it
+}
+
+// take reads the first entry of a block, ok unless it is malformed.
+func take(block []byte) (e entry, rest []byte, ok bool) {
+	if len(block) == 0 || int(block[0]) >= parts {
+		return e, nil, false
+	}
+	e.part, rest = block[0], block[1:]
+	if e.name, rest, ok = takeString(rest, nameMost); !ok {
+		return e, nil, false
+	}
+	e.value, rest, ok = takeString(rest, valueMost)
+	e.text = block[:len(block)-len(rest)]
+	return e, rest, ok && len(e.value) > 0
+}
+
+func takeString(from []byte, most uint64) (text, rest []byte, ok bool) {
+	n, used := binary.Uvarint(from)
+	if used <= 0 || n > most || n > uint64(len(from)-used) {
+		return nil, nil, false
+	}
+	from = from[used:]
+	return from[:n:n], from[n:], true
+}
+
+func appendEntry(to []byte, part byte, name string, value []byte) []byte {
+	to = binary.AppendUvarint(append(to, part), uint64(len(name)))
+	to = binary.AppendUvarint(append(to, name...), uint64(len(value)))
+	return append(to, value...)
+}
+
+// Get is an item's value, nil where there is none. It must not be changed.
+func (c *Content) Get(part, name string) []byte {
+	k := slices.Index(partNames[:], part)
+	if k < 0 || len(name) > nameMost {
+		return nil
+	}
+	block, _ := c.Block(blockOf(byte(k), name))
+	for len(block) > 0 {
+		e, rest, _ := take(block)
+		if n := e.compare(byte(k), name); n == 0 {
+			return e.value
+		} else if n > 0 {
+			break
+		}
+		block = rest
+	}
+	return nil
+}
+
+// All yields each item; values must not be changed.
+func (c *Content) All(yield func(Item) bool) {
+	for n := range Blocks {
+		for block, _ := c.Block(n); len(block) > 0; {
+			e, rest, _ := take(block)
+			if !yield(e.item()) {
+				return
+			}
+			block = rest
+		}
+	}
+}
+
+// Canonical writes a JSON value in the one form that digests are of: keys sorted, no white space, numbers as they were
+// spelt.
+func Canonical(value []byte) ([]byte, error) {
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.UseNumber()
+	var tree any
+	if err := d.Decode(&tree); err != nil {
+		return nil, err
+	}
+	if d.More() {
+		return nil, fmt.Errorf("more than one value")
+	}
+	var to bytes.Buffer
+	e := json.NewEncoder(&to)
+	e.SetEscapeHTML(false)
+	if err := e.Encode(tree); err != nil {
+		return nil, err
+	}
+	return bytes.TrimSpace(to.Bytes()), nil
+}
+
+// usable says what is wrong with an item, or nothing.
+func (i *Item) usable() error {
+	switch {
+	case !slices.Contains(partNames[:], i.Part):
+		return fmt.Errorf("configuration: part %q is none of %s", i.Part, strings.Join(partNames[:], ", "))
+	case i.Name == "" || len(i.Name) > nameMost:
+		return fmt.Errorf("configuration: a name in %s of %d bytes; it must have 1 to %d", i.Part, len(i.Name), nameMost)
+	case len(i.Value) > valueMost:
+		return fmt.Errorf("configuration: %s %q has %d bytes; %d at the most", i.Part, i.Name, len(i.Value), valueMost)
+	}
+	return nil
+}
+
+// Apply is the content with some items changed, the later counting where one comes twice. It costs what the blocks of
+// those items cost. An item that can't be held is told by name, and nothing changes then.
+func (c *Content) Apply(changes []Item) (*Content, error) {
+	order := make([]placed, len(changes))
+	for k := range changes {
+		i := &changes[k]
+		if err := i.usable(); err != nil {
+			return nil, err
+		}
+		part := byte(slices.Index(partNames[:], i.Part))
+		order[k] = placed{blockOf(part, i.Name), part, i}
+	}
+	slices.SortStableFunc(order, func(a, b placed) int {
+		return cmp.Or(cmp.Compare(a.block, b.block), cmp.Compare(a.part, b.part), strings.Compare(a.item.Name, b.item.Name))
+	})
+	next, own := *c, [fan]bool{}
+	for len(order) > 0 {
+		n := 1
+		for n < len(order) && order[n].block == order[0].block {
+			n++
+		}
+		old, _ := next.Block(order[0].block)
+		block, i := merge(old, order[:n]), order[0].item
+		if len(block) > blockMost {
+			return nil, fmt.Errorf("configuration: no room for %s %q: names that fall together have %d bytes, %d at the most; make values smaller",
+				i.Part, i.Name, len(block), blockMost)
+		}
+		next.set(order[0].block, block, &own)
+		order = order[n:]
+	}
+	if next.bytes > contentMost {
+		return nil, fmt.Errorf("configuration: %d bytes in all, %d at the most; make values smaller or remove some", next.bytes, contentMost)
+	}
+	return &next, nil
+}
+
+// placed is a change with its place.
+type placed struct {
+	block int
+	part  byte
+	item  *Item
+}
+
+// merge writes a block with changes in order carried out.
+func merge(old []byte, changes []placed) []byte {
+	size := len(old)
+	for _, p := range changes {
+		size += len(p.item.Name) + len(p.item.Value) + 8
+	}
+	to := make([]byte, 0, size)
+	for k, p := range changes {
+		for len(old) > 0 {
+			e, rest, _ := take(old)
+			n := e.compare(p.part, p.item.Name)
+			if n > 0 {
+				break
+			}
+			if n < 0 {
+				to = append(to, e.text...)
+			}
+			old = rest
+		}
+		again := k+1 < len(changes) && changes[k+1].part == p.part && changes[k+1].item.Name == p.item.Name
+		if !again && len(p.item.Value) > 0 {
+			to = appendEntry(to, p.part, p.item.Name, p.item.Value)
+		}
+	}
+	if to = append(to, old...); len(to) == 0 {
+		return nil
+	}
+	return bytes.Clone(to) // without the room behind it: blocks are kept for long
+}
+
+// set puts a block of sound form in its place. Pages that this content has alone are marked own.
+func (c *Content) set(n int, block []byte, own *[fan]bool) {
+	k := n / fan
+	p := c.pages[k]
+	if !own[k] {
+		q := &page{}
+		if p != nil {
+			*q = *p
+		}
+		p, c.pages[k], own[k] = q, q, true
+	}
+	c.count(p.blocks[n%fan], false)
+	p.sum = p.sum.minus(p.sums[n%fan])
+	p.sums[n%fan] = c.count(block, true)
+	p.sum = p.sum.plus(p.sums[n%fan])
+	p.blocks[n%fan] = block
+}
+
+// count has a block's items counted in or out, and says its digest.
+func (c *Content) count(block []byte, in bool) (sum Digest) {
+	for size := len(block); len(block) > 0; size = len(block) {
+		e, rest, _ := take(block)
+		d := digestOf(e.text)
+		if sum = sum.plus(d); in {
+			c.sums[e.part], c.items[e.part], c.bytes = c.sums[e.part].plus(d), c.items[e.part]+1, c.bytes+size-len(rest)
+		} else {
+			c.sums[e.part], c.items[e.part], c.bytes = c.sums[e.part].minus(d), c.items[e.part]-1, c.bytes-size+len(rest)
+		}
+		block = rest
+	}
+	return sum
+}
+
+// checked is the digest of a block that came from elsewhere, ok where its form is sound and all of it belongs there.
+func checked(n int, block []byte) (sum Digest, ok bool) {
+	if len(block) > blockMost {
+		return sum, false
+	}
+	var last entry
+	for first := true; len(block) > 0; first = false {
+		e, rest, sound := take(block)
+		if !sound || len(e.name) == 0 || blockOf(e.part, string(e.name)) != n || !first && last.compare(e.part, string(e.name)) >= 0 {
+			return sum, false
+		}
+		sum, last, block = sum.plus(digestOf(e.text)), e, rest
+	}
+	return sum, true
+}
+
+// WithBlock is the content with one range replaced, nil where the range isn't of sound form or has another digest.
+func (c *Content) WithBlock(n int, block []byte, want Digest) *Content {
+	if n < 0 || n >= Blocks {
+		return nil
+	}
+	if sum, ok := checked(n, block); !ok || sum != want {
+		return nil
+	}
+	next := *c
+	if len(block) == 0 {
+		block = nil
+	}
+	next.set(n, bytes.Clone(block), &[fan]bool{})
+	if next.bytes > contentMost {
+		return nil
+	}
+	return &next
+}
+
+// Difference goes from one content to another, some items at a time; its cost is that of the blocks that differ.
+type Difference struct {
+	from, to *Content
+	next     int
+	old, new []byte
+}
+
+// Diff begins at the first item that differs.
+func Diff(from, to *Content) *Difference { return &Difference{from: from, to: to} }
+
+// Next is up to so many changes more, none at the end. Removed items have no value; values must not be changed.
+func (d *Difference) Next(most int) (changes []Item) {
+	for len(changes) < most {
+		if len(d.old) == 0 && len(d.new) == 0 && !d.advance() {
+			break
+		}
+		old, oldRest, _ := take(d.old)
+		item, newRest, _ := take(d.new)
+		order := 0
+		switch {
+		case len(d.old) == 0:
+			order = 1
+		case len(d.new) == 0:
+			order = -1
+		default:
+			order = old.compare(item.part, string(item.name))
+		}
+		switch {
+		case order < 0:
+			changes, d.old = append(changes, Item{partNames[old.part], string(old.name), nil}), oldRest
+		case order > 0:
+			changes, d.new = append(changes, item.item()), newRest
+		default:
+			if d.old, d.new = oldRest, newRest; !bytes.Equal(old.value, item.value) {
+				changes = append(changes, item.item())
+			}
+		}
+	}
+	return changes
+}
+
+// advance goes on to the next block that differs.
+func (d *Difference) advance() bool {
+	for ; d.next < Blocks; d.next++ {
+		if a, b := d.from.pages[d.next/fan], d.to.pages[d.next/fan]; d.next%fan == 0 && (a == b || a != nil && b != nil && a.sum == b.sum) {
+			d.next += fan - 1
+			continue
+		}
+		old, a := d.from.Block(d.next)
+		item, b := d.to.Block(d.next)
+		if a != b {
+			d.old, d.new = old, item
+			d.next++
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/configuration/table.go
@@ -0,0 +1,490 @@
+package configuration
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+const (
+	ms = int64(1_000_000) // ns in a millisecond
+
+	stageFor    = 3_000 * ms  // ns that a version stands at the first stage without a refusal: hops there, fetch, refusal and its way back
+	draftFor    = 60_000 * ms // ns that pieces of a long change are waited for
+	putMost     = 128 << 10   // bytes of one command: raft carries it as one entry
+	logMost     = 1_024       // records that are kept: a minute of a thousand changes
+	logBytes    = 1 << 20     // bytes of them; nodes that need older ones take blocks
+	askersMost  = 256         // callers whose last verdict is kept
+	namedMost   = 32          // items that a refusal names; the rest is counted
+	reasonMost  = 256         // bytes of a node's reason
+	writersMost = 128         // bytes of a caller's name
+	versionMost = 1 << 60     // that a table counts on from
+)
+
+// Mark is a version and what it comes to.
+type Mark struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Digest  Digest `cbor:"2,keyasint"`
+}
+
+// Record is one version as a change of the one before.
+type Record struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Base    Digest `cbor:"2,keyasint"` // before it
+	Digest  Digest `cbor:"3,keyasint"` // after it
+	From    string `cbor:"4,keyasint,omitempty"`
+	Wall    int64  `cbor:"5,keyasint,omitempty"` // Unix ns of the caller, for operators only
+	Changes []Item `cbor:"6,keyasint,omitempty"`
+	Was     []Item `cbor:"7,keyasint,omitempty"` // what the changes replaced, at the seats only
+	Back    bool   `cbor:"8,keyasint,omitempty"` // a rollback
+	size    int
+}
+
+func sizeOf(list []Item) (size int) {
+	for k := range list {
+		size += len(list[k].Name) + len(list[k].Value) + 24
+	}
+	return size
+}
+
+// bytes is about what a record takes.
+func (r *Record) bytes() int {
+	if r.size == 0 {
+		r.size = 96 + len(r.From) + sizeOf(r.Changes) + sizeOf(r.Was)
+	}
+	return r.size
+}
+
+// wire is a record as it travels.
+func (r *Record) wire() Record {
+	w := *r
+	w.Was, w.size = nil, 0
+	return w
+}
+
+// CommandKind names what a command does.
+type CommandKind uint8
+
+// The commands. Times are the table's, in ns.
+const (
+	Put      CommandKind = iota + 1 // Changes, made on version Base
+	Advance                         // Version has stood at the first stage for long enough
+	Stop                            // node Who can't take Version
+	Rollback                        // what version Version came to, as a new version for all
+)
+
+// Command is one change of the table.
+type Command struct {
+	Kind    CommandKind `cbor:"1,keyasint"`
+	From    string      `cbor:"2,keyasint,omitempty"` // the caller of Put and Rollback, one name for each that counts by itself
+	Seq     uint64      `cbor:"3,keyasint,omitempty"` // of From, above any before; the same one again has the same verdict
+	Base    uint64      `cbor:"4,keyasint,omitempty"`
+	Changes []Item      `cbor:"5,keyasint,omitempty"`
+	Piece   int         `cbor:"6,keyasint,omitempty"` // which piece of a long change this is, from 0
+	More    bool        `cbor:"7,keyasint,omitempty"` // further pieces follow: nothing changes before the last one
+	Version uint64      `cbor:"8,keyasint,omitempty"`
+	Who     string      `cbor:"9,keyasint,omitempty"`
+	Why     string      `cbor:"10,keyasint,omitempty"`
+	Wall    int64       `cbor:"11,keyasint,omitempty"`
+}
+
+// Verdict answers a command.
+type Verdict struct {
+	From    string `cbor:"1,keyasint,omitempty"`
+	Seq     uint64 `cbor:"2,keyasint,omitempty"`
+	Done    bool   `cbor:"3,keyasint,omitempty"`
+	Version uint64 `cbor:"4,keyasint,omitempty"` // that holds it where it was done, else the newest
+	Refused string `cbor:"5,keyasint,omitempty"` // why not, with the mend
+	Stale   bool   `cbor:"6,keyasint,omitempty"`
+	Differ  []Item `cbor:"7,keyasint,omitempty"` // Stale: names of items that changed since Base, without values
+	More    int    `cbor:"8,keyasint,omitempty"` // Stale: items that changed and aren't named; -1 where the log no longer reaches
+}
+
+// Head is what a seat vouches for.
+type Head struct {
+	All     Mark   `cbor:"1,keyasint"`           // in force for all
+	First   Mark   `cbor:"2,keyasint"`           // for the first stage; All's where none stands there
+	Newest  uint64 `cbor:"3,keyasint"`           // agreed; those past First wait for the stage to end
+	Stopped bool   `cbor:"4,keyasint,omitempty"` // First goes no further
+	Who     string `cbor:"5,keyasint,omitempty"` // Stopped: the node that can't take it
+	Why     string `cbor:"6,keyasint,omitempty"`
+}
+
+// newer says whether a head was agreed on after another.
+func (h *Head) newer(than *Head) bool {
+	switch {
+	case h.All.Version != than.All.Version:
+		return h.All.Version > than.All.Version
+	case h.First.Version != than.First.Version:
+		return h.First.Version > than.First.Version
+	case h.Stopped != than.Stopped:
+		return h.Stopped
+	}
+	return h.Newest > than.Newest
+}
+
+// Table is the agreed order of versions: the same on all that carry out the same commands in the same order.
+type Table struct {
+	head               Head
+	all, first, newest *Content
+	since              int64 // when First began to stand
+	log                []*Record
+	logged             int      // bytes
+	good               []uint64 // versions that were in force for all and can be gone back to
+	askers             []Verdict
+	draft              draft
+	snapshot           []byte // nil where it isn't up to date
+}
+
+// draft is a long change of which pieces are missing.
+type draft struct {
+	From    string `cbor:"1,keyasint,omitempty"`
+	Base    uint64 `cbor:"2,keyasint,omitempty"`
+	Pieces  int    `cbor:"3,keyasint,omitempty"`
+	At      int64  `cbor:"4,keyasint,omitempty"`
+	Changes []Item `cbor:"5,keyasint,omitempty"`
+	Bytes   int    `cbor:"6,keyasint,omitempty"`
+}
+
+// NewTable is at version 0, which has no items.
+func NewTable() *Table {
+	empty := &Content{}
+	return &Table{all: empty, first: empty, newest: empty}
+}
+
+// Head is what holds now.
+func (t *Table) Head() Head { return t.head }
+
+// Contents are what is in force for all, what stands at the first stage, and what the newest version comes to.
+func (t *Table) Contents() (all, first, newest *Content) { return t.all, t.first, t.newest }
+
+// Log is the last records, oldest first; they must not be changed.
+func (t *Table) Log() []*Record { return t.log }
+
+// Good are the versions that a Rollback can name, beside the one that is in force for all.
+func (t *Table) Good() []uint64 { return t.good }
+
+// Due is the command by which the version at the first stage goes to all, nil while it isn't time. Any seat may have it
+// ordered: the second one changes nothing.
+func (t *Table) Due(at int64) *Command {
+	if t.head.First == t.head.All || t.head.Stopped || at < t.since+stageFor {
+		return nil
+	}
+	return &Command{Kind: Advance, Version: t.head.First.Version}
+}
+
+// DueAt is when Due will be something, 0 for never.
+func (t *Table) DueAt() int64 {
+	if t.head.First == t.head.All || t.head.Stopped {
+		return 0
+	}
+	return t.since + stageFor
+}
+
+// Apply carries out one command at a time of the table.
+func (t *Table) Apply(at int64, c *Command) Verdict {
+	v := Verdict{From: c.From, Seq: c.Seq, Version: t.head.Newest}
+	switch c.Kind {
+	case Put, Rollback:
+		if len(c.From) > writersMost {
+			v.Refused = fmt.Sprintf("a caller's name of over %d bytes", writersMost)
+			return v
+		}
+		k := slices.IndexFunc(t.askers, func(v Verdict) bool { return v.From == c.From })
+		if k >= 0 && c.Seq <= t.askers[k].Seq {
+			if c.Seq == t.askers[k].Seq {
+				return t.askers[k]
+			}
+			v.Refused = "late: the caller asked again since"
+			return v
+		}
+		t.snapshot = nil
+		if c.Kind == Put {
+			t.put(at, c, &v)
+		} else {
+			t.rollback(at, c, &v)
+		}
+		if k >= 0 { // the one that asked last stands last
+			t.askers = slices.Delete(t.askers, k, k+1)
+		} else if len(t.askers) >= askersMost {
+			t.askers = slices.Delete(t.askers, 0, 1)
+		}
+		t.askers = append(t.askers, v)
+	case Advance:
+		if due := t.Due(at); due == nil || due.Version != c.Version {
+			v.Refused = "not the version at the first stage, or too early for it"
+			return v
+		}
+		t.snapshot, v.Done = nil, true
+		t.advance(at)
+	case Stop:
+		if c.Version != t.head.First.Version || t.head.First == t.head.All {
+			v.Refused = "not at the first stage"
+			return v
+		}
+		if v.Done = true; !t.head.Stopped {
+			t.snapshot = nil
+			t.head.Stopped, t.head.Who, t.head.Why = true, cut(c.Who, writersMost), cut(c.Why, reasonMost)
+		}
+	default: // of a later build: it is passed over by all alike
+		v.Refused = "unknown command"
+	}
+	return v
+}
+
+func cut(s string, most int) string { return s[:min(len(s), most)] }
+
+// put makes a version of a change.
+func (t *Table) put(at int64, c *Command, v *Verdict) {
+	if size := sizeOf(c.Changes); size > putMost {
+		v.Refused = fmt.Sprintf("%d bytes at once; put it in pieces of %d", size, putMost)
+		return
+	}
+	if c.Base != t.head.Newest {
+		t.stale(c.Base, v)
+		return
+	}
+	changes := c.Changes
+	if c.More || c.Piece > 0 {
+		if changes = t.piece(at, c, v); changes == nil {
+			return
+		}
+	}
+	for k := range changes {
+		i := &changes[k]
+		if len(i.Value) == 0 {
+			continue
+		}
+		if form, err := Canonical(i.Value); err != nil || !bytes.Equal(form, i.Value) {
+			v.Refused = fmt.Sprintf("%s %q is not in canonical form", i.Part, i.Name)
+			return
+		}
+	}
+	next, err := t.newest.Apply(changes)
+	if err != nil {
+		v.Refused = err.Error()
+		return
+	}
+	t.agree(at, c, next, false, v)
+}
+
+// piece takes one piece of a long change. With the last one it gives all of it, else nil.
+func (t *Table) piece(at int64, c *Command, v *Verdict) []Item {
+	d := &t.draft
+	other := d.Pieces > 0 && d.From != c.From && at < d.At+draftFor
+	switch {
+	case c.Piece == 0 && other:
+		v.Refused = fmt.Sprintf("a long change by %s is coming in; try again when it is done, in %d s at the latest", d.From, draftFor/(1_000*ms))
+		return nil
+	case c.Piece == 0:
+		*d = draft{From: c.From, Base: c.Base}
+	case d.From != c.From || d.Pieces != c.Piece || d.Base != c.Base:
+		v.Refused = fmt.Sprintf("piece %d doesn't follow; put all of them again from the first", c.Piece)
+		return nil
+	}
+	if d.Bytes += sizeOf(c.Changes); d.Bytes > contentMost {
+		*d = draft{}
+		v.Refused = fmt.Sprintf("over %d bytes in all", contentMost)
+		return nil
+	}
+	d.Pieces, d.At, d.Changes = d.Pieces+1, at, append(d.Changes, c.Changes...)
+	if v.Done = c.More; c.More {
+		return nil
+	}
+	changes := append([]Item{}, d.Changes...) // not nil
+	*d = draft{}
+	return changes
+}
+
+// agree makes a content the newest version. One that comes to the same makes none.
+func (t *Table) agree(at int64, c *Command, next *Content, back bool, v *Verdict) {
+	v.Done = true
+	if next.Digest() == t.newest.Digest() && (!back || t.head.Newest == t.head.All.Version) {
+		return
+	}
+	if t.head.Newest == 0 && c.Kind == Put {
+		t.head.Newest = min(c.Version, versionMost)
+	}
+	r := &Record{Version: t.head.Newest + 1, Base: t.newest.Digest(), Digest: next.Digest(), From: c.From, Wall: c.Wall, Back: back}
+	for d := Diff(t.newest, next); ; { // what comes to nothing isn't carried around
+		some := d.Next(logMost)
+		if len(some) == 0 {
+			break
+		}
+		r.Changes = append(r.Changes, some...)
+	}
+	for _, i := range r.Changes {
+		r.Was = append(r.Was, Item{i.Part, i.Name, t.newest.Get(i.Part, i.Name)})
+	}
+	t.newest, t.head.Newest, v.Version = next, r.Version, r.Version
+	t.log, t.logged = append(t.log, r), t.logged+r.bytes()
+	for t.logged > logBytes || len(t.log) > logMost {
+		t.logged -= t.log[0].bytes()
+		t.log[0] = nil
+		t.log = t.log[1:]
+	}
+	switch {
+	case back: // it was in force for all before
+		t.head.First, t.first = Mark{r.Version, r.Digest}, next
+		t.advance(at)
+	case t.head.First == t.head.All || t.head.Stopped:
+		t.stage(at)
+	}
+}
+
+// stage has the newest version, and all that it is made on, stand at the first stage.
+func (t *Table) stage(at int64) {
+	t.head.First, t.first, t.since = Mark{t.head.Newest, t.newest.Digest()}, t.newest, at
+	t.head.Stopped, t.head.Who, t.head.Why = false, "", ""
+}
+
+// advance has the version at the first stage in force for all. What was agreed on meanwhile stands there next, as one.
+func (t *Table) advance(at int64) {
+	if t.good = append(t.good, t.head.All.Version); len(t.good) > logMost {
+		t.good = slices.Delete(t.good, 0, 1)
+	}
+	t.head.All, t.all = t.head.First, t.first
+	first := t.head.Newest + 1
+	if len(t.log) > 0 {
+		first = t.log[0].Version
+	}
+	t.good = slices.DeleteFunc(t.good, func(version uint64) bool { return version+1 < first })
+	t.stage(at)
+}
+
+// stale refuses a change that was made on another version.
+func (t *Table) stale(base uint64, v *Verdict) {
+	v.Stale = true
+	if v.Refused = fmt.Sprintf("made on version %d, the newest is %d; look at what differs and put it again", base, t.head.Newest); base > t.head.Newest {
+		v.Refused = fmt.Sprintf("made on version %d, the newest is %d: it was made on what another council agreed on", base, t.head.Newest)
+	}
+	if len(t.log) == 0 || base+1 < t.log[0].Version || base > t.head.Newest {
+		v.More = -1
+		return
+	}
+	type name struct{ part, name string }
+	seen := map[name]bool{}
+	for _, r := range t.log[base+1-t.log[0].Version:] {
+		for _, i := range r.Changes {
+			if n := (name{i.Part, i.Name}); !seen[n] {
+				if seen[n] = true; len(v.Differ) < namedMost {
+					v.Differ = append(v.Differ, Item{Part: i.Part, Name: i.Name})
+				} else {
+					v.More++
+				}
+			}
+		}
+	}
+}
+
+// rollback makes a new version of what an older one came to. That one was in force for all, so this one is at once.
+func (t *Table) rollback(at int64, c *Command, v *Verdict) {
+	content := t.all
+	if c.Version != t.head.All.Version {
+		if !slices.Contains(t.good, c.Version) || len(t.log) == 0 || c.Version+1 < t.log[0].Version {
+			v.Refused = fmt.Sprintf("version %d was never in force for all, or the log no longer reaches it; put its content as a change", c.Version)
+			return
+		}
+		content = t.newest
+		for k := len(t.log) - 1; k >= 0 && t.log[k].Version > c.Version; k-- {
+			var err error
+			if content, err = content.Apply(t.log[k].Was); err != nil {
+				v.Refused = err.Error()
+				return
+			}
+		}
+	}
+	t.agree(at, c, content, true, v)
+}
+
+// saved is a table as a snapshot holds it: the newest content in blocks, the others as what differs from it.
+type saved struct {
+	Head   Head      `cbor:"1,keyasint"`
+	Since  int64     `cbor:"2,keyasint"`
+	Blocks [][]byte  `cbor:"3,keyasint"`
+	All    []Item    `cbor:"4,keyasint,omitempty"`
+	First  []Item    `cbor:"5,keyasint,omitempty"`
+	Log    []*Record `cbor:"6,keyasint,omitempty"`
+	Good   []uint64  `cbor:"7,keyasint,omitempty"`
+	Askers []Verdict `cbor:"8,keyasint,omitempty"`
+	Draft  draft     `cbor:"9,keyasint"`
+}
+
+// Snapshot writes the table; two that are equal are written alike. One that didn't change since the last snapshot gives
+// the same bytes again, which must not be changed.
+func (t *Table) Snapshot() ([]byte, error) {
+	if t.snapshot != nil {
+		return t.snapshot, nil
+	}
+	s := saved{Head: t.head, Since: t.since, Blocks: make([][]byte, Blocks), All: items(t.newest, t.all), First: items(t.newest, t.first),
+		Log: t.log, Good: t.good, Askers: t.askers, Draft: t.draft}
+	for n := range s.Blocks {
+		s.Blocks[n], _ = t.newest.Block(n)
+	}
+	text, err := cbor.Marshal(&s)
+	if err == nil {
+		t.snapshot = text
+	}
+	return text, err
+}
+
+// items are all that differ.
+func items(from, to *Content) (all []Item) {
+	for d := Diff(from, to); ; {
+		some := d.Next(logMost)
+		if len(some) == 0 {
+			return all
+		}
+		all = append(all, some...)
+	}
+}
+
+var decode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: 1 << 21, MaxNestedLevels: 8, IndefLength: cbor.IndefLengthForbidden}.DecMode()
+	if err != nil {
+		panic(err) // of constants
+	}
+	return mode
+}()
+
+// Restore reads a table.
+func Restore(text []byte) (*Table, error) {
+	var s saved
+	if err := decode.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("configuration: a snapshot can't be read: %w", err)
+	}
+	if len(s.Blocks) != Blocks {
+		return nil, fmt.Errorf("configuration: a snapshot of %d blocks, not %d", len(s.Blocks), Blocks)
+	}
+	t := NewTable()
+	newest, own := &Content{}, [fan]bool{}
+	for n, block := range s.Blocks {
+		if len(block) == 0 {
+			continue
+		}
+		if _, ok := checked(n, block); !ok {
+			return nil, fmt.Errorf("configuration: block %d of a snapshot is malformed", n)
+		}
+		newest.set(n, bytes.Clone(block), &own)
+	}
+	all, err := newest.Apply(s.All)
+	first, err2 := newest.Apply(s.First)
+	if err = errors.Join(err, err2); err != nil {
+		return nil, fmt.Errorf("configuration: a snapshot can't be read: %w", err)
+	}
+	if all.Digest() != s.Head.All.Digest || first.Digest() != s.Head.First.Digest {
+		return nil, fmt.Errorf("configuration: a snapshot comes to %s and %s, not to the digests that it names", all.Digest(), first.Digest())
+	}
+	t.head, t.since, t.newest, t.all, t.first = s.Head, s.Since, newest, all, first
+	t.log, t.good, t.askers, t.draft = s.Log, s.Good, s.Askers, s.Draft
+	for k, r := range t.log {
+		if r == nil || r.Version != s.Head.Newest-uint64(len(t.log)-1-k) {
+			return nil, fmt.Errorf("configuration: the log of a snapshot has gaps")
+		}
+		t.logged += r.bytes()
+	}
+	return t, nil
+}
