--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -803,6 +803,10 @@
 		h.stock(now, p, nil)
 	case len(m.Blocks) > 0 && h.index != nil:
 		h.stock(now, p, m.Blocks)
+	case h.base().Digest() == h.fetch.want.Digest: // no block differs: another version comes to what is here
+		if goal, ok := h.goal(); ok && goal == h.fetch.want {
+			h.readied(goal, h.base(), nil)
+		}
 	default: // it has nothing of it
 		p.has = Mark{} // until it tells again
 		p.again = now + h.about(fetchAgain<<min(h.fetch.fails, 5))
