--- /dev/null
+++ b/configuration/content_test.go
@@ -0,0 +1,232 @@
+package configuration
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// drawItems draws changes over few names, so that they meet.
+func drawItems(t *rapid.T) (list []Item) {
+	for range rapid.IntRange(0, 12).Draw(t, "changes") {
+		i := Item{Part: rapid.SampledFrom(partNames[:]).Draw(t, "part"), Name: fmt.Sprint("x", rapid.IntRange(0, 20).Draw(t, "name"))}
+		if rapid.IntRange(0, 2).Draw(t, "removed") > 0 {
+			i.Value = []byte(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "value")))
+		}
+		list = append(list, i)
+	}
+	return list
+}
+
+func all(c *Content) map[string]string {
+	m := map[string]string{}
+	for i := range c.All {
+		m[i.Part+"/"+i.Name] = string(i.Value)
+	}
+	return m
+}
+
+func applyTo(m map[string]string, list []Item) {
+	for _, i := range list {
+		if delete(m, i.Part+"/"+i.Name); i.Value != nil {
+			m[i.Part+"/"+i.Name] = string(i.Value)
+		}
+	}
+}
+
+// TestContentIsWhatAMapIs compares contents with maps under drawn changes.
+func TestContentIsWhatAMapIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, m, first, was := &Content{}, map[string]string{}, &Content{}, map[string]string{}
+		for range rapid.IntRange(1, 6).Draw(t, "steps") {
+			list := drawItems(t)
+			next, err := c.Apply(list)
+			require.NoError(t, err)
+			applyTo(m, list)
+			require.Equal(t, m, all(next))
+			if first == c {
+				was = maps.Clone(all(c))
+			}
+			c = next
+		}
+		require.Equal(t, was, all(first), "an older content doesn't change")
+		var again []Item
+		for i := range c.All {
+			again = append(again, i)
+			require.Equal(t, i.Value, c.Get(i.Part, i.Name))
+		}
+		slices.Reverse(again)
+		anew, err := (&Content{}).Apply(again)
+		require.NoError(t, err)
+		require.Equal(t, c.Digest(), anew.Digest(), "whatever the order")
+		require.Equal(t, c.Bytes(), anew.Bytes())
+		size := 0
+		for _, part := range partNames {
+			require.Equal(t, c.PartDigest(part), anew.PartDigest(part))
+			size += c.Len(part)
+		}
+		require.Equal(t, len(m), size)
+		other, err := c.Apply(drawItems(t))
+		require.NoError(t, err)
+		back := other
+		for d := Diff(other, c); ; {
+			some := d.Next(2)
+			if len(some) == 0 {
+				break
+			}
+			back, err = back.Apply(some)
+			require.NoError(t, err)
+		}
+		require.Equal(t, m, all(back))
+		require.Equal(t, c.Digest(), back.Digest())
+	})
+}
+
+func TestItemsThatCantBeHeldAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		item Item
+		want string
+	}{
+		{Item{"listeners", "a", []byte("1")}, `part "listeners" is none of operations, tenants, limits`},
+		{Item{Tenants, "", []byte("1")}, "a name in tenants of 0 bytes; it must have 1 to 256"},
+		{Item{Tenants, strings.Repeat("a", nameMost+1), []byte("1")}, "of 257 bytes"},
+		{Item{Tenants, "a", make([]byte, valueMost+1)}, `tenants "a" has 4097 bytes; 4096 at the most`},
+	} {
+		_, err := (&Content{}).Apply([]Item{{Tenants, "sound", []byte("1")}, c.item})
+		require.ErrorContains(t, err, c.want)
+	}
+	c, err := &Content{}, error(nil)
+	for k := 0; err == nil; k++ { // values as large as they may be, until there is no room
+		c, err = c.Apply([]Item{{Tenants, fmt.Sprint(k), bytes.Repeat([]byte("1"), valueMost)}})
+	}
+	require.ErrorContains(t, err, "make values smaller")
+}
+
+func TestCanonicalIsOneForm(t *testing.T) {
+	got, err := Canonical([]byte(" {\"b\": 1.50, \"a\": [true, null, \"<x>\"]}\n"))
+	require.NoError(t, err)
+	require.Equal(t, `{"a":[true,null,"<x>"],"b":1.50}`, string(got))
+	again, err := Canonical(got)
+	require.NoError(t, err)
+	require.Equal(t, got, again)
+	for _, bad := range []string{"", "{", "1 2", "{}x"} {
+		_, err := Canonical([]byte(bad))
+		require.Error(t, err, bad)
+	}
+}
+
+// full is a content of the size that is wanted in two years.
+func full(t testing.TB, operations, tenants int) *Content {
+	list := make([]Item, 0, operations+tenants)
+	for k := range operations {
+		list = append(list, Item{Operations, fmt.Sprintf("region-%d/service-%d/operation-%d", k%7, k%390, k),
+			[]byte(fmt.Sprintf(`{"criticality":"degraded","effect":"once","timeout_ms":%d,"tokens":{"window_ms":%d},"weight":%d}`, k%900, k%20000, k%17))})
+	}
+	for k := range tenants {
+		list = append(list, Item{Tenants, fmt.Sprintf("tenant-%08d", k), []byte(fmt.Sprintf(`{"burst":%d,"rate":%d,"share":%d}`, k%50, k%900, k%7))})
+	}
+	c, err := (&Content{}).Apply(list)
+	require.NoError(t, err)
+	return c
+}
+
+func inUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// TestMemoryAtFullSize wants what a node holds to be little more than its bytes, and a change to cost little.
+func TestMemoryAtFullSize(t *testing.T) {
+	before := inUse()
+	c := full(t, 4_700, 130_000)
+	held := int64(inUse()) - int64(before)
+	t.Logf("%d bytes of names and values are held in %d", c.Bytes(), held)
+	require.Less(t, held, int64(10<<20))
+	largest := 0
+	for n := range Blocks {
+		block, _ := c.Block(n)
+		largest = max(largest, len(block))
+	}
+	t.Logf("the largest of %d blocks has %d bytes", Blocks, largest)
+	require.Less(t, largest, pieceMost)
+	versions := []*Content{c}
+	for k := range 100 { // each is another content that shares what it can
+		next, err := versions[k].Apply([]Item{{Tenants, fmt.Sprintf("tenant-%08d", k), []byte("1")}})
+		require.NoError(t, err)
+		versions = append(versions, next)
+	}
+	more := int64(inUse()) - int64(before) - held
+	t.Logf("100 further versions with one change each: %d bytes", more)
+	require.Less(t, more, int64(100*2*pieceMost))
+	runtime.KeepAlive(versions)
+}
+
+func BenchmarkChangeAtFullSize(b *testing.B) {
+	c := full(b, 4_700, 130_000)
+	b.ReportAllocs()
+	for k := 0; b.Loop(); k++ {
+		if _, err := c.Apply([]Item{{Tenants, fmt.Sprintf("tenant-%08d", k%130_000), []byte("1")}}); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// TestAFileIsReadBack writes what a node keeps and reads it in odd pieces, whole, torn and spoilt.
+func TestAFileIsReadBack(t *testing.T) {
+	table := NewTable()
+	table.Apply(1, &Command{Kind: Put, From: "a", Seq: 1, Changes: []Item{{Tenants, "x", []byte("1")}, {Limits, "y", []byte("2")}}})
+	file, base := []byte{}, table.newest
+	for text := range Encode(Mark{1, base.Digest()}, base) {
+		file = append(file, text...)
+	}
+	begin := len(file)
+	for k := range 3 {
+		table.Apply(1, &Command{Kind: Put, From: "a", Seq: uint64(k + 2), Base: uint64(k + 1), Changes: []Item{{Tenants, fmt.Sprint(k), []byte("1")}}})
+		file = AppendRecord(file, table.log[k+1])
+	}
+	load := func(text []byte, piece int) (Start, error) {
+		l := &Loader{}
+		for len(text) > 0 {
+			n := min(piece, len(text))
+			_, _ = l.Write(text[:n])
+			text = text[n:]
+		}
+		return l.Start()
+	}
+	for _, piece := range []int{1, 7, len(file)} {
+		s, err := load(file, piece)
+		require.NoError(t, err)
+		require.Equal(t, Mark{4, table.newest.Digest()}, s.Mark)
+		require.Equal(t, s.Mark.Digest, s.Content.Digest())
+		require.Equal(t, len(file)-begin, s.Journal)
+	}
+	for end := range len(file) { // torn anywhere: never another content than that of the version it is called
+		s, err := load(file[:end], 64)
+		if s.Mark.Version > 0 {
+			require.Equal(t, s.Mark.Digest, s.Content.Digest())
+			require.Equal(t, s.Mark.Digest, table.log[s.Mark.Version-1].Digest)
+		} else {
+			require.Error(t, err)
+		}
+	}
+	for k := range file { // one byte spoilt
+		other := bytes.Clone(file)
+		other[k] ^= 0x10
+		s, err := load(other, len(other))
+		require.Error(t, err)
+		require.True(t, s.Journal < 0 || s.Content == nil)
+		if s.Content != nil {
+			require.Equal(t, s.Mark.Digest, s.Content.Digest())
+		}
+	}
+}
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -127,6 +127,8 @@
 	lacking             int64 // since when there is a goal
 	ordered             int64
 	vouches, vouchesFor int64
+	drawnFor            uint64 // a version, and whether this node is of its first stage
+	drawnIn             bool
 	trusting            bool // mutation: digests are not compared
 }
 
@@ -318,7 +320,7 @@
 	if h.waiting == 0 && !slices.Equal(h.view.Seats, v.Seats) {
 		h.report = min(h.report, now+h.draw(tookSpread))
 	}
-	h.view = *v
+	h.view, h.drawnFor = *v, 0
 	for _, p := range h.peers {
 		p.neighbour = false
 	}
@@ -468,6 +470,7 @@
 	switch {
 	case h.head.All.Version > h.ready.Version:
 		return h.head.All, true
+	case h.ready == h.head.All && h.mark.Version < h.ready.Version && h.ready != h.refused: // it is taken first
 	case h.head.First.Version > h.ready.Version && !h.head.Stopped:
 		return h.head.First, true
 	}
@@ -479,11 +482,13 @@
 	if h.refused.Version > h.mark.Version {
 		return true
 	}
-	mine := drawnBy(h.terms.Name, version)
-	if mine%firstPart == 0 {
-		return true
+	if h.drawnFor != version {
+		mine := drawnBy(h.terms.Name, version)
+		h.drawnFor, h.drawnIn = version, mine%firstPart == 0 || !slices.ContainsFunc(h.view.Zone, func(name string) bool {
+			return name != h.terms.Name && drawnBy(name, version) < mine
+		})
 	}
-	return !slices.ContainsFunc(h.view.Zone, func(name string) bool { return name != h.terms.Name && drawnBy(name, version) < mine })
+	return h.drawnIn
 }
 
 func drawnBy(name string, version uint64) uint64 {
@@ -723,11 +728,14 @@
 // supplier is whom to ask for a version: a neighbour that has it, or a seat once none had it for a while.
 func (h *Holder) supplier(now int64, goal Mark) *peer {
 	var may []*peer
+	if p := h.peers[h.run.from]; h.run.content != nil && p != nil && p.aside <= now && p.again <= now+fetchMost { // it is begun with this one
+		if p.again > now {
+			return nil
+		}
+		return p
+	}
 	for _, name := range h.view.Neighbours {
 		if p := h.peers[name]; p != nil && p.aside <= now && p.again <= now && p.has.Version >= goal.Version {
-			if p.name == h.run.from {
-				return p
-			}
 			may = append(may, p)
 		}
 	}
--- /dev/null
+++ b/configuration/table_test.go
@@ -0,0 +1,158 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func putOn(base, seq uint64, list ...Item) *Command {
+	return &Command{Kind: Put, From: "a", Seq: seq, Base: base, Changes: list}
+}
+
+func tenant(k int, value string) Item {
+	i := Item{Part: Tenants, Name: fmt.Sprint("t", k)}
+	if value != "" {
+		i.Value = []byte(value)
+	}
+	return i
+}
+
+func TestAStalePutNamesWhatDiffers(t *testing.T) {
+	x := NewTable()
+	require.EqualValues(t, 1, x.Apply(1, putOn(0, 1, tenant(1, "1"), tenant(2, "1"))).Version)
+	require.EqualValues(t, 2, x.Apply(1, putOn(1, 2, tenant(1, "2"))).Version)
+	require.EqualValues(t, 3, x.Apply(1, putOn(2, 3, tenant(3, "1"), tenant(1, ""))).Version)
+	v := x.Apply(1, &Command{Kind: Put, From: "b", Seq: 1, Base: 1, Changes: []Item{tenant(9, "1")}})
+	require.False(t, v.Done)
+	require.True(t, v.Stale)
+	require.EqualValues(t, 3, v.Version)
+	require.ElementsMatch(t, []Item{tenant(1, ""), tenant(3, "")}, v.Differ)
+	require.Contains(t, v.Refused, "made on version 1, the newest is 3")
+	require.Nil(t, x.newest.Get(Tenants, "t9"))
+
+	again := x.Apply(9, putOn(1, 2, tenant(1, "2")))
+	require.EqualValues(t, Verdict{From: "a", Seq: 2, Version: 3, Refused: "late: the caller asked again since"}, again)
+	require.EqualValues(t, 3, x.Apply(9, putOn(2, 3, tenant(3, "1"))).Version, "the same number has the same verdict")
+	require.EqualValues(t, 3, x.Head().Newest)
+
+	none := x.Apply(9, putOn(3, 4, tenant(3, "1")))
+	require.True(t, none.Done)
+	require.EqualValues(t, 3, none.Version, "what changes nothing makes no version")
+	for k := range logMost + 1 {
+		require.True(t, x.Apply(9, putOn(uint64(k+3), uint64(k+5), tenant(3, fmt.Sprint(k+2)))).Done)
+	}
+	require.Len(t, x.log, logMost)
+	require.Equal(t, -1, x.Apply(9, &Command{Kind: Put, From: "b", Seq: 2, Base: 2}).More, "the log no longer reaches it")
+}
+
+func TestAStageEndsByTimeOrARefusal(t *testing.T) {
+	x := NewTable()
+	x.Apply(100*ms, putOn(0, 1, tenant(1, "1")))
+	x.Apply(200*ms, putOn(1, 2, tenant(1, "2"))) // waits for the stage of the one before
+	require.EqualValues(t, 1, x.Head().First.Version)
+	require.Nil(t, x.Due(100*ms+stageFor-1))
+	require.False(t, x.Apply(100*ms+stageFor-1, &Command{Kind: Advance, Version: 1}).Done, "too early")
+	require.True(t, x.Apply(100*ms+stageFor, x.Due(100*ms+stageFor)).Done)
+	require.EqualValues(t, 1, x.Head().All.Version)
+	require.EqualValues(t, 2, x.Head().First.Version, "the next stage begins")
+	stop := &Command{Kind: Stop, Version: 2, Who: "n7", Why: "no such effect"}
+	require.True(t, x.Apply(4_000*ms, stop).Done)
+	require.Nil(t, x.Due(100_000*ms))
+	require.False(t, x.Apply(100_000*ms, &Command{Kind: Advance, Version: 2}).Done, "stopped")
+	require.Equal(t, "n7", x.Head().Who)
+	back := x.Apply(100_000*ms, &Command{Kind: Rollback, From: "a", Seq: 3, Version: 1})
+	require.EqualValues(t, 3, back.Version, "a version is never gone back to; its content is")
+	require.EqualValues(t, Mark{3, x.log[0].Digest}, x.Head().All, "it was in force for all before")
+	require.False(t, x.Head().Stopped)
+	require.Contains(t, x.Apply(1, &Command{Kind: Rollback, From: "a", Seq: 4, Version: 2}).Refused, "never in force for all")
+
+}
+
+func TestALongChangeComesInPieces(t *testing.T) {
+	x := NewTable()
+	piece := func(seq uint64, from string, n int, more bool, list ...Item) Verdict {
+		return x.Apply(int64(seq)*ms, &Command{Kind: Put, From: from, Seq: seq, Piece: n, More: more, Changes: list})
+	}
+	require.True(t, piece(1, "a", 0, true, tenant(1, "1")).Done)
+	require.Contains(t, piece(1, "b", 0, true, tenant(2, "1")).Refused, "a long change by a is coming in")
+	require.Contains(t, piece(2, "a", 2, false, tenant(3, "1")).Refused, "doesn't follow")
+	require.Zero(t, x.Head().Newest)
+	require.True(t, piece(3, "a", 1, true, tenant(2, "1")).Done)
+	last := piece(4, "a", 2, false, tenant(3, "1"))
+	require.EqualValues(t, 1, last.Version)
+	require.Equal(t, last, piece(4, "a", 2, false, tenant(3, "1")))
+	require.Equal(t, 3, x.newest.Len(Tenants))
+	require.Contains(t, x.Apply(1, putOn(1, 9, Item{Tenants, "big", make([]byte, putMost)})).Refused, "put it in pieces")
+	require.Contains(t, x.Apply(1, putOn(1, 10, tenant(1, `{ "a":1}`))).Refused, `tenants "t1" is not in canonical form`)
+}
+
+func TestACouncilThatForgotCountsOn(t *testing.T) {
+	x := NewTable()
+	c := putOn(0, 1, tenant(1, "1"))
+	c.Version = 500
+	require.EqualValues(t, 501, x.Apply(1, c).Version)
+	require.EqualValues(t, 502, x.Apply(1, putOn(501, 2, tenant(1, "2"))).Version)
+}
+
+// TestTablesThatCarryOutTheSameAreTheSame has one of two tables go through snapshots, at drawn commands.
+func TestTablesThatCarryOutTheSameAreTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, at := NewTable(), NewTable(), int64(0)
+		for k := range rapid.IntRange(1, 30).Draw(t, "commands") {
+			at += rapid.Int64Range(0, 2_000*ms).Draw(t, "later")
+			head := a.Head()
+			c := &Command{Kind: CommandKind(rapid.IntRange(0, 5).Draw(t, "kind")), From: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "from"),
+				Seq: uint64(k/2 + 1), Base: head.Newest - uint64(rapid.IntRange(0, int(min(1, head.Newest))).Draw(t, "base")), Changes: drawItems(t), Why: "why"}
+			switch c.Kind {
+			case Advance, Stop:
+				c.Version = head.First.Version
+			case Rollback:
+				c.Version = uint64(rapid.IntRange(0, int(head.Newest)).Draw(t, "to"))
+			case Put:
+				c.More = rapid.IntRange(0, 9).Draw(t, "more") == 0
+			}
+			require.Equal(t, a.Apply(at, c), b.Apply(at, c))
+			require.GreaterOrEqual(t, a.Head().Newest, head.Newest)
+			require.GreaterOrEqual(t, a.Head().All.Version, head.All.Version)
+			for n, content := range map[Mark]*Content{a.head.All: a.all, a.head.First: a.first} {
+				require.Equal(t, n.Digest, content.Digest())
+			}
+			one, err := a.Snapshot()
+			require.NoError(t, err)
+			two, err := b.Snapshot()
+			require.NoError(t, err)
+			require.Equal(t, one, two)
+			b, err = Restore(two)
+			require.NoError(t, err)
+			three, err := b.Snapshot()
+			require.NoError(t, err)
+			require.Equal(t, one, three)
+		}
+	})
+}
+
+func TestASnapshotOfAnUnchangedTableCostsNothing(t *testing.T) {
+	x := NewTable()
+	x.Apply(1, putOn(0, 1, tenant(1, "1")))
+	one, _ := x.Snapshot()
+	require.Zero(t, testing.AllocsPerRun(10, func() { _, _ = x.Snapshot() }))
+	x.Apply(1, &Command{Kind: Advance, Version: 7}) // refused
+	two, _ := x.Snapshot()
+	require.Same(t, &one[0], &two[0])
+	for end := range one {
+		_, err := Restore(one[:end])
+		require.Error(t, err)
+	}
+	spoilt := append([]byte{}, one...)
+	for k := range spoilt {
+		spoilt[k] ^= 4
+		if y, err := Restore(spoilt); err == nil { // what a digest stands for is compared
+			require.Equal(t, y.head.All.Digest, y.all.Digest())
+			require.Equal(t, y.head.First.Digest, y.first.Digest())
+		}
+		spoilt[k] ^= 4
+	}
+}
