Configuration: sizes of letters, false words, fetches in a file of their own; a version some of the way is taken from who has it

A thousand changes in a minute on 24 nodes: nodes asked only those that had the newest, which moved on every 3 s, and told each agreed change to all neighbours; they never caught up.

--- /dev/null
+++ b/configuration/message_test.go
@@ -0,0 +1,98 @@
+package configuration
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"topazpost/letter"
+)
+
+// TestLettersFit seals the largest messages and reads them back within the bounds of letters; their estimated sizes are no less than the real ones.
+func TestLettersFit(t *testing.T) {
+	most := Mark{1 << 60, Digest{A: 1<<64 - 1, B: 1<<64 - 1}}
+	head := Head{All: most, First: most, Newest: 1 << 60, Stopped: true, Who: strings.Repeat("w", writersMost), Why: strings.Repeat("y", reasonMost)}
+	x := NewTable()
+	for k := range 200 {
+		x.Apply(1, putOn(uint64(k), uint64(k+1), tenant(k, fmt.Sprintf(`{"rate":%d}`, k)), tenant(k+1, `{"burst":1}`)))
+	}
+	c := full(t, 4_700, 130_000)
+	piece := &Message{Kind: Piece, Has: most, Records: wired(x.log, pieceMost, false)}
+	index := &Message{Kind: Piece, Has: most}
+	pages(c, nil, index)
+	h := NewHolder(0, Terms{Name: "n"}, Start{Content: c})
+	h.index = (&Content{}).index()
+	ask := &Message{Kind: Fetch, Has: most, Want: most}
+	h.missing(ask)
+	blocks := &Message{Kind: Piece, Has: most}
+	answerFrom := NewHolder(0, Terms{Name: "m"}, Start{Content: c})
+	h = NewHolder(0, Terms{Name: "n"}, Start{Content: &Content{}})
+	h.index = c.index()
+	wanted := &Message{Kind: Fetch, Has: most, Want: most}
+	h.missing(wanted)
+	answerFrom.blocks(wanted, blocks)
+	require.Len(t, wanted.Wanted, wantedMost)
+	require.NotEmpty(t, blocks.Blocks)
+	for _, m := range []struct {
+		*Message
+		most int
+	}{
+		{&Message{Kind: Tell, Head: head.marks(), Has: most, Records: wired(x.log, eagerMost, false)}, letter.DatagramMost},
+		{&Message{Kind: Report, Seq: 1 << 31, Has: most, Refused: most, Why: strings.Repeat("y", reasonMost), Age: 1 << 60}, letter.DatagramMost},
+		{&Message{Kind: Vouch, Seq: 1 << 31, Head: head}, letter.DatagramMost},
+		{ask, 64 << 10}, {wanted, 64 << 10}, {piece, 64 << 10}, {index, 64 << 10}, {blocks, 64 << 10},
+	} {
+		text, err := letter.Seal(nil, 1, m.Message)
+		require.NoError(t, err)
+		t.Logf("kind %d: %d bytes, estimated %d, at the most %d", m.Kind, len(text), m.size(), m.most)
+		require.LessOrEqual(t, len(text), m.most)
+		require.LessOrEqual(t, len(text)+28, m.size(), "with the heads of IP and UDP")
+		var again Message
+		require.NoError(t, letter.Open(text, 1, &again))
+		require.Equal(t, m.Has, again.Has)
+		require.Len(t, again.Records, len(m.Records))
+		require.Len(t, again.Blocks, len(m.Blocks))
+	}
+}
+
+// TestFalseWordsAreSetAside floods a node with what no seat knows of; it goes by what seats say, and asks little.
+func TestFalseWordsAreSetAside(t *testing.T) {
+	h, sound := NewHolder(1, Terms{Name: "n", Seed: 1}, Start{Source: "file"}), &Content{}
+	sound, err := sound.Apply([]Item{tenant(1, "1")})
+	require.NoError(t, err)
+	head := Head{All: Mark{1, sound.Digest()}, First: Mark{1, sound.Digest()}, Newest: 1}
+	reports, seats := 0, 0
+	inputs := []Input{{Kind: Viewed, View: &View{Neighbours: []string{"liar", "b"}, Seats: []string{"s", "t"}}}}
+	for now := int64(1); now < 20_000*ms; now += 10 * ms {
+		effects, _ := h.Step(now, inputs)
+		inputs = nil
+		for _, e := range effects {
+			switch {
+			case e.Kind == Send && e.Message.Kind == Report:
+				reports++
+				inputs = append(inputs, Input{Kind: Came, From: e.To, Message: &Message{Kind: Vouch, Seq: e.Message.Seq, Head: head}})
+			case e.Kind == Exchange && e.To == "liar":
+				inputs = append(inputs, Input{Kind: Answered, Link: e.Link, Message: &Message{Kind: Piece, Records: []Record{
+					{Version: 1, Digest: head.All.Digest, Changes: []Item{tenant(2, "1")}}}}})
+			case e.Kind == Exchange:
+				seats++
+				inputs = append(inputs, Input{Kind: Answered, Link: e.Link, Message: &Message{Kind: Piece, Records: []Record{
+					{Version: 1, Digest: head.All.Digest, Changes: []Item{tenant(1, "1")}}}}})
+			case e.Kind == Take:
+				require.Equal(t, sound.Digest(), e.New.Digest())
+				inputs = append(inputs, Input{Kind: Took, Mark: e.Mark})
+			}
+		}
+		for range 20 {
+			lie := Mark{uint64(2 + now/(10*ms)), Digest{A: uint64(now)}}
+			inputs = append(inputs, Input{Kind: Came, From: "liar", Message: &Message{Kind: Tell, Head: Head{All: lie, First: lie}, Has: lie}},
+				Input{Kind: Came, From: "liar", Message: &Message{Kind: Vouch, Head: Head{All: lie, First: lie}}})
+		}
+	}
+	require.Equal(t, head.All, h.Mark())
+	require.Positive(t, seats)
+	require.Positive(t, h.Counters.Lies)
+	require.Less(t, reports, 40, "a flood makes few reports: the one who lied is passed over for longer each time")
+}
