--- a/configuration/fetch.go
+++ b/configuration/fetch.go
@@ -233,9 +233,13 @@
 	if ns := now - p.filled; ns*askerRate >= 1_000_000_000 {
 		p.tokens, p.filled = min(burst, p.tokens+min(ns, 10_000*ms)*askerRate/1_000_000_000), now
 	}
-	if h.tokens < burst/2 || p.tokens <= 0 { // what this node needs for itself comes first
+	floor := int64(burst / 2) // what this node needs for itself comes first, then its neighbours, who give it to others
+	if !p.neighbour {
+		floor = burst * 3 / 4
+	}
+	if h.tokens < floor || p.tokens <= 0 {
 		h.Counters.Busy++
-		answer.Busy = max((burst/2-h.tokens)*1_000_000_000/rate, -p.tokens*1_000_000_000/askerRate, 50*ms)
+		answer.Busy = max((floor-h.tokens)*1_000_000_000/rate, -p.tokens*1_000_000_000/askerRate, 50*ms)
 		return
 	}
 	switch {
@@ -251,7 +255,9 @@
 			}
 		}
 	}
-	p.tokens -= int64(answer.size())
+	if answer.content() {
+		p.tokens -= int64(answer.size())
+	}
 }
 
 // pages answers with the index of those that differ.
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -211,8 +211,12 @@
 	}
 }
 
+// sent counts a message. Answers without content are no part of what is paced: a herd that asks must not keep this node
+// from giving to those that others can have it of.
 func (h *Holder) sent(m *Message) {
-	h.tokens -= int64(m.size())
+	if m.Kind != Vouch && (m.Kind != Piece || m.content()) {
+		h.tokens -= int64(m.size())
+	}
 	h.Counters.BytesSent += int64(m.size())
 }
 
@@ -242,7 +246,7 @@
 func (h *Holder) input(now int64, i *Input, effects []Effect) []Effect {
 	if i.Message != nil {
 		h.Counters.BytesCame += int64(i.Message.size())
-		if i.Kind == Answered { // what others send unasked must not keep this node from what it needs
+		if i.Kind == Answered && i.Message.content() { // what others send unasked must not keep this node from what it needs
 			h.tokens -= int64(i.Message.size())
 		}
 	}
--- a/configuration/message.go
+++ b/configuration/message.go
@@ -37,6 +37,9 @@
 	Text []byte `cbor:"2,keyasint,omitempty"`
 }
 
+// content says whether a message carries records, an index or blocks.
+func (m *Message) content() bool { return len(m.Records)+len(m.Index)+len(m.Blocks) > 0 }
+
 // size is about the bytes of a message, its envelope included.
 func (m *Message) size() int {
 	size := 180 + len(m.Why) + len(m.Head.Who) + len(m.Head.Why) + 3*len(m.Wanted) + 2*len(m.Pages) + len(m.Sums) + len(m.Index)
