--- a/integration/ramp_test.go
+++ b/integration/ramp_test.go
@@ -91,7 +91,7 @@
 				case <-over:
 					return
 				default:
-					keepBusy(t, address, over)
+					keepBusy(t, address, 16, time.Second, over)
 					time.Sleep(5 * time.Millisecond)
 				}
 			}
@@ -128,13 +128,23 @@
 	assert.Greater(t, most, budget/3, "the budget is used")
 }
 
-// keepBusy has sixteen invocations that make a call open at a node until the connection or the test ends.
-func keepBusy(t *testing.T, address string, over chan struct{}) {
+// keepBusy has so many invocations that make a call open at a node until the connection or the test ends, or no answer comes
+// for as long as it has patience.
+func keepBusy(t *testing.T, address string, open int, patience time.Duration, over chan struct{}) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return
 	}
 	defer conn.Close()
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-over:
+			conn.Close()
+		case <-ended:
+		}
+	}()
 	d := &dispatcher{t: t, conn: conn}
 	stream := uint32(0)
 	send := func() error {
@@ -142,13 +152,13 @@
 		_, err := conn.Write(invocation(fmt.Sprintf("%08x%08x", time.Now().UnixNano()&0xffffffff, stream), stream, "call"))
 		return err
 	}
-	for range 16 {
+	for range open {
 		if send() != nil {
 			return
 		}
 	}
 	for {
-		conn.SetReadDeadline(time.Now().Add(time.Second))
+		conn.SetReadDeadline(time.Now().Add(patience))
 		if _, ok := d.next(); !ok || send() != nil {
 			return
 		}
