A record's ids are looked up only where they changed, and effects of a whole table are not kept

Cause: each new version of a record looked up all its earlier links, twice; a table that came whole left room for hundreds of effects, and the messages in them, on each of 1,300 nodes.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand"
-	"slices"
 
 	"topazpost/must"
 )
@@ -154,7 +153,10 @@
 // Step takes what happened up to now, by a clock that only advances, with wall its Unix time in nanoseconds. The
 // effects are valid until the next step; wake is when it is to step again at the latest.
 func (m *Members) Step(now, wall int64, inputs []Input) (effects []Effect, wake int64) {
-	m.effects = m.effects[:0]
+	clear(m.effects) // what the messages held
+	if m.effects = m.effects[:0]; cap(m.effects) > effectsKept {
+		m.effects = nil
+	}
 	stood := int64(0)
 	if m.wake > 0 && now-m.wake > gapLeast {
 		stood = now - m.wake
@@ -324,7 +326,6 @@
 		if !r.newer(&b.rec) {
 			return
 		}
-		m.dropped(b, r)
 		m.relink(i, b.rec.Links, r.Links)
 		if b.rec.Born != r.Born && b.in {
 			b.grace = m.t + m.charter.Silence + m.charter.Settle
@@ -364,17 +365,6 @@
 	m.spread(i, from)
 }
 
-// dropped notes whose word a loss rests on: of those that a member had a link to and has no more.
-func (m *Members) dropped(b *member, r *Record) {
-	for _, id := range b.rec.Links {
-		if _, kept := slices.BinarySearch(r.Links, id); !kept {
-			if i, known := m.byID[id]; known {
-				m.members[i].word = b.id
-			}
-		}
-	}
-}
-
 // ofSelf answers for a record of this node's name that is newer than its own: of an earlier life whose clock was
 // ahead, or of another node of that name. Of two that live the one that started later keeps away.
 func (m *Members) ofSelf(r *Record) {
--- a/membership/types.go
+++ b/membership/types.go
@@ -18,6 +18,7 @@
 	recordsOnce  = 6           // records in one datagram: 1,200 bytes of the largest that are usual
 	roomOfNews   = 1_000       // bytes of records in one datagram, the rest of 1,200 is for its head
 	tableMost    = 1<<16 - 1   // members: places in the table are two bytes in what is followed
+	effectsKept  = 64          // room for effects that is kept between steps: a table that comes whole is a change for each member
 	nameMost     = 64          // bytes of a name
 	addressMost  = 64          // bytes of an address
 	factMost     = 32          // bytes of a fact
--- a/membership/view.go
+++ b/membership/view.go
@@ -48,12 +48,21 @@
 	return n.at[:n.n]
 }
 
-// relink has the links that both ends tell of follow a member's record, whose links were others before.
+// relink has the links that both ends tell of follow a member's record, whose links were others before, and notes
+// whose word a loss rests on: of those that a member had a link to and has no more.
 func (m *Members) relink(i int32, before, after []ID) {
 	self := m.members[i].id
 	for _, id := range before {
-		if j, known := m.byID[id]; known && !tells(after, id) && m.unlink(i, j) {
-			m.unlink(j, i)
+		if tells(after, id) {
+			continue
+		}
+		if j, known := m.byID[id]; known {
+			if i > 0 { // its own are lost by its own word, said where that is noticed
+				m.members[j].word = self
+			}
+			if m.unlink(i, j) {
+				m.unlink(j, i)
+			}
 		}
 	}
 	for _, id := range after {
