--- a/configuration/content.go
+++ b/configuration/content.go
@@ -282,10 +282,13 @@
 			return nil, err
 		}
 		part := byte(slices.Index(partNames[:], i.Part))
-		order[k] = placed{blockOf(part, i.Name), part, i}
+		order[k] = placed{blockOf(part, i.Name), k, part, i}
 	}
-	slices.SortStableFunc(order, func(a, b placed) int {
-		return cmp.Or(cmp.Compare(a.block, b.block), cmp.Compare(a.part, b.part), strings.Compare(a.item.Name, b.item.Name))
+	slices.SortFunc(order, func(a, b placed) int {
+		if a.block != b.block {
+			return a.block - b.block
+		}
+		return cmp.Or(cmp.Compare(a.part, b.part), strings.Compare(a.item.Name, b.item.Name), a.order-b.order)
 	})
 	next, own := *c, [fan]bool{}
 	for len(order) > 0 {
@@ -311,6 +314,7 @@
 // placed is a change with its place.
 type placed struct {
 	block int
+	order int // among the changes
 	part  byte
 	item  *Item
 }
