--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -617,8 +617,7 @@
 	}
 	for len(h.log) > 0 && (h.logged > holdMost || len(h.log) > logMost) {
 		h.logged -= h.log[0].bytes()
-		h.log[0] = nil
-		h.log = h.log[1:]
+		h.log = h.log[1:] // not cleared: effects go on showing it
 	}
 	h.ready, h.next = mark, content
 	h.run, h.staged, h.index = run{}, nil, nil
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -323,8 +323,7 @@
 	t.log, t.logged = append(t.log, r), t.logged+r.bytes()
 	for t.logged > logBytes || len(t.log) > logMost {
 		t.logged -= t.log[0].bytes()
-		t.log[0] = nil
-		t.log = t.log[1:]
+		t.log = t.log[1:] // not cleared: what was given away goes on showing it
 	}
 	switch {
 	case back: // it was in force for all before
--- a/configuration/table_test.go
+++ b/configuration/table_test.go
@@ -156,3 +156,15 @@
 		spoilt[k] ^= 4
 	}
 }
+
+// TestWhatWasGivenAwayStays holds on to what a seat's holder was told while the table goes on past the bound of its log.
+func TestWhatWasGivenAwayStays(t *testing.T) {
+	x := NewTable()
+	x.Apply(1, putOn(0, 1, tenant(0, "1")))
+	before := x.Agreed()
+	for k := range logMost + 10 {
+		x.Apply(1, putOn(uint64(k+1), uint64(k+2), tenant(0, fmt.Sprint(k+2))))
+	}
+	require.EqualValues(t, 1, before.Log[0].Version)
+	require.EqualValues(t, 12, x.Agreed().Log[0].Version)
+}
