A plate takes small changes as items, and two plates differ by items

Parse reads items each by itself, Check says at the cost of the changes why a plate can't take them, Take takes one: what goes out of service keeps its index until Forget. Diff gives the items that make one plate the other, and names the settings that take a new start. In service may change family_info.calls_out, group_size, guarantees.drain_grace, limits.max_retry_after, limits.retry_after and over_share_worth.

--- /dev/null
+++ b/plate/amend.go
@@ -0,0 +1,374 @@
+package plate
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"topazpost/node"
+)
+
+// The parts of a configuration that may change while a node serves.
+const (
+	Operations = "operations"
+	Tenants    = "tenants"
+	Limits     = "limits"
+)
+
+const (
+	operationsMost = 1 << 16 // indices, those included whose operation is gone and not forgotten yet
+	tenantsMost    = 1 << 21 // the same of tenants
+	itemNameMost   = 256     // bytes of a name
+	itemMost       = 4 << 10 // bytes of an item's value
+)
+
+// Item is one of a configuration's: an operation, a tenant or a limit. Value is the canonical JSON object of an operation or
+// tenant, keys sorted, without its name, or the JSON value of a limit, whose name is the path of a setting; nil where the
+// item is removed. An operation has the fields of the settings' list, and class_calls and class_skip_worth for what
+// family_info says of it.
+type Item struct {
+	Part, Name string
+	Value      []byte
+}
+
+// changing says of each setting that may change in service whether it is a flag; all others are numbers.
+func changing(path string) (flag, may bool) {
+	switch path {
+	case "limits.retry_after":
+		return true, true
+	case "limits.max_retry_after", "over_share_worth", "group_size", "family_info.calls_out", "guarantees.drain_grace":
+		return false, true
+	}
+	return false, false
+}
+
+// InService lists the settings that may change while a node serves.
+func InService() []string {
+	return []string{"family_info.calls_out", "group_size", "guarantees.drain_grace", "limits.max_retry_after", "limits.retry_after",
+		"over_share_worth"}
+}
+
+// Change is an item that was read.
+type Change struct {
+	Part, Name string
+	Removed    bool
+	Operation  node.Operation
+	Rate       float64 // of a tenant
+	Limit      string  // as pairs have it
+}
+
+// Amendment is a list of changes, each of them sound by itself.
+type Amendment struct{ Changes []Change }
+
+// Parse reads items, each by itself, at the cost of the items. An error names the item and its field as a check does.
+func Parse(items []Item) (*Amendment, error) {
+	a := &Amendment{Changes: make([]Change, 0, len(items))}
+	seen := make(map[[2]string]struct{}, len(items))
+	for i := range items {
+		key := [2]string{items[i].Part, items[i].Name}
+		if _, twice := seen[key]; twice {
+			return nil, fmt.Errorf("plate: %s.%s: named twice; a change has each item once", key[0], key[1])
+		}
+		seen[key] = struct{}{}
+		c, err := items[i].read()
+		if err != nil {
+			return nil, err
+		}
+		a.Changes = append(a.Changes, c)
+	}
+	return a, nil
+}
+
+func (it *Item) read() (Change, error) {
+	c := Change{Part: it.Part, Name: it.Name, Removed: it.Value == nil}
+	at := it.Part + "." + it.Name
+	fault := func(what string) (Change, error) { return c, fmt.Errorf("plate: %s: %s", at, what) }
+	if _, may := changing(it.Name); it.Part == Limits && !may {
+		return fault("takes a new start: set it in the nodes' own files and restart them; in service may change " +
+			strings.Join(InService(), ", "))
+	}
+	switch {
+	case it.Part != Operations && it.Part != Tenants && it.Part != Limits:
+		return fault("no such part; there are operations, tenants and limits")
+	case it.Name == "" || len(it.Name) > itemNameMost:
+		return fault(fmt.Sprintf("a name has 1 to %d bytes", itemNameMost))
+	case c.Removed:
+		return c, nil
+	case len(it.Value) > itemMost:
+		return fault(fmt.Sprintf("takes %d bytes; %d at the most", len(it.Value), itemMost))
+	}
+	var tree any
+	d := json.NewDecoder(bytes.NewReader(it.Value))
+	d.UseNumber()
+	err := d.Decode(&tree)
+	if err == nil {
+		if _, err = d.Token(); err == io.EOF {
+			err = nil
+		} else if err == nil {
+			err = fmt.Errorf("more than one value")
+		}
+	}
+	if err != nil {
+		return fault(err.Error())
+	}
+	s := &settings{values: make(map[string]string), told: at + "."}
+	object, is := tree.(map[string]any)
+	if it.Part == Limits {
+		return it.readLimit(c, tree, fault)
+	} else if !is {
+		return fault("an object is needed")
+	}
+	if _, named := object["name"]; named {
+		return fault("name: the item has it already; leave it out")
+	}
+	flatten(s.values, "", object)
+	if it.Part == Tenants {
+		c.Rate = s.number("quota_rps")
+	} else {
+		c.Operation = s.operation()
+		c.Operation.MayCall, c.Operation.SkipShare = s.flag("class_calls"), s.number("class_skip_worth")
+		if what := unusable(it.Name, &c.Operation); s.err == nil && what != "" {
+			return fault(what)
+		}
+	}
+	return c, s.err
+}
+
+// readLimit reads the value of a limit, which is a flag or a number that is not negative.
+func (it *Item) readLimit(c Change, tree any, fault func(string) (Change, error)) (Change, error) {
+	c.Limit = fmt.Sprint(tree)
+	flag, _ := changing(it.Name)
+	if flag && c.Limit != "true" && c.Limit != "false" {
+		return fault(fmt.Sprintf("malformed value %q; it is true or false", c.Limit))
+	} else if n, err := strconv.ParseFloat(c.Limit, 64); !flag && (err != nil || !(n >= 0) || math.IsInf(n, 0)) {
+		return fault(fmt.Sprintf("malformed value %q; it is a number from 0 on", c.Limit))
+	}
+	return c, nil
+}
+
+// Check says why a plate can't take an amendment as a whole, at the cost of the changes. Nothing is changed.
+func (p *Plate) Check(a *Amendment) error {
+	left, operations, tenants := p.Operations.Len(), 0, 0
+	for i := range a.Changes {
+		c := &a.Changes[i]
+		switch {
+		case c.Part == Operations && c.Removed:
+			if _, known := p.Operations.Find(c.Name); known {
+				left--
+			}
+		case c.Part == Operations:
+			if _, known := p.Operations.Find(c.Name); !known {
+				left++
+			}
+			if _, known := p.Operations.Lookup(c.Name); !known {
+				operations++
+			}
+		case c.Part == Tenants && !c.Removed:
+			if _, known := p.Tenants.Lookup(c.Name); !known {
+				tenants++
+			}
+		}
+	}
+	if left < 1 {
+		return fmt.Errorf("plate: operations: none would be left; add one before the last is removed")
+	}
+	for _, t := range []struct {
+		part      string
+		all, most int
+	}{{Operations, p.Operations.live + operations, operationsMost}, {Tenants, p.Tenants.live + tenants, tenantsMost}} {
+		if t.all > t.most {
+			return fmt.Errorf("plate: %s: %d with those removed of late, %d at the most; wait, or remove some", t.part, t.all, t.most)
+		}
+	}
+	return nil
+}
+
+// Taken is what became of a change.
+type Taken struct {
+	Index          int32 // of the operation or tenant
+	Added, Removed bool  // it came into service, or went out of it
+	Changed        bool  // anything was changed at all
+}
+
+// Take takes a change that was checked, at its own cost. What goes out of service keeps its index, its name and its terms
+// until Forget; what comes again before that has them again.
+func (p *Plate) Take(c *Change) (t Taken) {
+	n := &p.Nameplate
+	if c.Part == Limits {
+		was := *n
+		if delete(p.general, c.Name); !c.Removed {
+			p.general[c.Name] = c.Limit
+		}
+		(&settings{values: p.general}).limitsInto(n)
+		t.Changed = was.OverShare != n.OverShare || was.Peers != n.Peers || was.CallShare != n.CallShare ||
+			was.DrainGrace != n.DrainGrace || was.ComeBackMax != n.ComeBackMax
+		return t
+	}
+	names := p.Operations
+	if c.Part == Tenants {
+		names = p.Tenants
+	}
+	index, known := names.Find(c.Name)
+	if t.Index = index; c.Removed {
+		for known { // a file may have named it twice
+			names.Retire(index)
+			t.Removed, t.Changed = true, true
+			index, known = names.Find(c.Name)
+		}
+		return t
+	}
+	if !known {
+		t.Index, t.Added, t.Changed = names.Add(c.Name), true, true
+	}
+	if c.Part == Operations {
+		n.Operations = append(n.Operations, make([]node.Operation, max(0, int(t.Index)+1-len(n.Operations)))...)
+		t.Changed = t.Changed || n.Operations[t.Index] != c.Operation
+		n.Operations[t.Index] = c.Operation
+		return t
+	}
+	n.TenantRates = append(n.TenantRates, make([]float64, max(0, int(t.Index)+1-len(n.TenantRates)))...)
+	t.Changed = t.Changed || n.TenantRates[t.Index] != c.Rate
+	n.TenantRates[t.Index] = c.Rate
+	return t
+}
+
+// Forget gives the index of an operation or tenant that is out of service to whatever comes next.
+func (p *Plate) Forget(part string, i int32) {
+	if part == Operations {
+		p.Operations.Remove(i)
+		p.Nameplate.Operations[i] = node.Operation{Gone: true}
+	} else {
+		p.Tenants.Remove(i)
+		p.Nameplate.TenantRates[i] = 0
+	}
+}
+
+// Own is a copy that may be amended without the original's changing.
+func (p *Plate) Own() *Plate {
+	own := *p
+	own.general = maps.Clone(p.general)
+	own.Operations, own.Tenants = p.Operations.clone(), p.Tenants.clone()
+	own.Nameplate.Operations, own.Nameplate.TenantRates = slices.Clone(p.Nameplate.Operations), slices.Clone(p.Nameplate.TenantRates)
+	return &own
+}
+
+// Diff gives the items that make one plate's configuration another's, in the order of parts and indices, and the paths of
+// settings that differ and take a new start. From nil it gives all of them.
+func Diff(from, to *Plate) (items []Item, starts []string) {
+	if from == nil {
+		from = &Plate{Operations: new(Names), Tenants: new(Names), general: to.startsOnly()}
+	}
+	each := func(part string, was, is *Names, same func(i, j int32) bool, value func(j int32) []byte) {
+		for i := range int32(was.Slots()) {
+			if j, known := was.Find(was.Name(i)); known && j == i && was.Has(i) {
+				if _, stays := is.Find(was.Name(i)); !stays {
+					items = append(items, Item{Part: part, Name: was.Name(i)})
+				}
+			}
+		}
+		for j := range int32(is.Slots()) {
+			name := is.Name(j)
+			if last, known := is.Find(name); !known || last != j || !is.Has(j) {
+				continue
+			}
+			if i, known := was.Find(name); !known || !same(i, j) {
+				items = append(items, Item{Part: part, Name: name, Value: value(j)})
+			}
+		}
+	}
+	each(Operations, from.Operations, to.Operations, func(i, j int32) bool { return from.Nameplate.Operations[i] == to.Nameplate.Operations[j] },
+		func(j int32) []byte { return operationJSON(&to.Nameplate.Operations[j]) })
+	each(Tenants, from.Tenants, to.Tenants, func(i, j int32) bool { return from.Nameplate.TenantRates[i] == to.Nameplate.TenantRates[j] },
+		func(j int32) []byte { return object(field{"quota_rps", float(to.Nameplate.TenantRates[j])}) })
+	paths := make(map[string]struct{})
+	for _, of := range []*Plate{from, to} {
+		for path := range of.general {
+			paths[path] = struct{}{}
+		}
+	}
+	for _, path := range slices.Sorted(maps.Keys(paths)) {
+		was, is := &settings{values: from.general}, &settings{values: to.general}
+		_, has := to.general[path]
+		flag, may := changing(path)
+		switch {
+		case was.text(path) == is.text(path), may && flag && was.flag(path) == is.flag(path), may && !flag && was.number(path) == is.number(path):
+		case !may && (path == "family_info.class_calls" || path == "family_info.class_skip_worth"): // the operations say it
+		case !may:
+			starts = append(starts, path)
+		case !has:
+			items = append(items, Item{Part: Limits, Name: path})
+		case flag:
+			items = append(items, Item{Part: Limits, Name: path, Value: strconv.AppendBool(nil, is.flag(path))})
+		default:
+			items = append(items, Item{Part: Limits, Name: path, Value: []byte(float(is.number(path)))})
+		}
+	}
+	return items, starts
+}
+
+// startsOnly are the settings that take a new start.
+func (p *Plate) startsOnly() map[string]string {
+	only := make(map[string]string)
+	for path, value := range p.general {
+		if _, may := changing(path); !may {
+			only[path] = value
+		}
+	}
+	return only
+}
+
+type field struct{ name, value string }
+
+// object is the canonical JSON of fields that are sorted by name; those without a value are left out.
+func object(fields ...field) []byte {
+	b := []byte{'{'}
+	for _, f := range fields {
+		if f.value == "" || f.value == "0" {
+			continue
+		}
+		if len(b) > 1 {
+			b = append(b, ',')
+		}
+		b = append(strconv.AppendQuote(b, f.name), ':')
+		b = append(b, f.value...)
+	}
+	return append(b, '}')
+}
+
+func operationJSON(op *node.Operation) []byte {
+	calls := ""
+	if op.MayCall {
+		calls = "true"
+	}
+	effect := map[node.Effect]string{node.Idempotent: `"idempotent"`, node.Tokened: `"deduplicated"`, node.NonIdempotent: `"at_most_once"`}[op.Effect]
+	return object(field{"aim", millis(op.Objective)}, field{"aim_stretch", float(op.Stretch)}, field{"class_calls", calls},
+		field{"class_skip_worth", float(op.SkipShare)}, field{"effect", effect}, field{"give_up", millis(op.ClientTimeout)},
+		field{"importance", float(op.BilledValue)}, field{"late_share", float(op.LateShare)}, field{"window", millis(op.Window)})
+}
+
+// float is the shortest JSON number that reads as n.
+func float(n float64) string {
+	b, err := json.Marshal(n)
+	if err != nil {
+		return "0"
+	}
+	return string(b)
+}
+
+// millis is the JSON number of milliseconds that reads as so many nanoseconds.
+func millis(ns int64) string {
+	n := float64(ns) / 1e6
+	for range 4 { // the product below is cut, so one that is rounded down misses by one
+		if int64(n*1e6) >= ns {
+			break
+		}
+		n = math.Nextafter(n, math.Inf(1))
+	}
+	return float(n)
+}
--- /dev/null
+++ b/plate/amend_test.go
@@ -0,0 +1,160 @@
+package plate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpost/node"
+)
+
+const served = `{"grades":[{"name":"a","aim":100,"give_up":200,"effect":"idempotent","importance":1},
+	{"name":"b","aim":300.5,"give_up":900,"window":5000,"effect":"deduplicated","late_share":0.25}],
+	"tenants":[{"name":"x","quota_rps":3},{"name":"y","quota_rps":0.5}],
+	"family_info":{"class_calls":[true,false],"class_skip_worth":[0.5],"memory_kb":900},"guarantees":{"tip_multiple":4},
+	"group_size":"30","limits":{"retry_after":true,"max_retry_after":500}}`
+
+func plateOf(t require.TestingT, text string) *Plate {
+	p, err := FromJSON(1, []byte(text))
+	require.NoError(t, err)
+	return p
+}
+
+// amend takes items on a plate as a node does.
+func amend(p *Plate, items ...Item) ([]Taken, error) {
+	a, err := Parse(items)
+	if err == nil {
+		err = p.Check(a)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var all []Taken
+	for i := range a.Changes {
+		all = append(all, p.Take(&a.Changes[i]))
+	}
+	return all, nil
+}
+
+func TestItemsThatCannotBeTakenAreNamedAndChangeNothing(t *testing.T) {
+	for _, c := range []struct {
+		it   Item
+		says string
+	}{
+		{Item{Operations, "a", []byte(`{"aim":1,"give_up":2,"effect":"twice"}`)}, `operations.a.effect: "twice" is not known; it may be at_most_once, deduplicated, idempotent`},
+		{Item{Operations, "a", []byte(`{"aim":1,"effect":"idempotent"}`)}, "operations.a: name, aim and give_up must be set"},
+		{Item{Operations, "a", []byte(`{"aim":1,"give_up":2,"effect":"deduplicated"}`)}, "operations.a: window must be set"},
+		{Item{Operations, "a", []byte(`{"aim":"x","give_up":2,"effect":"idempotent"}`)}, `operations.a.aim: malformed value "x"`},
+		{Item{Operations, "a", []byte(`{"aim":1`)}, "operations.a: unexpected EOF"},
+		{Item{Operations, "a", []byte(`{} {}`)}, "operations.a: more than one value"},
+		{Item{Operations, "a", []byte(`[]`)}, "operations.a: an object"},
+		{Item{Tenants, "x", []byte(`{"name":"x"}`)}, "tenants.x: name"},
+		{Item{Tenants, "x", []byte(`{"quota_rps":[{}]}`)}, ""},
+		{Item{Tenants, "x", []byte(`{"quota_rps":true}`)}, "tenants.x.quota_rps"},
+		{Item{Tenants, "", []byte(`{}`)}, "tenants.: a name"},
+		{Item{"routes", "x", nil}, "routes.x: no such part"},
+		{Item{Limits, "family_info.memory_kb", []byte(`1`)}, "limits.family_info.memory_kb: takes a new start"},
+		{Item{Limits, "listen", []byte(`"x"`)}, "in service may change family_info.calls_out"},
+		{Item{Limits, "limits.retry_after", []byte(`1`)}, "true or false"},
+		{Item{Limits, "group_size", []byte(`-1`)}, "from 0 on"},
+		{Item{Limits, "group_size", []byte(`{"a":1}`)}, "from 0 on"},
+	} {
+		p := plateOf(t, served)
+		_, err := amend(p, Item{Tenants, "z", []byte(`{"quota_rps":1}`)}, c.it)
+		if c.says == "" {
+			assert.NoError(t, err)
+			continue
+		}
+		assert.ErrorContains(t, err, c.says)
+		assert.Equal(t, plateOf(t, served), p)
+	}
+	p := plateOf(t, served)
+	_, err := amend(p, Item{Part: Operations, Name: "a"}, Item{Part: Operations, Name: "b"})
+	assert.ErrorContains(t, err, "none would be left")
+	_, err = amend(p, Item{Part: Tenants, Name: "x"}, Item{Tenants, "x", []byte(`{}`)})
+	assert.ErrorContains(t, err, "tenants.x: named twice")
+}
+
+func TestIndicesStayUntilTheyAreForgotten(t *testing.T) {
+	p := plateOf(t, served)
+	taken, err := amend(p, Item{Part: Operations, Name: "a"}, Item{Operations, "c", []byte(`{"aim":1,"give_up":2,"effect":"idempotent","class_calls":true}`)},
+		Item{Tenants, "x", []byte(`{"quota_rps":7}`)}, Item{Part: Tenants, Name: "none"}, Item{Limits, "limits.retry_after", []byte(`false`)})
+	require.NoError(t, err)
+	assert.Equal(t, []Taken{{Removed: true, Changed: true}, {Index: 2, Added: true, Changed: true}, {Changed: true}, {}, {Changed: true}}, taken)
+	assert.Equal(t, node.Operation{Objective: 1e6, ClientTimeout: 2e6, MayCall: true}, p.Nameplate.Operations[2])
+	assert.Equal(t, int64(200e6), p.Nameplate.Operations[0].ClientTimeout, "what is in hand still goes by it")
+	assert.Equal(t, []float64{7, 0.5}, p.Nameplate.TenantRates)
+	assert.Zero(t, p.Nameplate.ComeBackMax)
+	_, known := p.Operations.Find("a")
+	assert.False(t, known)
+	i, known := p.Operations.Lookup("a")
+	assert.True(t, known)
+	assert.Zero(t, i)
+	taken, err = amend(p, Item{Operations, "a", []byte(`{"aim":1,"give_up":2,"effect":"idempotent"}`)}, Item{Limits, "limits.retry_after", []byte(`true`)})
+	require.NoError(t, err)
+	assert.Equal(t, Taken{Added: true, Changed: true}, taken[0], "it has its index again")
+	assert.Equal(t, int64(500e6), p.Nameplate.ComeBackMax)
+	_, err = amend(p, Item{Part: Operations, Name: "b"})
+	require.NoError(t, err)
+	p.Forget(Operations, 1)
+	assert.True(t, p.Nameplate.Operations[1].Gone)
+	taken, err = amend(p, Item{Operations, "d", []byte(`{"aim":1,"give_up":2,"effect":"idempotent"}`)})
+	require.NoError(t, err)
+	assert.Equal(t, int32(1), taken[0].Index)
+	assert.Equal(t, []string{"a", "d", "c"}, p.Operations.All())
+}
+
+// From any plate to any other: the difference, taken, leaves no difference, and is nothing where there is none.
+func TestDifferenceMakesOnePlateTheOther(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(which string) *Plate {
+			text, sep := `{"grades":[`, ""
+			for _, name := range rapid.Permutation([]string{"a", "b", "c", "d"}).Draw(t, which)[:rapid.IntRange(1, 4).Draw(t, "operations")] {
+				text += fmt.Sprintf(`%s{"name":%q,"aim":%d.%03d,"give_up":%g,"effect":%q,"window":%d,"importance":%g}`, sep, name, rapid.IntRange(1, 3).Draw(t, "aim"),
+					rapid.IntRange(0, 999).Draw(t, "micro"), rapid.Float64Range(0.1, 1e5).Draw(t, "timeout"),
+					rapid.SampledFrom([]string{"idempotent", "deduplicated", "at_most_once"}).Draw(t, "effect"), 1+rapid.IntRange(0, 2).Draw(t, "window"),
+					rapid.Float64().Draw(t, "value"))
+				sep = ","
+			}
+			text, sep = text+`],"tenants":[`, ""
+			for _, name := range rapid.Permutation([]string{"x", "y", "ü", "<z>"}).Draw(t, which)[:rapid.IntRange(0, 4).Draw(t, "tenants")] {
+				text += fmt.Sprintf(`%s{"name":%q,"quota_rps":%d}`, sep, name, rapid.IntRange(0, 2).Draw(t, "rate"))
+				sep = ","
+			}
+			return plateOf(t, fmt.Sprintf(`%s],"group_size":"%d","limits":{"retry_after":%t,"max_retry_after":5},"family_info":{"class_calls":[%t]}}`, text,
+				rapid.IntRange(0, 2).Draw(t, "peers"), rapid.Bool().Draw(t, "back"), rapid.Bool().Draw(t, "calls")))
+		}
+		from, to := draw("from"), draw("to")
+		was := from.Own()
+		items, starts := Diff(from, to)
+		assert.Empty(t, starts)
+		_, err := amend(from, items...)
+		require.NoError(t, err)
+		for _, pair := range [][2]*Plate{{from, to}, {to, from}, {to, to}} {
+			rest, starts := Diff(pair[0], pair[1])
+			assert.Empty(t, rest)
+			assert.Empty(t, starts)
+		}
+		back, _ := Diff(from, was)
+		_, err = amend(from, back...)
+		require.NoError(t, err)
+		rest, _ := Diff(was, from)
+		assert.Empty(t, rest)
+		all, _ := Diff(nil, to)
+		for i := range all[1:] {
+			assert.NotNil(t, all[i].Value)
+		}
+	})
+}
+
+func TestDifferenceNamesWhatTakesANewStart(t *testing.T) {
+	to := plateOf(t, `{"grades":[{"name":"a","aim":100,"give_up":200,"effect":"idempotent","importance":1}],"family_info":{"memory_kb":901},"group_size":31}`)
+	items, starts := Diff(plateOf(t, served), to)
+	assert.Equal(t, []string{"family_info.memory_kb", "guarantees.tip_multiple"}, starts)
+	assert.Equal(t, []Item{{Part: Operations, Name: "b"}, {Operations, "a", []byte(`{"aim":100,"effect":"idempotent","give_up":200,"importance":1}`)},
+		{Part: Tenants, Name: "x"}, {Part: Tenants, Name: "y"}, {Limits, "group_size", []byte("31")}, {Part: Limits, Name: "limits.max_retry_after"},
+		{Part: Limits, Name: "limits.retry_after"}}, items)
+}
--- a/plate/names.go
+++ b/plate/names.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/bits"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,6 +24,9 @@
 	heads []int32          // by bucket: the first index in it, -1 for none
 	rooms map[int][]uint32 // by length: where names were that are removed
 	live  int
+
+	retired map[int32]struct{} // indices whose names are still known, but not in service
+	free    []int32            // indices without a name
 }
 
 // NewNames is the index of some names in their order.
@@ -33,12 +38,12 @@
 	return n
 }
 
-// Len is how many indices have a name.
+// Len is how many names are in service.
 func (n *Names) Len() int {
 	if n == nil {
 		return 0
 	}
-	return n.live
+	return n.live - len(n.retired)
 }
 
 // Slots is how many indices there are, those whose name was removed included.
@@ -62,6 +67,44 @@
 	return 0, false
 }
 
+// Find is the index of a name that is in service.
+func (n *Names) Find(name string) (int32, bool) {
+	i, known := n.Lookup(name)
+	if known && len(n.retired) > 0 {
+		_, retired := n.retired[i]
+		known = !retired
+	}
+	return i, known
+}
+
+// Retire takes an index out of service; it keeps its name until Remove.
+func (n *Names) Retire(i int32) {
+	if n.retired == nil {
+		n.retired = make(map[int32]struct{})
+	}
+	n.retired[i] = struct{}{}
+}
+
+// Retired says whether an index is out of service and keeps its name.
+func (n *Names) Retired(i int32) bool {
+	_, retired := n.retired[i]
+	return retired
+}
+
+// Add puts a name in service: at the index that it still has, at one without a name, or behind the last.
+func (n *Names) Add(name string) int32 {
+	if i, known := n.Lookup(name); known {
+		delete(n.retired, i)
+		return i
+	}
+	i := int32(len(n.at))
+	if last := len(n.free) - 1; last >= 0 {
+		i, n.free = n.free[last], n.free[:last]
+	}
+	n.Put(i, name)
+	return i
+}
+
 // Name is the name of an index, empty where it has none.
 func (n *Names) Name(i int32) string {
 	if n == nil || int(i) >= len(n.at) || i < 0 || n.at[i] == 0 {
@@ -94,7 +137,7 @@
 	n.link(i)
 }
 
-// Remove takes the name of an index away.
+// Remove takes the name of an index away; Add may use it again.
 func (n *Names) Remove(i int32) {
 	text := n.text(i)
 	for at := &n.heads[n.bucket(xxhash.Sum64(text))]; *at >= 0; at = &n.next[*at] {
@@ -109,6 +152,8 @@
 	n.rooms[len(text)] = append(n.rooms[len(text)], n.at[i])
 	n.at[i], n.next[i] = 0, -1
 	n.live--
+	delete(n.retired, i)
+	n.free = append(n.free, i)
 }
 
 // text is a name as it lies in its page.
@@ -184,3 +229,18 @@
 		n.link(chain[k])
 	}
 }
+
+func (n *Names) clone() *Names {
+	c := *n
+	c.at, c.next, c.heads, c.free = slices.Clone(n.at), slices.Clone(n.next), slices.Clone(n.heads), slices.Clone(n.free)
+	c.pages = slices.Clone(n.pages)
+	for i, page := range n.pages {
+		c.pages[i] = append(make([]byte, 0, cap(page)), page...)
+	}
+	c.retired = maps.Clone(n.retired)
+	c.rooms = maps.Clone(n.rooms)
+	for length, rooms := range n.rooms {
+		c.rooms[length] = slices.Clone(rooms)
+	}
+	return &c
+}
