The reducer takes versions of the configuration between two steps

Every field but four addresses took a new start. An input brings a version as checked changes; the reducer takes them in steps of at most 256, each at its own cost. What is in hand keeps the terms that it was taken under (client timeout, effect, window); an index stays with its operation or tenant until nothing in hand, no token's window and no count refers to it, and what comes back before has all of it again. An operation out of service is refused without a fault of its connection, but repeats of its tokens get their answers. Plans of levels go by names, so they hold on as operations come and go. Where results are kept in a folder, which has them by number, adding and removing is refused by name.

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -118,7 +118,7 @@
 	if err := file.Into(&w); err != nil {
 		return nil, err
 	}
-	p := &reducer.Plan{Text: string(file.JSON), Plan: levels.Plan{Name: w.Name, Spare: w.Spare, Hold: holdUsual, Most: mostUsual,
+	p := &reducer.Plan{Text: string(file.JSON), Operations: operations.All(), Plan: levels.Plan{Name: w.Name, Spare: w.Spare, Hold: holdUsual, Most: mostUsual,
 		Bridges: bridgesUsual, Forget: forgetUsual, Proof: proofUsual, Spread: spreadUsual}}
 	if p.Name == "" {
 		p.Name = file.Path
--- a/plate/amend.go
+++ b/plate/amend.go
@@ -155,6 +155,13 @@
 // Check says why a plate can't take an amendment as a whole, at the cost of the changes. Nothing is changed.
 func (p *Plate) Check(a *Amendment) error {
 	left, operations, tenants := p.Operations.Len(), 0, 0
+	for i := range a.Changes {
+		if c := &a.Changes[i]; c.Part == Tenants && !c.Removed {
+			tenants++
+		}
+	}
+	look := p.Tenants.live+tenants > tenantsMost // else there is room for all of them, known or not
+	tenants = 0
 	for i := range a.Changes {
 		c := &a.Changes[i]
 		switch {
@@ -169,7 +176,7 @@
 			if _, known := p.Operations.Lookup(c.Name); !known {
 				operations++
 			}
-		case c.Part == Tenants && !c.Removed:
+		case c.Part == Tenants && !c.Removed && look:
 			if _, known := p.Tenants.Lookup(c.Name); !known {
 				tenants++
 			}
--- /dev/null
+++ b/reducer/amend.go
@@ -0,0 +1,304 @@
+package reducer
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+
+	"topazpost/node"
+	"topazpost/plate"
+)
+
+const (
+	amendedAStep = 256          // changes that are taken in one step: some hundreds of microseconds
+	versionsWait = 64           // versions that may wait to be taken, a large one before them
+	forgottenOne = 16           // indices that one step looks at to forget them
+	countsFade   = 120_000 * ms // ns past which nothing is left of a tenant's counts in the module
+)
+
+var (
+	errRetired = errors.New("the operation or tenant is not in service any more")
+	errVersion = errors.New("it comes after one that is as new")
+	errWaiting = errors.New("too many versions wait to be taken; try again")
+	errNumbers = errors.New("results are kept in a folder by the numbers of operation and tenant, so adding or removing one takes a new start; " +
+		"keep them in the fleet's council, or restart with a new file")
+)
+
+// terms are those that invocations of an operation were taken under.
+type terms struct {
+	known  int64 // ns that a token is known, from the arrival of its first invocation on
+	late   int64 // ns of these past its window
+	inHand int
+}
+
+// version is one that came, as far as it is not taken.
+type version struct {
+	number  uint64
+	changes []plate.Change
+	checked bool
+	counts  [3]int // added, changed, removed
+}
+
+// leaving is an index that is out of service and will be forgotten.
+type leaving struct {
+	part  string
+	index int32
+	since int64 // when it went out; another time says that it came back since
+	at    int64 // when it is looked at
+	quiet bool  // nothing of it was in hand at the last look
+}
+
+// amended is the door by which versions of the configuration come into force, between two steps and each change at its
+// own cost. Without them it only counts what is in hand.
+type amended struct {
+	number  uint64 // the last version in force
+	waiting []version
+	terms   [][]*terms        // by operation, those of now last; empty before its first invocation
+	tenants map[int32]int     // invocations in hand by tenant
+	queue   []leaving         // in the order in which they are looked at
+	since   map[leaving]int64 // when an index went out of service, by part and index
+	longest int64             // ns that a token of any operation was ever known, 0 before the first version
+	numbers bool              // results are kept by the numbers of operations and tenants, beyond this life
+}
+
+// Version is the last version of the configuration that is in force as a whole, 0 before the first.
+func (r *Reducer) Version() uint64 { return r.amended.number }
+
+// termsOf are an operation's terms. A token is known for longer than its window, by the client timeout: a repeat that came
+// within the window may lie unread past its end, and until its caller has gone it could be run again. Stamps are whole
+// milliseconds, so one more.
+func termsOf(op *node.Operation) *terms {
+	late := op.ClientTimeout + ms
+	return &terms{known: op.Window + late, late: late}
+}
+
+// termsNow are the terms that an operation's next invocation is taken under.
+func (r *Reducer) termsNow(op int32) *terms {
+	a := &r.amended
+	a.terms = append(a.terms, make([][]*terms, max(0, int(op)+1-len(a.terms)))...)
+	if list := a.terms[op]; len(list) > 0 {
+		return list[len(list)-1]
+	}
+	t := termsOf(&r.plate.Nameplate.Operations[op])
+	a.terms[op] = append(a.terms[op], t)
+	return t
+}
+
+// knownMost is how long a token may be known by any terms that something in hand was taken under, and by those of now.
+func (r *Reducer) knownMost(op int32) int64 {
+	known := r.termsNow(op).known
+	for _, t := range r.amended.terms[op] {
+		if t.inHand > 0 {
+			known = max(known, t.known)
+		}
+	}
+	return known
+}
+
+// take counts an invocation among those in hand; one that is taken in anew keeps its terms.
+func (a *amended) take(v *invocation, now *terms) {
+	if v.terms == nil {
+		v.terms = now
+	}
+	v.terms.inHand++
+	if v.tenant >= 0 {
+		if a.tenants == nil {
+			a.tenants = make(map[int32]int)
+		}
+		a.tenants[v.tenant]++
+	}
+}
+
+// over counts it out.
+func (a *amended) over(v *invocation) {
+	v.terms.inHand--
+	if v.tenant < 0 {
+		return
+	}
+	if a.tenants[v.tenant]--; a.tenants[v.tenant] == 0 {
+		delete(a.tenants, v.tenant)
+	}
+}
+
+// retired says whether an invocation is of an operation or a tenant that is out of service, and repeats none that is known.
+func (r *Reducer) retired(e *node.Event) bool {
+	return e.Repeats == node.NoRepeat && (r.plate.Operations.Retired(e.Operation) || e.Tenant >= 0 && r.plate.Tenants.Retired(e.Tenant))
+}
+
+// amend takes in a version: it is checked and taken once those before it are.
+func (r *Reducer) amend(in *Input) {
+	a := &r.amended
+	last := a.number
+	if n := len(a.waiting); n > 0 {
+		last = a.waiting[n-1].number
+	}
+	switch {
+	case in.Version <= last:
+		r.refuse(in.Version, errVersion)
+	case len(a.waiting) >= versionsWait:
+		r.refuse(in.Version, errWaiting)
+	default:
+		a.waiting = append(a.waiting, version{number: in.Version, changes: in.Change.Changes})
+	}
+}
+
+func (r *Reducer) refuse(number uint64, err error) {
+	r.Counters.VersionsRefused++
+	r.do(Effect{Kind: Amended, Version: number, Err: err})
+}
+
+// keepAmended takes what waits, a bounded part in each step, and forgets what nothing refers to any more.
+func (r *Reducer) keepAmended() {
+	a := &r.amended
+	for left := amendedAStep; left > 0 && len(a.waiting) > 0; {
+		v := &a.waiting[0]
+		if !v.checked {
+			if err := r.fits(v); err != nil {
+				r.refuse(v.number, err)
+				a.waiting = slices.Delete(a.waiting, 0, 1)
+				continue
+			}
+			v.checked = true
+		}
+		n := min(left, len(v.changes))
+		for i := range v.changes[:n] {
+			r.change(v, v.changes[i])
+		}
+		v.changes, left = v.changes[n:], left-n
+		if len(v.changes) == 0 {
+			a.number = v.number
+			r.Counters.Versions++
+			r.do(Effect{Kind: Amended, Version: v.number, Text: fmt.Sprintf("%d added, %d changed, %d removed", v.counts[0], v.counts[1], v.counts[2])})
+			a.waiting = slices.Delete(a.waiting, 0, 1)
+		}
+	}
+	r.forgetRetired()
+}
+
+// fits says why a version can't be taken; nothing is changed.
+func (r *Reducer) fits(v *version) error {
+	if r.amended.numbers {
+		for i := range v.changes {
+			c := &v.changes[i]
+			_, operation := r.plate.Operations.Find(c.Name)
+			_, tenant := r.plate.Tenants.Find(c.Name)
+			if c.Part == plate.Operations && operation == c.Removed || c.Part == plate.Tenants && tenant == c.Removed {
+				return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
+			}
+		}
+	}
+	return r.plate.Check(&plate.Amendment{Changes: v.changes})
+}
+
+// change brings one change into force.
+func (r *Reducer) change(v *version, c plate.Change) {
+	a := &r.amended
+	if a.longest == 0 { // once in a node's life
+		for i := range r.plate.Nameplate.Operations {
+			a.longest = max(a.longest, termsOf(&r.plate.Nameplate.Operations[i]).known)
+		}
+	}
+	c.Operation.SkipShare = 0 // as in all settings on sockets
+	t := r.plate.Take(&c)
+	switch {
+	case !t.Changed:
+		return
+	case t.Removed:
+		v.counts[2]++
+		r.retire(c.Part, t.Index)
+		return
+	case t.Added:
+		v.counts[0]++
+		delete(a.since, leaving{part: c.Part, index: t.Index})
+	default:
+		v.counts[1]++
+	}
+	if c.Part != plate.Operations {
+		return
+	}
+	op := c.Operation
+	now := termsOf(&op)
+	a.longest = max(a.longest, now.known)
+	if int(t.Index) < len(a.terms) && len(a.terms[t.Index]) > 0 { // else they are made when they are needed
+		a.terms[t.Index] = append(slices.DeleteFunc(a.terms[t.Index], func(t *terms) bool { return t.inHand == 0 }), now)
+	}
+	if t.Added {
+		r.levels.place(t.Index, c.Name)
+	}
+	r.do(Effect{Kind: Slower, At: op.ClientTimeout})
+	if r.post != nil {
+		r.events = append(r.events, node.Event{Kind: node.OperationSet, Operation: t.Index, Terms: &op, Services: r.levels.left(t.Index)})
+	}
+}
+
+// hold is how long an index out of service is kept after its last invocation: while a token of it may be known, and a
+// tenant counts for something in the module.
+func (a *amended) hold(part string) int64 {
+	if part == plate.Tenants {
+		return max(a.longest, countsFade)
+	}
+	return a.longest
+}
+
+func (r *Reducer) retire(part string, index int32) {
+	a := &r.amended
+	if a.since == nil {
+		a.since = make(map[leaving]int64)
+	}
+	a.since[leaving{part: part, index: index}] = r.now
+	a.queue = append(a.queue, leaving{part: part, index: index, since: r.now, at: r.now + a.hold(part), quiet: r.inHand(part, index) == 0})
+}
+
+// inHand counts the invocations of an operation or a tenant.
+func (r *Reducer) inHand(part string, index int32) (n int) {
+	if part == plate.Tenants {
+		return r.amended.tenants[index]
+	}
+	if int(index) < len(r.amended.terms) {
+		for _, t := range r.amended.terms[index] {
+			n += t.inHand
+		}
+	}
+	return n
+}
+
+// forgetRetired gives indices to whatever comes next, whose last invocation ended so long ago that nothing of it is left.
+func (r *Reducer) forgetRetired() {
+	a := &r.amended
+	for range min(forgottenOne, len(a.queue)) {
+		l := a.queue[0]
+		if l.at > r.now {
+			return
+		}
+		a.queue = a.queue[1:]
+		key := leaving{part: l.part, index: l.index}
+		if since, out := a.since[key]; !out || since != l.since {
+			continue // it came back; where it went again it stands further behind
+		}
+		if inHand := r.inHand(l.part, l.index); inHand > 0 || !l.quiet {
+			l.quiet, l.at = inHand == 0, r.now+a.hold(l.part)
+			a.queue = append(a.queue, l)
+			continue
+		}
+		delete(a.since, key)
+		r.plate.Forget(l.part, l.index)
+		if l.part == plate.Tenants {
+			continue
+		}
+		if int(l.index) < len(a.terms) {
+			a.terms[l.index] = nil
+		}
+		r.levels.place(l.index, "")
+		if r.post != nil {
+			r.events = append(r.events, node.Event{Kind: node.OperationSet, Operation: l.index})
+		}
+	}
+}
+
+// amendDue is when the next step is needed: at once while something waits; what is out of service waits for any step.
+func (r *Reducer) amendDue() int64 {
+	if len(r.amended.waiting) > 0 {
+		return r.now + 1
+	}
+	return never
+}
--- /dev/null
+++ b/reducer/amend_test.go
@@ -0,0 +1,336 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"topazpost/node"
+	"topazpost/plate"
+	"topazpost/results"
+)
+
+func operation(name, fields string) plate.Item {
+	return plate.Item{Part: plate.Operations, Name: name, Value: []byte(`{"aim":1000,"effect":"idempotent","give_up":3000` + fields + `}`)}
+}
+
+func removed(part, name string) plate.Item { return plate.Item{Part: part, Name: name} }
+
+func tenant(name string, rate int) plate.Item {
+	return plate.Item{Part: plate.Tenants, Name: name, Value: fmt.Appendf(nil, `{"quota_rps":%d}`, rate)}
+}
+
+// version is the input of the next version.
+func versionOf(t require.TestingT, number uint64, items ...plate.Item) Input {
+	change, err := plate.Parse(items)
+	require.NoError(t, err)
+	return Input{Kind: Amend, Version: number, Change: change}
+}
+
+// amended brings items into force as the next version, and says why it can't.
+func amendedBy(t *testing.T, r *Reducer, items ...plate.Item) error {
+	got := kindsOf(step(r, versionOf(t, r.Version()+1, items...)), Amended)
+	require.Len(t, got, 1)
+	return got[0].Err
+}
+
+// pass lets time pass in beats.
+func pass(r *Reducer, ns int64) {
+	for end := r.now + ns; r.now < end; {
+		r.now = min(end, r.now+50*ms) - ms
+		r.heardAt, r.conns[7].used = r.now, r.now // neither link is silent
+		step(r)
+	}
+}
+
+// coming is an invocation that arrives now.
+func coming(r *Reducer, stream int, changed ...string) Input {
+	return invoke(uint32(stream), append([]string{"call", id(stream), "recv", fmt.Sprint(1_000_000 + r.now/ms)}, changed...)...)
+}
+
+// holding is one of a token that arrives now.
+func holding(r *Reducer, stream int, token string) Input {
+	return coming(r, stream, "op", "hold", "dedupe", token)
+}
+
+// ran has the run of an invocation end well.
+func ran(r *Reducer, stream int) []Effect {
+	return told(r, fmt.Sprintf("EXIT %d %s good 12 6|result", r.notice+1, id(stream)))
+}
+
+func TestVersionIsInForceBetweenTwoSteps(t *testing.T) {
+	r := up(t)
+	assert.Equal(t, []string{"51 on 1"}, answers(t, step(r, coming(r, 1, "op", "new"))))
+	require.NoError(t, amendedBy(t, r, operation("new", `,"class_calls":true`), tenant("x", 3), plate.Item{Part: plate.Limits, Name: "limits.max_retry_after",
+		Value: []byte("70")}))
+	assert.Equal(t, uint64(1), r.Version())
+	assert.Equal(t, 70*ms, r.plate.Nameplate.ComeBackMax)
+	assert.Equal(t, 1, runsOf(step(r, coming(r, 2, "op", "new", "org", "x"))))
+	assert.Equal(t, []string{"51 on 3"}, answers(t, step(r, coming(r, 3, "op", "new", "org", "y"))))
+	assert.Equal(t, []string{"20 on 2"}, answers(t, ran(r, 2)))
+	got := kindsOf(step(r, versionOf(t, 1, tenant("x", 4))), Amended)
+	assert.ErrorIs(t, got[0].Err, errVersion)
+	assert.Equal(t, []float64{3}, r.plate.Nameplate.TenantRates)
+}
+
+func TestVersionThatCannotBeTakenChangesNothing(t *testing.T) {
+	r := up(t)
+	before := r.plate.Own()
+	assert.ErrorContains(t, amendedBy(t, r, tenant("x", 3), removed(plate.Operations, "catalogue"), removed(plate.Operations, "hold")), "none would be left")
+	assert.Equal(t, before, r.plate.Own())
+	assert.Zero(t, r.Version())
+	assert.Equal(t, 1, r.Counters.VersionsRefused)
+	r.amended.numbers = true
+	assert.ErrorContains(t, amendedBy(t, r, operation("catalogue", `,"importance":7`), operation("new", "")), "operations.new: results are kept in a folder")
+	assert.ErrorContains(t, amendedBy(t, r, removed(plate.Operations, "hold")), "operations.hold")
+	assert.NoError(t, amendedBy(t, r, operation("catalogue", `,"importance":7`)))
+}
+
+// What is in hand keeps its client timeout; what comes has the new one.
+func TestChangedClientTimeoutIsForWhatComes(t *testing.T) {
+	r := up(t)
+	from := r.now
+	step(r, coming(r, 1))
+	short := plate.Item{Part: plate.Operations, Name: "catalogue", Value: []byte(`{"aim":200,"effect":"at_most_once","give_up":400}`)}
+	require.NoError(t, amendedBy(t, r, short))
+	step(r, coming(r, 2))
+	ends := map[string]int64{}
+	for len(ends) < 2 && r.now < from+5_000*ms {
+		r.heardAt = r.now
+		for _, a := range answers(t, step(r)) {
+			ends[a] = (r.now - from) / ms
+		}
+	}
+	assert.InDelta(t, 400, ends["51 on 2"], 120)
+	assert.InDelta(t, 3_000, ends["51 on 1"], 120)
+}
+
+// What is in hand when its operation goes runs to its end, a repeat of its token gets its answer, and new work is refused
+// without harm to the connection. Once nothing of it is known the index is free for another.
+func TestOperationGoesWithWorkInHandAndInItsTokenWindow(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	assert.Equal(t, 1, runsOf(step(r, holding(r, 1, "a"))))
+	require.NoError(t, amendedBy(t, r, operation("other", ""), removed(plate.Operations, "hold")))
+	for stream := range faultsMost + 2 {
+		assert.Equal(t, []string{fmt.Sprint("51 on ", stream+2)}, answers(t, step(r, holding(r, stream+2, "b"))))
+	}
+	assert.Zero(t, r.conns[7].faults)
+	assert.Empty(t, answers(t, step(r, holding(r, 50, "a"))), "it joins the run")
+	pass(r, 2_000*ms)
+	assert.ElementsMatch(t, []string{"20 on 1", "20 on 50"}, answers(t, ran(r, 1)))
+	pass(r, 10_000*ms)
+	assert.Equal(t, []string{"20 on 60"}, answers(t, step(r, holding(r, 60, "a"))), "its result is kept for its window")
+	require.NoError(t, amendedBy(t, r, operation("next", "")))
+	i, _ := r.plate.Operations.Find("next")
+	assert.Equal(t, int32(2), i, "the index is still that of the tokens")
+	pass(r, 40_000*ms)
+	assert.Empty(t, r.amended.queue)
+	assert.True(t, r.plate.Nameplate.Operations[0].Gone)
+	require.NoError(t, amendedBy(t, r, operation("last", "")))
+	i, _ = r.plate.Operations.Find("last")
+	assert.Zero(t, i, "it is free")
+	assert.Equal(t, 1, runsOf(step(r, coming(r, 99, "op", "last"))))
+	assert.Empty(t, r.Guard.All())
+}
+
+func TestOperationThatComesBackHasItsTokensAgain(t *testing.T) {
+	r := keeping(t, results.InMemory)
+	step(r, holding(r, 1, "a"))
+	ran(r, 1)
+	require.NoError(t, amendedBy(t, r, operation("other", ""), removed(plate.Operations, "hold")))
+	back := plate.Item{Part: plate.Operations, Name: "hold", Value: []byte(`{"aim":1000,"effect":"deduplicated","give_up":3000,"window":20000}`)}
+	require.NoError(t, amendedBy(t, r, back))
+	assert.Equal(t, []string{"20 on 2"}, answers(t, step(r, holding(r, 2, "a"))))
+	assert.Equal(t, 1, runsOf(step(r, holding(r, 3, "b"))))
+	ran(r, 3)
+	pass(r, 200_000*ms)
+	i, known := r.plate.Operations.Find("hold")
+	assert.True(t, known && i == 0, "what came back is not forgotten")
+}
+
+// A window that shrinks is that of what comes: what was taken before is known for as long as it was promised.
+func TestShorterWindowIsForWhatComes(t *testing.T) {
+	r := keeping(t, results.OnDisk)
+	written(r, step(r, holding(r, 1, "a")))
+	short := plate.Item{Part: plate.Operations, Name: "hold", Value: []byte(`{"aim":1000,"effect":"deduplicated","give_up":3000,"window":1000}`)}
+	require.NoError(t, amendedBy(t, r, short))
+	written(r, step(r, holding(r, 2, "b")))
+	kept := map[string]int64{}
+	for k, token := range []string{"a", "b"} {
+		effects := ran(r, k+1)
+		for _, e := range kindsOf(effects, Keep) {
+			kept[e.Kept.Key.Token] = e.Kept.For
+		}
+		written(r, effects)
+		_ = token
+	}
+	assert.Equal(t, 23_001*ms, kept["a"])
+	assert.Equal(t, 4_001*ms, kept["b"])
+	pass(r, 10_000*ms)
+	assert.Equal(t, []string{"20 on 3"}, answers(t, step(r, holding(r, 3, "a"))))
+	assert.Equal(t, 1, len(kindsOf(step(r, holding(r, 4, "b")), Keep)), "its window is over: it is begun anew")
+}
+
+func TestTenantThatComesBackSoonHasItsCountsAgain(t *testing.T) {
+	r := up(t)
+	require.NoError(t, amendedBy(t, r, tenant("x", 3), tenant("y", 1)))
+	step(r, coming(r, 1, "op", "hold", "org", "y"))
+	ran(r, 1)
+	require.NoError(t, amendedBy(t, r, removed(plate.Tenants, "y")))
+	assert.Equal(t, []string{"51 on 2"}, answers(t, step(r, coming(r, 2, "org", "y"))))
+	assert.Zero(t, r.conns[7].faults)
+	require.NoError(t, amendedBy(t, r, tenant("z", 1), tenant("y", 5)))
+	i, _ := r.plate.Tenants.Find("y")
+	assert.Equal(t, int32(1), i)
+	assert.Equal(t, []float64{3, 5, 1}, r.plate.Nameplate.TenantRates)
+	require.NoError(t, amendedBy(t, r, removed(plate.Tenants, "y")))
+	pass(r, countsFade+1_000*ms)
+	require.NoError(t, amendedBy(t, r, tenant("w", 9)))
+	i, _ = r.plate.Tenants.Find("w")
+	assert.Equal(t, int32(1), i, "once nothing of it is left the index is another's")
+}
+
+func TestLevelsGoByNamesAsOperationsComeAndGo(t *testing.T) {
+	r := at(t, 1)
+	require.NoError(t, amendedBy(t, r, operation("new", ""), removed(plate.Operations, "catalogue")))
+	assert.Equal(t, "51 on 1", answers(t, step(r, coming(r, 1)))[0])
+	assert.Contains(t, text(step(r, coming(r, 2, "op", "new")), Tell), "EXEC "+id(2)+" new")
+	ran(r, 2)
+	pass(r, 10_000*ms)
+	assert.True(t, r.plate.Nameplate.Operations[0].Gone)
+	require.NoError(t, amendedBy(t, r, operation("newer", "")))
+	assert.Contains(t, text(step(r, coming(r, 3, "op", "newer")), Tell), "EXEC "+id(3)+" newer", "not the form of the one before")
+	ran(r, 3)
+	require.NoError(t, amendedBy(t, r, operation("catalogue", "")))
+	assert.Contains(t, text(step(r, coming(r, 4)), Tell), "EXEC "+id(4)+" catalogue-plain", "the plan speaks of it again")
+	plan := ladderOf(-1)
+	plan.Operations = []string{"gone", "newer"}
+	plan.Forms[0] = []string{"", "newer-plain"}
+	for k := range plan.Rungs {
+		plan.Rungs[k].Service[0], plan.Rungs[k].Service[1] = plan.Rungs[k].Service[1], plan.Rungs[k].Service[0]
+	}
+	step(r, Input{Kind: Adopt, Plan: plan})
+	i, _ := r.plate.Operations.Find("newer")
+	assert.Equal(t, node.Reduced, r.levels.plan.Rungs[0].Service[i].Form)
+	assert.Equal(t, "newer-plain", r.levels.plan.Forms[0][i])
+	assert.Empty(t, r.Guard.All())
+}
+
+// A large version takes steps of a bounded size, and nothing in it waits for a timer.
+func TestLargeVersionIsTakenInBoundedSteps(t *testing.T) {
+	r := up(t)
+	var items []plate.Item
+	for k := range 10*amendedAStep + 1 {
+		items = append(items, tenant(fmt.Sprint("t", k), 1))
+	}
+	in := []Input{versionOf(t, 1, items...), versionOf(t, 2, removed(plate.Tenants, "t0"))}
+	for steps := 1; ; steps++ {
+		was := r.plate.Tenants.Slots()
+		effects := r.Step(r.now+ms, r.now+ms+1_000_000*ms, in)
+		in = nil
+		assert.LessOrEqual(t, r.plate.Tenants.Slots()-was, amendedAStep)
+		if len(r.amended.waiting) == 0 {
+			assert.Equal(t, 11, steps)
+			break
+		}
+		assert.Equal(t, r.now+1, effects[len(effects)-1].At)
+	}
+	assert.Equal(t, uint64(2), r.Version())
+	in = []Input{versionOf(t, 3, items...)}
+	for k := range versionsWait {
+		in = append(in, versionOf(t, uint64(4+k), tenant("u", k)))
+	}
+	refused := kindsOf(r.Step(r.now+ms, r.now+ms+1_000_000*ms, in), Amended)
+	require.Len(t, refused, 1, "those that wait are bounded")
+	assert.ErrorIs(t, refused[0].Err, errWaiting)
+}
+
+// allocations counts those of one change at a table of some size.
+func allocations(t *testing.T, operations, tenants int) float64 {
+	r := up(t)
+	var items []plate.Item
+	for k := range operations {
+		items = append(items, operation(fmt.Sprint("o", k), ""))
+	}
+	for k := range tenants {
+		items = append(items, tenant(fmt.Sprint("t", k), 1))
+	}
+	step(r, versionOf(t, 1, items...))
+	for len(r.amended.waiting) > 0 {
+		step(r)
+	}
+	number := uint64(1)
+	return testing.AllocsPerRun(200, func() {
+		number++
+		step(r, versionOf(t, number, operation("o7", fmt.Sprintf(`,"importance":%d`, number)), tenant("t7", int(number)), removed(plate.Tenants, "t8")))
+		number++
+		step(r, versionOf(t, number, tenant("t8", 1)))
+	})
+}
+
+// What a change costs doesn't grow with the table: it is counted, not timed.
+func TestCostOfAChangeIsThatOfTheChange(t *testing.T) {
+	small, large := allocations(t, 20, 20), allocations(t, 2_000, 40_000)
+	assert.InDelta(t, small, large, 3)
+}
+
+// A thousand changes in a minute, beside traffic: every invocation is answered once, indices are used again, and the node's
+// configuration is in the end that of all the changes.
+func TestThousandChangesInAMinute(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p, err := plate.FromJSON(1, []byte(settings))
+		require.NoError(t, err)
+		want := p.Own()
+		r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
+		step(r, Input{Kind: Opened, Link: 7})
+		step(r, Input{Kind: Joined, Link: r.dialing})
+		told(r, "WELCOME old 0")
+		told(r, "METERS j1 0.1 1 0.1 3")
+		names := []string{"catalogue", "hold", "a", "b", "c", "d"}
+		stream, asked, answered := uint32(0), 0, 0
+		for k := range 1_000 {
+			name := rapid.SampledFrom(names[1:]).Draw(rt, "name")
+			var it plate.Item
+			switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+			case 0:
+				it = removed(plate.Operations, name)
+			case 1:
+				it = operation(name, fmt.Sprintf(`,"importance":%d`, k))
+			case 2:
+				it = tenant(name, k)
+			default:
+				it = removed(plate.Tenants, name)
+			}
+			change, err := plate.Parse([]plate.Item{it})
+			require.NoError(t, err)
+			want.Take(&change.Changes[0])
+			r.heardAt = r.now
+			inputs := []Input{{Kind: Amend, Version: uint64(k + 1), Change: change}}
+			if r.conns[7] != nil && !r.conns[7].noMore && !r.conns[7].broken && r.conns[7].idle() {
+				stream++
+				asked++
+				inputs = append(inputs, coming(r, int(stream), "org", "a"))
+			}
+			r.now += 59 * ms
+			answered += len(kindsOf(step(r, inputs...), Send))
+			if i, v := r.lookup(id(int(stream))); i >= 0 && !v.answered {
+				answered += len(kindsOf(ran(r, int(stream)), Send))
+			}
+			if r.conns[7] != nil {
+				r.conns[7].faults = 0
+			}
+		}
+		assert.Greater(t, asked, 200)
+		assert.GreaterOrEqual(t, answered, asked)
+		assert.Equal(t, uint64(1_000), r.Version())
+		want.Nameplate.Operations[0].SkipShare = 0
+		rest, starts := plate.Diff(want, r.plate)
+		assert.Empty(t, rest)
+		assert.Empty(t, starts)
+		assert.LessOrEqual(t, r.plate.Operations.Slots(), 20)
+		assert.Empty(t, r.Guard.All())
+	})
+}
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -138,7 +138,7 @@
 		return
 	}
 	r.want(claims.Input{Want: claims.Arrived, Key: r.claimKey(v.key), Body: v.hash, For: v.due - r.now, Call: v.call, Work: text,
-		Window: r.known(v.key.Operation)})
+		Window: v.terms.known})
 }
 
 // fromStream takes what a node says on a stream.
@@ -340,7 +340,7 @@
 		return nil
 	}
 	v := invocation{live: true, conn: heir, call: w.Call, op: r.plate.Operations.Name(key.Operation), body: w.Body, key: key, hash: a.Body,
-		taken: r.now, due: r.now + a.For}
+		operation: key.Operation, tenant: key.Tenant, taken: r.now, due: r.now + a.For}
 	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: key.Tenant, Repeats: node.NoRepeat, Further: true,
 		Due: r.now + a.For, HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
 	i := r.admit(v)
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -230,6 +230,9 @@
 	if err == nil {
 		err = r.repeats(&v, &e)
 	}
+	if err == nil && r.retired(&e) {
+		err = errRetired
+	}
 	if err == nil && len(c.open) >= streamsOpen {
 		err = errors.New("too many streams are open")
 	}
@@ -238,7 +241,9 @@
 		r.Counters.Errored++
 		r.remark(Warn, "invocation can't be used", v.call, err)
 		r.send(link, f.Stream, frame.Errored, nil, nil)
-		r.fault(link, c)
+		if err != errRetired { // callers hear of a change as late as they do
+			r.fault(link, c)
+		}
 		return
 	}
 	c.usable, c.used = true, r.now
@@ -251,6 +256,7 @@
 		return
 	}
 	r.keepEnding(link, c)
+	v.operation, v.tenant = e.Operation, e.Tenant
 	e.Inv = r.admit(v)
 	if v.key.Token != "" {
 		r.invs[e.Inv].arrival, r.invs[e.Inv].taken = e, r.now
--- a/reducer/kept.go
+++ b/reducer/kept.go
@@ -40,6 +40,7 @@
 // turned away until KeptRead tells that the store was read.
 func (r *Reducer) Keep(rules results.Rules, field string, unread bool) {
 	r.plate.Nameplate.RecordsMost = rules.TokensMost()
+	r.amended.numbers = unread
 	r.kept = kept{keeper: results.New(rules), token: field, held: make(map[results.Key]*unrun), unread: unread}
 }
 
@@ -104,20 +105,13 @@
 	r.ask(i)
 }
 
-// late is how much longer than its window a token is known. Guards against a repeat that came within the window and lay
-// unread past its end: until its caller has gone it could be run again. Stamps are whole milliseconds, so one more.
-func (r *Reducer) late(op int32) int64 { return r.plate.Nameplate.Operations[op].ClientTimeout + ms }
-
-// known is how long a token is known from the arrival of its first invocation on.
-func (r *Reducer) known(op int32) int64 { return r.plate.Nameplate.Operations[op].Window + r.late(op) }
-
 // ask hands an invocation to the keeper, which decides whether it runs, joins or is answered.
 func (r *Reducer) ask(i int32) {
 	v := &r.invs[i]
 	v.asked = true
 	until := v.window
 	if until == 0 {
-		until = r.now + r.known(v.key.Operation)
+		until = r.now + v.terms.known
 	}
 	r.keeper(results.Input{Kind: results.Asked, Asker: i, Key: v.key, Body: v.hash, For: until - r.now})
 }
@@ -155,6 +149,9 @@
 	j := r.admit(v)
 	c.open[v.stream] = j
 	e.Inv, e.Age, e.Repeats = j, r.now-v.taken+e.Age, node.NoRepeat
+	if v.terms != r.termsNow(v.operation) {
+		e.Due = v.due // its client timeout is that of its terms
+	}
 	if h := r.kept.held[v.key]; h != nil {
 		e.Repeats = h.first
 	}
@@ -289,7 +286,7 @@
 			return
 		}
 		r.do(Effect{Kind: Keep, Kept: &results.Stored{Key: a.Key, Done: true, Ending: a.Ending, Result: a.Result,
-			For: r.known(a.Key.Operation)}})
+			For: r.knownMost(a.Key.Operation)}})
 	case results.Drop:
 		if r.claimed.desk != nil {
 			r.want(claims.Input{Want: claims.Drop, Key: r.claimKey(a.Key)})
--- a/reducer/levels.go
+++ b/reducer/levels.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"math/rand"
+	"slices"
 
 	"topazpost/levels"
 	"topazpost/node"
+	"topazpost/plate"
 )
 
 // Plan is a ladder of levels together with the names that this door needs of it.
@@ -13,6 +15,8 @@
 	levels.Plan
 	Forms [][]string // by level above full service and operation: the reduced form as the executor knows it
 	Text  string     // what it was read from; one of the same text is no other plan
+
+	Operations []string // by the index that Rung.Service and Forms go by; nil where that is the node's own
 }
 
 // Served counts what was answered at one level of service.
@@ -38,6 +42,8 @@
 // ladder is the door's state of the levels; the zero value has no plan.
 type ladder struct {
 	plan     *Plan
+	source   *Plan        // as it was given
+	names    *plate.Names // of operations, by index in the source
 	steps    *levels.Ladder
 	chance   *rand.Rand
 	measures node.Measures
@@ -53,12 +59,17 @@
 	if plan != nil && l.plan != nil && plan.Text != "" && plan.Text == l.plan.Text {
 		return // what was learnt of it stays
 	}
+	source, names := plan, (*plate.Names)(nil)
 	if plan != nil {
-		if faults := plan.Check(len(r.plate.Nameplate.Operations)); len(faults) > 0 {
+		if names = plate.NewNames(plan.Operations...); plan.Operations == nil {
+			names = plate.NewNames(r.plate.Operations.All()...)
+		}
+		if faults := plan.Check(names.Slots()); len(faults) > 0 {
 			r.remark(Warn, "plan of levels can't be used, the one of before stays", "",
 				fmt.Errorf("%v: %s", faults[0].Path, faults[0].What))
 			return
 		}
+		plan = fitted(plan, names, r.plate.Operations)
 	}
 	if l.chance == nil {
 		l.chance = rand.New(rand.NewSource(r.plate.Nameplate.Seed ^ 0x6c6576656c73))
@@ -82,6 +93,7 @@
 	if l.plan != nil {
 		l.account(r.now, l.steps.Level())
 	}
+	l.source, l.names = source, names
 	l.plan, l.steps, l.served, l.spent, l.since = plan, steps, nil, nil, r.now
 	t := &Turn{Change: change, FromName: from, Before: before}
 	if plan != nil {
@@ -95,6 +107,57 @@
 	r.setLevel(t)
 }
 
+// fitted is a plan by the indices of the node that takes it: those change in service, and need not be those of a file. What
+// it says of operations that the node doesn't have counts for nothing.
+func fitted(plan *Plan, names, to *plate.Names) *Plan {
+	p := *plan
+	p.Rungs, p.Forms = slices.Clone(plan.Rungs), make([][]string, len(plan.Rungs))
+	for k := range p.Rungs {
+		p.Rungs[k].Service, p.Forms[k] = make([]node.Service, to.Slots()), make([]string, to.Slots())
+	}
+	for i := range int32(to.Slots()) {
+		if to.Has(i) {
+			p.place(i, to.Name(i), plan, names)
+		}
+	}
+	return &p
+}
+
+// place gives an index what the source says of the operation of a name.
+func (p *Plan) place(index int32, name string, source *Plan, names *plate.Names) {
+	i, known := names.Lookup(name)
+	for k := range p.Rungs {
+		more := make([]node.Service, max(0, int(index)+1-len(p.Rungs[k].Service)))
+		p.Rungs[k].Service, p.Forms[k] = append(p.Rungs[k].Service, more...), append(p.Forms[k], make([]string, len(more))...)
+		p.Rungs[k].Service[index], p.Forms[k][index] = node.Service{}, ""
+		if known && int(i) < len(source.Rungs[k].Service) {
+			p.Rungs[k].Service[index] = source.Rungs[k].Service[i]
+		}
+		if known && k < len(source.Forms) && int(i) < len(source.Forms[k]) {
+			p.Forms[k][index] = source.Forms[k][i]
+		}
+	}
+}
+
+// place does so in the plan in force; without a name the index is no operation's any more.
+func (l *ladder) place(index int32, name string) {
+	if l.plan != nil {
+		l.plan.place(index, name, l.source, l.names)
+	}
+}
+
+// left is what the level in force leaves of an operation, nil for all of it.
+func (l *ladder) left(index int32) []node.Service {
+	if l.plan == nil {
+		return nil
+	}
+	all := l.plan.Services(l.steps.Level())
+	if int(index) >= len(all) {
+		return nil
+	}
+	return all[index : index+1]
+}
+
 // account adds the stay that ends to the totals of its level.
 func (l *ladder) account(now int64, level int) {
 	s := &l.served[level]
@@ -154,7 +217,7 @@
 		return op, ""
 	}
 	level = l.plan.LevelName(l.steps.Level())
-	i, _ := r.plate.Operations.Lookup(op)
+	i, _ := r.plate.Operations.Lookup(op) // one that is out of service is known while it runs
 	class = l.plan.Forms[l.steps.Level()-1][i]
 	if !r.Guard.Hold(class != "", "a reduced run has a form that the executor knows") {
 		return op, ""
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -72,6 +72,9 @@
 	orphan         bool // its caller left, others wait for its run
 	runForm        node.Form
 	form           string // name of the level whose reduced form runs, empty for the whole operation
+	operation      int32
+	tenant         int32 // -1 where it has none
+	terms          *terms
 }
 
 // connection is a dispatcher's connection.
@@ -126,6 +129,8 @@
 	ReportsFailed     int `json:"reports_failed"`
 	Inherited         int `json:"inherited"`
 	InheritedGivenUp  int `json:"inherited_given_up"`
+	Versions          int `json:"versions"`
+	VersionsRefused   int `json:"versions_refused"`
 }
 
 // Decider is what decides about invocations: control.Post, or a baseline of the laboratory.
@@ -192,6 +197,7 @@
 	kept    kept
 	claimed claimed
 	leasing leasing
+	amended amended
 	later   []node.Event   // what the module is told in the next step: it was deciding
 	decided bool           // the module has decided in this step, or had nothing to decide
 	stateAt int64          // when the next sample of the state is due
@@ -199,8 +205,8 @@
 	counted Counters       // the counters at the last one
 }
 
-// New is the state of a node that has just started. Settings are those of its configuration, connections and
-// links the most that it is to keep of dispatchers and to the catalogue.
+// New is the state of a node that has just started. Settings are those of its configuration, and the node's own from then
+// on, since it amends them; connections and links are the most that it is to keep of dispatchers and to the catalogue.
 func New(settings *plate.Plate, to Addresses, stop int64, connections, links int) *Reducer {
 	r := &Reducer{plate: onSockets(settings), to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
 		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
@@ -247,6 +253,7 @@
 	}
 	r.keepTimers()
 	r.lapse()
+	r.keepAmended()
 	r.decided = true // what the module is told from here on is for the next step
 	if r.post != nil && len(r.events) > 0 {
 		for _, a := range r.post.Decide(now, r.events) {
@@ -302,6 +309,8 @@
 		r.adopt(in.Plan)
 	case Adopt:
 		r.adopt(in.Plan)
+	case Amend:
+		r.amend(in)
 	}
 }
 
@@ -347,7 +356,7 @@
 
 // wake is when the next of the timers is due.
 func (r *Reducer) wake() int64 {
-	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue())
+	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue(), r.amendDue())
 	if len(r.later) > 0 {
 		at = r.now + 1
 	}
@@ -399,7 +408,7 @@
 	case node.Reuse:
 		r.reuse(a.Inv)
 	case node.Record:
-		r.invs[a.Inv].window = r.now + a.For + r.late(r.invs[a.Inv].key.Operation)
+		r.invs[a.Inv].window = r.now + a.For + r.invs[a.Inv].terms.late
 	case node.Release:
 		r.release(a.Inv)
 	default:
@@ -487,6 +496,7 @@
 // Admission of ids.
 
 func (r *Reducer) admit(v invocation) int32 {
+	r.amended.take(&v, r.termsNow(v.operation))
 	index := int32(len(r.invs))
 	if n := len(r.free); n > 0 {
 		index, r.free = r.free[n-1], r.free[:n-1]
@@ -512,6 +522,7 @@
 	if r.calls[v.call] == i {
 		delete(r.calls, v.call)
 	}
+	r.amended.over(v)
 	*v = invocation{}
 	r.free = append(r.free, i)
 }
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -6,6 +6,7 @@
 	"topazpost/frame"
 	"topazpost/lines"
 	"topazpost/membership"
+	"topazpost/plate"
 	"topazpost/results"
 )
 
@@ -42,6 +43,7 @@
 	PeerTold                        // a letter on a stream of a peer
 	PeerHungUp                      // a stream ended
 	Adopt                           // there is a plan of levels, another one, or none any more
+	Amend                           // a version of the configuration is to come into force
 )
 
 // Addresses are where the peers of a node are.
@@ -59,6 +61,9 @@
 	Bytes []byte    // of peers
 	Kept  []results.Stored
 	From  string // address of the peer that sent them
+
+	Version uint64           // Amend
+	Change  *plate.Amendment // Amend
 }
 
 // EffectKind names what is to be done.
@@ -92,6 +97,8 @@
 	ViewChanged                       // tell of a change of the view
 	PeerStream                        // write a letter to the stream Link, or where that is gone or 0 to one to Address
 	PeerHangUp                        // end the stream
+	Amended                           // a version is in force, or with Err it is refused and nothing is changed
+	Slower                            // callers may wait for At ns from now on
 )
 
 // Level is how loud a remark is.
@@ -120,4 +127,5 @@
 	Turn    *Turn  // Turned
 	Change  *membership.Change
 	Kept    *results.Stored
+	Version uint64 // Amended
 }
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -120,17 +120,25 @@
 	most    int64         // that may be
 	slots   chan struct{}
 	writers sync.WaitGroup
-	slowest int64 // ns, the longest client timeout
+	slowest atomic.Int64 // ns, the longest client timeout there was
 }
 
 func newConnections(s *Server) *connections {
 	kept, closing, _ := s.plate.shares()
-	slowest := int64(halfWait)
+	c := &connections{s: s, open: make(map[int]*connection), most: int64(s.plate.MemoryMB) << 20 / pendingPart,
+		slots: make(chan struct{}, kept+closing)}
+	c.slower(int64(halfWait))
 	for _, op := range s.plate.Settings.Nameplate.Operations {
-		slowest = max(slowest, op.ClientTimeout)
+		c.slower(op.ClientTimeout)
+	}
+	return c
+}
+
+// slower takes note of a client timeout; what was in hand may go by a longer one, so it never shrinks.
+func (c *connections) slower(timeout int64) {
+	if timeout > c.slowest.Load() {
+		c.slowest.Store(timeout)
 	}
-	return &connections{s: s, slowest: slowest, open: make(map[int]*connection), most: int64(s.plate.MemoryMB) << 20 / pendingPart,
-		slots: make(chan struct{}, kept+closing)}
 }
 
 // accept takes connections while descriptors last; without one it waits a little, and so never spins. After stopAccepting it
@@ -306,7 +314,7 @@
 		if half = parser.Half(); half {
 			now := time.Now()
 			if whole || !was { // past the longest client timeout nobody waits for it
-				latest = now.Add(time.Duration(c.slowest))
+				latest = now.Add(time.Duration(c.slowest.Load()))
 			}
 			late, until = false, now.Add(halfWait)
 			if until.After(latest) {
--- a/server/endings_test.go
+++ b/server/endings_test.go
@@ -163,7 +163,7 @@
 // A sender that is slow and goes on is heard to its end.
 func TestAFrameThatComesSlowlyIsHandedOn(t *testing.T) {
 	h := hold(t)
-	h.s.conns.slowest = int64(generous)
+	h.s.conns.slowest.Store(int64(generous))
 	h.s.conns.receive(1)
 	for piece := range 5 {
 		h.write(check(1)[2*piece : 2*piece+2])
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"topazpost/keep"
+	"topazpost/plate"
 	"topazpost/reducer"
 	"topazpost/results"
 )
@@ -134,6 +135,25 @@
 	}
 }
 
+// Amend brings a version of the configuration into force, between two steps; what comes of it is in the log. An error names
+// the item that is unsound by itself, and nothing is changed.
+func (s *Server) Amend(version uint64, items []plate.Item) error {
+	change, err := plate.Parse(items)
+	if err == nil && !s.tell(reducer.Input{Kind: reducer.Amend, Version: version, Change: change}) {
+		err = errLeft
+	}
+	return err
+}
+
+// amended tells of a version that is in force, or was refused.
+func (s *Server) amended(e *reducer.Effect) {
+	if e.Err != nil {
+		s.log.Warn().Uint64("version", e.Version).Err(e.Err).Msg("configuration: the version can't be taken, the one of before stays")
+		return
+	}
+	s.log.Info().Uint64("version", e.Version).Msg("configuration: the version is in force, " + e.Text)
+}
+
 // shares says how the descriptors are parted: among dispatchers' connections, those of them that are about to
 // close, and links to the catalogue.
 func (n *Nameplate) shares() (connections, closing, links int) {
@@ -395,6 +415,10 @@
 		s.peers.streams.send(e)
 	case reducer.PeerHangUp:
 		s.peers.streams.disconnect(e.Link)
+	case reducer.Amended:
+		s.amended(e)
+	case reducer.Slower:
+		s.conns.slower(e.At)
 	case reducer.ViewChanged:
 		s.viewChanged(e.Change)
 	case reducer.Remark:
