--- a/charter/charter.go
+++ b/charter/charter.go
@@ -32,14 +32,15 @@
 
 // Fleet is a charter with what the sockets need.
 type Fleet struct {
-	Name      string
-	Bind      string // where peers' datagrams and exchanges are heard
-	Exposed   bool   // Bind may be an unspecified address
-	Terms     membership.Charter
-	Kept      uint64   // incarnation that the last life left on a disk, 0 without one
-	Council   *Council // nil without one
-	WallAhead int64    // ns by which the wall clock is set off, for tests
-	Path      string
+	Name          string
+	Bind          string // where peers' datagrams and exchanges are heard
+	Exposed       bool   // Bind may be an unspecified address
+	Terms         membership.Charter
+	Kept          uint64         // incarnation that the last life left on a disk, 0 without one
+	Council       *Council       // nil without one
+	Configuration *Configuration // nil where it takes a new start
+	WallAhead     int64          // ns by which the wall clock is set off, for tests
+	Path          string
 }
 
 // Council is who agrees on claims of tokens for all.
@@ -72,6 +73,7 @@
    "calls": {"type": "object", "additionalProperties": false, "required": ["limit", "hold"], "properties": {
     "limit": {"type": "integer", "minimum": 1, "maximum": 1000000}, "version": {"type": "integer", "minimum": 1},
     "hold": {"$ref": "#/$defs/time"}, "lease": {"$ref": "#/$defs/time"}}}}},
+  "configuration": {"type": "object", "additionalProperties": false, "properties": {"folder": {"type": "string", "minLength": 1}}},
   "clock_ahead": {"$ref": "#/$defs/time"}, "clock_behind": {"$ref": "#/$defs/time"}}}`))
 })
 
@@ -90,8 +92,9 @@
 			Hold, Lease settings.Time
 		}
 	}
-	ClockAhead  settings.Time `json:"clock_ahead"`
-	ClockBehind settings.Time `json:"clock_behind"`
+	Configuration *struct{ Folder string }
+	ClockAhead    settings.Time `json:"clock_ahead"`
+	ClockBehind   settings.Time `json:"clock_behind"`
 }
 
 // Read reads a fleet's file in this process.
@@ -178,6 +181,11 @@
 			found = append(found, file.At([]string{"council", "table"}, fmt.Sprintf("is %d bytes", b), "choose 64 KiB to 12 MiB: a seat that comes back gets it in one piece"))
 		}
 	}
+	if w.Configuration != nil {
+		var wrong settings.Problems
+		f.Configuration, wrong = configurationFrom(file, name, w.Configuration.Folder, w.Council != nil)
+		found = append(found, wrong...)
+	}
 	if c.Probe < probeLeast {
 		found = append(found, file.At([]string{"probe"}, "is shorter than 50 ms", "choose a longer one"))
 	}
@@ -212,6 +220,9 @@
 			text += "; " + f.Council.Calls.Bound()
 		}
 	}
+	if f.Configuration != nil {
+		text += f.Configuration.bounds()
+	}
 	return text
 }
 
--- /dev/null
+++ b/charter/configuration.go
@@ -0,0 +1,42 @@
+package charter
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"topazpost/settings"
+)
+
+// Configuration is how a node takes part in the fleet's configuration in service.
+type Configuration struct {
+	Folder string // where the node keeps the last version that was in force; empty in memory only
+}
+
+// configurationFrom reads it, for the node of a name.
+func configurationFrom(file *settings.File, name, folder string, council bool) (c *Configuration, found settings.Problems) {
+	if c = new(Configuration); !council {
+		found = append(found, file.At([]string{"configuration"}, "needs a council, whose seats agree on versions", "name seats in council.seats, or leave it out"))
+	}
+	if folder == "" {
+		return c, found
+	}
+	if strings.Contains(folder, "{name}") && (strings.ContainsAny(name, "/\\\x00") || name == ".." || name == ".") {
+		return c, append(found, file.At([]string{"configuration", "folder"}, fmt.Sprintf("takes in the node's name, and %q can't be part of a path", name),
+			"name the node otherwise, or write the folder without {name}"))
+	}
+	if c.Folder = filepath.Clean(strings.ReplaceAll(folder, "{name}", name)); !filepath.IsAbs(c.Folder) {
+		found = append(found, file.At([]string{"configuration", "folder"}, fmt.Sprintf("%q is no absolute path", folder),
+			`write it as "/var/lib/topazpost/configuration-{name}"; {name} is the node's`))
+	}
+	return c, found
+}
+
+// bounds says in words what holds of it.
+func (c *Configuration) bounds() string {
+	where := "in memory only, so that a start is from the node's file until a seat is heard"
+	if c.Folder != "" {
+		where = "and the last version is kept in " + c.Folder
+	}
+	return "; operations, tenants and limits are taken in service from versions that the council agrees on, " + where
+}
--- a/council/council.go
+++ b/council/council.go
@@ -1,11 +1,12 @@
-// Package council has some seats of a fleet agree on one order of commands, by raft, and carries them out on tables: claims and
-// leases. It does no I/O and reads no clock: messages, time and the view come in, messages and verdicts go out.
+// Package council has some seats of a fleet agree on one order of commands, by raft, and carries them out on tables: claims,
+// leases and versions of the configuration. It does no I/O and reads no clock: messages, time and the view come in, messages and verdicts go out.
 package council
 
 import (
 	"slices"
 
 	"topazpost/claims"
+	"topazpost/configuration"
 	"topazpost/quota"
 	"topazpost/takeover"
 )
@@ -35,35 +36,39 @@
 
 // Message is what seats and nodes tell each other.
 type Message struct {
-	Kind     Kind             `cbor:"1,keyasint"`
-	From     string           `cbor:"2,keyasint"`
-	Raft     []byte           `cbor:"3,keyasint,omitempty"`
-	ID       uint64           `cbor:"4,keyasint,omitempty"` // Hail
-	Life     uint64           `cbor:"5,keyasint,omitempty"` // Hail
-	Bound    uint64           `cbor:"6,keyasint,omitempty"` // Hail
-	Fresh    bool             `cbor:"7,keyasint,omitempty"` // Hail: it belongs to no council
-	Owner    claims.Owner     `cbor:"8,keyasint,omitempty"` // Propose; in the others to whom
-	Commands []claims.Command `cbor:"9,keyasint,omitempty"`
-	Verdicts []claims.Verdict `cbor:"10,keyasint,omitempty"`
-	Keys     []claims.Key     `cbor:"11,keyasint,omitempty"` // Tells
-	Entry    *claims.Entry    `cbor:"12,keyasint,omitempty"` // Gift
-	For      int64            `cbor:"13,keyasint,omitempty"` // Gift: ns to its due time
-	Leases   []quota.Command  `cbor:"15,keyasint,omitempty"` // Propose
-	Grants   []quota.Verdict  `cbor:"16,keyasint,omitempty"` // Verdicts
-	Number   uint64           `cbor:"17,keyasint,omitempty"` // Raft: the last write that counts at the sender; Heard: the last that was heard
-	Part     string           `cbor:"18,keyasint,omitempty"` // Want, Piece: its digest
-	Offset   int              `cbor:"19,keyasint,omitempty"` // in it
-	Size     int              `cbor:"20,keyasint,omitempty"` // of it
-	Bytes    []byte           `cbor:"21,keyasint,omitempty"`
-	Leader   string           `cbor:"14,keyasint,omitempty"` // who leads the council, as far as the sender knows
+	Kind     Kind                    `cbor:"1,keyasint"`
+	From     string                  `cbor:"2,keyasint"`
+	Raft     []byte                  `cbor:"3,keyasint,omitempty"`
+	ID       uint64                  `cbor:"4,keyasint,omitempty"` // Hail
+	Life     uint64                  `cbor:"5,keyasint,omitempty"` // Hail
+	Bound    uint64                  `cbor:"6,keyasint,omitempty"` // Hail
+	Fresh    bool                    `cbor:"7,keyasint,omitempty"` // Hail: it belongs to no council
+	Owner    claims.Owner            `cbor:"8,keyasint,omitempty"` // Propose; in the others to whom
+	Commands []claims.Command        `cbor:"9,keyasint,omitempty"`
+	Verdicts []claims.Verdict        `cbor:"10,keyasint,omitempty"`
+	Keys     []claims.Key            `cbor:"11,keyasint,omitempty"` // Tells
+	Entry    *claims.Entry           `cbor:"12,keyasint,omitempty"` // Gift
+	For      int64                   `cbor:"13,keyasint,omitempty"` // Gift: ns to its due time
+	Leases   []quota.Command         `cbor:"15,keyasint,omitempty"` // Propose
+	Grants   []quota.Verdict         `cbor:"16,keyasint,omitempty"` // Verdicts
+	Number   uint64                  `cbor:"17,keyasint,omitempty"` // Raft: the last write that counts at the sender; Heard: the last that was heard
+	Part     string                  `cbor:"18,keyasint,omitempty"` // Want, Piece: its digest
+	Offset   int                     `cbor:"19,keyasint,omitempty"` // in it
+	Size     int                     `cbor:"20,keyasint,omitempty"` // of it
+	Bytes    []byte                  `cbor:"21,keyasint,omitempty"`
+	Proposed []configuration.Command `cbor:"22,keyasint,omitempty"` // Propose
+	Decided  []configuration.Verdict `cbor:"23,keyasint,omitempty"` // Verdicts
+	Leader   string                  `cbor:"14,keyasint,omitempty"` // who leads the council, as far as the sender knows
 }
 
 // Input is one thing that happened: a message, commands of this node's own, or another view.
 type Input struct {
-	Message *Message
-	Own     []claims.Command
-	Leases  []quota.Command   // of this node's own
-	View    []takeover.Member // nil where it did not change
+	Message  *Message
+	Own      []claims.Command
+	Leases   []quota.Command         // of this node's own
+	View     []takeover.Member       // nil where it did not change
+	Proposed []configuration.Command // of the configuration
+	Owner    claims.Owner            // who is told of the verdicts on Proposed; none where this seat has them ordered of itself
 
 	Persisted uint64 // writes up to this number count
 	Err       error  // of the disk: that and all later ones can't be written
@@ -125,7 +130,8 @@
 	*Seat
 	*claimTable
 	*leaseTable
-	sweepAt int64
+	versions *configurationTable
+	sweepAt  int64
 }
 
 // New is a seat that knows nothing yet. Names are all seats, this node's among them; life tells this start from others.
@@ -133,7 +139,8 @@
 	c := &Council{Seat: newSeat(names, self, life, now, seed)}
 	c.claimTable = &claimTable{seat: c.Seat}
 	c.leaseTable = &leaseTable{seat: c.Seat}
-	c.tables = []proposer{c.claimTable, c.leaseTable}
+	c.versions = &configurationTable{seat: c.Seat}
+	c.tables = []proposer{c.claimTable, c.leaseTable, c.versions}
 	c.time = func() int64 { return c.table.Time() }
 	c.begin()
 	return c
@@ -170,6 +177,7 @@
 			c.sweepAt = c.now + pendingFor
 			c.claimTable.sweep()
 			c.leaseTable.sweep()
+			c.versions.sweep()
 		}
 	})
 	c.flush()
@@ -185,6 +193,7 @@
 		c.wanted(in.Own[i])
 	}
 	c.lease(in.Leases)
+	c.versions.propose(in.Owner, in.Proposed)
 	if in.Persisted > 0 || in.Err != nil {
 		c.kept(in.Persisted, in.Err)
 	}
@@ -200,6 +209,9 @@
 			}
 		}
 		c.lease(slices.DeleteFunc(m.Leases, func(q quota.Command) bool { return q.Kind != quota.Ask || q.From != quota.Who(m.Owner) }))
+		if m.Owner.Name != "" {
+			c.versions.propose(m.Owner, m.Proposed)
+		}
 	case Hail:
 		c.hailed(m)
 	case Raft:
@@ -224,10 +236,16 @@
 			c.verdicts[o] = nil // one message brings both
 		}
 	}
+	for o := range c.versions.verdicts {
+		if _, known := c.verdicts[o]; !known {
+			c.verdicts[o] = nil
+		}
+	}
 	for _, o := range owners(c.verdicts) {
-		c.send(o.Name, Message{Kind: Verdicts, Owner: o, Verdicts: c.verdicts[o], Grants: c.grants[o]})
+		c.send(o.Name, Message{Kind: Verdicts, Owner: o, Verdicts: c.verdicts[o], Grants: c.grants[o], Decided: c.versions.verdicts[o]})
 	}
 	clear(c.grants)
+	clear(c.versions.verdicts)
 	for _, o := range owners(c.tells) {
 		c.send(o.Name, Message{Kind: Tells, Owner: o, Keys: c.tells[o]})
 	}
--- /dev/null
+++ b/membership/neighbours.go
@@ -0,0 +1,29 @@
+package membership
+
+import "slices"
+
+// Neighbours are the members that a link of this node's works with, by name.
+func (m *Members) Neighbours() (names []string) {
+	for k := range m.links {
+		if l := &m.links[k]; l.member >= 0 && l.up && m.members[l.member].rec.Name != "" {
+			names = append(names, m.members[l.member].rec.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// InZone are the other live members of this node's zone, by name; none where it has no zone.
+func (m *Members) InZone() (names []string) {
+	zone := m.members[0].rec.Facts.Zone
+	if zone == "" {
+		return nil
+	}
+	for i := range m.members {
+		if b := &m.members[i]; i > 0 && b.in && b.rec.Facts.Zone == zone {
+			names = append(names, b.rec.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
