A running node takes versions; reading a file grows the heap less

Server.Amend parses a version where it is called and hands it to the loop; a version in force or refused is a line of the log. While a file is read the heap grows by 40 % between collections.

--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -19,6 +19,8 @@
 	"topazpost/server"
 )
 
+const readingGC = 40 // % that the heap may grow between collections while a configuration is read: most of it is soon garbage
+
 type serve struct {
 	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
@@ -50,6 +52,7 @@
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
 	defer file.Close()
+	defer debug.SetGCPercent(debug.SetGCPercent(readingGC)) // a node that serves goes on beside it, within its memory
 	return server.DecodeNameplate(file)
 }
 
--- /dev/null
+++ b/reducer/amendbench_test.go
@@ -0,0 +1,44 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"topazpost/plate"
+)
+
+// BenchmarkVersion takes the largest part of a version that one step takes.
+func BenchmarkVersion(b *testing.B) {
+	for _, size := range [][2]int{{20, 300}, {4_700, 130_000}} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			p, err := plate.FromJSON(1, []byte(settings))
+			if err != nil {
+				b.Fatal(err)
+			}
+			r := New(p, Addresses{}, 5_000*ms, 4, 3)
+			var items []plate.Item
+			for k := range size[0] {
+				items = append(items, operation(fmt.Sprint("o", k), ""))
+			}
+			for k := range size[1] {
+				items = append(items, tenant(fmt.Sprint("t", k), 1))
+			}
+			step(r, versionOf(b, 1, items...))
+			for len(r.amended.waiting) > 0 {
+				step(r)
+			}
+			number := uint64(1)
+			for b.Loop() {
+				b.StopTimer()
+				number++
+				items = items[:0]
+				for k := range amendedAStep / 2 {
+					items = append(items, operation(fmt.Sprint("o", k%size[0]+k/size[0]*10_000), fmt.Sprintf(`,"importance":%d`, number)), tenant(fmt.Sprint("t", k), int(number)))
+				}
+				in := versionOf(b, number, items...)
+				b.StartTimer()
+				step(r, in)
+			}
+		})
+	}
+}
--- a/server/config_test.go
+++ b/server/config_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"runtime"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -138,3 +141,50 @@
 	require.NoError(t, err)
 	assert.Equal(t, pairs, n.Settings)
 }
+
+// A version comes into force in a node that runs, or is refused with the item named; either is told in the log.
+func TestVersionComesIntoForceInANodeThatRuns(t *testing.T) {
+	n, err := DecodeNameplate(bytes.NewReader(large(3, 3)))
+	require.NoError(t, err)
+	told := make(lineWriter, 100)
+	s := New(n, zerolog.New(told), SystemClock())
+	require.NoError(t, s.Listen())
+	ended := make(chan error, 1)
+	ready := make(chan struct{})
+	go func() { close(ready); ended <- s.Run(context.Background()) }()
+	<-ready
+	awaited := func(text string) (line string) {
+		for !strings.Contains(line, text) {
+			select {
+			case line = <-told:
+			case <-time.After(20 * time.Second):
+				require.Fail(t, "never told", text)
+			}
+		}
+		return line
+	}
+	awaited("listening")
+	op := func(value string) plate.Item {
+		return plate.Item{Part: plate.Operations, Name: "new", Value: []byte(value)}
+	}
+	assert.ErrorContains(t, s.Amend(1, []plate.Item{op(`{"aim":1,"give_up":2,"effect":"twice"}`)}), `operations.new.effect: "twice" is not known`)
+	assert.ErrorContains(t, s.Amend(1, []plate.Item{{Part: plate.Limits, Name: "family_info.memory_kb", Value: []byte("1")}}), "takes a new start")
+	require.NoError(t, s.Amend(1, []plate.Item{op(`{"aim":1,"give_up":90000,"effect":"idempotent"}`), {Part: plate.Tenants, Name: "tenant-000001"}}))
+	assert.Contains(t, awaited("in force"), `"version":1,"message":"configuration: the version is in force, 1 added, 0 changed, 1 removed"`)
+	assert.Equal(t, int64(90_000e6), s.conns.slowest.Load())
+	require.NoError(t, s.Amend(1, []plate.Item{op(`{"aim":1,"give_up":2,"effect":"idempotent"}`)}))
+	assert.Contains(t, awaited("can't be taken"), "as new")
+	s.Drain()
+	assert.NoError(t, <-ended)
+}
+
+// lineWriter hands on what a logger writes, and drops it where nobody reads.
+type lineWriter chan string
+
+func (w lineWriter) Write(b []byte) (int, error) {
+	select {
+	case w <- string(b):
+	default:
+	}
+	return len(b), nil
+}
