Mesh: a fleet that begins joined, and regions that are far from each other

Need: what is carried beside membership is to be played at 1,300 nodes, where a herd of joins alone takes minutes of processor time. Stand has links as membership's rings have them and views that the faults give, each seen after silence and settle. Far is what a message takes more between regions, for membership's own as well.

--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -34,6 +34,7 @@
 	m       *Mesh
 	index   int
 	lives   int
+	region  int
 	version int // of its wake
 	payload Payload
 	waiting []func() // for the end of a pause
@@ -67,6 +68,7 @@
 	Begin  func(n *Node) Payload // makes what a node carries beside its membership at each start; may be nil
 
 	LateMost int64
+	Far      int64          // ns that a message takes more between regions
 	Small    map[[2]int]int // ordered pairs that carry datagrams up to a size
 	Charter  membership.Charter
 	Seeds    []string
@@ -76,6 +78,7 @@
 	cutAny    bool
 	answers   int
 	quiet     int64 // since when no more than a fifth is lost
+	standing  *standing
 }
 
 // Usual is a charter as nodes have it.
@@ -108,6 +111,10 @@
 	n.Up, n.Paused, n.Started = true, false, n.m.Now
 	n.links, n.queue, n.waiting, n.payload = map[int]ask{}, nil, nil, nil
 	n.lives++
+	if n.m.standing != nil {
+		n.stand()
+		return
+	}
 	n.Members = membership.New(c, n.m.Now, n.wall(), 0, n.m.Chance.Int63())
 	n.looked = len(n.Changes)
 	if n.m.Begin != nil {
@@ -117,7 +124,13 @@
 }
 
 // Kill ends a node's life.
-func (n *Node) Kill() { n.Up, n.Paused, n.Stopped = false, false, n.m.Now; n.version++ }
+func (n *Node) Kill() {
+	n.Up, n.Paused, n.Stopped = false, false, n.m.Now
+	n.version++
+	if n.m.standing != nil {
+		n.fall()
+	}
+}
 
 // Pause stops a node's process for a while; what comes meanwhile waits.
 func (n *Node) Pause(ns int64) {
@@ -193,9 +206,10 @@
 		n.Bytes += size
 		if to := m.byAddress[e.To]; to != nil && m.passes(n, to, size, true) {
 			arrive := func() { to.give(membership.Input{Kind: membership.Came, Message: &msg}) }
-			m.After(m.travels(), arrive)
+			far := m.far(n, to)
+			m.After(far+m.travels(), arrive)
 			if m.Double > 0 && m.Chance.Float64() < m.Double {
-				m.After(m.travels(), arrive)
+				m.After(far+m.travels(), arrive)
 			}
 		}
 	case membership.Exchange:
@@ -212,7 +226,7 @@
 		}
 		m.answers++
 		answer := m.answers
-		m.After(3*travel, func() {
+		m.After(3*(travel+m.far(n, to)), func() {
 			if to.Up {
 				to.links[answer] = ask{n, link, life}
 			}
@@ -224,7 +238,7 @@
 		delete(n.links, e.Link)
 		n.Bytes += sizeOf(&msg)
 		if known && m.passes(n, a.from, 0, false) {
-			m.After(travel, func() {
+			m.After(travel+m.far(n, a.from), func() {
 				if a.from.Started == a.life {
 					a.from.give(membership.Input{Kind: membership.Answered, Link: a.link, Message: &msg})
 				}
@@ -265,7 +279,12 @@
 }
 
 // Mend takes all cuts away.
-func (m *Mesh) Mend() { clear(m.cuts); m.cutAny = false }
+func (m *Mesh) Mend() {
+	clear(m.cuts)
+	if m.cutAny = false; m.standing != nil {
+		m.parted(nil)
+	}
+}
 
 // CutBetween cuts the links from each of some nodes to each of others; and back with both.
 func (m *Mesh) CutBetween(from, to []*Node, both bool) {
--- a/lab/mesh/payload.go
+++ b/lab/mesh/payload.go
@@ -20,7 +20,7 @@
 	n.PayloadSent++
 	n.PayloadBytes += size
 	if n.m.passes(n, to, size, true) {
-		n.m.deliver(to, func() { to.payload.Came(n, body) })
+		n.m.deliver(n, to, func() { to.payload.Came(n, body) })
 	}
 }
 
@@ -40,12 +40,12 @@
 	if !to.Up || !m.passes(n, to, 0, false) || !m.passes(to, n, 0, false) {
 		return
 	}
-	m.After(3*travel, to.running(func() {
+	m.After(3*(travel+m.far(n, to)), to.running(func() {
 		to.payload.Asked(n, body, func(body any, size int) {
 			to.PayloadSent++
 			to.PayloadBytes += size
 			if m.passes(to, n, 0, false) {
-				m.After(travel, func() { end(body, true) })
+				m.After(travel+m.far(to, n), func() { end(body, true) })
 			}
 		})
 	}))
@@ -79,11 +79,11 @@
 }
 
 // deliver brings a datagram to whatever life a node is in then: late or twice, where the mesh has such links.
-func (m *Mesh) deliver(to *Node, do func()) {
-	arrive := func() { to.running(do)() }
-	m.After(m.travels(), arrive)
+func (m *Mesh) deliver(from, to *Node, do func()) {
+	arrive, far := func() { to.running(do)() }, m.far(from, to)
+	m.After(far+m.travels(), arrive)
 	if m.Double > 0 && m.Chance.Float64() < m.Double {
-		m.After(m.travels(), arrive)
+		m.After(far+m.travels(), arrive)
 	}
 }
 
--- a/lab/mesh/zones.go
+++ b/lab/mesh/zones.go
@@ -10,7 +10,8 @@
 func (m *Mesh) Spread(regions, zones int) {
 	for i, n := range m.Nodes {
 		zone := i % zones
-		n.Zone = fmt.Sprintf("r%d/z%d", zone*regions/zones, zone)
+		n.region = zone * regions / zones
+		n.Zone = fmt.Sprintf("r%d/z%d", n.region, zone)
 	}
 }
 
@@ -28,6 +29,17 @@
 func (m *Mesh) CutOff(place string) {
 	in := m.Within(place)
 	m.CutBetween(in, m.others(in), true)
+	if m.standing != nil {
+		m.parted(in)
+	}
+}
+
+// far is how much longer a message takes from one to the other since they are of different regions.
+func (m *Mesh) far(from, to *Node) int64 {
+	if from.region != to.region {
+		return m.Far
+	}
+	return 0
 }
 
 // Lose kills all nodes of a region or zone that are up, and returns them.
