--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -49,6 +49,7 @@
 	Calm        float64 // seconds at the end without faults
 	Seeds       int
 	Fleet       map[string]string // of the fleet's file
+	Versions    *Versions         // of the configuration, instead of views
 	Faults      []Fault
 	Claims      []Claim
 }
@@ -585,6 +586,9 @@
 
 // one plays a night on one seed. The files of processes are left in a folder, if there is one.
 func (n *Night) one(seed int64, program, folder string) (*Outcome, error) {
+	if n.Versions != nil {
+		return n.playVersions(seed), nil
+	}
 	if !n.Processes {
 		d, err := newVirtual(n, seed)
 		if err != nil {
--- /dev/null
+++ b/lab/rig/versions.go
@@ -0,0 +1,498 @@
+package rig
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"topazpost/configuration"
+	"topazpost/council"
+	"topazpost/lab/mesh"
+	"topazpost/letter"
+	"topazpost/membership"
+	"topazpost/settings"
+)
+
+const (
+	putAgain  = 1_500 * ms // ns without an answer after which a caller asks another seat
+	putMost   = 100        // changes in one put: those that gathered since the last one
+	pieceMost = 600        // items in one piece of the content that a fleet begins with
+	takeMost  = 20 * ms    // ns until a node has a version in force, at the most
+	writeMost = 10 * ms    // ns until it is on a node's disk
+	syncMost  = 4 * ms     // ns until a seat's write is
+	lookAgain = second     // ns between looks at links, which change without the view
+	sealed    = letter.Fleet(1)
+	newBuild  = `"of a later build"` // a value that nodes of the build before can't take
+)
+
+// Versions has a night play versions of the configuration, over seats that agree on their order.
+type Versions struct {
+	Seats      int           // of the nodes, spread over the zones
+	Regions    int           // that zones are dealt to, in turn
+	Zones      int           // that nodes are dealt to, in turn
+	Far        settings.Time // that a message takes more between regions
+	Tenants    int           // on all disks at the start
+	Changes    []Changes     // that callers put
+	Callers    int
+	Old        settings.Part // of the nodes: they are of a build that can't take what a change of kind new brings
+	Membership bool          // is played below; else the fleet begins joined, and views are given by the faults
+}
+
+// Changes are changes that callers want, one each so often.
+type Changes struct {
+	At, For, Every settings.Time
+	New            bool // one, of what the build before can't take: it is taken back once it is stopped
+}
+
+// member is a node with what outlives its lives.
+type member struct {
+	*mesh.Node
+	index int
+	seat  bool
+	old   bool
+	disk  kept
+	wrote council.Disk // the seat's
+	life  *life
+	held  []taken
+	out   []stretch // when it was out of reach
+	spent []int     // bytes in each second, both ways
+}
+
+// kept is a node's file: as sound as its digest.
+type kept struct {
+	mark    configuration.Mark
+	content *configuration.Content
+}
+
+// taken says since when a node has a version in force.
+type taken struct {
+	at      int64
+	version uint64
+}
+
+type stretch struct{ from, to int64 }
+
+// life is one life of a member: its holder, and its seat where it has one.
+type life struct {
+	f       *versions
+	m       *member
+	holder  *configuration.Holder
+	inbox   []configuration.Input
+	woken   int64
+	asked   map[int]func(body any, size int)
+	links   int
+	council *council.Council
+	toSeat  []council.Input
+	seated  int64 // when the seat is woken
+	writes  []*council.Write
+	free    int64 // when the seat's disk has nothing to do
+	fresh   bool  // began without a disk, and has taken nothing since
+}
+
+// parcel is a message with its bytes.
+type parcel struct {
+	body any
+	size int
+}
+
+// versions is a fleet of holders and seats in virtual time.
+type versions struct {
+	*mesh.Mesh
+	night    *Night
+	terms    *Versions
+	members  []*member
+	byName   map[string]*member
+	seats    []string
+	chance   *rand.Rand
+	callers  []*putter
+	changes  []*change
+	agreedAt map[uint64]int64
+	digests  map[uint64]configuration.Digest
+	records  map[uint64]*configuration.Record
+	last     *configuration.Agreed // the newest that a seat told
+	apart    map[*member]bool      // on the smaller side of a cut
+	wrong    []string
+	back     int // versions that went back
+	forked   int // versions with two contents
+	stops    int
+	refused  int // at nodes
+	holding  bool
+	bad      uint64 // the version that an older build can't take, until it is taken back
+	puts     []float64
+	recovers []float64 // seconds until a node without a disk had a version in force
+	start    int64
+	lines    []string
+}
+
+func newVersions(n *Night, seed int64) *versions {
+	t := n.Versions
+	f := &versions{Mesh: mesh.New(seed, n.Nodes, min(n.Contacts, n.Nodes)), night: n, terms: t, byName: map[string]*member{},
+		chance: rand.New(rand.NewSource(seed)), agreedAt: map[uint64]int64{}, digests: map[uint64]configuration.Digest{},
+		records: map[uint64]*configuration.Record{}, apart: map[*member]bool{}, last: &configuration.Agreed{}}
+	f.digests[0] = configuration.Digest{}
+	f.Spread(t.Regions, t.Zones)
+	var seats []int
+	for k := range t.Seats {
+		seats = append(seats, k*t.Zones/t.Seats)
+	}
+	f.Far = int64(t.Far)
+	if !t.Membership {
+		f.Stand()
+	}
+	for i, n := range f.Nodes {
+		m := &member{Node: n, index: i, seat: slices.Contains(seats, i)}
+		m.old = !m.seat && f.chance.Float64() < float64(t.Old)
+		f.members = append(f.members, m)
+		f.byName[n.Name] = m
+		if m.seat {
+			f.seats = append(f.seats, n.Name)
+		}
+	}
+	f.Begin = f.begin
+	for k := range max(1, t.Callers) {
+		f.callers = append(f.callers, &putter{name: fmt.Sprint("caller-", k)})
+	}
+	return f
+}
+
+func (f *versions) say(form string, args ...any) {
+	f.lines = append(f.lines, fmt.Sprintf("%9.3f ", float64(f.Now-f.start)/1e9)+fmt.Sprintf(form, args...))
+}
+
+// begin is a new life of a node: from its disk, or from a file without anything.
+func (f *versions) begin(n *mesh.Node) mesh.Payload {
+	m := f.byName[n.Name]
+	start := configuration.Start{Mark: m.disk.mark, Content: m.disk.content, Source: "disk"}
+	l := &life{f: f, m: m, asked: map[int]func(any, int){}, fresh: m.disk.content == nil}
+	if l.fresh {
+		start = configuration.Start{Content: &configuration.Content{}, Source: "file"}
+	}
+	m.life = l
+	l.holder = configuration.NewHolder(f.Now, configuration.Terms{Name: n.Name, Seed: f.chance.Int63()}, start)
+	if s := l.holder.Status(f.Now); s.Mark != m.disk.mark || s.Source != start.Source {
+		f.wrong = append(f.wrong, fmt.Sprintf("%s starts from its %s with version %d, and kept %d", n.Name, s.Source, s.Mark.Version, m.disk.mark.Version))
+	}
+	m.held = append(m.held, taken{f.Now, m.disk.mark.Version})
+	l.inbox = append(l.inbox, l.view())
+	if m.seat {
+		l.council = council.New(f.seats, n.Name, uint64(f.Now)<<8|uint64(m.index), f.Now, f.chance.Int63())
+		if err := l.council.Recover(f.Now, m.wrote); err != nil {
+			f.wrong = append(f.wrong, fmt.Sprintf("%s can't take its disk up: %v", n.Name, err))
+		}
+		l.wakeSeat(f.Now)
+	}
+	l.wake(f.Now)
+	n.Later(lookAgain, l.look)
+	return l
+}
+
+// stop ends a life: a seat's disk has a part of what was on its way, and one that forgets has none.
+func (f *versions) stop(m *member, forgets bool) {
+	if !m.Up {
+		return
+	}
+	l := m.life
+	for _, w := range l.writes[:f.chance.Intn(len(l.writes)+1)] {
+		m.write(w)
+	}
+	m.Kill()
+	m.life = nil
+	if forgets {
+		m.disk, m.wrote = kept{}, council.Disk{}
+	}
+}
+
+func (l *life) view() configuration.Input {
+	v := &configuration.View{}
+	v.Neighbours, v.Zone = l.m.Around()
+	for _, s := range l.f.seats {
+		if s != l.m.Name {
+			v.Seats = append(v.Seats, s)
+		}
+	}
+	return configuration.Input{Kind: configuration.Viewed, View: v}
+}
+
+func (l *life) look() {
+	if l.f.terms.Membership {
+		l.give(l.view())
+		l.m.Later(lookAgain, l.look)
+	}
+}
+
+// Viewed looks at what is around, in a step of its own.
+func (l *life) Viewed(membership.Change) { l.m.Later(0, func() { l.give(l.view()) }) }
+
+func (m *member) spend(now int64, bytes int) {
+	s := int(now / second)
+	for len(m.spent) <= s {
+		m.spent = append(m.spent, 0)
+	}
+	m.spent[s] += bytes
+}
+
+// Came takes a message of another node's holder or seat.
+func (l *life) Came(from *mesh.Node, body any) {
+	p := body.(parcel)
+	l.m.spend(l.f.Now, p.size)
+	switch msg := p.body.(type) {
+	case *configuration.Message:
+		again := *msg
+		l.give(configuration.Input{Kind: configuration.Came, From: from.Name, Message: &again})
+	case []byte:
+		got := new(council.Message)
+		if err := cbor.Unmarshal(msg, got); err != nil {
+			l.f.wrong = append(l.f.wrong, fmt.Sprintf("a message between seats can't be read: %v", err))
+		} else if l.council != nil {
+			l.seatGets(council.Input{Message: got})
+		}
+	}
+}
+
+// Asked takes an exchange.
+func (l *life) Asked(from *mesh.Node, body any, reply func(body any, size int)) {
+	p := body.(parcel)
+	l.m.spend(l.f.Now, p.size)
+	l.links++
+	l.asked[l.links] = reply
+	again := *p.body.(*configuration.Message)
+	l.give(configuration.Input{Kind: configuration.Asked, From: from.Name, Link: l.links, Message: &again})
+}
+
+func (l *life) give(in configuration.Input) {
+	l.inbox = append(l.inbox, in)
+	l.wake(l.f.Now)
+}
+
+func (l *life) wake(at int64) {
+	if at = max(at, l.f.Now); l.woken > 0 && l.woken <= at {
+		return
+	}
+	l.woken = at
+	l.m.Later(at-l.f.Now, func() {
+		if l.woken == at && l.m.life == l {
+			l.woken = 0
+			l.step()
+		}
+	})
+}
+
+func (l *life) step() {
+	in := l.inbox
+	l.inbox = nil
+	effects, next := l.holder.Step(l.f.Now, in)
+	for k := range effects {
+		l.carry(&effects[k])
+	}
+	l.wake(next)
+}
+
+func sized(body any) int {
+	b, err := letter.Seal(nil, sealed, body)
+	if err != nil {
+		panic(err) // of plain fields
+	}
+	return len(b)
+}
+
+func (l *life) carry(e *configuration.Effect) {
+	f, m := l.f, l.m
+	switch e.Kind {
+	case configuration.Send:
+		if to := f.byName[e.To]; to != nil {
+			size := sized(e.Message)
+			m.spend(f.Now, size)
+			m.Tell(to.Node, parcel{e.Message, size}, size)
+		}
+	case configuration.Exchange:
+		to, link, size := f.byName[e.To], e.Link, sized(e.Message)
+		m.spend(f.Now, size)
+		m.Ask(to.Node, parcel{e.Message, size}, size, func(body any, ok bool) {
+			if !ok {
+				l.give(configuration.Input{Kind: configuration.Missed, Link: link})
+				return
+			}
+			p := body.(parcel)
+			m.spend(f.Now, p.size)
+			again := *p.body.(*configuration.Message)
+			l.give(configuration.Input{Kind: configuration.Answered, Link: link, Message: &again})
+		})
+	case configuration.Reply:
+		if reply := l.asked[e.Link]; reply != nil {
+			delete(l.asked, e.Link)
+			size := sized(e.Message)
+			m.spend(f.Now, size)
+			reply(parcel{e.Message, size}, size)
+		}
+	case configuration.Take:
+		l.take(e)
+	case configuration.Persist:
+		next := kept{e.Mark, e.New}
+		m.Later(f.chance.Int63n(writeMost), func() {
+			m.disk = next
+			l.give(configuration.Input{Kind: configuration.Saved})
+		})
+	case configuration.Order:
+		if l.council != nil {
+			l.seatGets(council.Input{Proposed: []configuration.Command{*e.Command}})
+		}
+	}
+}
+
+// take has a version in force at a node, or refuses it.
+func (l *life) take(e *configuration.Effect) {
+	f, m, mark := l.f, l.m, e.Mark
+	if want, agreed := f.digests[mark.Version]; !agreed || want != mark.Digest || e.New.Digest() != mark.Digest {
+		f.wrong = append(f.wrong, fmt.Sprintf("%s takes %s as version %d, which is %s", m.Name, e.New.Digest(), mark.Version, want))
+	}
+	why := ""
+	if m.old && string(e.New.Get(configuration.Operations, "new")) == newBuild {
+		why = "operations new is of a later build"
+	}
+	m.Later(f.chance.Int63n(takeMost), func() {
+		if why != "" {
+			f.refused++
+		} else {
+			if k := len(m.held); k > 0 && mark.Version <= m.held[k-1].version {
+				f.back++
+				f.say("%s goes from version %d to %d", m.Name, m.held[k-1].version, mark.Version)
+			}
+			m.held = append(m.held, taken{f.Now, mark.Version})
+			if l.fresh {
+				l.fresh = false
+				f.recovers = append(f.recovers, seconds(f.Now-m.Started))
+			}
+		}
+		l.give(configuration.Input{Kind: configuration.Took, Mark: mark, Why: why})
+	})
+}
+
+func (l *life) seatGets(in council.Input) {
+	l.toSeat = append(l.toSeat, in)
+	l.wakeSeat(l.f.Now)
+}
+
+func (l *life) wakeSeat(at int64) {
+	if at = max(at, l.f.Now); l.seated > 0 && l.seated <= at {
+		return
+	}
+	l.seated = at
+	l.m.Later(at-l.f.Now, func() {
+		if l.seated == at && l.m.life == l {
+			l.seated = 0
+			l.stepSeat()
+		}
+	})
+}
+
+func (l *life) stepSeat() {
+	f, m := l.f, l.m
+	in := l.toSeat
+	l.toSeat = nil
+	effects, next := l.council.Step(f.Now, in)
+	for k := range effects {
+		switch e := &effects[k]; e.Kind {
+		case council.Send:
+			l.sendSeat(e)
+		case council.Persist:
+			l.persist(e.Write)
+		case council.Remark:
+			f.say("%s: %s", m.Name, e.Text)
+		}
+	}
+	if agreed, changed := l.council.Configured(); changed {
+		if agreed != nil {
+			f.note(agreed)
+		}
+		l.give(configuration.Input{Kind: configuration.Ordered, Agreed: agreed})
+	}
+	l.wakeSeat(next)
+}
+
+func (l *life) sendSeat(e *council.Effect) {
+	f, m := l.f, l.m
+	if e.Message.Kind == council.Verdicts && len(e.Message.Decided) > 0 {
+		list := slices.Clone(e.Message.Decided)
+		for _, c := range f.callers {
+			if c.name == e.To {
+				f.After(ms, func() { f.decided(c, list) })
+			}
+		}
+		return
+	}
+	text, err := cbor.Marshal(&e.Message)
+	if err != nil {
+		f.wrong = append(f.wrong, fmt.Sprintf("a message between seats can't be written: %v", err))
+		return
+	}
+	if e.To == m.Name {
+		m.Later(0, func() {
+			got := new(council.Message)
+			if cbor.Unmarshal(text, got) == nil {
+				l.seatGets(council.Input{Message: got})
+			}
+		})
+		return
+	}
+	if to := f.byName[e.To]; to != nil {
+		size := len(text) + letter.Head
+		m.spend(f.Now, size)
+		m.Tell(to.Node, parcel{text, size}, size)
+	}
+}
+
+// persist has writes reach the seat's disk in their order.
+func (l *life) persist(w *council.Write) {
+	f, m := l.f, l.m
+	l.free = max(l.free, f.Now) + ms/10 + f.chance.Int63n(syncMost)
+	l.writes = append(l.writes, w)
+	m.Later(l.free-f.Now, func() {
+		m.write(l.writes[0])
+		l.writes = l.writes[1:]
+		l.seatGets(council.Input{Persisted: w.Number})
+	})
+}
+
+func (m *member) write(w *council.Write) {
+	d := &m.wrote
+	if w.Forget {
+		*d = council.Disk{}
+		return
+	}
+	if w.Base != nil {
+		parts := map[string][]byte{}
+		for k, v := range w.Parts {
+			parts[k] = v
+		}
+		*d = council.Disk{Base: w.Base, Parts: parts}
+	}
+	d.Records = append(d.Records[:len(d.Records):len(d.Records)], w.Records...)
+}
+
+// note follows what seats agreed on: one version has one content.
+func (f *versions) note(a *configuration.Agreed) {
+	for k := len(a.Log) - 1; k >= 0; k-- {
+		r := a.Log[k]
+		if d, known := f.digests[r.Version]; !known {
+			f.digests[r.Version], f.agreedAt[r.Version], f.records[r.Version] = r.Digest, f.Now, r
+		} else {
+			if d != r.Digest {
+				f.forked++
+				f.say("version %d has two contents", r.Version)
+			}
+			break
+		}
+	}
+	x, y := &a.Head, &f.last.Head
+	if cmp.Or(cmp.Compare(x.All.Version, y.All.Version), cmp.Compare(x.First.Version, y.First.Version), cmp.Compare(x.Newest, y.Newest)) > 0 ||
+		x.First == y.First && x.Stopped && !y.Stopped {
+		if x.All != y.All || x.First != y.First {
+			f.say("version %d is in force for all, %d for the first stage, %d agreed on", x.All.Version, x.First.Version, x.Newest)
+		}
+		f.last = a
+	}
+	f.stopped(&f.last.Head)
+}
--- /dev/null
+++ b/lab/rig/versions_play.go
@@ -0,0 +1,498 @@
+package rig
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"topazpost/claims"
+	"topazpost/configuration"
+	"topazpost/council"
+)
+
+const (
+	inForce   = 10 * second // in which a change is to be in force
+	reachStep = 100 * ms    // between looks at who is in reach
+	noticed   = 500 * ms    // until an operator takes back what was stopped
+	loadFor   = 60 * second // for the first content to be agreed on
+	joinFor   = 60 * second // for one view, where membership is played
+	quietFor  = 10 * second // at the start in which traffic is that of an idle fleet; after it has been quiet as long
+	window    = 15          // seconds over which a node's bytes are bounded
+	rebuilt   = 20          // nodes whose content is digested anew in the end
+	itemText  = `{"burst":40,"key":"%016x","note":"tenant of the laboratory","rate":%d}`
+)
+
+// change is one that a caller wants.
+type change struct {
+	item    configuration.Item
+	version uint64 // 0 until it is acknowledged
+	isNew   bool
+}
+
+// putter is a caller that puts what gathered, one command at a time, at any seat.
+type putter struct {
+	name    string
+	seq     uint64
+	base    uint64
+	waiting []*change
+	inHand  []*change
+	command *configuration.Command
+	sent    int64
+	begun   int64
+}
+
+// ask has a command taken to a seat that is up, and again to another while it isn't answered.
+func (f *versions) ask(c *putter) {
+	command := c.command
+	c.sent = f.Now
+	if m := f.byName[f.seats[f.chance.Intn(len(f.seats))]]; m.Up {
+		in := council.Input{Proposed: []configuration.Command{*command}, Owner: claims.Owner{Name: c.name, Life: 1}}
+		f.After(ms, func() {
+			if m.Up && m.life != nil {
+				m.life.seatGets(in)
+			}
+		})
+	} else {
+		c.sent -= putAgain - reachStep // the connection is refused
+	}
+	f.At(c.sent+putAgain, func() {
+		if c.command == command && f.Now >= c.sent+putAgain {
+			f.ask(c)
+		}
+	})
+}
+
+// next has a caller put what it has gathered.
+func (f *versions) next(c *putter) {
+	if c.command != nil || len(c.waiting) == 0 || f.holding && !c.waiting[0].isNew {
+		return
+	}
+	n := min(len(c.waiting), putMost)
+	if c.waiting[0].isNew { // by itself
+		n = 1
+	}
+	c.inHand, c.waiting = c.waiting[:n], c.waiting[n:]
+	c.begun = f.Now
+	c.seq++
+	c.command = &configuration.Command{Kind: configuration.Put, From: c.name, Seq: c.seq, Base: c.base}
+	for _, x := range c.inHand {
+		c.command.Changes = append(c.command.Changes, x.item)
+	}
+	f.ask(c)
+}
+
+// decided is what a caller is told.
+func (f *versions) decided(c *putter, list []configuration.Verdict) {
+	for i := range list {
+		v := &list[i]
+		if c.command == nil || v.Seq != c.command.Seq {
+			continue
+		}
+		if !v.Done { // made anew on the newest
+			if !v.Stale {
+				f.say("%s is refused: %s", c.name, v.Refused)
+			}
+			again := *c.command
+			c.seq++
+			again.Seq, again.Base, c.base = c.seq, v.Version, v.Version
+			c.command = &again
+			f.ask(c)
+			continue
+		}
+		c.base = v.Version
+		for _, x := range c.inHand {
+			if x.version = v.Version; x.isNew {
+				f.bad = v.Version
+				f.say("version %d is of a later build", v.Version)
+			}
+		}
+		if c.command.Kind == configuration.Rollback {
+			f.holding = false
+			f.say("version %d takes it back", v.Version)
+		} else if len(c.inHand) > 0 {
+			f.puts = append(f.puts, seconds(f.Now-c.begun))
+		}
+		c.inHand, c.command = nil, nil
+		for _, other := range f.callers {
+			f.next(other)
+		}
+	}
+}
+
+// stopped has an operator take back what was stopped, or what came through though some can't take it.
+func (f *versions) stopped(h *configuration.Head) {
+	if f.bad == 0 || !(h.Stopped && h.First.Version >= f.bad || h.All.Version >= f.bad) {
+		return
+	}
+	if h.Stopped {
+		f.stops++
+		f.say("version %d is stopped by %s: %s", h.First.Version, h.Who, h.Why)
+	}
+	to := h.All.Version
+	if to >= f.bad {
+		to = f.bad - 1
+	}
+	f.bad = 0
+	f.After(noticed, func() { f.rollBack(to) })
+}
+
+func (f *versions) rollBack(to uint64) {
+	c := f.callers[0]
+	if c.command != nil {
+		f.After(reachStep, func() { f.rollBack(to) })
+		return
+	}
+	c.seq++
+	c.command = &configuration.Command{Kind: configuration.Rollback, From: c.name, Seq: c.seq, Version: to}
+	f.ask(c)
+}
+
+// load has the seats agree on the first content, which all other disks hold then.
+func (f *versions) load() error {
+	for _, name := range f.seats {
+		f.byName[name].Start()
+	}
+	var items []configuration.Item
+	for k := range max(1, f.terms.Tenants) {
+		items = append(items, f.tenant(k, 0))
+	}
+	file := &putter{name: "file"}
+	f.callers = append(f.callers, file)
+	for k := 0; k < len(items); k += pieceMost {
+		file.seq++
+		file.command = &configuration.Command{Kind: configuration.Put, From: file.name, Seq: file.seq, Piece: k / pieceMost,
+			More: k+pieceMost < len(items), Changes: items[k:min(len(items), k+pieceMost)]}
+		f.ask(file)
+		if f.Until(loadFor, func() bool { return file.command == nil }) < 0 {
+			return fmt.Errorf("the seats did not agree on the first content")
+		}
+	}
+	f.callers = f.callers[:len(f.callers)-1]
+	if f.Until(loadFor, func() bool { return f.last.Head.All.Version == 1 && f.settled() == "" }) < 0 {
+		return fmt.Errorf("the first content was not in force at the seats: %s", f.settled())
+	}
+	for _, m := range f.members {
+		if !m.seat {
+			m.disk = kept{f.last.Head.All, f.last.All}
+		}
+	}
+	for _, c := range f.callers {
+		c.base = 1
+	}
+	return nil
+}
+
+func (f *versions) tenant(k, count int) configuration.Item {
+	return configuration.Item{Part: configuration.Tenants, Name: fmt.Sprintf("tenant-%05d", k),
+		Value: fmt.Appendf(nil, itemText, f.chance.Uint64(), count)}
+}
+
+// settled says what isn't as it must be in the end.
+func (f *versions) settled() string {
+	h := &f.last.Head
+	if h.First != h.All || h.Newest != h.All.Version {
+		return fmt.Sprintf("version %d of %d is in force for all", h.All.Version, h.Newest)
+	}
+	for _, m := range f.members {
+		if m.Up && m.life.holder.Mark() != h.All {
+			return fmt.Sprintf("%s has version %d, %d is in force for all", m.Name, m.life.holder.Mark().Version, h.All.Version)
+		}
+	}
+	return ""
+}
+
+// lay lays changes and faults out in time.
+func (f *versions) lay(end int64) {
+	count := 0
+	for _, c := range f.terms.Changes {
+		last := min(end, f.start+int64(c.At)+int64(c.For)+1)
+		for at := f.start + int64(c.At); at < last; at += int64(c.Every) {
+			count++
+			x := &change{isNew: c.New, item: f.tenant(f.chance.Intn(f.terms.Tenants), count)}
+			if c.New {
+				x.item = configuration.Item{Part: configuration.Operations, Name: "new", Value: []byte(newBuild)}
+			}
+			f.changes = append(f.changes, x)
+			by := f.callers[f.chance.Intn(len(f.callers))]
+			f.At(at, func() { f.want(by, x) })
+			if c.Every <= 0 {
+				break
+			}
+		}
+	}
+	for _, fault := range f.night.Faults {
+		for at := f.start + int64(fault.At); at < end; at += int64(fault.Every) {
+			f.At(at, func() { f.trouble(&fault, end) })
+			if fault.Every <= 0 {
+				break
+			}
+		}
+	}
+}
+
+// want has a caller put a change; what is of a new build alone, with all others waiting.
+func (f *versions) want(by *putter, x *change) {
+	if x.isNew {
+		f.holding = true
+		by.waiting = slices.Insert(slices.Clone(by.waiting), 0, x)
+	} else {
+		by.waiting = append(by.waiting, x)
+	}
+	f.next(by)
+}
+
+// drawn is whom a fault concerns: one node or seat that is up, all seats, or those of a zone.
+func (f *versions) drawn(who string) (list []*member) {
+	if who == "seats" {
+		return slices.DeleteFunc(slices.Clone(f.members), func(m *member) bool { return !m.seat || !m.Up })
+	}
+	for _, i := range f.chance.Perm(len(f.members)) {
+		m := f.members[i]
+		if m.Up && (who == "zone" || m.seat == (who == "seat")) {
+			if list = append(list, m); who != "zone" {
+				return list
+			}
+		}
+	}
+	if len(list) > 0 {
+		zone := list[0].Zone
+		list = slices.DeleteFunc(list, func(m *member) bool { return m.Zone != zone })
+	}
+	return list
+}
+
+// trouble begins a fault and has it end.
+func (f *versions) trouble(fault *Fault, end int64) {
+	back := min(f.Now+int64(fault.For), end)
+	switch fault.Kind {
+	case "kill":
+		list := f.drawn(fault.Who)
+		for _, m := range list {
+			f.stop(m, fault.Shape == "forgets")
+			f.At(back, func() {
+				if !m.Up {
+					m.Start()
+				}
+			})
+		}
+		if len(list) > 0 {
+			f.say("FAULT %d killed: %s of %s, for %.0f s %s", len(list), list[0].Name, list[0].Zone, seconds(back-f.Now), fault.Shape)
+		}
+	case "cut":
+		region, seats := fmt.Sprint("r", f.chance.Intn(f.terms.Regions)), 0
+		f.CutOff(region)
+		within := f.Within(region)
+		for _, n := range within {
+			m := f.byName[n.Name]
+			if f.apart[m] = true; m.seat {
+				seats++
+			}
+		}
+		if 2*seats > len(f.seats) {
+			for _, m := range f.members {
+				f.apart[m] = !f.apart[m]
+			}
+		}
+		f.say("FAULT region %s is cut off: %d nodes, %d seats, for %.0f s", region, len(within), seats, seconds(back-f.Now))
+		f.At(back, func() {
+			f.Mend()
+			clear(f.apart)
+		})
+	case "loss":
+		f.Loss, f.Double, f.Late, f.LateMost = float64(fault.Part), float64(fault.Part)/5, float64(fault.Part)/50, 30*second
+		f.At(back, f.sound)
+	}
+}
+
+func (f *versions) sound() { f.Loss, f.Double, f.Late = 0, 0, 0 }
+
+// reach notes who is out of reach: down, on the smaller side of a cut, without a majority of seats, or back without a disk and
+// not yet recovered.
+func (f *versions) reach() {
+	seats := 0
+	for _, name := range f.seats {
+		if m := f.byName[name]; m.Up && !f.apart[m] {
+			seats++
+		}
+	}
+	for _, m := range f.members {
+		if m.Up && !f.apart[m] && 2*seats > len(f.seats) && !m.life.fresh {
+			continue
+		}
+		if k := len(m.out); k > 0 && m.out[k-1].to >= f.Now {
+			m.out[k-1].to = f.Now + reachStep
+		} else {
+			m.out = append(m.out, stretch{f.Now, f.Now + reachStep})
+		}
+	}
+	f.After(reachStep, f.reach)
+}
+
+// playVersions plays changes and faults, heals all, and measures.
+func (n *Night) playVersions(seed int64) *Outcome {
+	o := &Outcome{Seed: seed, Measures: map[string]float64{}}
+	began := time.Now()
+	f := newVersions(n, seed)
+	defer func() { o.Timeline = f.lines }()
+	if err := f.load(); err != nil {
+		o.Failed = err.Error()
+		return o
+	}
+	for _, m := range f.members {
+		if !m.Up {
+			m.Start()
+		}
+	}
+	joined := func() bool { return !f.terms.Membership || f.Agreed() }
+	if o.Measures["joined_s"] = seconds(f.Until(joinFor, joined)); o.Measures["joined_s"] < 0 {
+		o.Failed = "the fleet did not come to one view"
+		return o
+	}
+	f.Run((f.Now/second + 1 + 2*quietFor/second) * second) // words that a start brings are over
+	f.start, f.recovers = f.Now, nil
+	o.Measures["idle_bytes"] = f.mean(f.start-quietFor, f.start)
+	end := f.start + int64(n.Seconds*1e9)
+	f.lay(end)
+	f.reach()
+	f.Run(end)
+	f.Mend()
+	f.sound()
+	for _, m := range f.members {
+		if !m.Up {
+			m.Start()
+		}
+	}
+	clear(f.apart)
+	healed, last := f.Now, f.last.Head.Newest
+	o.Measures["healed_s"] = seconds(f.Until(int64(n.Calm*1e9), func() bool {
+		return !slices.ContainsFunc(f.members, func(m *member) bool { return m.life.holder.Mark().Version < last })
+	}))
+	if o.Measures["healed_s"] < 0 {
+		o.Measures["healed_s"] = math.Inf(1)
+	}
+	f.Run(healed + int64(n.Calm*1e9))
+	if why := f.settled(); why != "" {
+		f.say("in the end: %s", why)
+	}
+	o.Measures["pace"] = float64(f.Now) / float64(max(1, time.Since(began)))
+	f.measure(o.Measures)
+	if len(f.wrong) > 0 {
+		o.Failed = fmt.Sprintf("%d things were wrong: %s", len(f.wrong), f.wrong[0])
+	}
+	return o
+}
+
+// mean is what a node that is no seat spent in a second of a time, both ways.
+func (f *versions) mean(from, to int64) float64 {
+	sum := 0
+	for _, m := range f.members {
+		for s := from / second; s < to/second && int(s) < len(m.spent) && !m.seat; s++ {
+			sum += m.spent[s]
+		}
+	}
+	return float64(sum) / float64(len(f.members)-len(f.seats)) / seconds(to-from)
+}
+
+func (f *versions) measure(x map[string]float64) {
+	f.measureInForce(x)
+	f.measureBytes(x)
+	x["gone_back"], x["two_contents"], x["stops"], x["refusals"] = float64(f.back), float64(f.forked), float64(f.stops), float64(f.refused)
+	x["put_s"], x["recovered_s"], x["recoveries"] = quantile(f.puts, 0.99), quantile(f.recovers, 1), float64(len(f.recovers))
+	x["changes"], x["versions"] = float64(len(f.changes)), float64(f.last.Head.Newest)
+	unanswered, lost, lies, digests := 0, 0, 0, map[configuration.Mark]int{}
+	for _, c := range f.changes {
+		switch r := f.records[c.version]; {
+		case c.version == 0:
+			unanswered++
+		case r == nil || c.version > f.last.Head.Newest || !slices.ContainsFunc(r.Changes, func(i configuration.Item) bool {
+			return i.Part == c.item.Part && i.Name == c.item.Name
+		}):
+			lost++
+		}
+	}
+	for _, r := range f.last.Log { // where the final order differs from what was agreed on before
+		if before := f.records[r.Version]; before == nil || before.Digest != r.Digest || before.From != r.From {
+			lost++
+		}
+	}
+	for k, m := range f.members {
+		mark, content := m.life.holder.Mark(), m.life.holder.Content()
+		if digests[mark]++; content.Digest() != mark.Digest {
+			digests[configuration.Mark{}]++
+		}
+		if (k*rebuilt)%len(f.members) < rebuilt { // from its items
+			again, err := (&configuration.Content{}).Apply(slices.Collect(content.All))
+			if err != nil || again.Digest() != mark.Digest {
+				digests[configuration.Mark{}]++
+			}
+		}
+		lies += m.life.holder.Counters.Lies
+	}
+	x["unanswered"], x["lost"], x["lies"], x["digests"] = float64(unanswered), float64(lost), float64(lies), float64(len(digests))
+	if f.settled() != "" {
+		x["digests"]++
+	}
+}
+
+// measureInForce says of each change whether it was in force in time at all that were in reach meanwhile.
+func (f *versions) measureInForce(x map[string]float64) {
+	by := map[uint64]int{}
+	for _, c := range f.changes {
+		if c.version > 0 && !c.isNew {
+			by[c.version]++
+		}
+	}
+	var times []float64
+	all, good, pairs, late := 0, 0, 0, 0
+	for _, version := range slices.Sorted(maps.Keys(by)) {
+		at, missed := f.agreedAt[version], 0
+		for _, m := range f.members {
+			k := sort.Search(len(m.out), func(k int) bool { return m.out[k].to >= at })
+			if k < len(m.out) && m.out[k].from <= at+inForce {
+				continue
+			}
+			took := math.Inf(1)
+			for k := max(0, sort.Search(len(m.held), func(k int) bool { return m.held[k].at > at })-1); k < len(m.held); k++ {
+				if m.held[k].version >= version {
+					took = max(0, seconds(m.held[k].at-at))
+					break
+				}
+			}
+			times = append(times, took)
+			if pairs++; took > seconds(inForce) {
+				missed++
+			}
+		}
+		if all, late = all+by[version], late+missed; missed == 0 {
+			good += by[version]
+		} else {
+			f.say("version %d, agreed on at %.3f s, was not in time at %d nodes", version, seconds(at-f.start), missed)
+		}
+	}
+	x["in_force"], x["in_force_nodes"], x["pairs"] = float64(good)/float64(max(1, all)), 1-float64(late)/float64(max(1, pairs)), float64(pairs)
+	x["in_force_half_s"], x["in_force_s"], x["in_force_worst_s"] = quantile(times, 0.5), quantile(times, 0.99), quantile(times, 1)
+}
+
+// measureBytes are those of letters of the configuration and, at seats, of the council; both ways.
+func (f *versions) measureBytes(x map[string]float64) {
+	from := int(f.start / second)
+	for s := from; s < int(f.Now/second); s++ {
+		x["worst_bytes"] = max(x["worst_bytes"], f.mean(int64(s)*second, int64(s+1)*second))
+	}
+	for _, m := range f.members {
+		for s := from; s < len(m.spent); s++ {
+			sum := 0
+			for _, b := range m.spent[s:min(len(m.spent), s+window)] {
+				sum += b
+			}
+			if per := float64(sum) / window; m.seat {
+				x["seat_window_bytes"] = max(x["seat_window_bytes"], per)
+			} else {
+				x["window_bytes"], x["worst_node_bytes"] = max(x["window_bytes"], per), max(x["worst_node_bytes"], float64(m.spent[s]))
+			}
+		}
+	}
+}
