--- a/lab/experiments/config-scale.jsonnet
+++ b/lab/experiments/config-scale.jsonnet
@@ -15,7 +15,7 @@
     regions: 7,
     zones: 15,
     far: '80 ms',
-    tenants: 3000,
+    tenants: 5000,
     callers: 3,
     old: '10 %',
     changes: [
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -121,6 +121,7 @@
 	refused  int // at nodes
 	holding  bool
 	bad      uint64 // the version that an older build can't take, until it is taken back
+	good     uint64 // the last before it that was in force for all
 	puts     []float64
 	recovers []float64 // seconds until a node without a disk had a version in force
 	start    int64
@@ -354,7 +355,9 @@
 	}
 	m.Later(f.chance.Int63n(takeMost), func() {
 		if why != "" {
-			f.refused++
+			if f.refused++; f.refused <= lateNamed {
+				f.say("%s refuses version %d, first stage %t", m.Name, mark.Version, e.First)
+			}
 		} else {
 			if k := len(m.held); k > 0 && mark.Version <= m.held[k-1].version {
 				f.back++
@@ -487,6 +490,9 @@
 		}
 	}
 	x, y := &a.Head, &f.last.Head
+	if f.bad == 0 || x.All.Version < f.bad {
+		f.good = max(f.good, x.All.Version)
+	}
 	if cmp.Or(cmp.Compare(x.All.Version, y.All.Version), cmp.Compare(x.First.Version, y.First.Version), cmp.Compare(x.Newest, y.Newest)) > 0 ||
 		x.First == y.First && x.Stopped && !y.Stopped {
 		if x.All != y.All || x.First != y.First {
--- a/lab/rig/versions_play.go
+++ b/lab/rig/versions_play.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"topazpost/claims"
@@ -14,15 +15,16 @@
 )
 
 const (
-	inForce   = 10 * second // in which a change is to be in force
-	reachStep = 100 * ms    // between looks at who is in reach
-	noticed   = 500 * ms    // until an operator takes back what was stopped
-	loadFor   = 60 * second // for the first content to be agreed on
-	joinFor   = 60 * second // for one view, where membership is played
-	quietFor  = 10 * second // at the start in which traffic is that of an idle fleet; after it has been quiet as long
-	window    = 15          // seconds over which a node's bytes are bounded
-	rebuilt   = 20          // nodes whose content is digested anew in the end
-	itemText  = `{"burst":40,"key":"%016x","note":"tenant of the laboratory","rate":%d}`
+	inForce   = 10 * second                           // in which a change is to be in force
+	reachStep = 100 * ms                              // between looks at who is in reach
+	noticed   = 500 * ms                              // until an operator takes back what was stopped
+	loadFor   = 60 * second                           // for the first content to be agreed on
+	joinFor   = 60 * second                           // for one view, where membership is played
+	quietFor  = 10 * second                           // at the start in which traffic is that of an idle fleet; after it has been quiet as long
+	window    = 15                                    // seconds over which a node's bytes are bounded
+	rebuilt   = 20                                    // nodes whose content is digested anew in the end
+	lateNamed = 6                                     // nodes that a line of the timeline names
+	itemText  = `{"burst":40,"key":"%08x","rate":%d}` // with its name some 55 bytes, as 6 MB for 130,000 tenants have
 )
 
 // change is one that a caller wants.
@@ -131,10 +133,7 @@
 		f.stops++
 		f.say("version %d is stopped by %s: %s", h.First.Version, h.Who, h.Why)
 	}
-	to := h.All.Version
-	if to >= f.bad {
-		to = f.bad - 1
-	}
+	to := f.good
 	f.bad = 0
 	f.After(noticed, func() { f.rollBack(to) })
 }
@@ -187,7 +186,7 @@
 
 func (f *versions) tenant(k, count int) configuration.Item {
 	return configuration.Item{Part: configuration.Tenants, Name: fmt.Sprintf("tenant-%05d", k),
-		Value: fmt.Appendf(nil, itemText, f.chance.Uint64(), count)}
+		Value: fmt.Appendf(nil, itemText, f.chance.Uint32(), count)}
 }
 
 // settled says what isn't as it must be in the end.
@@ -448,7 +447,7 @@
 	var times []float64
 	all, good, pairs, late := 0, 0, 0, 0
 	for _, version := range slices.Sorted(maps.Keys(by)) {
-		at, missed := f.agreedAt[version], 0
+		at, missed, who := f.agreedAt[version], 0, []string{}
 		for _, m := range f.members {
 			k := sort.Search(len(m.out), func(k int) bool { return m.out[k].to >= at })
 			if k < len(m.out) && m.out[k].from <= at+inForce {
@@ -463,13 +462,15 @@
 			}
 			times = append(times, took)
 			if pairs++; took > seconds(inForce) {
-				missed++
+				if missed++; missed <= lateNamed {
+					who = append(who, fmt.Sprintf("%s (%.1f s)", m.Name, took))
+				}
 			}
 		}
 		if all, late = all+by[version], late+missed; missed == 0 {
 			good += by[version]
 		} else {
-			f.say("version %d, agreed on at %.3f s, was not in time at %d nodes", version, seconds(at-f.start), missed)
+			f.say("version %d, agreed on at %.3f s, was not in time at %d nodes: %s", version, seconds(at-f.start), missed, strings.Join(who, ", "))
 		}
 	}
 	x["in_force"], x["in_force_nodes"], x["pairs"] = float64(good)/float64(max(1, all)), 1-float64(late)/float64(max(1, pairs)), float64(pairs)
