--- a/cmd/topazlab/main.go
+++ b/cmd/topazlab/main.go
@@ -110,7 +110,8 @@
 
 func main() {
 	var line struct {
-		Run run `cmd:"" help:"Play the variants of an experiment side by side, and say of each claim whether it held."`
+		Run      run      `cmd:"" help:"Play the variants of an experiment side by side, and say of each claim whether it held."`
+		Capacity capacity `cmd:"" help:"Climb a ladder of sizes for each quantity on built daemons, and make the tables of docs/CAPACITY.md."`
 	}
 	c := kong.Parse(&line, kong.Name("topazlab"), kong.Description("Plays fleets in virtual time. Its figures are simulated."))
 	c.FatalIfErrorf(c.Run())
--- /dev/null
+++ b/lab/capacity/daemon.go
@@ -0,0 +1,263 @@
+package capacity
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	startMost   = 60 * time.Second // for a node to serve, on a machine that is busy
+	endMost     = 10 * time.Second // for a process that was ended to be gone
+	settleFor   = 1500 * time.Millisecond
+	lookEvery   = 100 * time.Millisecond
+	idleFor     = 2 * time.Second  // in which an idle node's processor time is taken
+	reloadMost  = 20 * time.Second // for a SIGHUP to be worked off
+	quietPart   = 0.1              // of a core, under which a node is at rest
+	quietLooks  = 3                // in a row
+	runTime     = 5 * time.Millisecond
+	memoryMB    = 1_024 // of the generated nodes: far above what is measured, as the runtime collects harder near its limit
+	socketsMost = 18_500
+	linesMost   = 1 << 20 // bytes of a log's line
+)
+
+// shape is what a generated configuration has.
+type shape struct {
+	routes, tenants, sockets int
+}
+
+func routeName(k int) string  { return fmt.Sprintf("orders.v1/Route%04d", k) }
+func tenantName(k int) string { return fmt.Sprintf("tenant-%06d", k) }
+
+// write makes a configuration file, and says how many bytes it has.
+func (s shape) write(path, executor, control string) (int64, error) {
+	type operation struct {
+		Name       string `json:"name"`
+		Aim        int    `json:"aim"`
+		GiveUp     int    `json:"give_up"`
+		Importance int    `json:"importance"`
+		Effect     string `json:"effect"`
+	}
+	type tenant struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota_rps"`
+	}
+	operations, tenants := make([]operation, max(1, s.routes)), make([]tenant, s.tenants)
+	for k := range operations {
+		operations[k] = operation{routeName(k), 1_000, 2_500, 1, "idempotent"}
+	}
+	for k := range tenants {
+		tenants[k] = tenant{tenantName(k), 1.5}
+	}
+	settings := map[string]any{"grades": operations,
+		"family_info": map[string]any{"n_cores": 8, "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "below": "off", "halt": "off",
+			"advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
+		"guarantees": map[string]any{"tip_multiple": 8, "drain_grace": 500},
+		"limits":     map[string]any{"retry_after": true, "max_retry_after": 1_000}}
+	if s.tenants > 0 {
+		settings["tenants"] = tenants
+	}
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "executor": executor, "control": control,
+		"catalog": "", "seed": "8c1f30d27a5be964", "stop_ms": 3_000,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": cmp.Or(s.sockets, 1_024)}, "settings": settings})
+	if err != nil {
+		return 0, err
+	}
+	return int64(len(text)), os.WriteFile(path, text, 0o600)
+}
+
+// daemon is one that was started, with its executor.
+type daemon struct {
+	command  *exec.Cmd
+	executor *executor
+	control  interface{ Close() error }
+	config   string
+	began    time.Time
+	ended    chan struct{}
+
+	mu      sync.Mutex
+	listens string
+	serving time.Time
+	last    string // line of its log
+}
+
+// start writes a configuration and starts a node on it; it returns once the node serves.
+func (b *Bench) start(s shape) (d *daemon, size int64, err error) {
+	d = &daemon{ended: make(chan struct{})}
+	if d.executor, err = newExecutor(runTime); err != nil {
+		return nil, 0, err
+	}
+	control, err := platform()
+	if err != nil {
+		return nil, 0, err
+	}
+	d.control = control
+	d.config = filepath.Join(b.folder, "n0.json")
+	if size, err = s.write(d.config, d.executor.listener.Addr().String(), control.Addr().String()); err != nil {
+		return nil, 0, err
+	}
+	d.command = exec.Command(b.Program, "serve", d.config)
+	out, err := d.command.StderrPipe()
+	if err != nil {
+		return nil, 0, err
+	}
+	d.began = time.Now()
+	if err := d.command.Start(); err != nil {
+		return nil, 0, err
+	}
+	go func() {
+		in := bufio.NewScanner(out)
+		in.Buffer(nil, linesMost)
+		for in.Scan() {
+			d.heard(in.Bytes())
+		}
+		d.command.Wait()
+		close(d.ended)
+	}()
+	for time.Since(d.began) < startMost {
+		if at, _ := d.serves(); at != "" {
+			return d, size, nil
+		}
+		select {
+		case <-d.ended:
+			d.close()
+			return nil, 0, fmt.Errorf("%s ended instead of serving: %s", b.Program, d.last)
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+	d.close()
+	return nil, 0, fmt.Errorf("%s does not serve after %s: %s", b.Program, startMost, d.last)
+}
+
+func (d *daemon) heard(line []byte) {
+	var l struct{ Message, Listen string }
+	json.Unmarshal(line, &l)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.last = string(line)
+	switch {
+	case l.Message == "listening":
+		d.listens = l.Listen
+	case strings.HasPrefix(l.Message, "executor is up") && d.serving.IsZero():
+		d.serving = time.Now()
+	}
+}
+
+// serves says where, once the node does, and how long that took.
+func (d *daemon) serves() (at string, after time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.serving.IsZero() {
+		return "", 0
+	}
+	return d.listens, d.serving.Sub(d.began)
+}
+
+func (d *daemon) close() {
+	d.command.Process.Kill()
+	select {
+	case <-d.ended:
+	case <-time.After(endMost):
+	}
+	d.executor.listener.Close()
+	d.control.Close()
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	at     time.Time
+	cpu    time.Duration
+	rssMB  float64
+	peakMB float64
+}
+
+var errGone = errors.New("the process is gone")
+
+// look reads what a process used. Processor time is that of its threads, in ns; Go's runtime ends next to none.
+func look(pid int) (u usage, err error) {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	for _, task := range tasks {
+		text, err := os.ReadFile(task)
+		if f := strings.Fields(string(text)); err == nil && len(f) > 0 {
+			ns, _ := strconv.ParseInt(f[0], 10, 64)
+			u.cpu += time.Duration(ns)
+		}
+	}
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil || len(tasks) == 0 {
+		return u, errGone
+	}
+	for line := range strings.Lines(string(text)) {
+		f := strings.Fields(line)
+		if len(f) < 2 {
+			continue
+		}
+		kb, _ := strconv.ParseFloat(f[1], 64)
+		switch f[0] {
+		case "VmRSS:":
+			u.rssMB = kb / 1_024
+		case "VmHWM:":
+			u.peakMB = kb / 1_024
+		}
+	}
+	u.at = time.Now()
+	return u, nil
+}
+
+func (d *daemon) look() (usage, error) { return look(d.command.Process.Pid) }
+
+// since is the processor time for each second of wall time, in ms.
+func (u *usage) since(before *usage) float64 {
+	return (u.cpu - before.cpu).Seconds() * 1e3 / u.at.Sub(before.at).Seconds()
+}
+
+// lowerPeak has the kernel count the peak of resident memory from now on.
+func (d *daemon) lowerPeak() {
+	os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", d.command.Process.Pid), []byte("5"), 0)
+}
+
+// reload sends SIGHUP and waits until the node is at rest again, and says what that took of the processor.
+func (d *daemon) reload() (cpu time.Duration, after usage, err error) {
+	before, err := d.look()
+	if err != nil {
+		return 0, after, err
+	}
+	d.command.Process.Signal(syscall.SIGHUP)
+	quiet, last := 0, before
+	for began := time.Now(); quiet < quietLooks && time.Since(began) < reloadMost; {
+		time.Sleep(lookEvery)
+		if after, err = d.look(); err != nil {
+			return 0, after, err
+		}
+		if after.since(&last) < quietPart*1e3 && after.cpu > before.cpu {
+			quiet++
+		} else {
+			quiet = 0
+		}
+		last = after
+	}
+	return after.cpu - before.cpu, after, nil
+}
+
+// check runs the command that operators check a file with.
+func (b *Bench) check(config string) (cpu time.Duration, peakMB float64, err error) {
+	ctx, stop := context.WithTimeout(context.Background(), startMost)
+	defer stop()
+	c := exec.CommandContext(ctx, b.Program, "check", config)
+	if out, err := c.CombinedOutput(); err != nil {
+		return 0, 0, fmt.Errorf("check: %w: %s", err, out)
+	}
+	peak := float64(c.ProcessState.SysUsage().(*syscall.Rusage).Maxrss) / 1_024
+	return c.ProcessState.UserTime() + c.ProcessState.SystemTime(), peak, nil
+}
