--- a/cmd/topazlab/capacity.go
+++ b/cmd/topazlab/capacity.go
@@ -48,7 +48,7 @@
 			if name != "" && !q.Configured {
 				continue
 			}
-			b := &ladders.Bench{Program: programs[name], Seed: c.Seed, Brief: c.Short, Log: os.Stdout}
+			b := &ladders.Bench{Program: programs[name], Lab: own, Seed: c.Seed, Brief: c.Short, Log: os.Stdout}
 			doc, err := b.Climb(q)
 			if err != nil {
 				return err
--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -80,6 +80,7 @@
 // Bench is what ladders are climbed with.
 type Bench struct {
 	Program string // a built daemon
+	Lab     string // the built topazlab, whose processes are hollow nodes
 	Seed    int64
 	Brief   bool // short plays
 	Log     io.Writer
--- a/lab/capacity/quantities.go
+++ b/lab/capacity/quantities.go
@@ -43,7 +43,7 @@
 		{"added_p99_most_ms", "most", false},
 		{"straight_p99_ms", "p99 without a node, median, ms", false},
 	}
-	return []*Quantity{
+	return append(peered(), []*Quantity{
 		{Name: "routes", Title: "Routes, no tenants", Unit: "routes", Wanted: WantedRoutes, Ladder: []float64{1, 470, 1_200, 2_400, 4_700},
 			Short: []float64{1, 1_200, 2_400}, Measures: configured, Configured: true,
 			climb: func(b *Bench, x float64) (map[string]float64, error) { return b.configured(shape{routes: int(x)}) }},
@@ -89,7 +89,7 @@
 			climb: func(b *Bench, x float64) (map[string]float64, error) { return b.peak(x, RequestsEach*RegionLost) }},
 		tokens(),
 		changes(),
-	}
+	}...)
 }
 
 // configured starts a node on a configuration, lets it rest, loads it with its part of the peak, has it read the file anew
