--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -10,17 +10,16 @@
 )
 
 const (
-	joinMost   = 240 * time.Second // for all to be in one view
-	herdMost   = 600               // nodes that join at once; more are started over joinOver, as one machine can't carry the square
-	joinOver   = 60 * time.Second
-	agreeMost  = 90 * time.Second // for all to know of one change
-	quietFor   = 6 * time.Second  // between what is measured
-	afterFor   = 4 * time.Second  // past the last that knew, in which traffic is still of the change
-	restFor    = 12 * time.Second // of an idle fleet
-	restShort  = 4 * time.Second
-	rollNodes  = 300              // of the fleet whose restarts a day are climbed
-	rollFor    = 30 * time.Second // of them
-	processors = 8                // processes of hollow nodes: as many as cores
+	joinMost  = 240 * time.Second // for all to be in one view
+	herdMost  = 600               // nodes that join at once; more are started over joinOver, as one machine can't carry the square
+	joinOver  = 60 * time.Second
+	agreeMost = 90 * time.Second // for all to know of one change
+	quietFor  = 6 * time.Second  // between what is measured
+	afterFor  = 4 * time.Second  // past the last that knew, in which traffic is still of the change
+	restFor   = 12 * time.Second // of an idle fleet
+	restShort = 4 * time.Second
+	rollNodes = 300              // of the fleet whose restarts a day are climbed
+	rollFor   = 30 * time.Second // of them
 )
 
 var errApart = errors.New("the nodes did not come to one view in time")
@@ -87,7 +86,7 @@
 }
 
 func (b *Bench) fleet(ctx context.Context, nodes int) (*hollow.Fleet, error) {
-	o := hollow.Options{Nodes: nodes, Processes: min(processors, nodes), Seed: b.Seed, Fleet: map[string]any{"members": 1_500}, Log: io.Discard}
+	o := hollow.Options{Nodes: nodes, Seed: b.Seed, Fleet: map[string]any{"members": 1_500}, Log: io.Discard}
 	if nodes > herdMost {
 		o.JoinOver = joinOver
 	}
