--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -20,6 +20,7 @@
 	restShort = 4 * time.Second
 	rollNodes = 300              // of the fleet whose restarts a day are climbed
 	rollFor   = 30 * time.Second // of them
+	cutFor    = 20 * time.Second
 )
 
 var errApart = errors.New("the nodes did not come to one view in time")
@@ -52,6 +53,17 @@
 				{"cpu", "ms of processor a second and node", true},
 				{"agreed_s", "s from the last until one view", false},
 			}, climb: func(b *Bench, x float64) (map[string]float64, error) { return b.rolled(x) }},
+		{Name: "losses", Title: "Nodes lost at once, of 300: one, a zone of fifteen, a region of seven", Unit: "nodes", Wanted: 43,
+			Ladder: []float64{1, 20, 43}, Short: nil, Measures: []Measure{
+				{"killed_s", "killed, s until all know", false},
+				{"killed_bytes", "worst second, bytes a node", true},
+				{"back_s", "all start at once, s until one view", false},
+				{"back_bytes", "worst second, bytes a node", true},
+				{"cut_bytes", "cut off for 20 s, worst second, bytes a node", true},
+				{"healed_s", "healed, s until one view", false},
+				{"healed_bytes", "worst second, bytes a node", true},
+				{"late_s", "latest line of figures, s", false},
+			}, climb: func(b *Bench, x float64) (map[string]float64, error) { return b.lost(int(x)) }},
 	}
 }
 
@@ -182,3 +194,57 @@
 	return map[string]float64{"done": float64(count), "bytes": s.bytes, "worst_bytes": s.worst, "messages": s.messages, "cpu": s.cpu,
 		"agreed_s": max(0, at.Sub(to).Seconds())}, f.Err()
 }
+
+// lost kills some nodes at once and starts them again at once, then cuts them off from the others for a while.
+func (b *Bench) lost(count int) (map[string]float64, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	f, err := b.fleet(ctx, rollNodes)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if _, agreed := f.Agreed(joinMost, 0); !agreed {
+		return nil, errors.Join(errApart, f.Err())
+	}
+	time.Sleep(quietFor)
+	var some, rest []int
+	for i := range rollNodes {
+		if i >= rollNodes-count {
+			some = append(some, i)
+		} else {
+			rest = append(rest, i)
+		}
+	}
+	m := map[string]float64{}
+	began := time.Now()
+	step := func(name string, do func()) error {
+		from := time.Now()
+		do()
+		at, agreed := f.Agreed(agreeMost, 0)
+		if !agreed {
+			return errors.Join(errApart, f.Err())
+		}
+		m[name+"_s"] = max(0, at.Sub(from).Seconds())
+		time.Sleep(afterFor)
+		m[name+"_bytes"] = spanOf(f.Sample(), from, time.Now()).worst
+		return nil
+	}
+	if err := step("killed", func() { f.Kill(some...) }); err != nil {
+		return nil, err
+	}
+	if err := step("back", func() { f.Start(some...) }); err != nil {
+		return nil, err
+	}
+	time.Sleep(quietFor)
+	from := time.Now()
+	f.Cut(some, rest)
+	f.Cut(rest, some)
+	time.Sleep(cutFor)
+	m["cut_bytes"] = spanOf(f.Sample(), from, time.Now()).worst
+	if err := step("healed", f.Heal); err != nil {
+		return nil, err
+	}
+	m["late_s"] = spanOf(f.Sample(), began, time.Now()).late
+	return m, f.Err()
+}
--- a/lab/capacity/tokens.go
+++ b/lab/capacity/tokens.go
@@ -31,6 +31,7 @@
 			{"other_cpu", "a node without a seat, ms of processor a second", true},
 			{"leader_mb", "busiest seat, resident MB", false},
 			{"leader_bytes", "busiest seat, bytes a second", true},
+			{"claim_bytes", "table, bytes a claim", false},
 			{"other_bytes", "a node without a seat, bytes a second", true},
 		}, climb: func(b *Bench, x float64) (map[string]float64, error) { return b.agreed(x) }}
 }
@@ -66,6 +67,11 @@
 	time.Sleep(time.Until(began.Add(length)))
 	took := time.Since(began).Seconds()
 	m = map[string]float64{"done": float64(done) / took, "lost": float64(lost)}
+	if held, bytes, err := f.Claims(0); err != nil {
+		return nil, err
+	} else if held > 0 {
+		m["claim_bytes"] = float64(bytes) / float64(held)
+	}
 	for i := range n.Nodes {
 		after, err := look(f.Pid(i))
 		if err != nil {
--- a/lab/rig/fleet.go
+++ b/lab/rig/fleet.go
@@ -76,6 +76,19 @@
 	return f.p.wire.bytes[i]
 }
 
+// Claims are how many the council's table has, and their bytes, as a seat tells.
+func (f *Fleet) Claims(seat int) (count int, bytes int64, err error) {
+	var shown struct {
+		Claims int
+		Bytes  int64
+	}
+	out, err := exec.Command(f.p.program, "claims", "--fleet", "rig", "--json", f.p.bind[seat]).Output()
+	if err == nil {
+		err = json.Unmarshal(out, &shown)
+	}
+	return shown.Claims, shown.Bytes, err
+}
+
 // Close ends all nodes.
 func (f *Fleet) Close() { f.p.close() }
 
