--- a/cmd/topazlab/capacity.go
+++ b/cmd/topazlab/capacity.go
@@ -48,6 +48,9 @@
 			if name != "" && !q.Configured {
 				continue
 			}
+			if name != "" {
+				fmt.Printf("%s, ", name)
+			}
 			b := &ladders.Bench{Program: programs[name], Lab: own, Seed: c.Seed, Brief: c.Short, Log: os.Stdout}
 			doc, err := b.Climb(q)
 			if err != nil {
--- /dev/null
+++ b/lab/capacity/ladder_test.go
@@ -0,0 +1,157 @@
+package capacity
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/lab/mesh"
+)
+
+var built string // folder of topazpost and topazlab
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		panic(err)
+	}
+	built = folder
+	if out, err := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "topazpost/cmd/topazpost", "topazpost/cmd/topazlab").CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// climb plays the short ladder of a quantity.
+func climb(t *testing.T, name string) *Document {
+	t.Helper()
+	b := &Bench{Program: filepath.Join(built, "topazpost"), Lab: filepath.Join(built, "topazlab"), Seed: 1, Brief: true}
+	d, err := b.Climb(quantity(name))
+	require.NoError(t, err)
+	t.Log(ladder(quantity(name), d))
+	require.Len(t, d.Rungs, len(quantity(name).Short))
+	return d
+}
+
+// atMostLinear wants the upper half of a ladder to be at most half as steep again as the lower one, but for slack.
+func atMostLinear(t *testing.T, d *Document, measure string, slack float64) {
+	t.Helper()
+	x, y := d.Series(measure)
+	require.Len(t, x, 3, measure)
+	lower, upper := (y[1]-y[0])/(x[1]-x[0]), (y[2]-y[1])/(x[2]-x[1])
+	assert.LessOrEqual(t, upper, 1.5*max(0, lower)+slack/(x[2]-x[1]), "%s: %v at %v is more than linear", measure, y, x)
+}
+
+// flat wants a measure not to grow with its quantity but for a part.
+func flat(t *testing.T, d *Document, measure string, part float64) {
+	t.Helper()
+	_, y := d.Series(measure)
+	assert.LessOrEqual(t, y[len(y)-1], y[0]*(1+part), "%s: %v is not flat", measure, y)
+}
+
+func TestConfigurationGrowsNoFasterThanItsSize(t *testing.T) {
+	t.Parallel()
+	d := climb(t, "configuration")
+	for _, m := range []string{"rss_mb", "reload_mb", "reload_peak_mb"} {
+		atMostLinear(t, d, m, 8)
+	}
+	atMostLinear(t, d, "file_kb", 0)
+}
+
+func TestConnectionsAreAllBorneAndGrowNoFasterThanTheirNumber(t *testing.T) {
+	t.Parallel()
+	d := climb(t, "callers")
+	atMostLinear(t, d, "rss_mb", 8)
+	for _, r := range d.Rungs {
+		assert.Equal(t, r.Size, r.Measures["open"])
+	}
+}
+
+func TestRequestsAreAllServedAndCostNoMoreEachWhenThereAreMore(t *testing.T) {
+	t.Parallel()
+	d := climb(t, "requests")
+	for _, r := range d.Rungs {
+		assert.Zero(t, r.Measures["refused"])
+		assert.Equal(t, r.Size*loadForShort.Seconds(), r.Measures["succeeded"])
+	}
+	flat(t, d, "cpu_us", 0.5)
+}
+
+func TestTokensCostNoMoreEachWhenThereAreMore(t *testing.T) {
+	t.Parallel()
+	d := climb(t, "tokens")
+	for _, r := range d.Rungs {
+		assert.Zero(t, r.Measures["lost"])
+	}
+	atMostLinear(t, d, "leader_bytes", 20_000)
+	assert.Positive(t, d.Rungs[2].Measures["claim_bytes"])
+}
+
+func TestTrafficOfIdleNodesIsFlat(t *testing.T) {
+	t.Parallel()
+	d := climb(t, "nodes")
+	flat(t, d, "idle_bytes", 0.4)
+	flat(t, d, "idle_messages", 0.4)
+}
+
+// The same in virtual time, where no other work on the machine is in the figures: idle, a death, and a herd of joins.
+func TestTrafficOfNodesInVirtualTime(t *testing.T) {
+	t.Parallel()
+	idle, death, herd := &Document{}, &Document{}, &Document{}
+	for _, n := range []int{40, 80, 160} {
+		m := mesh.New(1, n, 3)
+		for _, x := range m.Nodes {
+			x.Start()
+		}
+		var last uint64
+		second := func() float64 { // bytes of a node in the next second
+			m.Run(m.Now + 1_000_000_000)
+			sum := uint64(0)
+			for _, x := range m.Nodes {
+				sum += uint64(x.Bytes)
+			}
+			sent := float64(sum-last) / float64(n)
+			last = sum
+			return sent
+		}
+		worst := func(seconds int) (most float64) {
+			for range seconds {
+				most = max(most, second())
+			}
+			return most
+		}
+		add := func(d *Document, v float64) {
+			d.Rungs = append(d.Rungs, Rung{float64(n), map[string]float64{"bytes": v}})
+		}
+		add(herd, worst(20))
+		add(idle, worst(5))
+		m.Nodes[n/2].Kill()
+		add(death, worst(10))
+	}
+	t.Log(herd.Rungs, idle.Rungs, death.Rungs)
+	flat(t, idle, "bytes", 0.4)
+	flat(t, death, "bytes", 0.4)
+	atMostLinear(t, herd, "bytes", 0)
+}
+
+// A shape that can't fail shows nothing.
+func TestSquareIsFound(t *testing.T) {
+	inner := &testing.T{}
+	d := &Document{}
+	for _, x := range []float64{100, 200, 400} {
+		d.Rungs = append(d.Rungs, Rung{x, map[string]float64{"square": x * x, "line": x}})
+	}
+	atMostLinear(inner, d, "line", 0)
+	assert.False(t, inner.Failed())
+	atMostLinear(inner, d, "square", 0)
+	assert.True(t, inner.Failed())
+	inner = &testing.T{}
+	flat(inner, d, "line", 0.4)
+	assert.True(t, inner.Failed())
+}
--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -4,32 +4,39 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"time"
 
 	"topazpost/lab/hollow"
 )
 
 const (
-	joinMost  = 240 * time.Second // for all to be in one view
-	herdMost  = 600               // nodes that join at once; more are started over joinOver, as one machine can't carry the square
-	joinOver  = 60 * time.Second
-	agreeMost = 90 * time.Second // for all to know of one change
-	quietFor  = 6 * time.Second  // between what is measured
-	afterFor  = 4 * time.Second  // past the last that knew, in which traffic is still of the change
-	restFor   = 12 * time.Second // of an idle fleet
-	restShort = 4 * time.Second
-	rollNodes = 300              // of the fleet whose restarts a day are climbed
-	rollFor   = 30 * time.Second // of them
-	cutFor    = 20 * time.Second
+	joinMost    = 240 * time.Second // for all to be in one view
+	herdMost    = 600               // nodes that join at once; more are started over joinOver, as one machine can't carry the square
+	joinOver    = 60 * time.Second
+	agreeMost   = 90 * time.Second // for all to know of one change
+	quietFor    = 6 * time.Second  // between what is measured
+	afterFor    = 4 * time.Second  // past the last that knew, in which traffic is still of the change
+	restFor     = 12 * time.Second // of an idle fleet
+	restShort   = 4 * time.Second
+	rollNodes   = 300               // of the fleet whose restarts a day are climbed
+	rollFor     = 30 * time.Second  // of them
+	calmMost    = 120 * time.Second // for the traffic to come to rest
+	calmSeconds = 4                 // in a row that differ by no more than calmPart
+	calmPart    = 1.3
+	cutFor      = 20 * time.Second
 )
 
-var errApart = errors.New("the nodes did not come to one view in time")
+var (
+	errApart    = errors.New("the nodes did not come to one view in time")
+	errRestless = errors.New("the nodes' traffic did not come to rest in time")
+)
 
 // peered are the ladders of what nodes do among themselves, on hollow nodes.
 func peered() []*Quantity {
 	return []*Quantity{
 		{Name: "nodes", Title: "Nodes of one fleet, hollow", Unit: "nodes", Wanted: WantedNodes, Ladder: []float64{50, 150, 300, 600, 1_300},
-			Short: []float64{8, 16, 32}, Measures: []Measure{
+			Short: []float64{24, 48, 96}, Measures: []Measure{
 				{"joined_s", "a herd joins, s until one view", false},
 				{"herd_bytes", "its worst second, bytes a node", true},
 				{"idle_bytes", "idle, bytes a second and node", true},
@@ -105,6 +112,29 @@
 	return hollow.Start(ctx, b.Lab, o)
 }
 
+// calm waits until the traffic of a fleet no longer falls: what a herd of joins brings goes on for a while after all have
+// one view, for longer the less of the machine the fleet gets.
+func calm(f *hollow.Fleet) error {
+	for end := time.Now().Add(calmMost); time.Now().Before(end); time.Sleep(time.Second) {
+		list := f.Sample()
+		if len(list) < calmSeconds {
+			continue
+		}
+		least, most := math.Inf(1), 0.0
+		for _, x := range list[len(list)-calmSeconds:] {
+			sent := int64(0)
+			for _, t := range x.Sent {
+				sent += t.Bytes
+			}
+			least, most = min(least, float64(sent)), max(most, float64(sent))
+		}
+		if most <= calmPart*least {
+			return nil
+		}
+	}
+	return errRestless
+}
+
 // gathered starts a fleet, lets it rest, kills one node and starts it again, and restarts another.
 func (b *Bench) gathered(nodes int) (map[string]float64, error) {
 	ctx, stop := context.WithCancel(context.Background())
@@ -121,11 +151,14 @@
 	}
 	m := map[string]float64{}
 	joined := time.Now()
-	rest := restFor
+	rest, quiet, after := restFor, quietFor, afterFor
 	if b.Brief {
-		rest = restShort
+		rest, quiet, after = restShort, restShort/2, restShort/2
+	}
+	time.Sleep(quiet)
+	if err := calm(f); err != nil {
+		return nil, err
 	}
-	time.Sleep(quietFor)
 	idleFrom := time.Now()
 	time.Sleep(rest)
 	idleTo := time.Now()
@@ -136,13 +169,13 @@
 		return nil, errors.Join(errApart, f.Err())
 	}
 	m["killed_s"] = lost.Sub(idleTo).Seconds()
-	time.Sleep(afterFor)
+	time.Sleep(after)
 	killedTo := time.Now()
 	f.Start(victim)
 	if _, agreed = f.Agreed(agreeMost, 0); !agreed {
 		return nil, errors.Join(errApart, f.Err())
 	}
-	time.Sleep(quietFor)
+	time.Sleep(quiet)
 	again := time.Now()
 	f.Restart(victim + 1)
 	time.Sleep(time.Second) // its drain, before which all still agree
@@ -151,7 +184,7 @@
 		return nil, errors.Join(errApart, f.Err())
 	}
 	m["restarted_s"] = back.Sub(again).Seconds()
-	time.Sleep(afterFor)
+	time.Sleep(after)
 	end := time.Now()
 	list := f.Sample()
 	idle, killed, restarted := spanOf(list, idleFrom, idleTo), spanOf(list, idleTo, killedTo), spanOf(list, again, end)
