--- a/cmd/topazlab/capacity.go
+++ b/cmd/topazlab/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -42,6 +43,7 @@
 		names = append(names, name)
 	}
 	slices.Sort(names)
+	var ended error
 	for _, q := range quantities {
 		if len(c.Only) > 0 && !slices.Contains(c.Only, q.Name) || c.Short && q.Short == nil {
 			continue
@@ -58,6 +60,9 @@
 			if err != nil {
 				return err
 			}
+			if doc.Ended != "" {
+				ended = errors.Join(ended, fmt.Errorf("%s ended at %s", q.Name, doc.Ended))
+			}
 			if c.JSON {
 				if err := json.NewEncoder(os.Stdout).Encode(doc); err != nil {
 					return err
@@ -74,5 +79,5 @@
 	if c.Short {
 		return nil
 	}
-	return ladders.WritePage(c.Docs)
+	return errors.Join(ended, ladders.WritePage(c.Docs))
 }
--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -55,7 +55,8 @@
 	Go       string         `json:"go"`
 	Build    string         `json:"build"` // what the measured program says of itself
 	Seed     int64          `json:"seed"`
-	Load     string         `json:"machine_load"` // load averages of the machine at the beginning and at the end: others used it too
+	Load     string         `json:"machine_load"`    // load averages of the machine at the beginning and at the end: others used it too
+	Ended    string         `json:"ended,omitempty"` // size that could not be played to its end, and why; no larger one was tried
 	Rungs    []Rung         `json:"rungs"`
 	Fits     map[string]Fit `json:"fits"`
 }
@@ -115,7 +116,11 @@
 	for _, size := range ladder {
 		m, err := q.climb(b, size)
 		if err != nil {
-			return nil, fmt.Errorf("%s %g: %w", q.Name, size, err)
+			if len(doc.Rungs) == 0 || b.Brief {
+				return nil, fmt.Errorf("%s %g: %w", q.Name, size, err)
+			}
+			doc.Ended = fmt.Sprintf("%g: %s", size, err) // what was played before counts all the same
+			break
 		}
 		if played, other := m[q.Played]; other {
 			size = played
--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -237,7 +237,11 @@
 		}
 		rows = append(rows, row)
 	}
-	return table(head, rows)
+	text := table(head, rows)
+	if d.Ended != "" {
+		text += "\n**Not played to its end** at " + d.Ended + ".\n"
+	}
+	return text
 }
 
 // fits are the lines through it, carried to the wanted size.
