--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -132,7 +132,7 @@
 	return nil
 }
 
-// part makes one marked part: runs, reach, roles, before, or the ladder of a quantity.
+// part makes one marked part: runs, reach, roles, day, before, or the ladder of a quantity.
 func (set documents) part(name string) (string, error) {
 	switch name {
 	case "runs":
@@ -141,6 +141,8 @@
 		return set.reach()
 	case "roles":
 		return set.roles()
+	case "day":
+		return set.day()
 	case "before":
 		return set.compare(), nil
 	}
--- a/lab/capacity/page_test.go
+++ b/lab/capacity/page_test.go
@@ -19,7 +19,7 @@
 	made, err := Page(string(text), docs)
 	require.NoError(t, err)
 	assert.Equal(t, made, string(text), "make the tables anew: topazlab capacity --page")
-	for _, part := range append([]string{"runs", "reach", "roles", "before"}, names()...) {
+	for _, part := range append([]string{"runs", "reach", "roles", "day", "before"}, names()...) {
 		assert.Contains(t, string(text), fmt.Sprintf(beginMark, part))
 	}
 }
--- a/lab/capacity/reach.go
+++ b/lab/capacity/reach.go
@@ -18,9 +18,11 @@
 	sourcesMost  = 4_096    // server: senders whose pace is kept
 	idleWaitS    = 15.0     // reducer: seconds of rest past which a connection is ended
 
-	windowS = 10.0 // of a token, assumed
-	regions = 7.0  // of them
-	worstOf = 24.0 // hours over which a day's restarts are spread evenly, assumed
+	windowS   = 10.0 // of a token, assumed
+	regions   = 7.0  // of them
+	failures  = 19.0 // machines that fail on an ordinary day
+	worstHour = 0.1  // of a day's restarts and failures, assumed
+	worstOf   = 24.0 // hours over which a day's restarts are spread evenly, assumed
 )
 
 // bound is one of the code, for the test.
@@ -244,6 +246,46 @@
 	return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.2g", v), " "), ".")
 }
 
+// day is what an ordinary day, its worst hour, and lost zones and regions come to at 1,300 nodes, for each node.
+func (set documents) day() (string, error) {
+	d := set["/virtual"]
+	if d == nil {
+		return "Not run.\n", nil
+	}
+	at := func(key string) float64 { f := d.Fits[key]; return max(0, f.At(WantedNodes)) }
+	idle := at("idle_bytes")
+	extra := func(key string) float64 { return max(0, at(key)-idle) * eventSeconds } // bytes of one event, over idle
+	inHour := func(restarts, deaths float64) string {
+		return figure(idle + (restarts*(extra("restarted_mean")+extra("killed_mean"))+deaths*extra("killed_mean"))/3_600)
+	}
+	told := func(key string) string {
+		f, fitted := d.Fits[key]
+		if !fitted {
+			return "not measured"
+		}
+		return carried(&f, WantedNodes)
+	}
+	last := func(key string) string {
+		v, ok := d.Value(key)
+		if !ok {
+			return "not measured"
+		}
+		return figure(v) + " at " + size(d.Rungs[len(d.Rungs)-1].Size) + " nodes"
+	}
+	rows := [][]string{
+		{"no event", told("idle_bytes"), "", ""},
+		{"ordinary day: 3,000 restarts and 19 failures, evenly spread", inHour(WantedRestarts/worstOf, failures/worstOf), told("restarted_bytes"), last("killed_s")},
+		{"its worst hour: a tenth of the day's restarts and failures (assumed)", inHour(WantedRestarts*worstHour, failures*worstHour), told("restarted_bytes"), last("killed_s")},
+		{"a zone of 15 is lost", told("zone_mean"), told("zone_bytes"), last("zone_s")},
+		{"it comes back at once", told("zone_back_mean"), told("zone_back_bytes"), last("zone_back_s")},
+		{"a region of 7 is lost", told("region_mean"), told("region_bytes"), last("region_s")},
+		{"it comes back at once", told("region_back_mean"), told("region_back_bytes"), last("region_back_s")},
+		{"a region is cut off for a minute", "not measured", told("cut_bytes"), ""},
+		{"the cut is healed", told("healed_mean"), told("healed_bytes"), last("healed_s")},
+	}
+	return table([]string{"what (simulated)", "bytes a second and node, mean of 15 s or of the hour", "bytes a node in the worst second", "s until all know"}, rows), nil
+}
+
 // role is a part of the fleet with what its figures are.
 type role struct {
 	name, state, carries string
