A process that begins on living cores counts what the life before it may hold

At fault: New filled its window for fresh cores only, and relative to the cores' start, which slid out of the span.

The module is told when its process began (node.Nameplate.Began); what a life before may have held is counted up to then, on old cores no further back than they are.

A reducer test that the module hears when its process began.

--- a/control/control.go
+++ b/control/control.go
@@ -163,7 +163,7 @@
 
 func ratios(memory float64) tally.Ratios { return tally.NewRatios(binCount, binsAnOctave, memory) }
 
-// New makes the decisions' state of a node that has just started.
+// New makes the decisions' state of a node that has just started, on cores that started at now.
 func New(plate *node.Nameplate, now int64) *Post {
 	cores := float64(plate.Cores)
 	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
@@ -181,10 +181,13 @@
 	p.callUnit = p.tightest
 	if plate.Fresh {
 		p.open = plate.ColdFrom
-		// What a life before this one may have held counts as used: the dependency's mean still holds it.
-		part := callRoom * plate.CallShare * float64(plate.CallSpan) / callSlices
-		for k := int64(callSlices); k > 0; k-- {
-			p.callUsed.Add(now-k*plate.CallSpan/callSlices, part)
+	}
+	// What a life before this one may have held counts as used: the dependency's mean still holds it. Where the
+	// cores only started it was on others; on cores that were there before, no longer than they were.
+	part, began := callRoom*plate.CallShare*float64(plate.CallSpan)/callSlices, max(now, plate.Began)
+	for k := int64(callSlices); k > 0; k-- {
+		if at := began - k*plate.CallSpan/callSlices; plate.Fresh || at >= now {
+			p.callUsed.Add(at, part)
 		}
 	}
 	return p
@@ -337,8 +340,8 @@
 	}
 }
 
-// setOperation gives an index the terms of its operation, other terms, or none. What was measured stays with the
-// index as long as it is an operation's; what was taken keeps the terms that it was taken under.
+// setOperation gives an index the terms of its operation, other terms, or none. What was measured stays with
+// the index as long as it is an operation's; what was taken keeps the terms that it was taken under.
 func (p *Post) setOperation(i int32, terms *node.Operation, service []node.Service) {
 	p.ops = append(p.ops, make([]*operation, max(0, int(i)+1-len(p.ops)))...)
 	was := p.ops[i]
--- a/control/ramp_test.go
+++ b/control/ramp_test.go
@@ -25,11 +25,12 @@
 	fleetSpan = 5_000 * ms
 )
 
-func (f *fleet) start(k int, fresh bool) {
+func (f *fleet) start(k int, fresh bool, age int64) {
 	f.posts[k] = New(post(func(n *node.Nameplate) {
 		n.CallShare, n.CallSpan, n.Linger, n.Fresh, n.ColdFrom = f.share, fleetSpan, 200*ms, fresh, 0.3
 		n.Operations[0].ClientTimeout, n.Operations[0].Objective = 60_000*ms, 30_000*ms
-	}).plate, f.now)
+		n.Began = f.now
+	}).plate, f.now-age)
 	for _, end := range f.ends[k] { // they linger in the dependency's hands
 		f.adrift = append(f.adrift, min(end, f.now+200*ms))
 	}
@@ -67,21 +68,26 @@
 }
 
 // The budget of what all share holds for the sum of all nodes, also where all of them are killed and started again within
-// its span: beyond N calls in the mean only 2 times the root of N and 2 are chance.
+// its span: beyond N calls in the mean only 2 times the root of N and 2 are chance. What is restarted is on cores that
+// start with it, or is a process on cores that live on, cold ones or warm.
 func TestCallsOfAWholeFleetKeepToTheirBudgetThroughRestarts(t *testing.T) {
 	for _, nodes := range []int{20, 30, 300} {
 		for _, share := range []float64{0.4, 3} {
-			for _, restarted := range []float64{0, 0.5, 1} {
+			for _, again := range []struct {
+				part  float64
+				fresh bool
+				age   int64
+			}{{}, {0.5, true, 0}, {1, true, 0}, {1, false, 9_000 * ms}, {1, true, 7_000 * ms}} {
 				f := &fleet{posts: make([]*Post, nodes), ends: make([]map[int32]int64, nodes), share: share, now: start}
 				for k := range nodes {
-					f.start(k, false)
+					f.start(k, false, 0)
 				}
 				budget := share * float64(nodes)
 				most, sum, last := 0.0, 0.0, make([]float64, fleetSpan/fleetTick)
 				for tick := range 3 * len(last) {
 					if tick == 2*len(last)-20 {
-						for k := range int(restarted * float64(nodes)) {
-							f.start(k, true)
+						for k := range int(again.part * float64(nodes)) {
+							f.start(k, again.fresh, again.age)
 						}
 					}
 					n := float64(f.step())
@@ -89,7 +95,7 @@
 					last[tick%len(last)] = n
 					most = max(most, sum/float64(len(last)))
 				}
-				what := fmt.Sprintf("%d nodes, a share of %g, %g restarted", nodes, share, restarted)
+				what := fmt.Sprintf("%d nodes, a share of %g, restarted %+v", nodes, share, again)
 				assert.LessOrEqual(t, most, budget+2*math.Sqrt(budget)+2, what)
 				assert.Greater(t, most, 0.3*budget, what+": the budget is used")
 				t.Logf("%s: %.1f of %.1f in the mean", what, most, budget)
--- a/node/node.go
+++ b/node/node.go
@@ -79,6 +79,7 @@
 	ReuseFor      int64
 	FullChecks    bool
 	Fresh         bool
+	Began         int64 // ns, when this process began: no call before it is known; 0 where the cores began with it
 	RetriesMarked bool
 	ColdFrom      float64
 	WarmAfter     int64
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -162,7 +162,7 @@
 	if err != nil || age < 0 {
 		age = 0
 	}
-	r.plate.Nameplate.Fresh = words[1] == "new"
+	r.plate.Nameplate.Fresh, r.plate.Nameplate.Began = words[1] == "new", r.began
 	r.post = r.Decisions(&r.plate.Nameplate, r.now-int64(age*float64(ms)))
 	r.good, r.beatAt = true, r.now
 	if r.levels.plan != nil {
--- /dev/null
+++ b/reducer/executor_test.go
@@ -0,0 +1,36 @@
+package reducer
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/node"
+	"topazpost/plate"
+)
+
+// A process that begins on cores that live on has to count what the life before it may still hold: its module is told
+// how old the cores are, and when this process began.
+func TestModuleHearsWhenItsProcessBegan(t *testing.T) {
+	p, err := plate.FromJSON(1, []byte(customers))
+	require.NoError(t, err)
+	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
+	var heard *node.Nameplate
+	var cores int64
+	decisions := r.Decisions
+	r.Decisions = func(n *node.Nameplate, born int64) Decider {
+		heard, cores = n, born
+		return decisions(n, born)
+	}
+	step(r)
+	began := r.now
+	r.now += 3_000 * ms // the executor is out of reach for a while
+	step(r)
+	step(r, Input{Kind: Joined, Link: r.dialing})
+	told(r, "WELCOME old 60000")
+	require.NotNil(t, heard)
+	assert.False(t, heard.Fresh)
+	assert.Equal(t, began, heard.Began)
+	assert.Equal(t, r.now-60_000*ms, cores)
+}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -148,6 +148,7 @@
 	linkMost int
 	post     Decider
 	now      int64
+	began    int64 // when the first step was; no call was made before it in this life
 	wall     int64 // Unix ns at now
 	effects  []Effect
 	events   []node.Event
@@ -234,6 +235,9 @@
 // Step takes what happened up to now, a clock that only advances, with wall its time in Unix nanoseconds. The
 // effects are valid until the next step.
 func (r *Reducer) Step(now, wall int64, inputs []Input) []Effect {
+	if r.now == 0 {
+		r.began = now
+	}
 	r.now, r.wall, r.effects, r.events = now, wall, r.effects[:0], append(r.events[:0], r.later...)
 	r.later, r.decided = r.later[:0], false
 	for i := range inputs {
