Experiments mix hollow nodes with whole daemons; racks, zones and regions are lost, cut and rolled

hollow: N of the nodes are hollow, all in one fleet with the whole ones behind their relays; regions, zones and racks are dealt in turn; who: rack, zone or region; roll drains and starts all in steps.

--- /dev/null
+++ b/lab/experiments/fleet-scale.jsonnet
@@ -0,0 +1,30 @@
+{
+  name: 'fleet-scale',
+  about: 'The fleet of two years from now on real sockets: 1,300 nodes in 7 regions and 15 zones, 30 of them whole daemons. A herd of joins, a lost rack and zone, a region cut for a minute, a roll of some.',
+  processes: true,
+  nodes: 1300,
+  hollow: 1270,
+  regions: 7,
+  zones: 15,
+  racks: 60,
+  council: 5,
+  tokens: 200,
+  join: 120,
+  join_over: '0 s',
+  seconds: 150,
+  calm: 60,
+  // Limits of the machine: this many nodes share its cores, so they stand still for some hundred ms again and again.
+  fleet: { probe: '1 s', silence: '8 s', settle: '1 s' },
+  faults: [
+    { kind: 'kill', who: 'rack', at: '6 s', 'for': '15 s' },
+    { kind: 'kill', who: 'zone', at: '30 s', 'for': '20 s' },
+    { kind: 'cut', shape: 'halves', who: 'region', at: '58 s', 'for': '60 s' },
+    { kind: 'roll', who: 'rack', steps: 5, at: '125 s', 'for': '20 s' },
+  ],
+  claims: [
+    { name: 'a herd of joins is one view within two minutes', measure: 'joined_s', most: 120 },
+    { name: 'nobody is lost that no fault concerns', measure: 'wrong', most: 0 },
+    { name: 'all views equal in the end', measure: 'agree_s', most: 60 },
+    { name: 'tokens are claimed and kept meanwhile', measure: 'tokens_kept', least: 1000 },
+  ],
+}
--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -62,6 +62,7 @@
 	last    []Event // of each node
 	seconds map[int64][]*Second
 	failed  error
+	sent    int64
 }
 
 // member is one process.
@@ -120,7 +121,7 @@
 		f.members = append(f.members, m)
 	}
 	if !o.Idle {
-		f.Start(hollow...)
+		f.StartOver(o.JoinOver, hollow...)
 	}
 	f.Tokens(o.TokensPerSecond)
 	f.Calls(o.Calls)
@@ -227,6 +228,10 @@
 	f.mu.Lock()
 	if l.Second != nil {
 		f.seconds[l.Second.Unix] = append(f.seconds[l.Second.Unix], l.Second)
+		for _, t := range l.Second.Sent {
+			f.sent += t.Bytes
+		}
+		f.sent += l.Second.FromWhole
 		delete(f.seconds, l.Second.Unix-keptSeconds)
 	}
 	for _, e := range l.Events {
@@ -276,10 +281,13 @@
 	}
 }
 
-// Start begins lives of nodes that are not up, over Options.JoinOver.
-func (f *Fleet) Start(nodes ...int) {
+// Start begins lives of nodes that are not up.
+func (f *Fleet) Start(nodes ...int) { f.StartOver(0, nodes...) }
+
+// StartOver does so one by one over a time.
+func (f *Fleet) StartOver(over time.Duration, nodes ...int) {
 	f.mark(true, nodes)
-	f.all(&command{Start: nodes, Over: f.options.JoinOver.Seconds()})
+	f.all(&command{Start: nodes, Over: over.Seconds()})
 }
 
 // Kill ends lives of nodes at once, without a word to anybody.
@@ -433,6 +441,14 @@
 	return s
 }
 
+// Sent is how many bytes were sent since the start by hollow nodes, and to them by whole ones without a relay, up to the last
+// second that was told.
+func (f *Fleet) Sent() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent
+}
+
 // Close ends all processes.
 func (f *Fleet) Close() {
 	for _, m := range f.members {
