--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -227,7 +227,9 @@
 	}
 	f.mu.Lock()
 	if l.Second != nil {
-		f.seconds[l.Second.Unix] = append(f.seconds[l.Second.Unix], l.Second)
+		for _, s := range l.Second.spread() {
+			f.seconds[s.Unix] = append(f.seconds[s.Unix], s)
+		}
 		for _, t := range l.Second.Sent {
 			f.sent += t.Bytes
 		}
@@ -401,8 +403,33 @@
 	return list
 }
 
+// spread deals figures of several seconds out to each of them, in equal parts: nobody knows when in them it was.
+func (s *Second) spread() (list []*Second) {
+	span := max(1, s.Span)
+	for k := range span {
+		part := func(n int64) int64 { return n*(k+1)/span - n*k/span }
+		deal := func(all map[string]Traffic) map[string]Traffic {
+			own := map[string]Traffic{}
+			for kind, t := range all {
+				own[kind] = Traffic{part(t.Bytes), part(t.Messages)}
+			}
+			return own
+		}
+		one := *s
+		one.Unix, one.Span = s.Unix-span+1+k, 1
+		one.Sent, one.Received, one.FromWhole, one.Cut = deal(s.Sent), deal(s.Received), part(s.FromWhole), part(s.Cut)
+		one.Dropped, one.Flooded, one.Refused, one.Changes = part(s.Dropped), part(s.Flooded), part(s.Refused), part(s.Changes)
+		one.WorstSent, one.WorstMost, one.CPU = part(s.WorstSent), part(s.WorstMost), s.CPU/float64(span)
+		t := &one.Tokens
+		t.Wanted, t.TurnedAway, t.Begun, t.Kept = part(t.Wanted), part(t.TurnedAway), part(t.Begun), part(t.Kept)
+		t.Late, t.Taken = part(t.Late), part(t.Taken)
+		list = append(list, &one)
+	}
+	return list
+}
+
 func together(parts []*Second) Second {
-	s := Second{Unix: parts[0].Unix, Sent: map[string]Traffic{}, Received: map[string]Traffic{}, Views: map[string]int{}, WorstNode: -1}
+	s := Second{Unix: parts[0].Unix, Span: 1, Sent: map[string]Traffic{}, Received: map[string]Traffic{}, Views: map[string]int{}, WorstNode: -1}
 	begun := 0.0
 	add := func(to, from map[string]Traffic) {
 		for k, t := range from {
--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -99,3 +99,15 @@
 		return s.Unix > now && s.Calls.Wanted == 40 && s.Calls.InHand >= 10 && s.Tokens.Kept > 10
 	})
 }
+
+func TestFiguresOfAProcessThatLackedTimeAreDealtOutToItsSeconds(t *testing.T) {
+	s := &Second{Unix: 100, Span: 3, Nodes: 7, CPU: 1.5, Changes: 8, Sent: map[string]Traffic{"datagrams": {Bytes: 10, Messages: 3}}, Tokens: Tokens{Kept: 4, BeginMS: 2}}
+	sum, unix := together(s.spread()), []int64{}
+	for _, one := range s.spread() {
+		unix = append(unix, one.Unix)
+		assert.Equal(t, 7, one.Nodes, "what is now is not dealt out")
+	}
+	assert.Equal(t, []int64{98, 99, 100}, unix)
+	assert.Equal(t, Traffic{Bytes: 10, Messages: 3}, sum.Sent["datagrams"], "nothing is lost")
+	assert.Equal(t, []float64{1.5, 8, 4}, []float64{sum.CPU, float64(sum.Changes), float64(sum.Tokens.Kept)})
+}
--- a/lab/hollow/process.go
+++ b/lab/hollow/process.go
@@ -94,6 +94,7 @@
 // Second is what a process, or all of a fleet, came to in one second. Bytes are those of letters, without headers of IP.
 type Second struct {
 	Unix        int64              `json:"unix"`
+	Span        int64              `json:"span"`  // seconds that it covers up to this one: more than one where the process lacked time
 	Nodes       int                `json:"nodes"` // that are up
 	Sent        map[string]Traffic `json:"sent"`  // by kind: datagrams, exchanges, streams
 	Received    map[string]Traffic `json:"received"`
@@ -535,7 +536,7 @@
 
 // figures tells one line a second, at its turn.
 func (p *process) figures(ctx context.Context) {
-	before := p.sums()
+	before, told := p.sums(), time.Now().Unix()
 	for {
 		now := time.Now()
 		next := now.Truncate(time.Second).Add(time.Second)
@@ -545,8 +546,10 @@
 		case <-time.After(next.Sub(now)):
 		}
 		after := p.sums()
-		p.tell(&line{Second: p.second(next, before, after)})
-		before = after
+		s := p.second(next, before, after)
+		s.Span = max(1, s.Unix-told)
+		p.tell(&line{Second: s})
+		before, told = after, s.Unix
 	}
 }
 
