--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -10,6 +10,7 @@
 	"maps"
 	"math/rand"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"slices"
@@ -45,7 +46,7 @@
 	Log             io.Writer                         // stderr of the processes, nil for this one's
 
 	Whole    []int // nodes that the caller runs itself behind relays; the others of 0 to Nodes+len(Whole)-1 are hollow
-	Block    int   // of loopback addresses, 0 to have a free one chosen
+	Block    int   // of loopback addresses that the caller has reserved, 0 to have one chosen
 	Contacts []int // seeds, nil for the first three
 	Idle     bool  // starts no node yet
 }
@@ -62,6 +63,8 @@
 	last    []Event // of each node
 	seconds map[int64][]*Second
 	failed  error
+	sent    int64
+	held    io.Closer // of the block, nil where the caller has it
 }
 
 // member is one process.
@@ -93,7 +96,7 @@
 	}
 	if f.Block == 0 {
 		var err error
-		if f.Block, err = freeBlock(); err != nil {
+		if f.Block, f.held, err = Reserve(); err != nil {
 			return nil, err
 		}
 	}
@@ -120,7 +123,7 @@
 		f.members = append(f.members, m)
 	}
 	if !o.Idle {
-		f.Start(hollow...)
+		f.StartOver(o.JoinOver, hollow...)
 	}
 	f.Tokens(o.TokensPerSecond)
 	f.Calls(o.Calls)
@@ -164,20 +167,17 @@
 	return text
 }
 
-// freeBlock finds a block of loopback addresses that nobody uses. Two fleets at once must not choose alike, so the chance is
-// not from a seed.
-func freeBlock() (int, error) {
+// Reserve takes a block of loopback addresses that nobody has, until held is closed. Two fleets at once must not choose alike,
+// so the chance is not from a seed.
+func Reserve() (block int, held io.Closer, err error) {
 	first := rand.Intn(blocks)
-	var err error
 	for k := range blocks {
-		block := blockFirst + (first+k)%blocks
-		var l net.Listener
-		if l, err = net.Listen("tcp", At(Bind(block, 0))); err == nil {
-			l.Close()
-			return block, nil
+		block = blockFirst + (first+k)%blocks
+		if held, err = net.Listen("tcp", At(netip.AddrFrom4([4]byte{127, byte(block), 0, 1}))); err == nil {
+			return block, held, nil
 		}
 	}
-	return 0, fmt.Errorf("hollow: no block of loopback addresses is free: %w", err)
+	return 0, nil, fmt.Errorf("hollow: no block of loopback addresses is free: %w", err)
 }
 
 func (f *Fleet) begin(ctx context.Context, program string, k int, s *spec) (*member, error) {
@@ -226,7 +226,13 @@
 	}
 	f.mu.Lock()
 	if l.Second != nil {
-		f.seconds[l.Second.Unix] = append(f.seconds[l.Second.Unix], l.Second)
+		for _, s := range l.Second.spread() {
+			f.seconds[s.Unix] = append(f.seconds[s.Unix], s)
+		}
+		for _, t := range l.Second.Sent {
+			f.sent += t.Bytes
+		}
+		f.sent += l.Second.FromWhole
 		delete(f.seconds, l.Second.Unix-keptSeconds)
 	}
 	for _, e := range l.Events {
@@ -276,10 +282,13 @@
 	}
 }
 
-// Start begins lives of nodes that are not up, over Options.JoinOver.
-func (f *Fleet) Start(nodes ...int) {
+// Start begins lives of nodes that are not up.
+func (f *Fleet) Start(nodes ...int) { f.StartOver(0, nodes...) }
+
+// StartOver does so one by one over a time.
+func (f *Fleet) StartOver(over time.Duration, nodes ...int) {
 	f.mark(true, nodes)
-	f.all(&command{Start: nodes, Over: f.options.JoinOver.Seconds()})
+	f.all(&command{Start: nodes, Over: over.Seconds()})
 }
 
 // Kill ends lives of nodes at once, without a word to anybody.
@@ -393,8 +402,33 @@
 	return list
 }
 
+// spread deals figures of several seconds out to each of them, in equal parts: nobody knows when in them it was.
+func (s *Second) spread() (list []*Second) {
+	span := max(1, s.Span)
+	for k := range span {
+		part := func(n int64) int64 { return n*(k+1)/span - n*k/span }
+		deal := func(all map[string]Traffic) map[string]Traffic {
+			own := map[string]Traffic{}
+			for kind, t := range all {
+				own[kind] = Traffic{part(t.Bytes), part(t.Messages)}
+			}
+			return own
+		}
+		one := *s
+		one.Unix, one.Span = s.Unix-span+1+k, 1
+		one.Sent, one.Received, one.FromWhole, one.Cut = deal(s.Sent), deal(s.Received), part(s.FromWhole), part(s.Cut)
+		one.Dropped, one.Flooded, one.Refused, one.Changes = part(s.Dropped), part(s.Flooded), part(s.Refused), part(s.Changes)
+		one.WorstSent, one.WorstMost, one.CPU = part(s.WorstSent), part(s.WorstMost), s.CPU/float64(span)
+		t := &one.Tokens
+		t.Wanted, t.TurnedAway, t.Begun, t.Kept = part(t.Wanted), part(t.TurnedAway), part(t.Begun), part(t.Kept)
+		t.Late, t.Taken = part(t.Late), part(t.Taken)
+		list = append(list, &one)
+	}
+	return list
+}
+
 func together(parts []*Second) Second {
-	s := Second{Unix: parts[0].Unix, Sent: map[string]Traffic{}, Received: map[string]Traffic{}, Views: map[string]int{}, WorstNode: -1}
+	s := Second{Unix: parts[0].Unix, Span: 1, Sent: map[string]Traffic{}, Received: map[string]Traffic{}, Views: map[string]int{}, WorstNode: -1}
 	begun := 0.0
 	add := func(to, from map[string]Traffic) {
 		for k, t := range from {
@@ -433,6 +467,14 @@
 	return s
 }
 
+// Sent is how many bytes were sent since the start by hollow nodes, and to them by whole ones without a relay, up to the last
+// second that was told.
+func (f *Fleet) Sent() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent
+}
+
 // Close ends all processes.
 func (f *Fleet) Close() {
 	for _, m := range f.members {
@@ -440,6 +482,9 @@
 		m.in.Close()
 		m.mu.Unlock()
 	}
+	if f.held != nil {
+		defer f.held.Close()
+	}
 	late := time.After(leaveTime)
 	for _, m := range f.members {
 		select {
