--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -48,7 +49,14 @@
 
 func TestTenantOverItsShareComesAfterOthers(t *testing.T) {
 	p := post(func(n *node.Nameplate) { n.TenantRates = []float64{2, 2}; n.OverShare = 0.1 })
-	p.tenants = []float64{0, 25, 2.5}
+	for k := range 50 {
+		p.tenants.Add(0)
+		if k < 5 {
+			p.tenants.Add(1)
+		}
+	}
+	p.tenants.Fade(0.5, 0)
+	assert.Equal(t, []float64{25, 2.5}, []float64{p.tenants.Of(0), p.tenants.Of(1)})
 	assert.InDelta(t, (1+9*0.1)/10, p.withinShare(0), 1e-9)
 	assert.Equal(t, 1.0, p.withinShare(1))
 }
@@ -410,7 +418,7 @@
 func TestCreditForManyCallersIsNeverRoundedToNothing(t *testing.T) {
 	p := post(func(n *node.Nameplate) { n.Advice = node.CreditAdvice })
 	for caller := range int64(1_000) {
-		p.callers[caller] = 1
+		p.callers.Add(caller)
 	}
 	p.open = adviceLow
 	p.adjustAdvice()
@@ -548,3 +556,75 @@
 	n, _ = calls()
 	assert.Zero(t, n, "none without a lease")
 }
+
+// The decisions over drawn events are those that were taken before tenants and callers were kept only as seen.
+func TestDecisionsOverDrawnEventsAreBitForBitThoseOfBefore(t *testing.T) {
+	assert.Equal(t, uint64(0xc8decd4b70530307), decisions(t, 7, 1_200))
+	assert.Equal(t, uint64(0x27221d42ec36a438), decisions(t, 8, 1_200))
+}
+
+// What a beat costs is that of the tenants seen of late, not of those that there are.
+func TestBeatGoesOverTheTenantsSeenOnly(t *testing.T) {
+	for _, all := range []int{0, 1_000, 130_000} {
+		p := post(func(n *node.Nameplate) { n.TenantRates = make([]float64, all) })
+		for k := range int32(40) {
+			p.Decide(p.now, []node.Event{{Kind: node.Arrived, Inv: k, Tenant: min(k, int32(all)) - 1, Repeats: node.NoRepeat, HeldKB: 1}})
+		}
+		assert.Len(t, p.tenants.Counts(), min(40, all+1))
+		for range 2_100 { // beats of 50 ms: nobody comes
+			p.adjustAdvice()
+		}
+		assert.Empty(t, p.tenants.Counts(), "forgotten once it makes no difference any more")
+	}
+}
+
+func BenchmarkBeat(b *testing.B) {
+	for _, all := range []int{0, 1_000, 130_000} {
+		b.Run(fmt.Sprint(all, " tenants"), func(b *testing.B) {
+			p := post(func(n *node.Nameplate) { n.TenantRates = make([]float64, all) })
+			now := start
+			for b.Loop() {
+				now += beat
+				p.Decide(now, []node.Event{{Kind: node.TimerDue, Busy: 0.5, Runnable: 1}})
+			}
+		})
+	}
+}
+
+func TestOperationsChangeWhileWhatWasTakenKeepsItsTerms(t *testing.T) {
+	p := post()
+	v := put(p, 0, running)
+	v.op.usual.Add(4)
+	usual := v.op.usual.Mean(1)
+	set := func(i int32, terms *node.Operation, left ...node.Service) {
+		p.take(&node.Event{Kind: node.OperationSet, Operation: i, Terms: terms, Services: left})
+	}
+	set(0, &node.Operation{Objective: 200 * ms, ClientTimeout: 400 * ms, BilledValue: 9}, node.Service{Form: node.Refused})
+	assert.Equal(t, 3_000*ms, v.op.ClientTimeout)
+	assert.Equal(t, 1.0, v.op.BilledValue)
+	w := put(p, 0, held)
+	assert.Equal(t, p.now+400*ms, w.due)
+	assert.Equal(t, usual, w.op.usual.Mean(1), "what was learnt of it stays")
+	assert.Equal(t, node.Refused, w.op.service.Form)
+	assert.Equal(t, []float64{float64(200 * ms), float64(1_000 * ms)}, []float64{p.tightest, float64(p.slowest)})
+	set(3, &node.Operation{Objective: 7_000 * ms, ClientTimeout: 9_000 * ms})
+	assert.Equal(t, 7_000*ms, p.slowest)
+	var m node.Measures
+	p.Measure(&m)
+	assert.Len(t, m.Asked, 4)
+	p.setLevel([]node.Service{{}, {Form: node.Refused}}, false)
+	assert.Equal(t, node.Refused, p.ops[1].service.Form)
+	set(0, nil)
+	set(3, nil)
+	assert.Equal(t, []int64{1_000 * ms, 1_000 * ms}, []int64{int64(p.tightest), p.slowest})
+	p.Decide(p.now+100*ms, []node.Event{{Kind: node.RunEnded, Inv: 0, Outcome: node.Succeeded}})
+	set(0, &node.Operation{Objective: 500 * ms, ClientTimeout: 900 * ms})
+	assert.Equal(t, 1.0, p.ops[0].usual.Mean(1), "another one begins anew")
+}
+
+// A node that starts with indices that no operation has goes on without them.
+func TestIndicesOfNoOperationCountForNothing(t *testing.T) {
+	p := post(func(n *node.Nameplate) { n.Operations = append(n.Operations, node.Operation{Gone: true}) })
+	assert.Equal(t, float64(1_000*ms), p.tightest)
+	p.Decide(p.now+beat, []node.Event{{Kind: node.TimerDue, Busy: 0.5, Runnable: 1}})
+}
