Fleets on loopback reserve their block of addresses

A fleet of hollow nodes stands on the addresses of nodes, one of daemons on those of relays, so neither saw the other. Each holds one address of the block now.

--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -111,3 +111,14 @@
 	assert.Equal(t, Traffic{Bytes: 10, Messages: 3}, sum.Sent["datagrams"], "nothing is lost")
 	assert.Equal(t, []float64{1.5, 8, 4}, []float64{sum.CPU, float64(sum.Changes), float64(sum.Tokens.Kept)})
 }
+
+func TestTwoFleetsNeverHaveOneBlock(t *testing.T) {
+	taken := map[int]bool{}
+	for range 20 {
+		block, held, err := Reserve()
+		require.NoError(t, err)
+		defer held.Close()
+		require.False(t, taken[block])
+		taken[block] = true
+	}
+}
