--- a/lab/capacity/reach.go
+++ b/lab/capacity/reach.go
@@ -44,6 +44,7 @@
 	what, wanted, ends, kind, from string
 	reach, low, high               float64 // of the wanted size; low and high with the slope's standard error
 	beyond                         bool    // past what a fit may be carried to
+	below                          bool    // reach is the least part played, and it was past its end there
 	missing                        bool    // not measured
 }
 
@@ -196,7 +197,7 @@
 	return list
 }
 
-// latency is the largest part that was played with p99 within what may be added; none where not even the least was.
+// latency is the largest part that was played with p99 within what may be added; less than the least where that was past it.
 func latency(d *Document, name string) row {
 	load := map[string]string{"peak": "169", "shifted": "197"}[name]
 	r := row{what: "added to a request at p99, at " + load + " requests a second", wanted: "4,700 routes, 130,000 tenants, 14,000 connections", kind: "timely",
@@ -208,7 +209,10 @@
 		}
 		r.reach = x[k] / portion
 	}
-	r.beyond = r.reach >= 1
+	if r.reach == 0 && len(x) > 0 {
+		r.reach, r.below = x[0]/portion, true
+	}
+	r.beyond = r.reach >= 1 && !r.below
 	return r
 }
 
@@ -228,6 +232,8 @@
 		switch {
 		case r.missing:
 			reach = "not measured"
+		case r.below:
+			reach = "less than " + reach
 		case r.beyond:
 			reach = "at least " + reach
 		case r.low > 0 && math.Abs(r.high-r.low) > 0.01*r.reach:
--- a/lab/capacity/reach_test.go
+++ b/lab/capacity/reach_test.go
@@ -69,6 +69,11 @@
 	r := latency(d, "peak")
 	assert.Equal(t, 0.5, r.reach)
 	assert.False(t, r.beyond)
+	d.Rungs[0].Measures["added_p99_ms"] = 3
+	r = latency(d, "peak")
+	assert.True(t, r.below)
+	assert.Equal(t, 0.1, r.reach)
+	d.Rungs[0].Measures["added_p99_ms"] = 1
 	d.Rungs[2].Measures["added_p99_ms"] = 2.7
 	assert.True(t, latency(d, "peak").beyond)
 }
