--- /dev/null
+++ b/configuration/holder_test.go
@@ -0,0 +1,153 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// chain is a table with some versions, all put at once.
+func chain(versions int) *Table {
+	x := NewTable()
+	for k := range versions {
+		x.Apply(1, putOn(uint64(k), uint64(k+1), tenant(k, "1")))
+	}
+	return x
+}
+
+func markOf(x *Table, version int) Mark { return Mark{uint64(version), x.log[version-1].Digest} }
+
+// vouchedFor is what a seat says, as an input.
+func vouchedFor(all, first Mark) Input {
+	return Input{Kind: Came, From: "s", Message: &Message{Kind: Vouch, Head: Head{All: all, First: first, Newest: first.Version}}}
+}
+
+func told(from string, head Head, has Mark, records ...Record) Input {
+	return Input{Kind: Came, From: from, Message: &Message{Kind: Tell, Head: head, Has: has, Records: records}}
+}
+
+// holding is a holder with two neighbours and two seats; it isn't of any first stage.
+func holding() *Holder {
+	h := NewHolder(0, Terms{Name: "n", Seed: 1}, Start{})
+	v := &View{Neighbours: []string{"a", "b"}, Seats: []string{"s", "t"}}
+	for k := range 50 {
+		v.Zone = append(v.Zone, fmt.Sprint("z", k))
+	}
+	h.Step(1, []Input{{Kind: Viewed, View: v}})
+	return h
+}
+
+func pick(effects []Effect, kind EffectKind) (list []Effect) {
+	for _, e := range effects {
+		if e.Kind == kind {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+func TestWhatIsInForceForAllIsTakenFirst(t *testing.T) {
+	x, h := chain(2), holding()
+	one, two := markOf(x, 1), markOf(x, 2)
+	h.Step(ms, []Input{told("a", Head{}, one, x.log[0].wire()), vouchedFor(Mark{}, one)})
+	require.Equal(t, one, h.ready)
+	effects, _ := h.Step(2*ms, []Input{told("a", Head{}, two, x.log[1].wire()), vouchedFor(one, two)})
+	require.Len(t, pick(effects, Take), 1)
+	require.Equal(t, one, pick(effects, Take)[0].Mark)
+	effects, _ = h.Step(3*ms, []Input{{Kind: Took, Mark: one}})
+	require.Equal(t, one, h.Mark())
+	require.Empty(t, pick(effects, Take), "the next one is for the first stage only")
+	require.Equal(t, two, h.ready)
+}
+
+func TestOlderHeadsChangeNothing(t *testing.T) {
+	x, h := chain(2), holding()
+	one, two := markOf(x, 1), markOf(x, 2)
+	h.Step(ms, []Input{vouchedFor(two, two)})
+	h.Step(2*ms, []Input{vouchedFor(one, two), vouchedFor(one, one)})
+	require.Equal(t, two, h.Status(3*ms).Head.All)
+	effects, _ := h.Step(3*ms, []Input{vouchedFor(Mark{2, Digest{A: 1}}, Mark{2, Digest{A: 1}})})
+	require.Len(t, pick(effects, Remark), 1, "a version has one digest")
+	require.Equal(t, two, h.Status(3*ms).Head.All)
+}
+
+func TestSomeOfTheWayIsTakenFromWhoHasIt(t *testing.T) {
+	x, h := chain(3), holding()
+	two, three := markOf(x, 2), markOf(x, 3)
+	h.Step(ms, []Input{vouchedFor(Mark{}, two)})
+	effects, _ := h.Step(500*ms, []Input{vouchedFor(Mark{}, three), told("a", Head{}, two)})
+	ask := pick(effects, Exchange)
+	require.Len(t, ask, 1)
+	require.Equal(t, "a", ask[0].To)
+	piece := &Message{Kind: Piece, Has: two, Records: wired(x.log[:2], pieceMost, false)}
+	h.Step(501*ms, []Input{{Kind: Answered, Link: ask[0].Link, Message: piece}})
+	require.Equal(t, two, h.ready)
+}
+
+// TestARefusalIsToldToOneSeatAfterAnother wants that a seat which dies after it heard of a refusal isn't the only one to know.
+func TestARefusalIsToldToOneSeatAfterAnother(t *testing.T) {
+	x, h := chain(1), holding()
+	h.view.Zone, h.drawnFor = nil, 0 // drawn: it is the only one
+	one := markOf(x, 1)
+	effects, wake := h.Step(ms, []Input{told("a", Head{}, one, x.log[0].wire()), vouchedFor(Mark{}, one)})
+	require.True(t, pick(effects, Take)[0].First)
+	in := []Input{{Kind: Took, Mark: one, Why: "no such effect"}}
+	seats := map[string]int{}
+	for now := 2 * ms; now < 3_000*ms; now = min(wake, now+50*ms) {
+		effects, wake = h.Step(now, in)
+		in = nil
+		for _, e := range pick(effects, Send) {
+			if e.Message.Kind == Report && e.Message.Refused == one {
+				seats[e.To]++
+				answer := vouchedFor(Mark{}, one)
+				answer.From, answer.Message.Seq = e.To, e.Message.Seq
+				in = append(in, answer)
+			}
+		}
+	}
+	require.Positive(t, seats["s"])
+	require.Positive(t, seats["t"])
+	require.Equal(t, Mark{}, h.Mark(), "the last good one stays in force")
+}
+
+// TestAHerdDoesntKeepASeatFromItsNeighbours has many strangers report and ask for content, and a neighbour between them.
+func TestAHerdDoesntKeepASeatFromItsNeighbours(t *testing.T) {
+	h, c := NewHolder(0, Terms{Name: "s", Seed: 1}, Start{}), full(t, 100, 3_000)
+	mark := Mark{1, c.Digest()}
+	h.Step(1, []Input{{Kind: Viewed, View: &View{Neighbours: []string{"near"}}},
+		{Kind: Ordered, Agreed: &Agreed{Head: Head{All: mark, First: mark, Newest: 1}, All: c, First: c, Newest: c}}})
+	near, all := 0, 0
+	const seconds = 20
+	wanted := &Message{Kind: Fetch, Want: mark, Sums: (&Content{}).pageSums()}
+	for now := 10 * ms; now < seconds*1_000*ms; now += 10 * ms {
+		var in []Input
+		for k := range 10 {
+			from := fmt.Sprint("far", (int(now/(10*ms))*10+k)%500)
+			in = append(in, Input{Kind: Came, From: from, Message: &Message{Kind: Report}}, Input{Kind: Asked, From: from, Link: k + 2, Message: wanted})
+		}
+		if now%(1_000*ms) == 500*ms {
+			in = append(in, Input{Kind: Asked, From: "near", Link: 1, Message: wanted})
+		}
+		effects, _ := h.Step(now, in)
+		for _, e := range pick(effects, Reply) {
+			if size := e.Message.size(); e.Message.content() {
+				if all += size; e.Link == 1 {
+					near++
+				}
+			}
+		}
+	}
+	t.Logf("%d bytes of content in %d s; %d answers of 20 to the neighbour", all, seconds, near)
+	require.GreaterOrEqual(t, near, 5, "a neighbour asks once a second, and what it gets is 16 kB")
+	require.LessOrEqual(t, all, seconds*rate+burst+blockMost)
+	one := 0
+	for now := seconds * 1_000 * ms; now < 2*seconds*1_000*ms; now += 10 * ms { // one that asks always, alone
+		effects, _ := h.Step(now, []Input{{Kind: Asked, From: "greedy", Link: 1, Message: wanted}})
+		if e := pick(effects, Reply); e[0].Message.content() {
+			one += e[0].Message.size()
+		}
+	}
+	require.Positive(t, one)
+	require.LessOrEqual(t, one, seconds*askerRate+burst+blockMost)
+}
--- a/configuration/table_test.go
+++ b/configuration/table_test.go
@@ -35,7 +35,7 @@
 
 	again := x.Apply(9, putOn(1, 2, tenant(1, "2")))
 	require.EqualValues(t, Verdict{From: "a", Seq: 2, Version: 3, Refused: "late: the caller asked again since"}, again)
-	require.EqualValues(t, 3, x.Apply(9, putOn(2, 3, tenant(3, "1"))).Version, "the same number has the same verdict")
+	require.Equal(t, Verdict{From: "a", Seq: 3, Done: true, Version: 3}, x.Apply(9, putOn(2, 3, tenant(3, "1"))), "the same number has the same verdict")
 	require.EqualValues(t, 3, x.Head().Newest)
 
 	none := x.Apply(9, putOn(3, 4, tenant(3, "1")))
