--- a/configuration/table_test.go
+++ b/configuration/table_test.go
@@ -35,7 +35,7 @@
 
 	again := x.Apply(9, putOn(1, 2, tenant(1, "2")))
 	require.EqualValues(t, Verdict{From: "a", Seq: 2, Version: 3, Refused: "late: the caller asked again since"}, again)
-	require.EqualValues(t, 3, x.Apply(9, putOn(2, 3, tenant(3, "1"))).Version, "the same number has the same verdict")
+	require.Equal(t, Verdict{From: "a", Seq: 3, Done: true, Version: 3}, x.Apply(9, putOn(2, 3, tenant(3, "1"))), "the same number has the same verdict")
 	require.EqualValues(t, 3, x.Head().Newest)
 
 	none := x.Apply(9, putOn(3, 4, tenant(3, "1")))
@@ -156,3 +156,15 @@
 		spoilt[k] ^= 4
 	}
 }
+
+// TestWhatWasGivenAwayStays holds on to what a seat's holder was told while the table goes on past the bound of its log.
+func TestWhatWasGivenAwayStays(t *testing.T) {
+	x := NewTable()
+	x.Apply(1, putOn(0, 1, tenant(0, "1")))
+	before := x.Agreed()
+	for k := range logMost + 10 {
+		x.Apply(1, putOn(uint64(k+1), uint64(k+2), tenant(0, fmt.Sprint(k+2))))
+	}
+	require.EqualValues(t, 1, before.Log[0].Version)
+	require.EqualValues(t, 12, x.Agreed().Log[0].Version)
+}
