--- a/lab/capacity/virtual.go
+++ b/lab/capacity/virtual.go
@@ -93,13 +93,9 @@
 
 // cutOff cuts the nodes from one on off from the others for a minute.
 func (p *virtualPlay) cutOff(from int) {
-	for a := range from {
-		for c := from; c < len(p.m.Nodes); c++ {
-			p.m.Cut[[2]int{a, c}], p.m.Cut[[2]int{c, a}] = true, true
-		}
-	}
+	p.m.CutBetween(p.m.Nodes[:from], p.m.Nodes[from:], true)
 	p.figures["cut_bytes"], _ = p.seconds(cutSeconds)
-	p.event("healed", "healed", eventSeconds, func() { clear(p.m.Cut) })
+	p.event("healed", "healed", eventSeconds, p.m.Mend)
 }
 
 // seconds plays some, and gives the bytes of a node in the worst one and in the mean.
