A start on warm cores counts no life before again; what tells them apart is a question

The count stays for cores that are new, relative to when the process began (it slid out of the span for a process that starts some time after its cores).

--- a/control/control.go
+++ b/control/control.go
@@ -181,13 +181,10 @@
 	p.callUnit = p.tightest
 	if plate.Fresh {
 		p.open = plate.ColdFrom
-	}
-	// What a life before this one may have held counts as used: the dependency's mean still holds it. Where the
-	// cores only started it was on others; on cores that were there before, no longer than they were.
-	part, began := callRoom*plate.CallShare*float64(plate.CallSpan)/callSlices, max(now, plate.Began)
-	for k := int64(callSlices); k > 0; k-- {
-		if at := began - k*plate.CallSpan/callSlices; plate.Fresh || at >= now {
-			p.callUsed.Add(at, part)
+		// What a life before this one may have held counts as used: the dependency's mean still holds it.
+		part := callRoom * plate.CallShare * float64(plate.CallSpan) / callSlices
+		for k, began := int64(callSlices), max(now, plate.Began); k > 0; k-- {
+			p.callUsed.Add(began-k*plate.CallSpan/callSlices, part)
 		}
 	}
 	return p
