--- a/control/control.go
+++ b/control/control.go
@@ -337,8 +337,8 @@
 	}
 }
 
-// setOperation gives an index the terms of its operation, other terms, or none. What was measured stays with the
-// index as long as it is an operation's; what was taken keeps the terms that it was taken under.
+// setOperation gives an index the terms of its operation, other terms, or none. What was measured stays with
+// the index as long as it is an operation's; what was taken keeps the terms that it was taken under.
 func (p *Post) setOperation(i int32, terms *node.Operation, service []node.Service) {
 	p.ops = append(p.ops, make([]*operation, max(0, int(i)+1-len(p.ops)))...)
 	was := p.ops[i]
