--- a/membership/membership.go
+++ b/membership/membership.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand"
-	"slices"
 
 	"topazpost/must"
 )
@@ -12,7 +11,6 @@
 type member struct {
 	rec     Record
 	id      ID
-	keys    [rings]uint64
 	link    int8 // its place in links, -1 without one
 	in      bool // the view
 	counted bool // its record is part of what tables are compared by
@@ -29,6 +27,13 @@
 	since   int64 // of its status
 }
 
+// near is what following links needs of a member, in little room: all of them are gone over at each change.
+type near struct {
+	at   [linksMost]uint16 // those with whom it has a link of which both ends tell
+	n    uint8
+	left bool
+}
+
 // link is one to a member that this node watches, or that watches this node.
 type link struct {
 	member         int32
@@ -42,8 +47,7 @@
 	seq            uint32
 	sent           [sentKept]int64
 	differ, healed int64
-	owe            []uint8 // by member: times that its record is still to be sent
-	owing, from    int
+	owing, from    int // records that are owed; the member after the one sent last
 	newsAt         int64
 }
 
@@ -61,12 +65,22 @@
 	free     []int32
 	byID     map[ID]int32
 	links    [linksMost]link // member < 0 where free
+	owed     []uint32        // by member: a bit for each link on which its record is still to be sent
+	twice    []uint32        // by member: on which it is to be sent once more after that
+	near     []near          // by member
+	followed []uint32        // by member: the follow, by its number, that led to it last
+	follows  uint32
+	calm     []bool // by member: alive in the view or no member, and unchanged since it was looked at: nothing is due
+	ringed   []bool // by member: in the orders of the rings
 	order    [rings][]int32
+	unringed bool // one of the orders was forgotten
+	joined   []int32
 	effects  []Effect
 	mark     []uint32 // by member, stamp of the last look
 	stamp    uint32
 	stack    []int32
 	digest   uint64
+	hash     uint64 // of the view: of the names and lives in it
 	number   uint64
 	inView   int
 	alone    bool
@@ -91,14 +105,15 @@
 
 // New starts a node. Wall is Unix time in nanoseconds, kept the incarnation of its last life where a disk kept it.
 func New(charter Charter, now, wall int64, kept uint64, seed int64) *Members {
-	m := &Members{charter: charter, chance: rand.New(rand.NewSource(seed)), byID: map[ID]int32{}, t: now, joinFor: joinEvery}
+	m := &Members{charter: charter, chance: rand.New(rand.NewSource(seed)), byID: map[ID]int32{}, t: now, joinFor: joinEvery, follows: 1}
+	m.charter.MembersMost = min(charter.MembersMost, tableMost)
 	for k := range m.links {
 		m.links[k].member = -1
 	}
 	self := Record{Name: charter.Name, Address: charter.Address, Born: wall, Inc: max(uint64(max(wall, 1)), kept+1),
 		Facts: Facts{Version: charter.Version, Zone: charter.Zone}}
 	m.add(&self)
-	m.members[0].in, m.members[0].was, m.inView = true, true, 1
+	m.members[0].in, m.members[0].was, m.inView, m.hash = true, true, 1, m.members[0].life()
 	m.joinAt, m.seed = now+m.jitter(joinEvery/2), m.chance.Intn(len(charter.Seeds)+1)
 	m.knockAt, m.seedAt = now+m.jitter(knockEvery), now+m.jitter(joinEvery)
 	return m
@@ -115,6 +130,12 @@
 	return x ^ x>>31
 }
 
+// key is a member's place in an order of the fleet.
+func (b *member) key(ring int) uint64 { return mix(uint64(b.id), uint64(ring)) }
+
+// life is a member's part in the hash of views.
+func (b *member) life() uint64 { return mix(uint64(b.id), uint64(b.rec.Born)) }
+
 func (b *member) hash() uint64 { return mix(mix(uint64(b.id), b.rec.Inc), uint64(b.rec.Ver)) }
 
 func (m *Members) do(e Effect) { m.effects = append(m.effects, e) }
@@ -132,7 +153,10 @@
 // Step takes what happened up to now, by a clock that only advances, with wall its Unix time in nanoseconds. The
 // effects are valid until the next step; wake is when it is to step again at the latest.
 func (m *Members) Step(now, wall int64, inputs []Input) (effects []Effect, wake int64) {
-	m.effects = m.effects[:0]
+	clear(m.effects) // what the messages held
+	if m.effects = m.effects[:0]; cap(m.effects) > effectsKept {
+		m.effects = nil
+	}
 	stood := int64(0)
 	if m.wake > 0 && now-m.wake > gapLeast {
 		stood = now - m.wake
@@ -297,12 +321,12 @@
 	if known {
 		b := &m.members[i]
 		if from >= 0 && !b.rec.newer(r) { // it has this one already
-			m.settleOwed(&m.links[from], i)
+			m.settleOwed(from, i)
 		}
 		if !r.newer(&b.rec) {
 			return
 		}
-		m.dropped(b, r)
+		m.relink(i, b.rec.Links, r.Links)
 		if b.rec.Born != r.Born && b.in {
 			b.grace = m.t + m.charter.Silence + m.charter.Settle
 			b.since = m.t
@@ -319,7 +343,14 @@
 		if !b.in && r.Inc > b.rec.Inc {
 			b.hope = m.t + m.charter.Silence
 		}
+		if b.in {
+			m.hash ^= b.life()
+		}
 		b.rec = *r
+		m.near[i].left, m.calm[i] = r.Left, false
+		if b.in {
+			m.hash ^= b.life()
+		}
 	}
 	b := &m.members[i]
 	b.counted = true
@@ -334,17 +365,6 @@
 	m.spread(i, from)
 }
 
-// dropped notes whose word a loss rests on: of those that a member had a link to and has no more.
-func (m *Members) dropped(b *member, r *Record) {
-	for _, id := range b.rec.Links {
-		if _, kept := slices.BinarySearch(r.Links, id); !kept {
-			if i, known := m.byID[id]; known {
-				m.members[i].word = b.id
-			}
-		}
-	}
-}
-
 // ofSelf answers for a record of this node's name that is newer than its own: of an earlier life whose clock was
 // ahead, or of another node of that name. Of two that live the one that started later keeps away.
 func (m *Members) ofSelf(r *Record) {
@@ -404,20 +424,22 @@
 	} else {
 		m.members = append(m.members, member{})
 		m.mark = append(m.mark, 0)
+		m.owed, m.twice = append(m.owed, 0), append(m.twice, 0)
+		m.near, m.followed = append(m.near, near{}), append(m.followed, 0)
+		m.calm, m.ringed = append(m.calm, false), append(m.ringed, false)
 	}
+	m.near[i].left, m.followed[i], m.calm[i] = r.Left, 0, false
 	b := &m.members[i]
 	*b = member{rec: *r, id: IDOf(r.Name), link: -1, out: m.t, hope: m.t + m.charter.Silence, since: m.t}
-	for k := range b.keys {
-		b.keys[k] = mix(uint64(b.id), uint64(k))
-	}
 	m.byID[b.id] = i
+	m.relink(i, nil, r.Links)
 	if i == 0 {
 		b.counted = true
 		m.digest ^= b.hash()
 	}
 	for k := range m.links {
-		if l := &m.links[k]; l.member >= 0 && int(i) < len(l.owe) && l.owe[i] > 0 {
-			m.settleOwed(l, i)
+		if m.links[k].member >= 0 {
+			m.settleOwed(int8(k), i)
 		}
 	}
 	return i
@@ -433,7 +455,13 @@
 	}
 	if b.in {
 		m.inView--
+		m.hash ^= b.life()
+	}
+	for _, j := range m.linked(i) {
+		m.unlink(int32(j), i)
 	}
+	m.near[i], m.followed[i], m.calm[i] = near{}, 0, false
+	m.unringed, m.ringed[i] = m.unringed || m.ringed[i], false
 	delete(m.byID, b.id)
 	*b = member{link: -1}
 	m.free = append(m.free, i)
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -153,6 +153,7 @@
 	linkMost int
 	post     Decider
 	now      int64
+	began    int64 // when the first step was; no call was made before it in this life
 	wall     int64 // Unix ns at now
 	effects  []Effect
 	events   []node.Event
@@ -197,6 +198,7 @@
 	kept    kept
 	claimed claimed
 	leasing leasing
+	hollow  hollow
 	amended amended
 	later   []node.Event   // what the module is told in the next step: it was deciding
 	decided bool           // the module has decided in this step, or had nothing to decide
@@ -239,6 +241,9 @@
 // Step takes what happened up to now, a clock that only advances, with wall its time in Unix nanoseconds. The
 // effects are valid until the next step.
 func (r *Reducer) Step(now, wall int64, inputs []Input) []Effect {
+	if r.now == 0 {
+		r.began = now
+	}
 	r.now, r.wall, r.effects, r.events = now, wall, r.effects[:0], append(r.events[:0], r.later...)
 	r.later, r.decided = r.later[:0], false
 	for i := range inputs {
@@ -297,6 +302,8 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
+	case TokenWanted, CallsWanted:
+		r.fromLoad(in)
 	case ListenerClosed:
 		r.listenerClosed = true
 	case Notice:
@@ -316,6 +323,9 @@
 
 // keepTimers does what is due.
 func (r *Reducer) keepTimers() {
+	if r.hollow.on {
+		return
+	}
 	if r.now >= r.redialAt && r.link == 0 && r.dialing == 0 {
 		r.dialing = r.newLink()
 		r.do(Effect{Kind: Dial, Link: r.dialing, Address: r.to.Executor})
@@ -356,6 +366,9 @@
 
 // wake is when the next of the timers is due.
 func (r *Reducer) wake() int64 {
+	if r.hollow.on {
+		return r.hollowWake()
+	}
 	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue(), r.amendDue())
 	if len(r.later) > 0 {
 		at = r.now + 1
@@ -471,7 +484,9 @@
 		return
 	}
 	r.shut = true
-	r.do(Effect{Kind: StopAccepting})
+	if !r.hollow.on {
+		r.do(Effect{Kind: StopAccepting})
+	}
 	for _, link := range slices.Sorted(maps.Keys(r.conns)) {
 		r.noMore(link, r.conns[link])
 	}
@@ -529,6 +544,9 @@
 
 // tellModule tells the module of something, in the next step if it has decided in this one.
 func (r *Reducer) tellModule(e node.Event) {
+	if r.hollow.on {
+		return // it has none
+	}
 	if r.decided {
 		r.later = append(r.later, e)
 	} else {
