The check of a large version takes no long step either

Its operations and tenants are counted where it is parsed, and lookups by name, where results are kept by number, take 4,096 in a step.

--- a/plate/amend.go
+++ b/plate/amend.go
@@ -64,7 +64,12 @@
 }
 
 // Amendment is a list of changes, each of them sound by itself.
-type Amendment struct{ Changes []Change }
+type Amendment struct {
+	Changes []Change
+
+	operations []int32 // places of those of operations
+	tenants    []int32 // of those that set a tenant
+}
 
 // Parse reads items, each by itself, at the cost of the items. An error names the item and its field as a check does.
 func Parse(items []Item) (*Amendment, error) {
@@ -80,7 +85,12 @@
 		if err != nil {
 			return nil, err
 		}
-		a.Changes = append(a.Changes, c)
+		switch a.Changes = append(a.Changes, c); {
+		case c.Part == Operations:
+			a.operations = append(a.operations, int32(i))
+		case c.Part == Tenants && !c.Removed:
+			a.tenants = append(a.tenants, int32(i))
+		}
 	}
 	return a, nil
 }
@@ -152,32 +162,27 @@
 	return c, nil
 }
 
-// Check says why a plate can't take an amendment as a whole, at the cost of the changes. Nothing is changed.
+// Check says why a plate can't take an amendment as a whole, at the cost of the operations in it, and of the tenants only
+// near their bound. Nothing is changed.
 func (p *Plate) Check(a *Amendment) error {
-	left, operations, tenants := p.Operations.Len(), 0, 0
-	for i := range a.Changes {
-		if c := &a.Changes[i]; c.Part == Tenants && !c.Removed {
-			tenants++
-		}
-	}
-	look := p.Tenants.live+tenants > tenantsMost // else there is room for all of them, known or not
-	tenants = 0
-	for i := range a.Changes {
+	left, operations, tenants := p.Operations.Len(), 0, len(a.tenants)
+	for _, i := range a.operations {
 		c := &a.Changes[i]
+		_, serves := p.Operations.Find(c.Name)
 		switch {
-		case c.Part == Operations && c.Removed:
-			if _, known := p.Operations.Find(c.Name); known {
-				left--
-			}
-		case c.Part == Operations:
-			if _, known := p.Operations.Find(c.Name); !known {
-				left++
-			}
+		case c.Removed && serves:
+			left--
+		case !c.Removed && !serves:
+			left++
 			if _, known := p.Operations.Lookup(c.Name); !known {
 				operations++
 			}
-		case c.Part == Tenants && !c.Removed && look:
-			if _, known := p.Tenants.Lookup(c.Name); !known {
+		}
+	}
+	if p.Tenants.live+tenants > tenantsMost { // else there is room for all of them, known or not
+		tenants = 0
+		for _, i := range a.tenants {
+			if _, known := p.Tenants.Lookup(a.Changes[i].Name); !known {
 				tenants++
 			}
 		}
--- a/reducer/amend.go
+++ b/reducer/amend.go
@@ -11,6 +11,7 @@
 
 const (
 	amendedAStep = 256          // changes that are taken in one step: some hundreds of microseconds
+	lookedAStep  = 4_096        // that are looked up in one step, where what is kept allows no other names: the same
 	versionsWait = 64           // versions that may wait to be taken, a large one before them
 	forgottenOne = 16           // indices that one step looks at to forget them
 	countsFade   = 120_000 * ms // ns past which nothing is left of a tenant's counts in the module
@@ -34,7 +35,9 @@
 // version is one that came, as far as it is not taken.
 type version struct {
 	number  uint64
-	changes []plate.Change
+	of      *plate.Amendment
+	changes []plate.Change // of it, those not taken
+	looked  int            // changes that were looked at by name
 	checked bool
 	counts  [3]int // added, changed, removed
 }
@@ -138,7 +141,7 @@
 	case len(a.waiting) >= versionsWait:
 		r.refuse(in.Version, errWaiting)
 	default:
-		a.waiting = append(a.waiting, version{number: in.Version, changes: in.Change.Changes})
+		a.waiting = append(a.waiting, version{number: in.Version, of: in.Change, changes: in.Change.Changes})
 	}
 }
 
@@ -153,7 +156,11 @@
 	for left := amendedAStep; left > 0 && len(a.waiting) > 0; {
 		v := &a.waiting[0]
 		if !v.checked {
-			if err := r.fits(v); err != nil {
+			whole, err := r.fits(v)
+			if !whole {
+				return
+			}
+			if err != nil {
 				r.refuse(v.number, err)
 				a.waiting = slices.Delete(a.waiting, 0, 1)
 				continue
@@ -175,19 +182,26 @@
 	r.forgetRetired()
 }
 
-// fits says why a version can't be taken; nothing is changed.
-func (r *Reducer) fits(v *version) error {
-	if r.amended.numbers {
-		for i := range v.changes {
-			c := &v.changes[i]
-			_, operation := r.plate.Operations.Find(c.Name)
-			_, tenant := r.plate.Tenants.Find(c.Name)
-			if c.Part == plate.Operations && operation == c.Removed || c.Part == plate.Tenants && tenant == c.Removed {
-				return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
-			}
+// fits says why a version can't be taken, once it has looked at the whole of it; nothing is changed.
+func (r *Reducer) fits(v *version) (whole bool, err error) {
+	for end := v.looked + lookedAStep; r.amended.numbers && v.looked < len(v.changes); v.looked++ {
+		if v.looked == end {
+			return false, nil
+		}
+		c, known := &v.changes[v.looked], false
+		switch c.Part {
+		case plate.Operations:
+			_, known = r.plate.Operations.Find(c.Name)
+		case plate.Tenants:
+			_, known = r.plate.Tenants.Find(c.Name)
+		default:
+			continue
+		}
+		if known == c.Removed {
+			return true, fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
 		}
 	}
-	return r.plate.Check(&plate.Amendment{Changes: v.changes})
+	return true, r.plate.Check(v.of)
 }
 
 // change brings one change into force.
--- a/reducer/amend_test.go
+++ b/reducer/amend_test.go
@@ -335,3 +335,21 @@
 		assert.Empty(t, r.Guard.All())
 	}
 }
+
+// Where results are kept by number a large version is looked at over some steps, and refused as a whole.
+func TestLargeVersionIsLookedAtInBoundedSteps(t *testing.T) {
+	r := up(t)
+	r.amended.numbers = true
+	items := []plate.Item{operation("catalogue", `,"importance":7`)}
+	for k := range 2 * lookedAStep {
+		items = append(items, removed(plate.Tenants, fmt.Sprint("t", k)))
+	}
+	refused := items[: len(items)-1 : len(items)-1]
+	refused = append(refused, operation("new", ""))
+	assert.Empty(t, step(r, versionOf(t, 1, refused...)))
+	assert.Empty(t, step(r))
+	got := kindsOf(step(r), Amended)
+	require.Len(t, got, 1)
+	assert.ErrorContains(t, got[0].Err, "operations.new")
+	assert.Equal(t, 1.0, r.plate.Nameplate.Operations[0].BilledValue)
+}
