--- a/reducer/hollow.go
+++ b/reducer/hollow.go
@@ -146,7 +146,9 @@
 // need is how many calls are in hand and how many are wanted beside them; a node without its module has none.
 func (r *Reducer) need() (inHand, standing int, decides bool) {
 	if h := &r.hollow; h.on {
-		inHand = int(min(int64(h.calls), r.leasing.holder.Allowed(r.now)))
+		allowed := r.leasing.holder.Allowed(r.now)
+		inHand = int(min(int64(h.calls), allowed))
+		h.counters.Allowed.Store(allowed)
 		h.counters.InHand.Store(int64(inHand))
 		return inHand, h.calls - inHand, true
 	}
--- /dev/null
+++ b/reducer/hollow_test.go
@@ -0,0 +1,86 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/membership"
+	"topazpost/must"
+	"topazpost/plate"
+	"topazpost/quota"
+)
+
+// hollowNode sits alone in its council.
+func hollowNode(t *testing.T) (*Reducer, *HollowCounters) {
+	p, err := plate.FromJSON(1, []byte(tokened))
+	require.NoError(t, err)
+	r, c := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3), new(HollowCounters)
+	r.Hollow(c)
+	r.Peer("tests", membership.New(charter, 0, 1_000_000*ms, 0, 1))
+	r.Convene([]string{charter.Name}, 4<<20, 0, 1)
+	r.Lease(quota.Terms{Name: "calls", Units: 5, Hold: 500 * ms, Term: 3_000 * ms}, 1)
+	return r, c
+}
+
+// run steps it when it is to be woken, up to a time. It says which kinds of effects came.
+func run(t *testing.T, r *Reducer, now *int64, until int64, inputs ...Input) map[EffectKind]int {
+	came, steps := map[EffectKind]int{}, 0
+	for wake := *now + 1; wake < until; steps++ {
+		*now = wake
+		for _, e := range r.Step(*now, *now, inputs) {
+			if came[e.Kind]++; e.Kind == Wake {
+				wake = e.At
+			}
+		}
+		inputs = nil
+	}
+	assert.Less(t, steps, int(until/ms), "it sleeps")
+	require.Empty(t, r.Guard.All())
+	return came
+}
+
+func TestHollowNodeClaimsTokensAndLeasesCallsWithoutExecutorAndReports(t *testing.T) {
+	r, c := hollowNode(t)
+	now := int64(0)
+	came := run(t, r, &now, 4_000*ms)
+	require.True(t, r.claimed.desk.Reached())
+	var tokens []Input
+	for k := range 9 {
+		tokens = append(tokens, Input{Kind: TokenWanted, Bytes: fmt.Append(nil, "t", k)})
+	}
+	for kind, n := range run(t, r, &now, 8_000*ms, append(tokens, Input{Kind: CallsWanted, Link: 8})...) {
+		came[kind] += n
+	}
+	for _, kind := range []EffectKind{Dial, Reach, Report, Receive, Send, StopAccepting, Sample} {
+		assert.Zero(t, came[kind], "effect %d is of a whole node", kind)
+	}
+	assert.Equal(t, []int64{9, 9, 9, 0, 0}, []int64{c.Wanted.Load(), c.Begun.Load(), c.Kept.Load(), c.TurnedAway.Load(), c.Late.Load()})
+	assert.Equal(t, []int64{8, 5, 5}, []int64{c.Calls.Load(), c.Allowed.Load(), c.InHand.Load()}, "of the limit all, and no more")
+	assert.False(t, r.facts().NoUse, "it may be given claims of the lost")
+}
+
+func TestHollowNodeLeavesAtOnceWhenDrained(t *testing.T) {
+	r, _ := hollowNode(t)
+	now := int64(0)
+	run(t, r, &now, 4_000*ms)
+	var kinds []EffectKind
+	for _, e := range r.Step(now+1, now+1, []Input{{Kind: Notice}}) {
+		kinds = append(kinds, e.Kind)
+	}
+	assert.Contains(t, kinds, Leave)
+	assert.NotContains(t, kinds, StopAccepting)
+}
+
+func TestLoadOfAHollowNodeIsNotForAWholeOne(t *testing.T) {
+	r := fresh(t)
+	load := func() { step(r, Input{Kind: TokenWanted, Bytes: []byte("t")}) }
+	if must.Debug {
+		assert.Panics(t, load)
+		return
+	}
+	load()
+	assert.NotEmpty(t, r.Guard.All())
+}
