--- a/lab/capacity/virtual.go
+++ b/lab/capacity/virtual.go
@@ -95,7 +95,7 @@
 func (p *virtualPlay) cutOff(from int) {
 	p.m.CutBetween(p.m.Nodes[:from], p.m.Nodes[from:], true)
 	p.figures["cut_bytes"], _ = p.seconds(cutSeconds)
-	p.event("healed", "healed", eventSeconds, p.m.Mend)
+	p.event("healed", "healed", eventSeconds, func() { p.m.Mend() })
 }
 
 // seconds plays some, and gives the bytes of a node in the worst one and in the mean.
