topazpost seat: a process with a seat of the council and its folder, serving nothing

All seats of a council in memory forget at once when all are lost at once, and a seat needed a serving node around it. council.folder in the fleet's file has a seat keep base, parts and log there (server/seat.go: records with checksums, syncs in groups, bases by rename, a torn end cut off and told); topazpost seat is a member with a seat only, over the hollow switch of the reducer, of no use to callers and no heir.

--- a/charter/charter.go
+++ b/charter/charter.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"fmt"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -45,6 +46,7 @@
 // Council is who agrees on claims of tokens for all.
 type Council struct {
 	Seats   []string     // names of nodes
+	Folder  string       // where the node's seat keeps what it must not forget; empty in memory only
 	Bytes   int64        // of the table of claims
 	Calls   *quota.Terms // of the limit on calls in hand, nil without one
 	Version uint64       // of that limit
@@ -69,6 +71,7 @@
   "council": {"type": "object", "additionalProperties": false, "required": ["seats"], "properties": {
    "seats": {"type": "array", "minItems": 1, "items": {"type": "string", "minLength": 1, "maxLength": 64}},
    "table": {"type": "string", "pattern": "SIZE"},
+   "folder": {"type": "string", "minLength": 1},
    "calls": {"type": "object", "additionalProperties": false, "required": ["limit", "hold"], "properties": {
     "limit": {"type": "integer", "minimum": 1, "maximum": 1000000}, "version": {"type": "integer", "minimum": 1},
     "hold": {"$ref": "#/$defs/time"}, "lease": {"$ref": "#/$defs/time"}}}}},
@@ -82,9 +85,10 @@
 	Probe, Silence, Settle, Forget *settings.Time
 	Members                        *int
 	Council                        *struct {
-		Seats []string
-		Table *settings.Size
-		Calls *struct {
+		Seats  []string
+		Table  *settings.Size
+		Folder string
+		Calls  *struct {
 			Limit       int64
 			Version     *uint64
 			Hold, Lease settings.Time
@@ -155,6 +159,17 @@
 	}
 	if w.Council != nil {
 		f.Council = &Council{Seats: w.Council.Seats, Bytes: tableUsual}
+		if folder := w.Council.Folder; folder != "" {
+			f.Council.Folder = filepath.Clean(strings.ReplaceAll(folder, "{name}", name))
+			if !filepath.IsAbs(f.Council.Folder) {
+				found = append(found, file.At([]string{"council", "folder"}, fmt.Sprintf("%q is no absolute path", folder),
+					`write it as "/var/lib/topazpost/seat-{name}"; {name} is the node's`))
+			}
+			if strings.Contains(folder, "{name}") && (strings.ContainsAny(name, "/\\\x00") || name == ".." || name == ".") {
+				found = append(found, file.At([]string{"council", "folder"}, fmt.Sprintf("takes in the node's name, and %q can't be part of a path", name),
+					"name the node otherwise, or write the folder without {name}"))
+			}
+		}
 		if w.Council.Table != nil {
 			f.Council.Bytes = int64(*w.Council.Table)
 		}
@@ -206,8 +221,12 @@
 	text := fmt.Sprintf("a pause of up to %s is borne; a death is known to all within about %s; a member outside the view is looked for for %s",
 		span(c.Silence-c.Probe), span(f.Known()), span(c.Forget))
 	if f.Council != nil {
-		text += fmt.Sprintf("; a council of %d, which bears the loss of %d at a time, agrees on claims of tokens, %d kB at the most, in memory only",
-			len(f.Council.Seats), len(f.Council.Seats)/2, f.Council.Bytes>>10)
+		where := "in memory only"
+		if f.Council.Folder != "" {
+			where = "and seats keep it in " + f.Council.Folder
+		}
+		text += fmt.Sprintf("; a council of %d, which bears the loss of %d at a time, agrees on claims of tokens, %d kB at the most, %s",
+			len(f.Council.Seats), len(f.Council.Seats)/2, f.Council.Bytes>>10, where)
 		if f.Council.Calls != nil {
 			text += "; " + f.Council.Calls.Bound()
 		}
--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -157,6 +157,7 @@
 func main() {
 	var line struct {
 		Serve   serve   `cmd:"" help:"Serve as one node: SIGTERM drains, a second one aborts what is in hand, a third one stops, SIGHUP reads the configuration anew."`
+		Seat    seat    `cmd:"" help:"Serve nothing: be a member of a fleet with a seat in its council. SIGTERM leaves at once."`
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Plan    plans   `cmd:"" help:"Look at plans of levels of reduced service."`
 		Levels  ladders `cmd:"" help:"Look at what levels nodes were at."`
--- /dev/null
+++ b/cmd/topazpost/seat.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/rs/zerolog"
+
+	"topazpost/charter"
+	"topazpost/plate"
+	"topazpost/server"
+)
+
+const (
+	seatSockets = 256 // descriptors that it may use: 96 streams, exchanges, its files, and room
+	seatStopMS  = 500 // for its last words to the fleet
+)
+
+type seat struct {
+	Name  string `help:"Name of the node, one of those in council.seats." required:"" env:"TOPAZPOST_NAME"`
+	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
+	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
+	Fleet string `arg:"" env:"TOPAZPOST_FLEET" help:"Fleet that it is a member of, a Jsonnet file." type:"path" placeholder:"FILE"`
+}
+
+// Run is a seat until a signal to end: the first one says farewell to the fleet, a second one stops at once.
+func (c *seat) Run() error {
+	fleet, err := charter.Read(c.Fleet, c.Name)
+	if err != nil {
+		return err
+	}
+	if fleet.Council == nil || !slices.Contains(fleet.Council.Seats, c.Name) {
+		return fmt.Errorf("%s: council.seats: %q is not one of them, and a process without a seat has nothing to do; name it there, or start it with the name of one",
+			c.Fleet, c.Name)
+	}
+	level, err := zerolog.ParseLevel(c.Level)
+	if err != nil {
+		return err
+	}
+	log := zerolog.New(os.Stderr)
+	if c.Form == "console" {
+		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
+	}
+	log = log.Level(level).With().Timestamp().Logger()
+	n := &server.Nameplate{Name: c.Name, StopMS: seatStopMS, Sockets: seatSockets, Fleet: fleet, Hollow: server.OnlySeat(),
+		Settings: &plate.Plate{Operations: map[string]int32{}, Tenants: map[string]int32{}}}
+	n.Settings.Nameplate.Seed = int64(os.Getpid())
+	log.Info().Str("name", c.Name).Strs("seats", fleet.Council.Seats).Str("folder", fleet.Council.Folder).Msg("a seat of the council, serving nothing")
+	node := server.New(n, log, server.SystemClock())
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go func() {
+		<-ends
+		node.Drain()
+		<-ends
+		stop()
+	}()
+	if err = node.Run(ctx); errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- a/council/disk.go
+++ b/council/disk.go
@@ -74,6 +74,7 @@
 // another council, or of a later build, is an error; nothing is lost by it.
 func (x *Seat) Recover(now int64, d Disk) (err error) {
 	x.disk.on, x.now = true, now
+	defer func() { x.early, x.effects = x.effects, nil }()
 	x.disk.written = len(d.Base)+len(d.Records) > 0
 	if len(d.Base) == 0 {
 		return nil
--- a/council/seat.go
+++ b/council/seat.go
@@ -91,6 +91,7 @@
 	now     int64
 	wake    int64
 	effects []Effect
+	early   []Effect     // from before the first step
 	tables  []proposer   // the key of each in an entry is its index and one
 	time    func() int64 // that is agreed on
 	held    [][]byte     // what each table's last snapshot was, nil where it changed since
@@ -168,7 +169,7 @@
 // step takes what happened, by take, and does what follows from it.
 func (x *Seat) step(now int64, take func()) {
 	stood := x.wake > 0 && now-x.wake > gapLeast
-	x.now, x.effects = now, x.effects[:0]
+	x.now, x.effects, x.early = now, append(x.effects[:0], x.early...), nil
 	if stood && !x.leads() { // what came meanwhile is not read yet: a leader that was not heard is no sign
 		x.stand()
 	}
@@ -382,12 +383,10 @@
 	for x.disk.owed == nil && !x.disk.failed && x.node.HasReady() {
 		rd := x.node.Ready()
 		if x.disk.on && !(raft.IsEmptySnap(rd.Snapshot) && raft.IsEmptyHardState(rd.HardState) && len(rd.Entries) == 0) {
-			if x.disk.rash {
-				x.say(rd.Messages)
-				rd.Messages = nil
+			if x.persist(&rd); !x.disk.rash {
+				return
 			}
-			x.persist(&rd)
-			return
+			x.disk.owed = nil
 		}
 		x.carry(&rd)
 	}
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -70,7 +70,7 @@
 	for name, i := range r.plate.Tenants {
 		c.orgs[i] = name
 	}
-	if r.kept.keeper != nil || r.hollow.on {
+	if r.kept.keeper != nil || r.hollow.on && !r.hollow.onlySeat {
 		c.desk = claims.NewDesk(c.self)
 	}
 	if c.asks = slices.Index(c.seats, self.Name); c.asks >= 0 {
@@ -81,6 +81,14 @@
 	}
 }
 
+// Seated says whether this node has a seat in the council.
+func (r *Reducer) Seated() bool { return r.claimed.seat != nil }
+
+// RecoverSeat has the seat go on from what a disk holds, and keep there what it must not forget, before the first step.
+func (r *Reducer) RecoverSeat(now int64, there council.Disk) error {
+	return r.claimed.seat.Recover(now, there)
+}
+
 // Claims is what an operator may want to see of them, nil without a council.
 func (r *Reducer) Claims() *council.Picture {
 	c := &r.claimed
@@ -251,6 +259,8 @@
 		switch e := &effects[k]; e.Kind {
 		case council.Send:
 			r.toNode(e.To, &e.Message)
+		case council.Persist:
+			r.do(Effect{Kind: Persist, Write: e.Write})
 		case council.Remark:
 			r.remark(map[bool]Level{true: Warn, false: Info}[e.Warn], e.Text, "", nil)
 		}
--- a/reducer/hollow.go
+++ b/reducer/hollow.go
@@ -33,6 +33,7 @@
 // ask for, and runs that take their time and nothing else.
 type hollow struct {
 	on       bool
+	onlySeat bool // it has no load, inherits nothing and is of no use to callers
 	counters *HollowCounters
 	tokens   map[claims.Key]*hollowToken
 	calls    int // wanted at a time
@@ -44,9 +45,9 @@
 }
 
 // Hollow has the node do only what nodes do among themselves, before Peer, Convene and Lease. TokenWanted and CallsWanted
-// are its load.
-func (r *Reducer) Hollow(counters *HollowCounters) {
-	r.hollow = hollow{on: true, counters: counters, tokens: map[claims.Key]*hollowToken{}}
+// are its load; with onlySeat it has none.
+func (r *Reducer) Hollow(counters *HollowCounters, onlySeat bool) {
+	r.hollow = hollow{on: true, onlySeat: onlySeat, counters: counters, tokens: map[claims.Key]*hollowToken{}}
 	r.listenerClosed = true // there is none
 }
 
--- a/reducer/peers.go
+++ b/reducer/peers.go
@@ -146,7 +146,7 @@
 	} else if p.loose < 0 {
 		p.loose = r.now
 	}
-	f.NoUse = !r.hollow.on && p.loose >= 0 && r.now-p.loose >= noUseAfter
+	f.NoUse = r.hollow.onlySeat || !r.hollow.on && p.loose >= 0 && r.now-p.loose >= noUseAfter
 	switch {
 	case r.shut:
 		f.Beat = 3
--- a/reducer/quota.go
+++ b/reducer/quota.go
@@ -22,7 +22,9 @@
 // Lease has the node's calls in hand bounded by leases of a limit of the whole fleet, after Convene. Where this node has a
 // seat in the council it defines the limit, of a version, while it leads.
 func (r *Reducer) Lease(terms quota.Terms, version uint64) {
-	r.leasing = leasing{holder: quota.NewHolder(terms, quota.Who(r.claimed.self)), terms: terms, told: -1}
+	if !r.hollow.onlySeat {
+		r.leasing = leasing{holder: quota.NewHolder(terms, quota.Who(r.claimed.self)), terms: terms, told: -1}
+	}
 	if seat := r.claimed.seat; seat != nil {
 		seat.Limits([]quota.Command{{Kind: quota.Define, Limit: terms.Name, Units: terms.Units, Version: version, Wait: terms.Term}})
 	}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"topazpost/control"
+	"topazpost/council"
 	"topazpost/must"
 	"topazpost/node"
 	"topazpost/plate"
@@ -291,6 +292,8 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
+	case Persisted:
+		r.claimed.heard = append(r.claimed.heard, council.Input{Persisted: in.Number, Err: in.Err})
 	case TokenWanted, CallsWanted:
 		r.fromLoad(in)
 	case ListenerClosed:
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -3,6 +3,7 @@
 package reducer
 
 import (
+	"topazpost/council"
 	"topazpost/frame"
 	"topazpost/lines"
 	"topazpost/membership"
@@ -42,6 +43,7 @@
 	PeerTold                        // a letter on a stream of a peer
 	PeerHungUp                      // a stream ended
 	Adopt                           // there is a plan of levels, another one, or none any more
+	Persisted                       // writes of the council\'s seat count up to Number, or the disk failed
 	TokenWanted                     // a hollow node is to claim a token, Bytes
 	CallsWanted                     // a hollow node wants so many calls at a time, Link
 )
@@ -51,16 +53,17 @@
 
 // Input is one thing that happened. Payloads and bodies belong to the reducer from then on.
 type Input struct {
-	Kind  InputKind
-	Link  int // the connection or link
-	Frame frame.Frame
-	Line  lines.Line
-	Err   error
-	To    Addresses // Reload
-	Plan  *Plan     // Adopt, Reload; nil for none
-	Bytes []byte    // of peers
-	Kept  []results.Stored
-	From  string // address of the peer that sent them
+	Kind   InputKind
+	Link   int // the connection or link
+	Frame  frame.Frame
+	Line   lines.Line
+	Err    error
+	To     Addresses // Reload
+	Plan   *Plan     // Adopt, Reload; nil for none
+	Bytes  []byte    // of peers
+	Kept   []results.Stored
+	Number uint64 // Persisted
+	From   string // address of the peer that sent them
 }
 
 // EffectKind names what is to be done.
@@ -94,6 +97,7 @@
 	ViewChanged                       // tell of a change of the view
 	PeerStream                        // write a letter to the stream Link, or where that is gone or 0 to one to Address
 	PeerHangUp                        // end the stream
+	Persist                           // carry out Write on the disk of the council\'s seat, in order, giving Persisted
 )
 
 // Level is how loud a remark is.
@@ -122,4 +126,5 @@
 	Turn    *Turn  // Turned
 	Change  *membership.Change
 	Kept    *results.Stored
+	Write   *council.Write // Persist
 }
--- a/server/hollow.go
+++ b/server/hollow.go
@@ -34,6 +34,7 @@
 	Wire     Wire                     // nil for none
 	Changed  func(*membership.Change) // called at each change of its view, and must not wait
 	Counters *reducer.HollowCounters
+	OnlySeat bool // it has no load, inherits nothing and is of no use to callers: a seat in the council and nothing else
 }
 
 // runHollow is Run of a hollow node.
@@ -43,9 +44,18 @@
 	if s.peers == nil {
 		return errors.New("server: a hollow node without a fleet has nothing to do")
 	}
+	if err := s.takeSeat(); err != nil {
+		return err
+	}
 	if err := s.peers.run(); err != nil {
+		if s.seat != nil {
+			s.seat.close()
+		}
 		return err
 	}
+	if s.seat != nil {
+		s.group.Go(func() error { s.seat.run(); return nil })
+	}
 	s.group.Go(func() error { return s.loop() })
 	if err := s.group.Wait(); !errors.Is(err, errLeft) {
 		return err
--- /dev/null
+++ b/server/seat_test.go
@@ -0,0 +1,140 @@
+package server
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/council"
+	"topazpost/reducer"
+)
+
+// seatFolder is the folder of a seat and a server that hears what is written.
+func seatFolder(t *testing.T) (folder string, s *Server) {
+	return t.TempDir(), &Server{log: zerolog.Nop(), heard: make(chan reducer.Input, 4_096), ctx: context.Background()}
+}
+
+func opened(t *testing.T, folder string, s *Server) (*seatDisk, council.Disk) {
+	d, there, err := openSeat(s, folder)
+	require.NoError(t, err)
+	return d, there
+}
+
+func part(text string) (digest string, parts map[string][]byte) {
+	digest = fmt.Sprintf("%x", sha256.Sum256([]byte(text)))
+	return digest, map[string][]byte{digest: []byte(text)}
+}
+
+func TestSeatsFolderGivesBackWhatWasWritten(t *testing.T) {
+	folder, s := seatFolder(t)
+	d, there := opened(t, folder, s)
+	assert.Equal(t, council.Disk{}, there)
+	_, parts := part("large")
+	d.in <- &council.Write{Number: 2, Records: [][]byte{[]byte("b")}}
+	d.in <- &council.Write{Number: 3, Records: [][]byte{[]byte("c")}}
+	d.take(&council.Write{Number: 1, Base: []byte("base"), Parts: parts, Records: [][]byte{[]byte("a")}})
+	assert.Equal(t, reducer.Input{Kind: reducer.Persisted, Number: 3}, <-s.heard, "those that wait share a sync, and are told at once")
+	d.close()
+	d, there = opened(t, folder, s)
+	assert.Equal(t, council.Disk{Base: []byte("base"), Parts: parts, Records: [][]byte{[]byte("a"), []byte("b"), []byte("c")}}, there)
+	_, _, err := openSeat(s, folder)
+	assert.ErrorContains(t, err, "in use by a node")
+
+	d.take(&council.Write{Number: 4, Base: []byte("second"), Records: [][]byte{[]byte("d")}})
+	d.close()
+	d, there = opened(t, folder, s)
+	assert.Equal(t, council.Disk{Base: []byte("second"), Parts: map[string][]byte{}, Records: [][]byte{[]byte("d")}}, there)
+	names, err := d.names()
+	require.NoError(t, err)
+	assert.Len(t, names, 3, "lock, base and log: what no base names is gone")
+	d.take(&council.Write{Number: 5, Forget: true})
+	d.close()
+	_, there = opened(t, folder, s)
+	assert.Equal(t, council.Disk{}, there)
+}
+
+func TestPartThatIsThereIsNotWrittenAgain(t *testing.T) {
+	folder, s := seatFolder(t)
+	d, _ := opened(t, folder, s)
+	digest, parts := part("large")
+	d.take(&council.Write{Number: 1, Base: []byte("one"), Parts: parts})
+	before, err := os.Stat(d.path(seatPart + digest))
+	require.NoError(t, err)
+	d.take(&council.Write{Number: 2, Base: []byte("two"), Parts: parts})
+	after, err := os.Stat(d.path(seatPart + digest))
+	require.NoError(t, err)
+	assert.True(t, os.SameFile(before, after))
+}
+
+func TestTornEndOfASeatsLogIsCutOffWhereverItIsTorn(t *testing.T) {
+	folder, s := seatFolder(t)
+	d, _ := opened(t, folder, s)
+	d.take(&council.Write{Number: 1, Base: []byte("base"), Records: [][]byte{[]byte("first"), []byte("second")}})
+	path := d.path(d.logName())
+	d.close()
+	whole, err := os.ReadFile(path)
+	require.NoError(t, err)
+	first := seatRecord + len("first")
+	for cut := range whole {
+		want := [][]byte(nil)
+		if cut >= first {
+			want = [][]byte{[]byte("first")}
+		}
+		require.NoError(t, os.WriteFile(path, whole[:cut], 0o600))
+		d, there := opened(t, folder, s)
+		assert.Equal(t, want, there.Records, "cut at %d", cut)
+		d.take(&council.Write{Number: 2, Records: [][]byte{[]byte("next")}})
+		d.close()
+		d, there = opened(t, folder, s)
+		assert.Equal(t, append(want, []byte("next")), there.Records, "what follows stands behind what is whole")
+		d.close()
+	}
+	for at := range whole { // and a bit that is another
+		spoilt := append([]byte(nil), whole...)
+		spoilt[at] ^= 4
+		records, _ := readRecords(spoilt)
+		assert.Less(t, len(records), 2, "byte %d", at)
+	}
+}
+
+func TestSpoiltBaseOrPartIsToldAndChangesNothing(t *testing.T) {
+	folder, s := seatFolder(t)
+	d, _ := opened(t, folder, s)
+	digest, parts := part("large")
+	d.take(&council.Write{Number: 1, Base: []byte("base"), Parts: parts, Records: [][]byte{[]byte("a")}})
+	d.close()
+	for _, name := range []string{seatBase, seatPart + digest} {
+		path := filepath.Join(folder, name)
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		for at := range text {
+			spoilt := append([]byte(nil), text...)
+			spoilt[at] ^= 4
+			require.NoError(t, os.WriteFile(path, spoilt, 0o600))
+			_, _, err = openSeat(s, folder)
+			assert.ErrorContains(t, err, path, "byte %d", at)
+		}
+		require.NoError(t, os.WriteFile(path, text, 0o600))
+	}
+	_, there := opened(t, folder, s)
+	assert.Len(t, there.Records, 1)
+}
+
+func TestSeatIsToldOfADiskThatFails(t *testing.T) {
+	folder, s := seatFolder(t)
+	d, _ := opened(t, folder, s)
+	d.take(&council.Write{Number: 1, Base: []byte("base")})
+	<-s.heard
+	d.log.Close()
+	d.take(&council.Write{Number: 2, Records: [][]byte{[]byte("a")}})
+	assert.Error(t, (<-s.heard).Err)
+	d.take(&council.Write{Number: 3, Records: [][]byte{[]byte("b")}})
+	assert.Error(t, (<-s.heard).Err, "and of nothing that counts after it")
+}
--- a/server/server.go
+++ b/server/server.go
@@ -59,8 +59,9 @@
 	ctx     context.Context
 	group   *errgroup.Group
 
-	peers     *peering // nil without a fleet
-	kept      *keeping // nil without a store
+	peers     *peering  // nil without a fleet
+	kept      *keeping  // nil without a store
+	seat      *seatDisk // nil without a seat that keeps what it knows
 	listener  *net.TCPListener
 	conns     *connections
 	links     map[int]*link // only the loop's
@@ -80,7 +81,7 @@
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	s.state.Spare = spare - 1 // the last place is for the next one to be accepted
 	if h := nameplate.Hollow; h != nil {
-		s.state.Hollow(h.Counters)
+		s.state.Hollow(h.Counters, h.OnlySeat)
 	}
 	if nameplate.Fleet != nil {
 		s.join(nameplate.Fleet)
@@ -212,6 +213,10 @@
 			return err
 		}
 	}
+	if err := s.takeSeat(); err != nil {
+		s.listener.Close()
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	s.group, s.ctx = group, ctx
 	s.conns = newConnections(s)
@@ -221,9 +226,15 @@
 	if s.peers != nil {
 		if err := s.peers.run(); err != nil {
 			s.listener.Close()
+			if s.seat != nil {
+				s.seat.close()
+			}
 			return err
 		}
 	}
+	if s.seat != nil {
+		group.Go(func() error { s.seat.run(); return nil })
+	}
 	if s.kept != nil {
 		group.Go(func() error { s.kept.run(); return nil })
 	}
@@ -385,6 +396,8 @@
 		s.turned(e.Turn)
 	case reducer.Keep:
 		s.kept.keep(e)
+	case reducer.Persist:
+		s.seat.keep(e.Write)
 	case reducer.PeerSend:
 		select {
 		case s.peers.out <- *e:
