--- a/cmd/topazpost/seat.go
+++ b/cmd/topazpost/seat.go
@@ -46,7 +46,7 @@
 	}
 	log = log.Level(level).With().Timestamp().Logger()
 	n := &server.Nameplate{Name: c.Name, StopMS: seatStopMS, Sockets: seatSockets, Fleet: fleet, Hollow: server.OnlySeat(),
-		Settings: &plate.Plate{Operations: map[string]int32{}, Tenants: map[string]int32{}}}
+		Settings: &plate.Plate{Operations: plate.NewNames(), Tenants: plate.NewNames()}}
 	n.Settings.Nameplate.Seed = int64(os.Getpid())
 	log.Info().Str("name", c.Name).Strs("seats", fleet.Council.Seats).Str("folder", fleet.Council.Folder).Msg("a seat of the council, serving nothing")
 	node := server.New(n, log, server.SystemClock())
--- a/membership/view.go
+++ b/membership/view.go
@@ -3,37 +3,120 @@
 import (
 	"cmp"
 	"slices"
+
+	"topazpost/must"
 )
 
 // follow finds whom a path of links leads to: links that both ends tell of, from this node on.
 func (m *Members) follow() {
-	m.stamp++
-	m.mark[0] = m.stamp
+	last := m.follows
+	m.follows++
+	m.followed[0], m.members[0].reached = m.follows, true
 	m.stack = append(m.stack[:0], 0)
 	for len(m.stack) > 0 {
 		i := m.stack[len(m.stack)-1]
 		m.stack = m.stack[:len(m.stack)-1]
-		u := &m.members[i]
-		for _, id := range u.rec.Links {
-			j, known := m.byID[id]
-			if !known || m.mark[j] == m.stamp || m.members[j].rec.Left {
+		for _, j := range m.linked(i) {
+			if m.followed[j] == m.follows || m.near[j].left {
 				continue
 			}
-			if _, both := slices.BinarySearch(m.members[j].rec.Links, u.id); both {
-				m.mark[j] = m.stamp
-				m.stack = append(m.stack, j)
+			if m.followed[j] != last {
+				b := &m.members[j]
+				b.reached, b.lost, m.calm[j] = true, 0, false
 			}
+			m.followed[j] = m.follows
+			m.stack = append(m.stack, int32(j))
 		}
 	}
-	for i := range m.members {
+	for i, at := range m.followed {
+		if at != last {
+			continue
+		}
 		b := &m.members[i]
-		b.reached = m.mark[i] == m.stamp
-		if b.reached {
-			b.lost = 0
-		} else if b.in && b.lost == 0 {
+		if b.reached, m.calm[i] = false, false; b.in && b.lost == 0 {
 			b.lost = m.t
 		}
 	}
+	if must.Debug {
+		m.checkNear()
+	}
+}
+
+// linked are those with whom a member has a link that both ends tell of.
+func (m *Members) linked(i int32) []uint16 {
+	n := &m.near[i]
+	return n.at[:n.n]
+}
+
+// relink has the links that both ends tell of follow a member's record, whose links were others before, and notes
+// whose word a loss rests on: of those that a member had a link to and has no more.
+func (m *Members) relink(i int32, before, after []ID) {
+	self := m.members[i].id
+	for _, id := range before {
+		if tells(after, id) {
+			continue
+		}
+		if j, known := m.byID[id]; known {
+			if i > 0 { // its own are lost by its own word, said where that is noticed
+				m.members[j].word = self
+			}
+			if m.unlink(i, j) {
+				m.unlink(j, i)
+			}
+		}
+	}
+	for _, id := range after {
+		if tells(before, id) || !tells(after, id) {
+			continue
+		}
+		if j, known := m.byID[id]; known && j != i && tells(m.members[j].rec.Links, self) && !slices.Contains(m.linked(i), uint16(j)) {
+			m.near[i].link(j)
+			m.near[j].link(i)
+		}
+	}
+}
+
+// link takes a member up among those that another is linked with: one for each id of its record at the most.
+func (n *near) link(j int32) {
+	n.at[n.n] = uint16(j)
+	n.n++
+}
+
+// unlink takes a member out of them, and says whether it was one.
+func (m *Members) unlink(i, j int32) bool {
+	n := &m.near[i]
+	at := slices.Index(m.linked(i), uint16(j))
+	if at < 0 {
+		return false
+	}
+	n.n--
+	n.at[at] = n.at[n.n]
+	return true
+}
+
+// tells says whether an id is among the links of a record.
+func tells(links []ID, id ID) bool {
+	_, found := slices.BinarySearch(links, id)
+	return found
+}
+
+// checkNear holds the links that are kept against those of the records.
+func (m *Members) checkNear() {
+	for i := range m.members {
+		b, n, kept := &m.members[i], 0, m.linked(int32(i))
+		m.Guard.Hold(i == 0 || m.near[i].left == b.rec.Left && b.reached == (m.followed[i] == m.follows), "what is followed is as the records are")
+		if b.rec.Name == "" {
+			m.Guard.Hold(len(kept) == 0, "nobody is linked with the forgotten")
+			continue
+		}
+		for j := range m.members {
+			if o := &m.members[j]; i != j && o.rec.Name != "" && tells(b.rec.Links, o.id) && tells(o.rec.Links, b.id) {
+				n++
+				m.Guard.Hold(slices.Contains(kept, uint16(j)), "a link that both ends tell of is kept")
+			}
+		}
+		m.Guard.Hold(n == len(kept), "a link is kept only where both ends tell of it")
+	}
 }
 
 // keepView lets the view follow what is reached: those that come at once, those that are lost once that has lasted.
@@ -54,8 +137,12 @@
 	}
 	m.viewAt = m.t + viewEvery
 	for i := 1; i < len(m.members); i++ {
+		if m.calm[i] {
+			continue
+		}
 		b := &m.members[i]
 		if b.rec.Name == "" {
+			m.calm[i] = true
 			continue
 		}
 		switch {
@@ -78,6 +165,7 @@
 				b.falls = 0
 			}
 			m.status(b, Alive)
+			m.calm[i] = b.falls == 0
 		case b.reached && !b.rec.Left && m.t >= m.backAt(b):
 			m.enter(b)
 		case b.reached && !b.rec.Left:
@@ -113,6 +201,7 @@
 	}
 	b.in, b.was = true, true
 	m.inView++
+	m.hash ^= b.life()
 	if !b.counted {
 		b.counted = true
 		m.digest ^= b.hash()
@@ -125,6 +214,7 @@
 func (m *Members) leave(b *member, cause Cause) {
 	b.in, b.out, b.hope = false, m.t, 0
 	m.inView--
+	m.hash ^= b.life()
 	m.status(b, map[bool]Status{true: Left, false: Dead}[cause == Departed])
 	after := int64(0)
 	if b.lost > 0 {
@@ -144,9 +234,11 @@
 func (m *Members) changed(cause Cause, b *member, inc uint64, word string, after int64) {
 	m.number++
 	m.Counters.Views++
-	hash, size := m.Hash()
+	if must.Debug {
+		m.Guard.Hold(m.hash == m.View().Hash, "the hash is that of the view")
+	}
 	m.do(Effect{Kind: Changed, Change: Change{Number: m.number, Cause: cause, Who: b.rec.Name, Inc: inc, Word: word,
-		After: after, Size: size, Hash: hash}})
+		After: after, Size: m.inView, Hash: m.hash}})
 }
 
 // keepTies looks for those with whom there is no link: seeds, the lost, and neighbours whose table stays different.
@@ -209,6 +301,9 @@
 func (m *Members) knock() {
 	for range m.members {
 		m.knockPos = (m.knockPos + 1) % len(m.members)
+		if m.calm[m.knockPos] {
+			continue
+		}
 		b := &m.members[m.knockPos]
 		if b.rec.Name == "" || b.in || b.rec.Left || b.link >= 0 || m.knockPos == 0 {
 			continue
@@ -371,7 +466,7 @@
 			Facts: b.rec.Facts, Links: len(b.rec.Links), Since: m.t - b.since, Born: b.rec.Born}
 		v.Members = append(v.Members, s)
 		if b.in {
-			v.Hash ^= mix(uint64(b.id), uint64(b.rec.Born))
+			v.Hash ^= b.life()
 		}
 		if !b.rec.Left {
 			known++
@@ -394,14 +489,7 @@
 }
 
 // Hash tells views apart without making one: of names and lives.
-func (m *Members) Hash() (hash uint64, size int) {
-	for i := range m.members {
-		if b := &m.members[i]; b.in {
-			hash ^= mix(uint64(b.id), uint64(b.rec.Born))
-		}
-	}
-	return hash, m.inView
-}
+func (m *Members) Hash() (hash uint64, size int) { return m.hash, m.inView }
 
 // AddressOf is where a member hears its peers, false for one that is not known.
 func (m *Members) AddressOf(name string) (string, bool) {
--- a/reducer/hollow.go
+++ b/reducer/hollow.go
@@ -85,9 +85,9 @@
 
 // hollowOperation is the first that is deduplicated.
 func (r *Reducer) hollowOperation() string {
-	for i, name := range r.claimed.names {
+	for i := range r.plate.Nameplate.Operations {
 		if r.plate.Nameplate.Operations[i].Effect == node.Tokened {
-			return name
+			return r.plate.Operations.Name(int32(i))
 		}
 	}
 	return "hollow"
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -7,6 +7,7 @@
 	"topazpost/frame"
 	"topazpost/lines"
 	"topazpost/membership"
+	"topazpost/plate"
 	"topazpost/results"
 )
 
@@ -43,9 +44,10 @@
 	PeerTold                        // a letter on a stream of a peer
 	PeerHungUp                      // a stream ended
 	Adopt                           // there is a plan of levels, another one, or none any more
-	Persisted                       // writes of the council\'s seat count up to Number, or the disk failed
+	Persisted                       // writes of the council's seat count up to Number, or the disk failed
 	TokenWanted                     // a hollow node is to claim a token, Bytes
 	CallsWanted                     // a hollow node wants so many calls at a time, Link
+	Amend                           // a version of the configuration is to come into force
 )
 
 // Addresses are where the peers of a node are.
@@ -64,6 +66,9 @@
 	Kept   []results.Stored
 	Number uint64 // Persisted
 	From   string // address of the peer that sent them
+
+	Version uint64           // Amend
+	Change  *plate.Amendment // Amend
 }
 
 // EffectKind names what is to be done.
@@ -97,7 +102,9 @@
 	ViewChanged                       // tell of a change of the view
 	PeerStream                        // write a letter to the stream Link, or where that is gone or 0 to one to Address
 	PeerHangUp                        // end the stream
-	Persist                           // carry out Write on the disk of the council\'s seat, in order, giving Persisted
+	Persist                           // carry out Write on the disk of the council's seat, in order, giving Persisted
+	Amended                           // a version is in force, or with Err it is refused and nothing is changed
+	Slower                            // callers may wait for At ns from now on
 )
 
 // Level is how loud a remark is.
@@ -127,4 +134,5 @@
 	Change  *membership.Change
 	Kept    *results.Stored
 	Write   *council.Write // Persist
+	Version uint64         // Amended
 }
