--- a/reducer/hollow_test.go
+++ b/reducer/hollow_test.go
@@ -18,7 +18,7 @@
 	p, err := plate.FromJSON(1, []byte(tokened))
 	require.NoError(t, err)
 	r, c := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3), new(HollowCounters)
-	r.Hollow(c)
+	r.Hollow(c, false)
 	r.Peer("tests", membership.New(charter, 0, 1_000_000*ms, 0, 1))
 	r.Convene([]string{charter.Name}, 4<<20, 0, 1)
 	r.Lease(quota.Terms{Name: "calls", Units: 5, Hold: 500 * ms, Term: 3_000 * ms}, 1)
