--- a/lab/experiments/fleet-scale.jsonnet
+++ b/lab/experiments/fleet-scale.jsonnet
@@ -1,6 +1,6 @@
 {
   name: 'fleet-scale',
-  about: 'The fleet of two years from now on real sockets: 1,300 nodes in 7 regions and 15 zones, 30 of them whole daemons. A herd of joins, a lost rack and zone, a region cut for a minute, a roll of some.',
+  about: 'The fleet of two years from now on real sockets: 1,300 nodes in 7 regions and 15 zones, 30 of them whole daemons. A herd of joins, a lost rack and zone, a region cut for a minute, a roll of some. It wants a machine with nothing beside it.',
   processes: true,
   nodes: 1300,
   hollow: 1270,
