--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -60,7 +60,7 @@
 	self := r.peers.members.Self()
 	c := &r.claimed
 	*c = claimed{self: claims.Owner{Name: self.Name, Life: uint64(self.Born)}, seats: slices.Sorted(slices.Values(seats)), links: map[string]int{}}
-	if r.kept.keeper != nil || r.hollow.on {
+	if r.kept.keeper != nil || r.hollow.on && !r.hollow.onlySeat {
 		c.desk = claims.NewDesk(c.self)
 	}
 	if c.asks = slices.Index(c.seats, self.Name); c.asks >= 0 {
@@ -71,6 +71,14 @@
 	}
 }
 
+// Seated says whether this node has a seat in the council.
+func (r *Reducer) Seated() bool { return r.claimed.seat != nil }
+
+// RecoverSeat has the seat go on from what a disk holds, and keep there what it must not forget, before the first step.
+func (r *Reducer) RecoverSeat(now int64, there council.Disk) error {
+	return r.claimed.seat.Recover(now, there)
+}
+
 // Claims is what an operator may want to see of them, nil without a council.
 func (r *Reducer) Claims() *council.Picture {
 	c := &r.claimed
@@ -138,7 +146,7 @@
 		return
 	}
 	r.want(claims.Input{Want: claims.Arrived, Key: r.claimKey(v.key), Body: v.hash, For: v.due - r.now, Call: v.call, Work: text,
-		Window: r.known(v.key.Operation)})
+		Window: v.terms.known})
 }
 
 // fromStream takes what a node says on a stream.
@@ -241,6 +249,8 @@
 		switch e := &effects[k]; e.Kind {
 		case council.Send:
 			r.toNode(e.To, &e.Message)
+		case council.Persist:
+			r.do(Effect{Kind: Persist, Write: e.Write})
 		case council.Remark:
 			r.remark(map[bool]Level{true: Warn, false: Info}[e.Warn], e.Text, "", nil)
 		}
@@ -344,7 +354,7 @@
 		return nil
 	}
 	v := invocation{live: true, conn: heir, call: w.Call, op: r.plate.Operations.Name(key.Operation), body: w.Body, key: key, hash: a.Body,
-		taken: r.now, due: r.now + a.For}
+		operation: key.Operation, tenant: key.Tenant, taken: r.now, due: r.now + a.For}
 	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: key.Tenant, Repeats: node.NoRepeat, Further: true,
 		Due: r.now + a.For, HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
 	i := r.admit(v)
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"topazpost/control"
+	"topazpost/council"
 	"topazpost/must"
 	"topazpost/node"
 	"topazpost/plate"
@@ -72,6 +73,9 @@
 	orphan         bool // its caller left, others wait for its run
 	runForm        node.Form
 	form           string // name of the level whose reduced form runs, empty for the whole operation
+	operation      int32
+	tenant         int32 // -1 where it has none
+	terms          *terms
 }
 
 // connection is a dispatcher's connection.
@@ -126,6 +130,8 @@
 	ReportsFailed     int `json:"reports_failed"`
 	Inherited         int `json:"inherited"`
 	InheritedGivenUp  int `json:"inherited_given_up"`
+	Versions          int `json:"versions"`
+	VersionsRefused   int `json:"versions_refused"`
 }
 
 // Decider is what decides about invocations: control.Post, or a baseline of the laboratory.
@@ -194,6 +200,7 @@
 	claimed claimed
 	leasing leasing
 	hollow  hollow
+	amended amended
 	later   []node.Event   // what the module is told in the next step: it was deciding
 	decided bool           // the module has decided in this step, or had nothing to decide
 	stateAt int64          // when the next sample of the state is due
@@ -201,8 +208,8 @@
 	counted Counters       // the counters at the last one
 }
 
-// New is the state of a node that has just started. Settings are those of its configuration, connections and
-// links the most that it is to keep of dispatchers and to the catalogue.
+// New is the state of a node that has just started. Settings are those of its configuration, and the node's own from then
+// on, since it amends them; connections and links are the most that it is to keep of dispatchers and to the catalogue.
 func New(settings *plate.Plate, to Addresses, stop int64, connections, links int) *Reducer {
 	r := &Reducer{plate: onSockets(settings), to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
 		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
@@ -252,6 +259,7 @@
 	}
 	r.keepTimers()
 	r.lapse()
+	r.keepAmended()
 	r.decided = true // what the module is told from here on is for the next step
 	if r.post != nil && len(r.events) > 0 {
 		for _, a := range r.post.Decide(now, r.events) {
@@ -295,6 +303,8 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
+	case Persisted:
+		r.claimed.heard = append(r.claimed.heard, council.Input{Persisted: in.Number, Err: in.Err})
 	case TokenWanted, CallsWanted:
 		r.fromLoad(in)
 	case ListenerClosed:
@@ -309,6 +319,8 @@
 		r.adopt(in.Plan)
 	case Adopt:
 		r.adopt(in.Plan)
+	case Amend:
+		r.amend(in)
 	}
 }
 
@@ -360,7 +372,7 @@
 	if r.hollow.on {
 		return r.hollowWake()
 	}
-	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue())
+	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue(), r.amendDue())
 	if len(r.later) > 0 {
 		at = r.now + 1
 	}
@@ -412,7 +424,7 @@
 	case node.Reuse:
 		r.reuse(a.Inv)
 	case node.Record:
-		r.invs[a.Inv].window = r.now + a.For + r.late(r.invs[a.Inv].key.Operation)
+		r.invs[a.Inv].window = r.now + a.For + r.invs[a.Inv].terms.late
 	case node.Release:
 		r.release(a.Inv)
 	default:
@@ -502,6 +514,7 @@
 // Admission of ids.
 
 func (r *Reducer) admit(v invocation) int32 {
+	r.amended.take(&v, r.termsNow(v.operation))
 	index := int32(len(r.invs))
 	if n := len(r.free); n > 0 {
 		index, r.free = r.free[n-1], r.free[:n-1]
@@ -527,6 +540,7 @@
 	if r.calls[v.call] == i {
 		delete(r.calls, v.call)
 	}
+	r.amended.over(v)
 	*v = invocation{}
 	r.free = append(r.free, i)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"topazpost/keep"
+	"topazpost/plate"
 	"topazpost/reducer"
 	"topazpost/results"
 )
@@ -59,8 +60,9 @@
 	ctx     context.Context
 	group   *errgroup.Group
 
-	peers     *peering // nil without a fleet
-	kept      *keeping // nil without a store
+	peers     *peering  // nil without a fleet
+	kept      *keeping  // nil without a store
+	seat      *seatDisk // nil without a seat that keeps what it knows
 	listener  *net.TCPListener
 	conns     *connections
 	links     map[int]*link // only the loop's
@@ -80,7 +82,7 @@
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	s.state.Spare = spare - 1 // the last place is for the next one to be accepted
 	if h := nameplate.Hollow; h != nil {
-		s.state.Hollow(h.Counters)
+		s.state.Hollow(h.Counters, h.OnlySeat)
 	}
 	if nameplate.Fleet != nil {
 		s.join(nameplate.Fleet)
@@ -137,6 +139,25 @@
 	}
 }
 
+// Amend brings a version of the configuration into force, between two steps; what comes of it is in the log. An error names
+// the item that is unsound by itself, and nothing is changed.
+func (s *Server) Amend(version uint64, items []plate.Item) error {
+	change, err := plate.Parse(items)
+	if err == nil && !s.tell(reducer.Input{Kind: reducer.Amend, Version: version, Change: change}) {
+		err = errLeft
+	}
+	return err
+}
+
+// amended tells of a version that is in force, or was refused.
+func (s *Server) amended(e *reducer.Effect) {
+	if e.Err != nil {
+		s.log.Warn().Uint64("version", e.Version).Err(e.Err).Msg("configuration: the version can't be taken, the one of before stays")
+		return
+	}
+	s.log.Info().Uint64("version", e.Version).Msg("configuration: the version is in force, " + e.Text)
+}
+
 // shares says how the descriptors are parted: among dispatchers' connections, those of them that are about to
 // close, and links to the catalogue.
 func (n *Nameplate) shares() (connections, closing, links int) {
@@ -214,6 +235,10 @@
 			return err
 		}
 	}
+	if err := s.takeSeat(); err != nil {
+		s.listener.Close()
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	s.group, s.ctx = group, ctx
 	s.conns = newConnections(s)
@@ -223,9 +248,15 @@
 	if s.peers != nil {
 		if err := s.peers.run(); err != nil {
 			s.listener.Close()
+			if s.seat != nil {
+				s.seat.close()
+			}
 			return err
 		}
 	}
+	if s.seat != nil {
+		group.Go(func() error { s.seat.run(); return nil })
+	}
 	if s.kept != nil {
 		group.Go(func() error { s.kept.run(); return nil })
 	}
@@ -387,6 +418,8 @@
 		s.turned(e.Turn)
 	case reducer.Keep:
 		s.kept.keep(e)
+	case reducer.Persist:
+		s.seat.keep(e.Write)
 	case reducer.PeerSend:
 		select {
 		case s.peers.out <- *e:
@@ -401,6 +434,10 @@
 		s.peers.streams.send(e)
 	case reducer.PeerHangUp:
 		s.peers.streams.disconnect(e.Link)
+	case reducer.Amended:
+		s.amended(e)
+	case reducer.Slower:
+		s.conns.slower(e.At)
 	case reducer.ViewChanged:
 		s.viewChanged(e.Change)
 	case reducer.Remark:
