--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -169,6 +169,7 @@
 		Store   storage `cmd:"" help:"Look at the files that results are kept in."`
 		Members members `cmd:"" help:"Look at whom nodes have in their view of the fleet."`
 		Claims  claimed `cmd:"" help:"Look at claims of tokens that a fleet's council agrees on."`
+		Config  configs `cmd:"" help:"Put, look at and take back versions of the configuration that a fleet takes in service."`
 		Quota   quotas  `cmd:"" help:"Look at limits that hold for the whole fleet."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
--- a/membership/neighbours.go
+++ b/membership/neighbours.go
@@ -27,3 +27,14 @@
 	slices.Sort(names)
 	return names
 }
+
+// InView are the members of this node's view, itself among them, by name.
+func (m *Members) InView() (names []string) {
+	for i := range m.members {
+		if b := &m.members[i]; b.in {
+			names = append(names, b.rec.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- a/plate/amend.go
+++ b/plate/amend.go
@@ -154,46 +154,9 @@
 
 // Check says why a plate can't take an amendment as a whole, at the cost of the changes. Nothing is changed.
 func (p *Plate) Check(a *Amendment) error {
-	left, operations, tenants := p.Operations.Len(), 0, 0
-	for i := range a.Changes {
-		if c := &a.Changes[i]; c.Part == Tenants && !c.Removed {
-			tenants++
-		}
-	}
-	look := p.Tenants.live+tenants > tenantsMost // else there is room for all of them, known or not
-	tenants = 0
-	for i := range a.Changes {
-		c := &a.Changes[i]
-		switch {
-		case c.Part == Operations && c.Removed:
-			if _, known := p.Operations.Find(c.Name); known {
-				left--
-			}
-		case c.Part == Operations:
-			if _, known := p.Operations.Find(c.Name); !known {
-				left++
-			}
-			if _, known := p.Operations.Lookup(c.Name); !known {
-				operations++
-			}
-		case c.Part == Tenants && !c.Removed && look:
-			if _, known := p.Tenants.Lookup(c.Name); !known {
-				tenants++
-			}
-		}
-	}
-	if left < 1 {
-		return fmt.Errorf("plate: operations: none would be left; add one before the last is removed")
-	}
-	for _, t := range []struct {
-		part      string
-		all, most int
-	}{{Operations, p.Operations.live + operations, operationsMost}, {Tenants, p.Tenants.live + tenants, tenantsMost}} {
-		if t.all > t.most {
-			return fmt.Errorf("plate: %s: %d with those removed of late, %d at the most; wait, or remove some", t.part, t.all, t.most)
-		}
-	}
-	return nil
+	c := p.Checking()
+	c.Add(a.Changes)
+	return c.Err()
 }
 
 // Taken is what became of a change.
--- a/reducer/amend.go
+++ b/reducer/amend.go
@@ -17,10 +17,11 @@
 )
 
 var (
-	errRetired = errors.New("the operation or tenant is not in service any more")
-	errVersion = errors.New("it comes after one that is as new")
-	errWaiting = errors.New("too many versions wait to be taken; try again")
-	errNumbers = errors.New("results are kept in a folder by the numbers of operation and tenant, so adding or removing one takes a new start; " +
+	errRetired     = errors.New("the operation or tenant is not in service any more")
+	errVersion     = errors.New("it comes after one that is as new")
+	errWaiting     = errors.New("too many versions wait to be taken; try again")
+	errNoCatalogue = errors.New("class_calls: it makes calls, and this node's own file names no catalogue; set catalog there and restart the node, or leave it out")
+	errNumbers     = errors.New("results are kept in a folder by the numbers of operation and tenant, so adding or removing one takes a new start; " +
 		"keep them in the fleet's council, or restart with a new file")
 )
 
@@ -177,19 +178,31 @@
 
 // fits says why a version can't be taken; nothing is changed.
 func (r *Reducer) fits(v *version) error {
-	if r.amended.numbers {
-		for i := range v.changes {
-			c := &v.changes[i]
-			_, operation := r.plate.Operations.Find(c.Name)
-			_, tenant := r.plate.Tenants.Find(c.Name)
-			if c.Part == plate.Operations && operation == c.Removed || c.Part == plate.Tenants && tenant == c.Removed {
-				return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
-			}
-		}
+	if err := r.misfits(v.changes); err != nil {
+		return err
 	}
 	return r.plate.Check(&plate.Amendment{Changes: v.changes})
 }
 
+// misfits says which of some changes this node can't take, by what only its own files say.
+func (r *Reducer) misfits(changes []plate.Change) error {
+	for i := range changes {
+		c := &changes[i]
+		if c.Part == plate.Operations && !c.Removed && c.Operation.MayCall && r.to.Catalogue == "" && !r.hollow.on {
+			return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNoCatalogue)
+		}
+		if !r.amended.numbers {
+			continue
+		}
+		_, operation := r.plate.Operations.Find(c.Name)
+		_, tenant := r.plate.Tenants.Find(c.Name)
+		if c.Part == plate.Operations && operation == c.Removed || c.Part == plate.Tenants && tenant == c.Removed {
+			return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
+		}
+	}
+	return nil
+}
+
 // change brings one change into force.
 func (r *Reducer) change(v *version, c plate.Change) {
 	a := &r.amended
@@ -295,6 +308,12 @@
 	}
 }
 
+// amendedTo notes that all of a version is in force that was taken by change.
+func (r *Reducer) amendedTo(v *version) {
+	r.amended.number = max(r.amended.number, v.number)
+	r.Counters.Versions++
+}
+
 // amendDue is when the next step is needed: at once while something waits; what is out of service waits for any step.
 func (r *Reducer) amendDue() int64 {
 	if len(r.amended.waiting) > 0 {
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"topazpost/claims"
+	"topazpost/configuration"
 	"topazpost/council"
 	"topazpost/frame"
 	"topazpost/letter"
@@ -186,6 +187,7 @@
 		}
 	}
 	r.leasing.grants = append(r.leasing.grants, m.Grants...)
+	r.configuring.decided(m.Decided)
 	for k := range m.Verdicts {
 		r.want(claims.Input{Want: claims.Answered, Verdict: m.Verdicts[k]})
 	}
@@ -308,7 +310,7 @@
 
 // askCouncil sends commands and asks for leases to a seat: this node's own while it knows a leader, else the one that
 // answered last, and another one where that is silent.
-func (r *Reducer) askCouncil(commands []claims.Command, leases []quota.Command) {
+func (r *Reducer) askCouncil(commands []claims.Command, leases []quota.Command, proposed ...configuration.Command) {
 	c := &r.claimed
 	if c.since == 0 {
 		c.since = r.now
@@ -316,14 +318,29 @@
 		c.asks, c.since = (c.asks+1)%len(c.seats), r.now
 	}
 	if c.seat != nil && c.seat.Leader() != "" {
-		c.heard = append(c.heard, council.Input{Own: slices.Clone(commands), Leases: leases})
+		c.heard = append(c.heard, council.Input{Own: slices.Clone(commands), Leases: leases, Proposed: proposed, Owner: c.self})
 		return
 	}
 	if to := c.seats[c.asks]; to != c.self.Name {
-		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: commands, Leases: leases})
+		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: commands, Leases: leases, Proposed: proposed})
 	}
 }
 
+// orderAtSeat has this node's seat order what it wants ordered of itself.
+func (r *Reducer) orderAtSeat(command *configuration.Command) {
+	if c := &r.claimed; c.seat != nil {
+		c.heard = append(c.heard, council.Input{Proposed: []configuration.Command{*command}})
+	}
+}
+
+// agreedAtSeat is what this node's seat knows to be agreed on of the configuration, where that changed since it was last asked.
+func (r *Reducer) agreedAtSeat() (agreed *configuration.Agreed, changed bool) {
+	if c := &r.claimed; c.seat != nil {
+		return c.seat.Configured()
+	}
+	return nil, false
+}
+
 // inherit takes in what a lost node had claimed, as an invocation whose caller is not here. Its due time stays; its latency
 // objective counts from now on, or the module would give up as hopeless what was lost with its node.
 func (r *Reducer) inherit(key results.Key, a *claims.Action) error {
--- a/reducer/hollow.go
+++ b/reducer/hollow.go
@@ -159,7 +159,7 @@
 
 // hollowWake is when a hollow node is to step again.
 func (r *Reducer) hollowWake() int64 {
-	at := min(r.peersDue(), r.claimsDue(), r.leaseDue())
+	at := min(r.peersDue(), r.claimsDue(), r.leaseDue(), r.configurationDue())
 	if at == math.MaxInt64 {
 		return never
 	}
--- a/reducer/peers.go
+++ b/reducer/peers.go
@@ -31,6 +31,13 @@
 	Fleet   int `json:"another_fleet"`
 }
 
+// peerLetter is the body of a letter that is a datagram or part of an exchange: membership's, or in a key of its own another
+// door's. A build that lacks the door finds a message of no kind, and refuses it.
+type peerLetter struct {
+	membership.Message
+	Configuration *configurationLetter `cbor:"10,keyasint,omitempty"`
+}
+
 // Peer makes the node one of a fleet, before its first step.
 func (r *Reducer) Peer(fleet string, members *membership.Members) {
 	r.peers = peers{members: members, fleet: letter.FleetOf(fleet), loose: -1}
@@ -49,16 +56,25 @@
 	if p.members == nil {
 		return
 	}
+	if in.Link >= configurationLinks && (in.Kind == PeerMissed || in.Kind == PeerAnswered) {
+		r.answeredConfiguration(in)
+		return
+	}
 	if in.Kind == PeerMissed {
 		r.remark(Debug, "exchange with a peer came to nothing", "", in.Err)
 		p.inputs = append(p.inputs, membership.Input{Kind: membership.Missed, Link: in.Link})
 		return
 	}
-	msg := new(membership.Message)
-	if err := letter.Open(in.Bytes, p.fleet, msg); err != nil {
+	body := new(peerLetter)
+	if err := letter.Open(in.Bytes, p.fleet, body); err != nil {
 		r.unusable(in, err)
 		return
 	}
+	if body.Configuration != nil {
+		r.fromConfiguration(in, body.Configuration)
+		return
+	}
+	msg := &body.Message
 	if datagram := msg.Kind <= membership.News; datagram != (in.Kind == PeerCame) || msg.Kind == 0 {
 		r.unusable(in, fmt.Errorf("%w: kind %d does not belong there", letter.ErrSpoilt, msg.Kind))
 		return
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -199,6 +199,9 @@
 	leasing leasing
 	hollow  hollow
 	amended amended
+
+	configuring configuring
+
 	later   []node.Event   // what the module is told in the next step: it was deciding
 	decided bool           // the module has decided in this step, or had nothing to decide
 	stateAt int64          // when the next sample of the state is due
@@ -255,6 +258,7 @@
 	r.keepTimers()
 	r.lapse()
 	r.keepAmended()
+	r.keepTaking()
 	r.decided = true // what the module is told from here on is for the next step
 	if r.post != nil && len(r.events) > 0 {
 		for _, a := range r.post.Decide(now, r.events) {
@@ -266,6 +270,7 @@
 	r.keepClaims()
 	r.prove()
 	r.keepState()
+	r.keepConfiguration()
 	r.keepPeers()
 	r.keepLeaving()
 	wake := r.wake()
@@ -298,6 +303,8 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
+	case ConfigurationKept:
+		r.keptConfiguration(in)
 	case TokenWanted, CallsWanted:
 		r.fromLoad(in)
 	case ListenerClosed:
@@ -365,7 +372,7 @@
 	if r.hollow.on {
 		return r.hollowWake()
 	}
-	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue(), r.amendDue())
+	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue(), r.amendDue(), r.configurationDue())
 	if len(r.later) > 0 {
 		at = r.now + 1
 	}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -20,6 +20,8 @@
 	Unread      int            `json:"unread"`       // commands that the executor may not have read
 	GaugeAge    int64          `json:"gauge_age_ns"` // -1 before the first
 	Synced      bool           `json:"synced"`       // the executor's link carries commands
+
+	Configuration *ConfigurationState `json:"configuration,omitempty"` // nil where it isn't taken in service
 }
 
 // keepState samples the state once a second while the module decides; the beat keeps the node awake for it.
@@ -41,6 +43,7 @@
 	if r.metered < 0 {
 		s.GaugeAge = -1
 	}
+	s.Configuration = r.Configuration()
 	if l := &r.levels; l.plan != nil {
 		s.Level, s.Loads = l.plan.LevelName(l.steps.Level()), l.steps.Loads()
 	}
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -3,6 +3,7 @@
 package reducer
 
 import (
+	"topazpost/configuration"
 	"topazpost/frame"
 	"topazpost/lines"
 	"topazpost/membership"
@@ -16,36 +17,37 @@
 // The inputs. A connection is named by a number of the server's, a link by that of the effect that opened it;
 // neither is ever used twice.
 const (
-	Opened         InputKind = iota // a dispatcher's connection was accepted
-	Read                            // a frame came on it
-	Malformed                       // what came on it can't be read any further
-	Closed                          // it is gone
-	ListenerClosed                  // the listening socket is closed, and all that the system took there was handed on
-	Joined                          // a link to the executor is up
-	Told                            // a line came on it
-	Parted                          // it ended, or could not be had
-	Reached                         // a link to the catalogue is up
-	Replied                         // a line came on it
-	Unreached                       // a link to the catalogue could not be had
-	Broke                           // it ended
-	Reported                        // a report to the control plane ended
-	Notice                          // the node is to drain
-	Abort                           // it is to be done with that now: what is in hand is aborted and answered
-	Reload                          // the peers have new addresses, and there may be another plan of levels
-	KeptRecords                     // records of an earlier life that the store held
-	KeptRead                        // all of them were read
-	KeptWritten                     // what was to be kept is written
-	KeptUnwritten                   // it could not be
-	PeerCame                        // a datagram of a peer
-	PeerAsked                       // a peer opened an exchange, with its message
-	PeerAnswered                    // the answer to an exchange of ours
-	PeerMissed                      // an exchange of ours came to nothing
-	PeerTold                        // a letter on a stream of a peer
-	PeerHungUp                      // a stream ended
-	Adopt                           // there is a plan of levels, another one, or none any more
-	TokenWanted                     // a hollow node is to claim a token, Bytes
-	CallsWanted                     // a hollow node wants so many calls at a time, Link
-	Amend                           // a version of the configuration is to come into force
+	Opened            InputKind = iota // a dispatcher's connection was accepted
+	Read                               // a frame came on it
+	Malformed                          // what came on it can't be read any further
+	Closed                             // it is gone
+	ListenerClosed                     // the listening socket is closed, and all that the system took there was handed on
+	Joined                             // a link to the executor is up
+	Told                               // a line came on it
+	Parted                             // it ended, or could not be had
+	Reached                            // a link to the catalogue is up
+	Replied                            // a line came on it
+	Unreached                          // a link to the catalogue could not be had
+	Broke                              // it ended
+	Reported                           // a report to the control plane ended
+	Notice                             // the node is to drain
+	Abort                              // it is to be done with that now: what is in hand is aborted and answered
+	Reload                             // the peers have new addresses, and there may be another plan of levels
+	KeptRecords                        // records of an earlier life that the store held
+	KeptRead                           // all of them were read
+	KeptWritten                        // what was to be kept is written
+	KeptUnwritten                      // it could not be
+	PeerCame                           // a datagram of a peer
+	PeerAsked                          // a peer opened an exchange, with its message
+	PeerAnswered                       // the answer to an exchange of ours
+	PeerMissed                         // an exchange of ours came to nothing
+	PeerTold                           // a letter on a stream of a peer
+	PeerHungUp                         // a stream ended
+	Adopt                              // there is a plan of levels, another one, or none any more
+	ConfigurationKept                  // the last KeepConfiguration was carried out, or wasn't: Err
+	TokenWanted                        // a hollow node is to claim a token, Bytes
+	CallsWanted                        // a hollow node wants so many calls at a time, Link
+	Amend                              // a version of the configuration is to come into force
 )
 
 // Addresses are where the peers of a node are.
@@ -73,34 +75,36 @@
 
 // The effects.
 const (
-	Receive         EffectKind = iota // read frames from a new connection
-	Send                              // write to a connection
-	CloseAfterFlush                   // close it once all is written and nothing lies unread, giving the peer time to read; then Closed
-	Evict                             // the same without that time, and without waiting for the rest of a frame; it may follow CloseAfterFlush
-	Resume                            // not yet: an invocation came on it meanwhile
-	Ignore                            // read on slowly, only to see its end: nothing on it can be used
-	Dial                              // open a link to the executor, giving Joined or Parted
-	Tell                              // write to the executor
-	Part                              // close the link to the executor, giving Parted
-	Reach                             // open a link to the catalogue, giving Reached or Unreached
-	Ask                               // write to the catalogue
-	Quit                              // close the link to the catalogue, giving Broke
-	Report                            // report to the control plane, giving Reported
-	StopAccepting                     // close the listening socket once all that waits there is taken, giving ListenerClosed
-	Leave                             // all is done: end
-	Wake                              // step again at this time at the latest
-	Remark                            // log
-	Sample                            // show the state
-	Turned                            // tell of a change of level
-	Keep                              // write Kept to the store, giving KeptWritten or KeptUnwritten
-	PeerSend                          // send a datagram to a peer
-	PeerExchange                      // open an exchange with a peer, giving PeerAnswered or PeerMissed
-	PeerReply                         // answer the exchange that a peer opened; without bytes, close it
-	ViewChanged                       // tell of a change of the view
-	PeerStream                        // write a letter to the stream Link, or where that is gone or 0 to one to Address
-	PeerHangUp                        // end the stream
-	Amended                           // a version is in force, or with Err it is refused and nothing is changed
-	Slower                            // callers may wait for At ns from now on
+	Receive           EffectKind = iota // read frames from a new connection
+	Send                                // write to a connection
+	CloseAfterFlush                     // close it once all is written and nothing lies unread, giving the peer time to read; then Closed
+	Evict                               // the same without that time, and without waiting for the rest of a frame; it may follow CloseAfterFlush
+	Resume                              // not yet: an invocation came on it meanwhile
+	Ignore                              // read on slowly, only to see its end: nothing on it can be used
+	Dial                                // open a link to the executor, giving Joined or Parted
+	Tell                                // write to the executor
+	Part                                // close the link to the executor, giving Parted
+	Reach                               // open a link to the catalogue, giving Reached or Unreached
+	Ask                                 // write to the catalogue
+	Quit                                // close the link to the catalogue, giving Broke
+	Report                              // report to the control plane, giving Reported
+	StopAccepting                       // close the listening socket once all that waits there is taken, giving ListenerClosed
+	Leave                               // all is done: end
+	Wake                                // step again at this time at the latest
+	Remark                              // log
+	Sample                              // show the state
+	Turned                              // tell of a change of level
+	Keep                                // write Kept to the store, giving KeptWritten or KeptUnwritten
+	PeerSend                            // send a datagram to a peer
+	PeerExchange                        // open an exchange with a peer, giving PeerAnswered or PeerMissed
+	PeerReply                           // answer the exchange that a peer opened; without bytes, close it
+	ViewChanged                         // tell of a change of the view
+	PeerStream                          // write a letter to the stream Link, or where that is gone or 0 to one to Address
+	PeerHangUp                          // end the stream
+	Amended                             // a version is in force, or with Err it is refused and nothing is changed
+	KeepConfiguration                   // carry out Persisting on the disk, giving ConfigurationKept
+	InForce                             // tell of a version that came into force
+	Slower                              // callers may wait for At ns from now on
 )
 
 // Level is how loud a remark is.
@@ -130,4 +134,7 @@
 	Change  *membership.Change
 	Kept    *results.Stored
 	Version uint64 // Amended
+
+	Persisting *configuration.Effect // KeepConfiguration
+	InForce    *VersionInForce       // InForce
 }
--- a/server/hollow.go
+++ b/server/hollow.go
@@ -43,9 +43,15 @@
 	if s.peers == nil {
 		return errors.New("server: a hollow node without a fleet has nothing to do")
 	}
+	if err := s.takeConfiguration(); err != nil {
+		return err
+	}
 	if err := s.peers.run(); err != nil {
 		return err
 	}
+	if s.configuration != nil {
+		s.group.Go(func() error { s.configuration.run(); return nil })
+	}
 	s.group.Go(func() error { return s.loop() })
 	if err := s.group.Wait(); !errors.Is(err, errLeft) {
 		return err
--- a/server/server.go
+++ b/server/server.go
@@ -60,9 +60,12 @@
 	ctx     context.Context
 	group   *errgroup.Group
 
-	peers     *peering // nil without a fleet
-	kept      *keeping // nil without a store
-	listener  *net.TCPListener
+	peers    *peering // nil without a fleet
+	kept     *keeping // nil without a store
+	listener *net.TCPListener
+
+	configuration *configurationDisk // nil where no version is kept
+
 	conns     *connections
 	links     map[int]*link // only the loop's
 	reporter  http.Client
@@ -234,6 +237,10 @@
 			return err
 		}
 	}
+	if err := s.takeConfiguration(); err != nil {
+		s.listener.Close()
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	s.group, s.ctx = group, ctx
 	s.conns = newConnections(s)
@@ -246,6 +253,9 @@
 			return err
 		}
 	}
+	if s.configuration != nil {
+		group.Go(func() error { s.configuration.run(); return nil })
+	}
 	if s.kept != nil {
 		group.Go(func() error { s.kept.run(); return nil })
 	}
@@ -333,7 +343,7 @@
 			case e.Kind == reducer.Leave:
 				s.log.Info().Interface("counters", s.state.Counters).Interface("levels", s.state.Levels()).
 					Interface("results", s.state.Results()).Interface("peers", s.peerCounts()).
-					Interface("claims", s.state.Claims()).
+					Interface("claims", s.state.Claims()).Interface("configuration", s.state.Configuration()).
 					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
 				s.conns.flushAll()
 				if s.peers != nil {
@@ -423,6 +433,10 @@
 		s.peers.streams.disconnect(e.Link)
 	case reducer.Amended:
 		s.amended(e)
+	case reducer.KeepConfiguration:
+		s.keepConfiguration(e.Persisting)
+	case reducer.InForce:
+		s.inForce(e.InForce)
 	case reducer.Slower:
 		s.conns.slower(e.At)
 	case reducer.ViewChanged:
--- a/server/sites_test.go
+++ b/server/sites_test.go
@@ -66,8 +66,8 @@
 	return s
 }
 
-// configuration is that of a node of a site, in the site's own words.
-func configuration(t *testing.T, s *site, w *wire) []byte {
+// configurationOf is that of a node of a site, in the site's own words.
+func configurationOf(t *testing.T, s *site, w *wire) []byte {
 	var classes, tenants []any
 	var calls []bool
 	for k, c := range s.Classes {
@@ -108,7 +108,7 @@
 		require.NoError(t, err)
 		var s site
 		require.NoError(t, toml.Unmarshal(text, &s), file)
-		text = configuration(t, &s, &w)
+		text = configurationOf(t, &s, &w)
 		n, err := ReadNameplate(text)
 		require.NoError(t, err, file)
 		samePlate(t, text, n)
