--- a/council/configuration.go
+++ b/council/configuration.go
@@ -33,6 +33,7 @@
 	table    *configuration.Table
 	used     bool // something of it was agreed on: else snapshots hold nothing of it
 	changed  bool // since it was last told
+	told     bool // what was agreed on, and not that nothing is known
 	queued   []configuration.Command
 	pending  map[configured]proposedBy
 	verdicts map[claims.Owner][]configuration.Verdict
@@ -162,10 +163,10 @@
 // council yet, or again, knows nothing: nil.
 func (c *Council) Configured() (agreed *configuration.Agreed, changed bool) {
 	x := c.versions
-	if changed = x.changed; changed && c.founded {
+	if changed = x.changed || x.told != c.founded; changed && c.founded {
 		agreed = x.table.Agreed()
 	}
-	x.changed = false
+	x.changed, x.told = false, c.founded
 	return agreed, changed
 }
 
--- a/membership/neighbours.go
+++ b/membership/neighbours.go
@@ -13,12 +13,9 @@
 	return names
 }
 
-// InZone are the other live members of this node's zone, by name; none where it has no zone.
+// InZone are the other live members of this node's zone, by name; those without a zone are of one.
 func (m *Members) InZone() (names []string) {
 	zone := m.members[0].rec.Facts.Zone
-	if zone == "" {
-		return nil
-	}
 	for i := range m.members {
 		if b := &m.members[i]; i > 0 && b.in && b.rec.Facts.Zone == zone {
 			names = append(names, b.rec.Name)
