--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -61,7 +61,7 @@
 	self := r.peers.members.Self()
 	c := &r.claimed
 	*c = claimed{self: claims.Owner{Name: self.Name, Life: uint64(self.Born)}, seats: slices.Sorted(slices.Values(seats)), links: map[string]int{}}
-	if r.kept.keeper != nil || r.hollow.on {
+	if r.kept.keeper != nil || r.hollow.on && !r.hollow.onlySeat {
 		c.desk = claims.NewDesk(c.self)
 	}
 	if c.asks = slices.Index(c.seats, self.Name); c.asks >= 0 {
@@ -72,6 +72,14 @@
 	}
 }
 
+// Seated says whether this node has a seat in the council.
+func (r *Reducer) Seated() bool { return r.claimed.seat != nil }
+
+// RecoverSeat has the seat go on from what a disk holds, and keep there what it must not forget, before the first step.
+func (r *Reducer) RecoverSeat(now int64, there council.Disk) error {
+	return r.claimed.seat.Recover(now, there)
+}
+
 // Claims is what an operator may want to see of them, nil without a council.
 func (r *Reducer) Claims() *council.Picture {
 	c := &r.claimed
@@ -243,6 +251,8 @@
 		switch e := &effects[k]; e.Kind {
 		case council.Send:
 			r.toNode(e.To, &e.Message)
+		case council.Persist:
+			r.do(Effect{Kind: Persist, Write: e.Write})
 		case council.Remark:
 			r.remark(map[bool]Level{true: Warn, false: Info}[e.Warn], e.Text, "", nil)
 		}
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"topazpost/control"
+	"topazpost/council"
 	"topazpost/must"
 	"topazpost/node"
 	"topazpost/plate"
@@ -305,6 +306,8 @@
 		r.fromStream(in)
 	case ConfigurationKept:
 		r.keptConfiguration(in)
+	case Persisted:
+		r.claimed.heard = append(r.claimed.heard, council.Input{Persisted: in.Number, Err: in.Err})
 	case TokenWanted, CallsWanted:
 		r.fromLoad(in)
 	case ListenerClosed:
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -4,6 +4,7 @@
 
 import (
 	"topazpost/configuration"
+	"topazpost/council"
 	"topazpost/frame"
 	"topazpost/lines"
 	"topazpost/membership"
@@ -45,6 +46,7 @@
 	PeerHungUp                         // a stream ended
 	Adopt                              // there is a plan of levels, another one, or none any more
 	ConfigurationKept                  // the last KeepConfiguration was carried out, or wasn't: Err
+	Persisted                          // writes of the council's seat count up to Number, or the disk failed
 	TokenWanted                        // a hollow node is to claim a token, Bytes
 	CallsWanted                        // a hollow node wants so many calls at a time, Link
 	Amend                              // a version of the configuration is to come into force
@@ -55,16 +57,17 @@
 
 // Input is one thing that happened. Payloads and bodies belong to the reducer from then on.
 type Input struct {
-	Kind  InputKind
-	Link  int // the connection or link
-	Frame frame.Frame
-	Line  lines.Line
-	Err   error
-	To    Addresses // Reload
-	Plan  *Plan     // Adopt, Reload; nil for none
-	Bytes []byte    // of peers
-	Kept  []results.Stored
-	From  string // address of the peer that sent them
+	Kind   InputKind
+	Link   int // the connection or link
+	Frame  frame.Frame
+	Line   lines.Line
+	Err    error
+	To     Addresses // Reload
+	Plan   *Plan     // Adopt, Reload; nil for none
+	Bytes  []byte    // of peers
+	Kept   []results.Stored
+	Number uint64 // Persisted
+	From   string // address of the peer that sent them
 
 	Version uint64           // Amend
 	Change  *plate.Amendment // Amend
@@ -104,6 +107,7 @@
 	Amended                             // a version is in force, or with Err it is refused and nothing is changed
 	KeepConfiguration                   // carry out Persisting on the disk, giving ConfigurationKept
 	InForce                             // tell of a version that came into force
+	Persist                             // carry out Write on the disk of the council's seat, in order, giving Persisted
 	Slower                              // callers may wait for At ns from now on
 )
 
@@ -135,6 +139,7 @@
 	Kept    *results.Stored
 	Version uint64 // Amended
 
+	Write      *council.Write        // Persist
 	Persisting *configuration.Effect // KeepConfiguration
 	InForce    *VersionInForce       // InForce
 }
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -53,10 +53,10 @@
 		if d.unlock, err = LockStore(folder); err != nil {
 			return err
 		}
+		s.configuration = d
 		if kept, there := d.read(); there {
 			start = kept
 		}
-		s.configuration = d
 	}
 	now, _ := s.clock.Now()
 	seed := s.plate.Settings.Nameplate.Seed ^ configurationOwn
@@ -226,3 +226,35 @@
 	}
 	line.Int("added", v.Added).Int("changed", v.Changed).Int("removed", v.Removed).Msg("configuration in force")
 }
+
+// takeDisks opens what the node keeps of its seat and of the configuration, locked against any other.
+func (s *Server) takeDisks() error {
+	if err := s.takeSeat(); err != nil {
+		return err
+	}
+	err := s.takeConfiguration()
+	if err != nil {
+		s.closeDisks()
+	}
+	return err
+}
+
+// runDisks writes to them until the node ends.
+func (s *Server) runDisks() {
+	if s.seat != nil {
+		s.group.Go(func() error { s.seat.run(); return nil })
+	}
+	if s.configuration != nil {
+		s.group.Go(func() error { s.configuration.run(); return nil })
+	}
+}
+
+// closeDisks gives them up where nothing writes to them yet.
+func (s *Server) closeDisks() {
+	if s.seat != nil {
+		s.seat.close()
+	}
+	if s.configuration != nil {
+		s.configuration.close()
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -60,8 +60,9 @@
 	ctx     context.Context
 	group   *errgroup.Group
 
-	peers    *peering // nil without a fleet
-	kept     *keeping // nil without a store
+	peers    *peering  // nil without a fleet
+	kept     *keeping  // nil without a store
+	seat     *seatDisk // nil without a seat that keeps what it knows
 	listener *net.TCPListener
 
 	configuration *configurationDisk // nil where no version is kept
@@ -84,7 +85,7 @@
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	s.state.Spare = spare - 1 // the last place is for the next one to be accepted
 	if h := nameplate.Hollow; h != nil {
-		s.state.Hollow(h.Counters)
+		s.state.Hollow(h.Counters, h.OnlySeat)
 	}
 	if nameplate.Fleet != nil {
 		s.join(nameplate.Fleet)
@@ -237,7 +238,7 @@
 			return err
 		}
 	}
-	if err := s.takeConfiguration(); err != nil {
+	if err := s.takeDisks(); err != nil {
 		s.listener.Close()
 		return err
 	}
@@ -250,12 +251,11 @@
 	if s.peers != nil {
 		if err := s.peers.run(); err != nil {
 			s.listener.Close()
+			s.closeDisks()
 			return err
 		}
 	}
-	if s.configuration != nil {
-		group.Go(func() error { s.configuration.run(); return nil })
-	}
+	s.runDisks()
 	if s.kept != nil {
 		group.Go(func() error { s.kept.run(); return nil })
 	}
@@ -417,6 +417,8 @@
 		s.turned(e.Turn)
 	case reducer.Keep:
 		s.kept.keep(e)
+	case reducer.Persist:
+		s.seat.keep(e.Write)
 	case reducer.PeerSend:
 		select {
 		case s.peers.out <- *e:
