--- a/cmd/topazpost/config.go
+++ b/cmd/topazpost/config.go
@@ -304,7 +304,7 @@
 	More    int      `json:"more,omitempty"`
 	InForce *bool    `json:"in_force,omitempty"` // at every node in reach; only with --wait
 	Missing []string `json:"missing,omitempty"`
-	Stopped string   `json:"stopped,omitempty"`
+	Stopped string   `json:"stopped_why,omitempty"`
 	Request string   `json:"request"`
 }
 
--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -6,49 +6,185 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
-func TestQuick(t *testing.T) {
-	folder := t.TempDir()
-	names := []string{"n1", "n2", "n3"}
+// tookPart is three seats that serve nothing and three daemons, all of which take their configuration in service. Each daemon
+// is a zone of its own, so that each is of the first stage; n3 has no catalogue.
+type tookPart struct {
+	*seats
+	nodes []*site
+}
+
+func startTookPart(t *testing.T) *tookPart {
+	f := &tookPart{seats: &seats{t: t, folder: t.TempDir()}}
+	seated := []string{"s1", "s2", "s3"}
 	var binds []string
-	for range names {
+	for range 6 {
 		_, bind := fleetWith(t, nil)
 		binds = append(binds, bind)
 	}
-	var sites []*site
-	for i, name := range names {
-		text, err := json.Marshal(map[string]any{"fleet": "tests", "bind": binds[i], "seeds": binds, "council": map[string]any{"seats": names},
-			"configuration": map[string]any{"folder": filepath.Join(folder, "c-{name}")}})
+	f.binds = binds[:3]
+	file := func(name, zone, bind string) string {
+		text, err := json.Marshal(map[string]any{"fleet": "tests", "bind": bind, "zone": zone, "seeds": f.binds,
+			"council":       map[string]any{"seats": seated, "folder": filepath.Join(f.folder, "{name}")},
+			"configuration": map[string]any{"folder": filepath.Join(f.folder, "configuration-{name}")}})
 		require.NoError(t, err)
-		path := filepath.Join(folder, name+".jsonnet")
+		path := filepath.Join(f.folder, name+".jsonnet")
 		require.NoError(t, os.WriteFile(path, text, 0o600))
-		sites = append(sites, startWith(t, false, func(c map[string]any) { c["name"] = name }, "--fleet", path))
-	}
-	run := func(args ...string) {
-		began := time.Now()
-		out, err := exec.Command(program, args...).CombinedOutput()
-		fmt.Println(args, time.Since(began), err)
-		fmt.Println(string(out))
-	}
-	run("config", "put", "--fleet", "tests", "--at", binds[0], "--within", "15s", "--wait", sites[0].path)
-	small := filepath.Join(folder, "small.jsonnet")
-	require.NoError(t, os.WriteFile(small, []byte(`{tenants: {a: {quota_rps: 5}}, operations: {more: {aim: 100, give_up: 500, effect: 'idempotent', importance: 2}}}`), 0o600))
-	run("config", "diff", "--fleet", "tests", "--at", binds[0], small)
-	run("config", "put", "--fleet", "tests", "--at", binds[1], "--within", "15s", "--wait", small)
-	run("config", "put", "--fleet", "tests", "--at", binds[1], "--base", "1", small)
-	run("config", "status", "--fleet", "tests", "--at", binds[1])
-	run("config", "status", "--fleet", "tests", "--at", binds[1], "--json")
-	run("config", "show", "--fleet", "tests", "--at", binds[1])
-	run("config", "rollback", "--fleet", "tests", "--at", binds[2], "1", "--wait")
-	run("config", "status", "--fleet", "tests", "--at", binds[1])
-	for _, s := range sites {
-		for len(s.log) > 0 {
-			fmt.Println(<-s.log)
+		return path
+	}
+	for k, name := range seated {
+		f.paths = append(f.paths, file(name, "z0", binds[k]))
+	}
+	t.Cleanup(func() { f.end(syscall.SIGKILL) })
+	f.start()
+	for k, name := range []string{"n1", "n2", "n3"} {
+		f.nodes = append(f.nodes, startWith(t, false, func(config map[string]any) {
+			config["name"] = name
+			about := config["settings"].(map[string]any)["family_info"].(map[string]any)
+			delete(about, "class_calls")
+			if name == "n3" {
+				config["catalog"], about["below"] = "", "off"
+			}
+		}, "--fleet", file(name, "z"+name, binds[3+k])))
+	}
+	return f
+}
+
+// config runs a command; it says what was printed as an object, and the exit code.
+func (f *tookPart) config(words ...string) (out struct {
+	Done    bool
+	Version uint64
+	Changes int
+	Refused string
+	Differ  []string
+	InForce *bool  `json:"in_force"`
+	Stopped string `json:"stopped_why"`
+	ForAll  uint64 `json:"for_all"`
+	By      string `json:"stopped_by"`
+	Why     string
+	Nodes   []struct{}
+	Parts   map[string]map[string]json.RawMessage
+
+	Versions []struct {
+		Version uint64
+		Names   []string
+	}
+	Refusals []struct {
+		Node    string
+		Version uint64
+		Why     string
+	}
+}, code int) {
+	command := exec.Command(program, append([]string{"config"}, words...)...)
+	command.Args = append(command.Args, "--fleet", "tests", "--json")
+	for _, bind := range f.binds {
+		command.Args = append(command.Args, "--at", bind)
+	}
+	var stderr strings.Builder
+	command.Stderr = &stderr
+	text, _ := command.Output()
+	require.NoError(f.t, json.Unmarshal(text, &out), "%v: %s%s", words, text, &stderr)
+	return out, command.ProcessState.ExitCode()
+}
+
+func (f *tookPart) file(text string) string {
+	path := filepath.Join(f.folder, "change.jsonnet")
+	require.NoError(f.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// inForce waits until a node says that a version came into force, and from where.
+func (f *tookPart) inForce(node int, version uint64, source string) {
+	said := fmt.Sprintf(`"version":%d,`, version)
+	assert.Eventually(f.t, func() bool {
+		for _, line := range strings.Split(f.nodes[node].heard.String(), "\n") {
+			if strings.Contains(line, "configuration in force") && strings.Contains(line, said) && strings.Contains(line, `"source":"`+source+`"`) {
+				return true
+			}
 		}
+		return false
+	}, bound, 20*time.Millisecond, "n%d has version %d from the %s: %s", node+1, version, source, &f.nodes[node].heard)
+}
+
+func TestVersionsAreOrderedSpreadTakenAndKept(t *testing.T) {
+	f := startTookPart(t)
+	put := func(words ...string) []string { return append([]string{"put", "--within", "20s"}, words...) }
+	for k := range f.nodes {
+		f.inForce(k, 0, "file")
 	}
+
+	out, code := f.config(put("--wait", f.nodes[0].path)...)
+	require.Zero(t, code, out)
+	assert.Equal(t, uint64(1), out.Version)
+	for k := range f.nodes {
+		f.inForce(k, 1, "fleet")
+	}
+
+	change := f.file(`{ operations: { more: { aim: 1000, give_up: 4000, importance: 2, effect: 'idempotent' } }, limits: { group_size: 4 } }`)
+	out, code = f.config(put("--request", "r1", change)...)
+	require.Zero(t, code, out)
+	assert.Equal(t, uint64(2), out.Version)
+	again, code := f.config(put("--request", "r1", "--base", "1", change)...)
+	assert.Zero(t, code, "the same request counts once: %v", again)
+	assert.Equal(t, uint64(2), again.Version)
+	out, code = f.config(put("--base", "1", f.file(`{ tenants: { b: { quota_rps: 1 } } }`))...)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, out.Refused, "made on version 1, the newest is 2")
+	assert.ElementsMatch(t, []string{"operations.more", "limits.group_size"}, out.Differ)
+	for k := range f.nodes {
+		f.inForce(k, 2, "fleet")
+	}
+	assert.Eventually(t, func() bool { out, _ := f.config("status"); return out.ForAll == 2 }, bound, 100*time.Millisecond)
+
+	out, code = f.config(put("--wait", f.file(`{ operations: { calls: { aim: 1000, give_up: 4000, importance: 2, effect: 'idempotent', class_calls: true } } }`))...)
+	assert.Equal(t, 1, code, "n3 can't take it: %v", out)
+	assert.Contains(t, out.Stopped, "n3 can't take it")
+	assert.Contains(t, out.Stopped, "names no catalogue")
+	out, _ = f.config("status")
+	assert.Equal(t, []any{uint64(2), "n3"}, []any{out.ForAll, out.By})
+	require.Len(t, out.Refusals, 1)
+	assert.Equal(t, uint64(3), out.Refusals[0].Version)
+	for _, v := range out.Versions {
+		if v.Version == 2 {
+			assert.Contains(t, v.Names, "n3", "it keeps the last good one")
+			assert.Greater(t, len(v.Names), 1, "and who is not of the first stage waits")
+		}
+	}
+	assert.Contains(t, f.nodes[2].heard.String(), "configuration 3 can't be taken, 2 stays in force")
+
+	out, code = f.config("rollback", "2", "--wait", "--within", "20s")
+	require.Zero(t, code, out)
+	require.Equal(t, uint64(4), out.Version)
+
+	f.end(syscall.SIGKILL) // all seats
+	n1 := f.nodes[0]
+	require.NoError(t, n1.command.Process.Kill())
+	<-n1.ended
+	n1.renew("new")
+	n1.run()
+	f.inForce(0, 4, "disk")
+	d := n1.dial()
+	d.write(invocationOf("more", "00000000000000ab", 1, "x"))
+	assert.Equal(t, "20 on 1 x", d.answer(), "it serves what came as a version; %s", &n1.heard)
+	f.start()
+	assert.Eventually(t, func() bool {
+		text, err := exec.Command(program, "config", "status", "--fleet", "tests", "--json", "--at", f.binds[0]).Output()
+		return err == nil && strings.Contains(string(text), `"for_all":4`)
+	}, bound, 100*time.Millisecond, "seats know what was agreed on")
+	out, code = f.config(put("--wait", f.file(`{ tenants: { a: { quota_rps: 5 } }, limits: { group_size: null } }`))...)
+	require.Zero(t, code, out)
+	assert.Equal(t, uint64(5), out.Version)
+	out, _ = f.config("show")
+	assert.Contains(t, out.Parts["operations"], "more")
+	assert.NotContains(t, out.Parts["operations"], "calls")
+	assert.Equal(t, `{"quota_rps":5}`, string(out.Parts["tenants"]["a"]))
+	assert.NotContains(t, out.Parts["limits"], "group_size")
 }
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -74,6 +74,7 @@
 	flags    []string // of serve
 	command  *exec.Cmd
 	log      chan string   // lines of the log
+	heard    heardLog      // all of them
 	ended    chan error    // of the process
 	reports  chan string   // bodies of reports
 	told     chan []string // commands that the executor read, but for those that ask for gauges
@@ -182,6 +183,7 @@
 	command, ended := s.command, s.ended // a further life has its own
 	go func() {
 		for in := bufio.NewScanner(out); in.Scan(); {
+			fmt.Fprintln(&s.heard, in.Text())
 			s.log <- in.Text()
 		}
 		ended <- command.Wait()
@@ -346,7 +348,11 @@
 }
 
 func invocation(call string, stream uint32, body string) []byte {
-	return frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: "catalogue"},
+	return invocationOf("catalogue", call, stream, body)
+}
+
+func invocationOf(operation, call string, stream uint32, body string) []byte {
+	return frame.AppendInvocation(nil, stream, []frame.Field{{Name: "op", Value: operation},
 		{Name: "call", Value: call}, {Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)},
 		{Name: "src", Value: "4"}, {Name: "work", Value: "12.5"}, {Name: "heap", Value: "24.5"},
 		{Name: "crit", Value: "0.6"}}, []byte(body))
