--- a/reducer/amend.go
+++ b/reducer/amend.go
@@ -11,6 +11,7 @@
 
 const (
 	amendedAStep = 256          // changes that are taken in one step: some hundreds of microseconds
+	lookedAStep  = 4_096        // that are looked up in one step, where what is kept allows no other names: the same
 	versionsWait = 64           // versions that may wait to be taken, a large one before them
 	forgottenOne = 16           // indices that one step looks at to forget them
 	countsFade   = 120_000 * ms // ns past which nothing is left of a tenant's counts in the module
@@ -35,7 +36,9 @@
 // version is one that came, as far as it is not taken.
 type version struct {
 	number  uint64
-	changes []plate.Change
+	of      *plate.Amendment
+	changes []plate.Change // of it, those not taken
+	looked  int            // changes that were looked at by name
 	checked bool
 	counts  [3]int // added, changed, removed
 }
@@ -139,7 +142,7 @@
 	case len(a.waiting) >= versionsWait:
 		r.refuse(in.Version, errWaiting)
 	default:
-		a.waiting = append(a.waiting, version{number: in.Version, changes: in.Change.Changes})
+		a.waiting = append(a.waiting, version{number: in.Version, of: in.Change, changes: in.Change.Changes})
 	}
 }
 
@@ -154,7 +157,11 @@
 	for left := amendedAStep; left > 0 && len(a.waiting) > 0; {
 		v := &a.waiting[0]
 		if !v.checked {
-			if err := r.fits(v); err != nil {
+			whole, err := r.fits(v)
+			if !whole {
+				return
+			}
+			if err != nil {
 				r.refuse(v.number, err)
 				a.waiting = slices.Delete(a.waiting, 0, 1)
 				continue
@@ -176,12 +183,17 @@
 	r.forgetRetired()
 }
 
-// fits says why a version can't be taken; nothing is changed.
-func (r *Reducer) fits(v *version) error {
-	if err := r.misfits(v.changes); err != nil {
-		return err
+// fits says why a version can't be taken, once it has looked at the whole of it; nothing is changed.
+func (r *Reducer) fits(v *version) (whole bool, err error) {
+	for end := v.looked + lookedAStep; v.looked < len(v.changes); v.looked++ {
+		if v.looked == end {
+			return false, nil
+		}
+		if err := r.misfits(v.changes[v.looked : v.looked+1]); err != nil {
+			return true, err
+		}
 	}
-	return r.plate.Check(&plate.Amendment{Changes: v.changes})
+	return true, r.plate.Check(v.of)
 }
 
 // misfits says which of some changes this node can't take, by what only its own files say.
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -363,7 +363,7 @@
 		c.taking = t
 	case configuration.Persist:
 		kept := *e
-		r.do(Effect{Kind: KeepConfiguration, Persisting: &kept})
+		r.do(Effect{Kind: KeepVersion, Persisting: &kept})
 	case configuration.Order:
 		r.orderAtSeat(e.Command)
 	case configuration.Remark:
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -124,7 +124,7 @@
 	case d.in <- e:
 	default:
 		d.s.group.Go(func() error {
-			d.s.tell(reducer.Input{Kind: reducer.ConfigurationKept, Err: errPersists})
+			d.s.tell(reducer.Input{Kind: reducer.VersionKept, Err: errPersists})
 			return nil
 		})
 	}
@@ -136,7 +136,7 @@
 	for {
 		select {
 		case e := <-d.in:
-			d.s.tell(reducer.Input{Kind: reducer.ConfigurationKept, Err: d.write(e)})
+			d.s.tell(reducer.Input{Kind: reducer.VersionKept, Err: d.write(e)})
 		case <-d.s.ctx.Done():
 			for len(d.in) > 0 {
 				d.write(<-d.in)
--- a/server/server.go
+++ b/server/server.go
@@ -435,7 +435,7 @@
 		s.peers.streams.disconnect(e.Link)
 	case reducer.Amended:
 		s.amended(e)
-	case reducer.KeepConfiguration:
+	case reducer.KeepVersion:
 		s.keepConfiguration(e.Persisting)
 	case reducer.InForce:
 		s.inForce(e.InForce)
