--- a/plate/amend.go
+++ b/plate/amend.go
@@ -187,18 +187,7 @@
 			}
 		}
 	}
-	if left < 1 {
-		return fmt.Errorf("plate: operations: none would be left; add one before the last is removed")
-	}
-	for _, t := range []struct {
-		part      string
-		all, most int
-	}{{Operations, p.Operations.live + operations, operationsMost}, {Tenants, p.Tenants.live + tenants, tenantsMost}} {
-		if t.all > t.most {
-			return fmt.Errorf("plate: %s: %d with those removed of late, %d at the most; wait, or remove some", t.part, t.all, t.most)
-		}
-	}
-	return nil
+	return (&Checking{plate: p, left: left, operations: operations, tenants: tenants}).Err()
 }
 
 // Taken is what became of a change.
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -3,6 +3,7 @@
 package reducer
 
 import (
+	"topazpost/configuration"
 	"topazpost/council"
 	"topazpost/frame"
 	"topazpost/lines"
@@ -44,6 +45,7 @@
 	PeerTold                        // a letter on a stream of a peer
 	PeerHungUp                      // a stream ended
 	Adopt                           // there is a plan of levels, another one, or none any more
+	VersionKept                     // the last KeepVersion was carried out, or wasn't: Err
 	Persisted                       // writes of the council's seat count up to Number, or the disk failed
 	TokenWanted                     // a hollow node is to claim a token, Bytes
 	CallsWanted                     // a hollow node wants so many calls at a time, Link
@@ -102,8 +104,10 @@
 	ViewChanged                       // tell of a change of the view
 	PeerStream                        // write a letter to the stream Link, or where that is gone or 0 to one to Address
 	PeerHangUp                        // end the stream
-	Persist                           // carry out Write on the disk of the council's seat, in order, giving Persisted
 	Amended                           // a version is in force, or with Err it is refused and nothing is changed
+	KeepVersion                       // carry out Persisting on the disk, giving VersionKept
+	InForce                           // tell of a version that came into force
+	Persist                           // carry out Write on the disk of the council's seat, in order, giving Persisted
 	Slower                            // callers may wait for At ns from now on
 )
 
@@ -133,6 +137,9 @@
 	Turn    *Turn  // Turned
 	Change  *membership.Change
 	Kept    *results.Stored
-	Write   *council.Write // Persist
-	Version uint64         // Amended
+	Version uint64 // Amended
+
+	Write      *council.Write        // Persist
+	Persisting *configuration.Effect // KeepVersion
+	InForce    *VersionInForce       // InForce
 }
--- a/server/hollow.go
+++ b/server/hollow.go
@@ -44,18 +44,14 @@
 	if s.peers == nil {
 		return errors.New("server: a hollow node without a fleet has nothing to do")
 	}
-	if err := s.takeSeat(); err != nil {
+	if err := s.takeDisks(); err != nil {
 		return err
 	}
 	if err := s.peers.run(); err != nil {
-		if s.seat != nil {
-			s.seat.close()
-		}
+		s.closeDisks()
 		return err
 	}
-	if s.seat != nil {
-		s.group.Go(func() error { s.seat.run(); return nil })
-	}
+	s.runDisks()
 	s.group.Go(func() error { return s.loop() })
 	if err := s.group.Wait(); !errors.Is(err, errLeft) {
 		return err
--- a/server/server.go
+++ b/server/server.go
@@ -60,10 +60,13 @@
 	ctx     context.Context
 	group   *errgroup.Group
 
-	peers     *peering  // nil without a fleet
-	kept      *keeping  // nil without a store
-	seat      *seatDisk // nil without a seat that keeps what it knows
-	listener  *net.TCPListener
+	peers    *peering  // nil without a fleet
+	kept     *keeping  // nil without a store
+	seat     *seatDisk // nil without a seat that keeps what it knows
+	listener *net.TCPListener
+
+	configuration *configurationDisk // nil where no version is kept
+
 	conns     *connections
 	links     map[int]*link // only the loop's
 	reporter  http.Client
@@ -235,7 +238,7 @@
 			return err
 		}
 	}
-	if err := s.takeSeat(); err != nil {
+	if err := s.takeDisks(); err != nil {
 		s.listener.Close()
 		return err
 	}
@@ -248,15 +251,11 @@
 	if s.peers != nil {
 		if err := s.peers.run(); err != nil {
 			s.listener.Close()
-			if s.seat != nil {
-				s.seat.close()
-			}
+			s.closeDisks()
 			return err
 		}
 	}
-	if s.seat != nil {
-		group.Go(func() error { s.seat.run(); return nil })
-	}
+	s.runDisks()
 	if s.kept != nil {
 		group.Go(func() error { s.kept.run(); return nil })
 	}
@@ -344,7 +343,7 @@
 			case e.Kind == reducer.Leave:
 				s.log.Info().Interface("counters", s.state.Counters).Interface("levels", s.state.Levels()).
 					Interface("results", s.state.Results()).Interface("peers", s.peerCounts()).
-					Interface("claims", s.state.Claims()).
+					Interface("claims", s.state.Claims()).Interface("configuration", s.state.Configuration()).
 					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
 				s.conns.flushAll()
 				if s.peers != nil {
@@ -436,6 +435,10 @@
 		s.peers.streams.disconnect(e.Link)
 	case reducer.Amended:
 		s.amended(e)
+	case reducer.KeepVersion:
+		s.keepConfiguration(e.Persisting)
+	case reducer.InForce:
+		s.inForce(e.InForce)
 	case reducer.Slower:
 		s.conns.slower(e.At)
 	case reducer.ViewChanged:
