--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -162,6 +162,7 @@
 func main() {
 	var line struct {
 		Serve   serve   `cmd:"" help:"Serve as one node: SIGTERM drains, a second one aborts what is in hand, a third one stops, SIGHUP reads the configuration anew."`
+		Seat    seat    `cmd:"" help:"Serve nothing: be a member of a fleet with a seat in its council. SIGTERM leaves at once."`
 		Check   check   `cmd:"" help:"Read a configuration and say what is wrong with it, or what would start."`
 		Plan    plans   `cmd:"" help:"Look at plans of levels of reduced service."`
 		Levels  ladders `cmd:"" help:"Look at what levels nodes were at."`
@@ -169,6 +170,7 @@
 		Store   storage `cmd:"" help:"Look at the files that results are kept in."`
 		Members members `cmd:"" help:"Look at whom nodes have in their view of the fleet."`
 		Claims  claimed `cmd:"" help:"Look at claims of tokens that a fleet's council agrees on."`
+		Config  configs `cmd:"" help:"Put, look at and take back versions of the configuration that a fleet takes in service."`
 		Quota   quotas  `cmd:"" help:"Look at limits that hold for the whole fleet."`
 		Version version `cmd:"" help:"Say what was built."`
 	}
--- a/reducer/amend.go
+++ b/reducer/amend.go
@@ -11,16 +11,18 @@
 
 const (
 	amendedAStep = 256          // changes that are taken in one step: some hundreds of microseconds
+	lookedAStep  = 4_096        // that are looked up in one step, where what is kept allows no other names: the same
 	versionsWait = 64           // versions that may wait to be taken, a large one before them
 	forgottenOne = 16           // indices that one step looks at to forget them
 	countsFade   = 120_000 * ms // ns past which nothing is left of a tenant's counts in the module
 )
 
 var (
-	errRetired = errors.New("the operation or tenant is not in service any more")
-	errVersion = errors.New("it comes after one that is as new")
-	errWaiting = errors.New("too many versions wait to be taken; try again")
-	errNumbers = errors.New("results are kept in a folder by the numbers of operation and tenant, so adding or removing one takes a new start; " +
+	errRetired     = errors.New("the operation or tenant is not in service any more")
+	errVersion     = errors.New("it comes after one that is as new")
+	errWaiting     = errors.New("too many versions wait to be taken; try again")
+	errNoCatalogue = errors.New("class_calls: it makes calls, and this node's own file names no catalogue; set catalog there and restart the node, or leave it out")
+	errNumbers     = errors.New("results are kept in a folder by the numbers of operation and tenant, so adding or removing one takes a new start; " +
 		"keep them in the fleet's council, or restart with a new file")
 )
 
@@ -34,7 +36,9 @@
 // version is one that came, as far as it is not taken.
 type version struct {
 	number  uint64
-	changes []plate.Change
+	of      *plate.Amendment
+	changes []plate.Change // of it, those not taken
+	looked  int            // changes that were looked at by name
 	checked bool
 	counts  [3]int // added, changed, removed
 }
@@ -138,7 +142,7 @@
 	case len(a.waiting) >= versionsWait:
 		r.refuse(in.Version, errWaiting)
 	default:
-		a.waiting = append(a.waiting, version{number: in.Version, changes: in.Change.Changes})
+		a.waiting = append(a.waiting, version{number: in.Version, of: in.Change, changes: in.Change.Changes})
 	}
 }
 
@@ -153,7 +157,11 @@
 	for left := amendedAStep; left > 0 && len(a.waiting) > 0; {
 		v := &a.waiting[0]
 		if !v.checked {
-			if err := r.fits(v); err != nil {
+			whole, err := r.fits(v)
+			if !whole {
+				return
+			}
+			if err != nil {
 				r.refuse(v.number, err)
 				a.waiting = slices.Delete(a.waiting, 0, 1)
 				continue
@@ -175,19 +183,36 @@
 	r.forgetRetired()
 }
 
-// fits says why a version can't be taken; nothing is changed.
-func (r *Reducer) fits(v *version) error {
-	if r.amended.numbers {
-		for i := range v.changes {
-			c := &v.changes[i]
-			_, operation := r.plate.Operations.Find(c.Name)
-			_, tenant := r.plate.Tenants.Find(c.Name)
-			if c.Part == plate.Operations && operation == c.Removed || c.Part == plate.Tenants && tenant == c.Removed {
-				return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
-			}
+// fits says why a version can't be taken, once it has looked at the whole of it; nothing is changed.
+func (r *Reducer) fits(v *version) (whole bool, err error) {
+	for end := v.looked + lookedAStep; v.looked < len(v.changes); v.looked++ {
+		if v.looked == end {
+			return false, nil
+		}
+		if err := r.misfits(v.changes[v.looked : v.looked+1]); err != nil {
+			return true, err
+		}
+	}
+	return true, r.plate.Check(v.of)
+}
+
+// misfits says which of some changes this node can't take, by what only its own files say.
+func (r *Reducer) misfits(changes []plate.Change) error {
+	for i := range changes {
+		c := &changes[i]
+		if c.Part == plate.Operations && !c.Removed && c.Operation.MayCall && r.to.Catalogue == "" && !r.hollow.on {
+			return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNoCatalogue)
+		}
+		if !r.amended.numbers {
+			continue
+		}
+		_, operation := r.plate.Operations.Find(c.Name)
+		_, tenant := r.plate.Tenants.Find(c.Name)
+		if c.Part == plate.Operations && operation == c.Removed || c.Part == plate.Tenants && tenant == c.Removed {
+			return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
 		}
 	}
-	return r.plate.Check(&plate.Amendment{Changes: v.changes})
+	return nil
 }
 
 // change brings one change into force.
@@ -295,6 +320,12 @@
 	}
 }
 
+// amendedTo notes that all of a version is in force that was taken by change.
+func (r *Reducer) amendedTo(v *version) {
+	r.amended.number = max(r.amended.number, v.number)
+	r.Counters.Versions++
+}
+
 // amendDue is when the next step is needed: at once while something waits; what is out of service waits for any step.
 func (r *Reducer) amendDue() int64 {
 	if len(r.amended.waiting) > 0 {
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"topazpost/claims"
+	"topazpost/configuration"
 	"topazpost/council"
 	"topazpost/frame"
 	"topazpost/letter"
@@ -60,7 +61,7 @@
 	self := r.peers.members.Self()
 	c := &r.claimed
 	*c = claimed{self: claims.Owner{Name: self.Name, Life: uint64(self.Born)}, seats: slices.Sorted(slices.Values(seats)), links: map[string]int{}}
-	if r.kept.keeper != nil || r.hollow.on {
+	if r.kept.keeper != nil || r.hollow.on && !r.hollow.onlySeat {
 		c.desk = claims.NewDesk(c.self)
 	}
 	if c.asks = slices.Index(c.seats, self.Name); c.asks >= 0 {
@@ -71,6 +72,14 @@
 	}
 }
 
+// Seated says whether this node has a seat in the council.
+func (r *Reducer) Seated() bool { return r.claimed.seat != nil }
+
+// RecoverSeat has the seat go on from what a disk holds, and keep there what it must not forget, before the first step.
+func (r *Reducer) RecoverSeat(now int64, there council.Disk) error {
+	return r.claimed.seat.Recover(now, there)
+}
+
 // Claims is what an operator may want to see of them, nil without a council.
 func (r *Reducer) Claims() *council.Picture {
 	c := &r.claimed
@@ -186,6 +195,7 @@
 		}
 	}
 	r.leasing.grants = append(r.leasing.grants, m.Grants...)
+	r.configuring.decided(m.Decided)
 	for k := range m.Verdicts {
 		r.want(claims.Input{Want: claims.Answered, Verdict: m.Verdicts[k]})
 	}
@@ -241,6 +251,8 @@
 		switch e := &effects[k]; e.Kind {
 		case council.Send:
 			r.toNode(e.To, &e.Message)
+		case council.Persist:
+			r.do(Effect{Kind: Persist, Write: e.Write})
 		case council.Remark:
 			r.remark(map[bool]Level{true: Warn, false: Info}[e.Warn], e.Text, "", nil)
 		}
@@ -308,7 +320,7 @@
 
 // askCouncil sends commands and asks for leases to a seat: this node's own while it knows a leader, else the one that
 // answered last, and another one where that is silent.
-func (r *Reducer) askCouncil(commands []claims.Command, leases []quota.Command) {
+func (r *Reducer) askCouncil(commands []claims.Command, leases []quota.Command, proposed ...configuration.Command) {
 	c := &r.claimed
 	if c.since == 0 {
 		c.since = r.now
@@ -316,12 +328,27 @@
 		c.asks, c.since = (c.asks+1)%len(c.seats), r.now
 	}
 	if c.seat != nil && c.seat.Leader() != "" {
-		c.heard = append(c.heard, council.Input{Own: slices.Clone(commands), Leases: leases})
+		c.heard = append(c.heard, council.Input{Own: slices.Clone(commands), Leases: leases, Proposed: proposed, Owner: c.self})
 		return
 	}
 	if to := c.seats[c.asks]; to != c.self.Name {
-		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: commands, Leases: leases})
+		r.toNode(to, &council.Message{Kind: council.Propose, From: c.self.Name, Owner: c.self, Commands: commands, Leases: leases, Proposed: proposed})
+	}
+}
+
+// orderAtSeat has this node's seat order what it wants ordered of itself.
+func (r *Reducer) orderAtSeat(command *configuration.Command) {
+	if c := &r.claimed; c.seat != nil {
+		c.heard = append(c.heard, council.Input{Proposed: []configuration.Command{*command}})
+	}
+}
+
+// agreedAtSeat is what this node's seat knows to be agreed on of the configuration, where that changed since it was last asked.
+func (r *Reducer) agreedAtSeat() (agreed *configuration.Agreed, changed bool) {
+	if c := &r.claimed; c.seat != nil {
+		return c.seat.Configured()
 	}
+	return nil, false
 }
 
 // inherit takes in what a lost node had claimed, as an invocation whose caller is not here. Its due time stays; its latency
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"topazpost/control"
+	"topazpost/council"
 	"topazpost/must"
 	"topazpost/node"
 	"topazpost/plate"
@@ -153,6 +154,7 @@
 	linkMost int
 	post     Decider
 	now      int64
+	began    int64 // when the first step was; no call was made before it in this life
 	wall     int64 // Unix ns at now
 	effects  []Effect
 	events   []node.Event
@@ -199,6 +201,9 @@
 	leasing leasing
 	hollow  hollow
 	amended amended
+
+	configuring configuring
+
 	later   []node.Event   // what the module is told in the next step: it was deciding
 	decided bool           // the module has decided in this step, or had nothing to decide
 	stateAt int64          // when the next sample of the state is due
@@ -240,6 +245,9 @@
 // Step takes what happened up to now, a clock that only advances, with wall its time in Unix nanoseconds. The
 // effects are valid until the next step.
 func (r *Reducer) Step(now, wall int64, inputs []Input) []Effect {
+	if r.now == 0 {
+		r.began = now
+	}
 	r.now, r.wall, r.effects, r.events = now, wall, r.effects[:0], append(r.events[:0], r.later...)
 	r.later, r.decided = r.later[:0], false
 	for i := range inputs {
@@ -255,6 +263,7 @@
 	r.keepTimers()
 	r.lapse()
 	r.keepAmended()
+	r.keepTaking()
 	r.decided = true // what the module is told from here on is for the next step
 	if r.post != nil && len(r.events) > 0 {
 		for _, a := range r.post.Decide(now, r.events) {
@@ -266,6 +275,7 @@
 	r.keepClaims()
 	r.prove()
 	r.keepState()
+	r.keepConfiguration()
 	r.keepPeers()
 	r.keepLeaving()
 	wake := r.wake()
@@ -298,6 +308,10 @@
 		r.fromPeers(in)
 	case PeerTold, PeerHungUp:
 		r.fromStream(in)
+	case VersionKept:
+		r.keptConfiguration(in)
+	case Persisted:
+		r.claimed.heard = append(r.claimed.heard, council.Input{Persisted: in.Number, Err: in.Err})
 	case TokenWanted, CallsWanted:
 		r.fromLoad(in)
 	case ListenerClosed:
@@ -365,7 +379,7 @@
 	if r.hollow.on {
 		return r.hollowWake()
 	}
-	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue(), r.amendDue())
+	at := min(r.beatAt, r.callsDue(), r.checksDue(), r.peersDue(), r.resultsDue(), r.claimsDue(), r.leaseDue(), r.amendDue(), r.configurationDue())
 	if len(r.later) > 0 {
 		at = r.now + 1
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -60,9 +60,13 @@
 	ctx     context.Context
 	group   *errgroup.Group
 
-	peers     *peering // nil without a fleet
-	kept      *keeping // nil without a store
-	listener  *net.TCPListener
+	peers    *peering  // nil without a fleet
+	kept     *keeping  // nil without a store
+	seat     *seatDisk // nil without a seat that keeps what it knows
+	listener *net.TCPListener
+
+	configuration *configurationDisk // nil where no version is kept
+
 	conns     *connections
 	links     map[int]*link // only the loop's
 	reporter  http.Client
@@ -81,7 +85,7 @@
 	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
 	s.state.Spare = spare - 1 // the last place is for the next one to be accepted
 	if h := nameplate.Hollow; h != nil {
-		s.state.Hollow(h.Counters)
+		s.state.Hollow(h.Counters, h.OnlySeat)
 	}
 	if nameplate.Fleet != nil {
 		s.join(nameplate.Fleet)
@@ -234,6 +238,10 @@
 			return err
 		}
 	}
+	if err := s.takeDisks(); err != nil {
+		s.listener.Close()
+		return err
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	s.group, s.ctx = group, ctx
 	s.conns = newConnections(s)
@@ -243,9 +251,11 @@
 	if s.peers != nil {
 		if err := s.peers.run(); err != nil {
 			s.listener.Close()
+			s.closeDisks()
 			return err
 		}
 	}
+	s.runDisks()
 	if s.kept != nil {
 		group.Go(func() error { s.kept.run(); return nil })
 	}
@@ -333,7 +343,7 @@
 			case e.Kind == reducer.Leave:
 				s.log.Info().Interface("counters", s.state.Counters).Interface("levels", s.state.Levels()).
 					Interface("results", s.state.Results()).Interface("peers", s.peerCounts()).
-					Interface("claims", s.state.Claims()).
+					Interface("claims", s.state.Claims()).Interface("configuration", s.state.Configuration()).
 					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
 				s.conns.flushAll()
 				if s.peers != nil {
@@ -407,6 +417,8 @@
 		s.turned(e.Turn)
 	case reducer.Keep:
 		s.kept.keep(e)
+	case reducer.Persist:
+		s.seat.keep(e.Write)
 	case reducer.PeerSend:
 		select {
 		case s.peers.out <- *e:
@@ -423,6 +435,10 @@
 		s.peers.streams.disconnect(e.Link)
 	case reducer.Amended:
 		s.amended(e)
+	case reducer.KeepVersion:
+		s.keepConfiguration(e.Persisting)
+	case reducer.InForce:
+		s.inForce(e.InForce)
 	case reducer.Slower:
 		s.conns.slower(e.At)
 	case reducer.ViewChanged:
