--- a/lab/hollow/process.go
+++ b/lab/hollow/process.go
@@ -25,6 +25,7 @@
 )
 
 const (
+	anyNode   = "{name}"               // stands for a node's name in the fleet's file
 	lineMost  = 8 << 20                // bytes of a command or of a line of figures
 	tick      = 100 * time.Millisecond // between lines of events
 	loadTick  = 10 * time.Millisecond  // between tokens that are asked for
@@ -240,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	if p.fleet, err = charter.From(file, "hollow"); err != nil {
+	if p.fleet, err = charter.From(file, anyNode); err != nil {
 		return err
 	}
 	p.fleet.Terms.Seeds = nil
@@ -291,6 +292,9 @@
 	}
 	own := *p.fleet
 	own.Bind, own.Terms.Name, own.Terms.Address, own.Terms.Zone = At(Bind(p.spec.Block, i)), n.Name, p.heardAt(i), p.spec.Layout.Name(i)
+	if c := own.Configuration; c != nil { // each has a folder of its own
+		own.Configuration = &charter.Configuration{Folder: strings.ReplaceAll(c.Folder, anyNode, n.Name)}
+	}
 	n.Fleet = &own
 	return n, nil
 }
