Experiment config-scale on processes: seats that serve nothing, daemons and hollow nodes

The same changes and faults over sockets; nodes are asked every 0.4 s what they have and since when. Whole nodes have no catalogue and refuse an operation that makes calls.

--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -696,7 +696,7 @@
 
 // one plays a night on one seed. The files of processes are left in a folder, if there is one.
 func (n *Night) one(seed int64, program, folder string) (*Outcome, error) {
-	if n.Versions != nil {
+	if n.Versions != nil && !n.Processes {
 		return n.playVersions(seed), nil
 	}
 	if !n.Processes {
@@ -706,6 +706,9 @@
 		}
 		return n.play(d, seed), nil
 	}
+	if v := n.Versions; v != nil { // its seats are the first nodes, each a process that serves nothing
+		n.Council, n.Regions, n.Zones = v.Seats, v.Regions, v.Zones
+	}
 	if folder == "" {
 		temporary, err := os.MkdirTemp("", "rig")
 		if err != nil {
@@ -726,6 +729,9 @@
 	if err := d.beginHollow(); err != nil {
 		return nil, err
 	}
+	if n.Versions != nil {
+		return n.playVersionsOnProcesses(d, seed), nil
+	}
 	return n.play(d, seed), nil
 }
 
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -168,6 +168,9 @@
 		layout := p.night.layout()
 		charter := map[string]any{"bind": p.bind[i], "advertise": p.told[i], "seeds": seeds, "zone": layout.Name(i)}
 		maps.Copy(charter, p.charter())
+		if v := p.night.Versions; v != nil && i < v.Seats {
+			return p.seatFlags(i, file(".fleet.jsonnet", charter)), err
+		}
 		flags = append(flags, "--fleet", file(".fleet.jsonnet", charter))
 	}
 	return append(flags, config), err
@@ -185,7 +188,9 @@
 			o.Fleet[k] = json.Number(v)
 		}
 	}
-	return hollow.FleetFields(&o, n.Nodes)
+	fields := hollow.FleetFields(&o, n.Nodes)
+	p.versionsFiles(nil, fields, 0)
+	return fields
 }
 
 // config is the configuration of a node, that of all hollow ones without a name for -1.
@@ -203,7 +208,7 @@
 	if i >= 0 {
 		executor = p.benches[i].listener.Addr().String()
 	}
-	return map[string]any{"name": name(i), "listen": "127.0.0.1:0",
+	config := map[string]any{"name": name(i), "listen": "127.0.0.1:0",
 		"executor": executor, "control": p.control.Addr().String(), "catalog": p.supply.listener.Addr().String(),
 		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
 		"settings": map[string]any{"grades": []any{operation, map[string]any{"name": "look", "aim": 1_000, "give_up": 2_500, "importance": 1, "effect": "idempotent"}},
@@ -211,6 +216,8 @@
 				"below": below, "calls_out": share, "calls_over": 1_000, "linger": 0, "advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
 			"guarantees": map[string]any{"tip_multiple": 8, "drain_grace": 500},
 			"limits":     map[string]any{"retry_after": true, "max_retry_after": 1_000}}}
+	p.versionsFiles(config, nil, i)
+	return config
 }
 
 func (p *processes) start(i int) error {
--- /dev/null
+++ b/lab/rig/versions_processes.go
@@ -0,0 +1,645 @@
+package rig
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"topazpost/configuration"
+	"topazpost/lab/world"
+	"topazpost/letter"
+	"topazpost/plate"
+	"topazpost/reducer"
+	"topazpost/server"
+)
+
+const (
+	pollEvery = 400 * time.Millisecond // between questions to a node
+	asksMost  = 64                     // at once
+	putPause  = 50 * time.Millisecond  // between looks for something to put, and tries at seats
+	putFor    = 60 * second            // that the first content and what is not answered yet are waited for
+	newItem   = `{"aim":1000,"class_calls":true,"effect":"idempotent","give_up":4000,"importance":2}`
+)
+
+// polled is a fleet of processes that is asked what it has. It shares changes, callers' bookkeeping and measures with the fleet in
+// virtual time; its clock is the rig's.
+type polled struct {
+	*versions
+	p     *processes
+	fleet letter.Fleet
+
+	mu     sync.Mutex
+	marks  map[uint64]configuration.Digest // as nodes had them in force
+	has    []configuration.Mark
+	up     []bool
+	lives  []int
+	bytes  [][]sample // of each node, since its last start
+	agreed configuration.AtSeat
+	undone [][2]uint64 // versions between these two were taken back by the second
+	ask    chan struct{}
+}
+
+// sample is what a holder had sent and received.
+type sample struct {
+	at    int64
+	bytes int64
+	life  int
+}
+
+// versionsFiles has the files of a fleet's nodes say that they take versions.
+func (p *processes) versionsFiles(config, charter map[string]any, i int) {
+	if p.night.Versions == nil {
+		return
+	}
+	if charter != nil {
+		charter["configuration"] = map[string]any{"folder": filepath.Join(p.folder, "configuration-{name}")}
+		charter["council"].(map[string]any)["folder"] = filepath.Join(p.folder, "council-{name}")
+	}
+	if config != nil {
+		family := config["settings"].(map[string]any)["family_info"].(map[string]any)
+		if delete(family, "class_calls"); i >= 0 { // whole nodes are those that can't take it: they have no catalogue
+			config["catalog"], family["below"] = "", "off"
+		} else {
+			family["below"], family["calls_out"] = "common", 1.0
+		}
+	}
+}
+
+// question asks a node.
+func (f *polled) question(i int, q *configuration.Question) (*configuration.Answer, error) {
+	text, err := letter.Seal(nil, f.fleet, reducer.AskConfiguration(q))
+	if err != nil {
+		return nil, err
+	}
+	if text, err = server.Swap(context.Background(), "", f.p.bind[i], text); err != nil {
+		return nil, err
+	}
+	return reducer.OpenConfiguration(text, f.fleet)
+}
+
+// watch asks a node what it has, until the play ends.
+func (f *polled) watch(ctx context.Context, i int) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		up, life := f.up[i], f.lives[i]
+		f.mu.Unlock()
+		if up {
+			f.ask <- struct{}{}
+			a, err := f.question(i, &configuration.Question{Kind: configuration.ShowStanding})
+			now := f.p.now()
+			<-f.ask
+			if err == nil && a.Status != nil {
+				f.told(i, life, now, a)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pollEvery):
+		}
+	}
+}
+
+// told notes what a node has: since when, and whether that went back.
+func (f *polled) told(i, life int, now int64, a *configuration.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lives[i] != life || !f.up[i] {
+		return
+	}
+	m, mark := f.members[i], a.Status.Mark
+	if last := f.has[i]; mark != last {
+		if mark.Version < last.Version {
+			f.back++
+			f.sayNow("n%d goes from version %d to %d", i, last.Version, mark.Version)
+		}
+		f.has[i] = mark
+		m.held = append(m.held, taken{max(now-a.Status.TakenNS, f.startOf(m)), mark.Version})
+	}
+	if d, known := f.marks[mark.Version]; mark.Version > 0 && known && d != mark.Digest {
+		f.forked++
+	} else if mark.Version > 0 {
+		f.marks[mark.Version] = mark.Digest
+	}
+	c := &a.Status.Counters
+	f.bytes[i] = append(f.bytes[i], sample{now, c.BytesSent + c.BytesCame, life})
+	if s := a.Seat; s != nil && (s.Head.All.Version > f.agreed.Head.All.Version || s.Newest.Version > f.agreed.Newest.Version || s.Head.Stopped) {
+		if s.Head.Stopped && !f.agreed.Head.Stopped {
+			f.sayNow("version %d is stopped by %s: %s", s.Head.First.Version, s.Head.Who, s.Head.Why)
+		}
+		f.agreed = *s
+	} else if s != nil && s.Head.First.Version >= f.agreed.Head.First.Version {
+		f.agreed = *s
+	}
+}
+
+// startOf is when a member's life began, as far as it was noted.
+func (f *polled) startOf(m *member) int64 {
+	if k := len(m.out); k > 0 {
+		return m.out[k-1].to
+	}
+	return 0
+}
+
+// put has one command ordered, at one seat after the other until there is a verdict.
+func (f *polled) put(ctx context.Context, c *configuration.Command, chance *rand.Rand) *configuration.Verdict {
+	for ctx.Err() == nil {
+		i := chance.Intn(f.terms.Seats)
+		f.mu.Lock()
+		up := f.up[i]
+		f.mu.Unlock()
+		if up {
+			if a, err := f.question(i, &configuration.Question{Kind: configuration.Propose, Command: c}); err == nil && a.Verdict != nil {
+				return a.Verdict
+			}
+		}
+		time.Sleep(putPause)
+	}
+	return nil
+}
+
+// putAll puts what callers want at its time, one command at a time.
+func (f *polled) putAll(ctx context.Context, list []timed, base uint64) {
+	chance, seq := rand.New(rand.NewSource(f.p.seed)), uint64(0)
+	for len(list) > 0 && ctx.Err() == nil {
+		n := 0
+		for now := f.p.now(); n < len(list) && n < putMost && list[n].at <= now && !(n > 0 && (list[n].isNew || list[0].isNew)); n++ {
+		}
+		if n == 0 {
+			time.Sleep(putPause)
+			continue
+		}
+		some, began := list[:n], f.p.now()
+		list = list[n:]
+		command := &configuration.Command{Kind: configuration.Put, From: "rig"}
+		for _, x := range some {
+			command.Changes = append(command.Changes, x.item)
+		}
+		v := f.until(ctx, command, &seq, &base, chance)
+		if v == nil {
+			return
+		}
+		f.mu.Lock()
+		for _, x := range some {
+			x.version = v.Version
+		}
+		f.agreedAt[v.Version] = began // not later than it was agreed on
+		f.puts = append(f.puts, seconds(f.p.now()-began))
+		f.mu.Unlock()
+		if some[0].isNew {
+			f.takeBack(ctx, v.Version, &seq, &base, chance)
+		}
+	}
+}
+
+// until puts a command anew on the newest version until it is done.
+func (f *polled) until(ctx context.Context, command *configuration.Command, seq, base *uint64, chance *rand.Rand) *configuration.Verdict {
+	for ctx.Err() == nil {
+		again := *command
+		*seq++
+		again.Seq, again.Base = *seq, *base
+		v := f.put(ctx, &again, chance)
+		if v == nil {
+			return nil
+		}
+		if *base = v.Version; v.Done {
+			return v
+		}
+		f.mu.Lock()
+		f.sayNow("a change is refused: %s", v.Refused)
+		f.mu.Unlock()
+		time.Sleep(putPause)
+	}
+	return nil
+}
+
+// takeBack waits until what an older build can't take is stopped, and goes back.
+func (f *polled) takeBack(ctx context.Context, version uint64, seq, base *uint64, chance *rand.Rand) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		h := f.agreed.Head
+		good := f.agreed.Good
+		f.mu.Unlock()
+		to := h.All.Version
+		switch {
+		case h.Stopped && h.First.Version >= version:
+			f.stops++
+		case to >= version && len(good) > 0:
+			to = good[len(good)-1]
+		default:
+			time.Sleep(putPause)
+			continue
+		}
+		v := f.until(ctx, &configuration.Command{Kind: configuration.Rollback, From: "rig", Version: to}, seq, base, chance)
+		if v != nil {
+			f.mu.Lock()
+			f.undone = append(f.undone, [2]uint64{to, v.Version})
+			f.sayNow("version %d takes version %d back to %d", v.Version, version, to)
+			f.mu.Unlock()
+		}
+		return
+	}
+}
+
+// timed is a change that is wanted at a time.
+type timed struct {
+	*change
+	at int64
+}
+
+// wantedAt draws the changes of a play.
+func (f *polled) wantedAt(start, end int64) (list []timed) {
+	for _, c := range f.terms.Changes {
+		last := min(end, start+int64(c.At)+int64(c.For)+1)
+		for at := start + int64(c.At); at < last; at += int64(c.Every) {
+			x := &change{isNew: c.New, item: tenantOf(f.chance.Intn(f.terms.Tenants), len(list)+1)}
+			if c.New {
+				x.item = configuration.Item{Part: configuration.Operations, Name: "new", Value: []byte(newItem)}
+			}
+			f.changes, list = append(f.changes, x), append(list, timed{x, at})
+			if c.Every <= 0 {
+				break
+			}
+		}
+	}
+	slices.SortStableFunc(list, func(a, b timed) int { return cmp.Compare(a.at, b.at) })
+	return list
+}
+
+func tenantOf(k, count int) configuration.Item {
+	return configuration.Item{Part: configuration.Tenants, Name: fmt.Sprintf("tenant-%05d", k), Value: fmt.Appendf(nil, `{"quota_rps":%d}`, 1+count)}
+}
+
+// playVersionsOnProcesses plays the same on built daemons, hollow nodes and processes that are seats.
+func (n *Night) playVersionsOnProcesses(p *processes, seed int64) *Outcome {
+	o := &Outcome{Seed: seed, Measures: map[string]float64{}}
+	f := &polled{versions: newVersions(n, seed), p: p, fleet: letter.FleetOf("rig"), marks: map[uint64]configuration.Digest{},
+		has: make([]configuration.Mark, n.Nodes), up: make([]bool, n.Nodes), lives: make([]int, n.Nodes), bytes: make([][]sample, n.Nodes),
+		ask: make(chan struct{}, asksMost)}
+	f.World = world.New(seed, 0)
+	for i, m := range f.members {
+		m.seat = i < n.Versions.Seats
+	}
+	defer func() { o.Timeline = f.lines }()
+	all := make([]int, n.Nodes)
+	for i := range all {
+		all[i] = i
+		f.up[i] = true
+	}
+	began := time.Now()
+	if err := startAll(p, all, n.JoinOver); err != nil {
+		o.Failed = err.Error()
+		return o
+	}
+	if o.Measures["joined_s"] = seconds(n.until(p, int64(n.Join*1e9), f.up)); o.Measures["joined_s"] < 0 {
+		o.Failed = "the fleet did not come to one view"
+		return o
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for i := range all {
+		go f.watch(ctx, i)
+	}
+	base, err := f.loadFile(ctx)
+	if err != nil {
+		o.Failed = err.Error()
+		return o
+	}
+	p.run(p.now() + 2*quietFor)
+	start := p.now()
+	f.start = start
+	end := start + int64(n.Seconds*1e9)
+	done := make(chan struct{})
+	list := f.wantedAt(start, end)
+	go func() { f.putAll(ctx, list, base); close(done) }()
+	if err := f.troubles(start, end); err != nil {
+		o.Failed = err.Error()
+		return o
+	}
+	healed := p.now()
+	select {
+	case <-done:
+	case <-time.After(time.Duration(putFor)):
+	}
+	o.Measures["healed_s"] = 1e9
+	for p.now() < healed+int64(n.Calm*1e9) {
+		if f.allAt() {
+			o.Measures["healed_s"] = seconds(p.now() - healed)
+			break
+		}
+		time.Sleep(putPause)
+	}
+	time.Sleep(pollEvery + time.Second)
+	stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Now = p.now()
+	o.Measures["pace"] = float64(f.Now) / float64(max(1, time.Since(began)))
+	f.measurePolled(o.Measures, start)
+	return o
+}
+
+// loadFile puts the operations and limits of a whole node's file and the first tenants, and waits until all have them.
+func (f *polled) loadFile(ctx context.Context) (uint64, error) {
+	text, err := json.Marshal(f.p.config(0))
+	if err != nil {
+		return 0, err
+	}
+	n, err := server.DecodeNameplate(bytes.NewReader(text))
+	if err != nil {
+		return 0, err
+	}
+	var items []configuration.Item
+	found, _ := plate.Diff(nil, n.Settings)
+	for k := range found {
+		items = append(items, configuration.Item(found[k]))
+	}
+	for k := range f.terms.Tenants {
+		items = append(items, tenantOf(k, 0))
+	}
+	ctx, stop := context.WithTimeout(ctx, time.Duration(putFor))
+	defer stop()
+	chance, version := rand.New(rand.NewSource(f.p.seed)), uint64(0)
+	for k := 0; k < len(items); k += pieceMost {
+		c := &configuration.Command{Kind: configuration.Put, From: "file", Seq: uint64(k/pieceMost) + 1, Piece: k / pieceMost,
+			More: k+pieceMost < len(items), Changes: items[k:min(len(items), k+pieceMost)]}
+		v := f.put(ctx, c, chance)
+		if v == nil || !v.Done {
+			return 0, fmt.Errorf("the first content was not put: %+v", v)
+		}
+		version = v.Version
+	}
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		behind := slices.IndexFunc(f.has, func(m configuration.Mark) bool { return m.Version < version })
+		f.mu.Unlock()
+		if behind < 0 {
+			return version, nil
+		}
+		time.Sleep(putPause)
+	}
+	return 0, fmt.Errorf("the first content was not in force everywhere within %.0f s", seconds(putFor))
+}
+
+// allAt says whether all nodes have the newest version that was acknowledged in force.
+func (f *polled) allAt() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	newest := uint64(0)
+	for _, c := range f.changes {
+		newest = max(newest, c.version)
+	}
+	return !slices.ContainsFunc(f.has, func(m configuration.Mark) bool { return m.Version < newest })
+}
+
+// trouble is a fault with when it begins, or ends.
+type begun struct {
+	at int64
+	do func() error
+}
+
+// troubles does all faults, and heals all.
+func (f *polled) troubles(start, end int64) error {
+	var list []begun
+	for _, fault := range f.night.Faults {
+		for at := start + int64(fault.At); at < end; at += int64(fault.Every) {
+			list = append(list, begun{at, func() error { return f.begin(&fault, &list, end) }})
+			if fault.Every <= 0 {
+				break
+			}
+		}
+	}
+	for f.p.now() < end {
+		slices.SortStableFunc(list, func(a, b begun) int { return cmp.Compare(a.at, b.at) })
+		if len(list) == 0 || list[0].at >= end {
+			break
+		}
+		next := list[0]
+		list = list[1:]
+		if next.at > f.p.now() {
+			f.p.run(next.at)
+		}
+		if err := next.do(); err != nil {
+			return err
+		}
+	}
+	f.p.run(end)
+	f.p.lose(0)
+	f.p.heal()
+	var down []int
+	for i, up := range f.up {
+		if !up {
+			down = append(down, i)
+		}
+	}
+	f.apartPolled(nil, false)
+	return f.startSome(down)
+}
+
+func (f *polled) startSome(list []int) error {
+	if err := startAll(f.p, list, 0); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range list {
+		f.up[i] = true
+		f.lives[i]++
+		f.has[i] = configuration.Mark{}
+		m := f.members[i]
+		m.out[len(m.out)-1].to = f.p.now()
+	}
+	return nil
+}
+
+// apartPolled notes who is cut off, or that nobody is any more.
+func (f *polled) apartPolled(nodes []int, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, i := range nodes {
+		m := f.members[i]
+		m.out, f.apart[m] = append(m.out, stretch{f.p.now(), 1 << 62}), true
+	}
+	if !cut {
+		for m := range f.apart {
+			if k := len(m.out); m.out[k-1].to == 1<<62 && f.up[m.index] {
+				m.out[k-1].to = f.p.now()
+			}
+		}
+		clear(f.apart)
+	}
+}
+
+// begin does a fault, and lays its end.
+func (f *polled) begin(fault *Fault, list *[]begun, end int64) error {
+	var nodes []int
+	n, p := f.night, f.p
+	f.mu.Lock()
+	perm := f.chance.Perm(n.Nodes)
+	for _, i := range perm {
+		if f.up[i] && !f.apart[f.members[i]] {
+			nodes = append(nodes, i)
+		}
+	}
+	f.mu.Unlock()
+	layout, seat := n.layout(), func(i int) bool { return i < f.terms.Seats }
+	switch fault.Who {
+	case "seat", "seats":
+		if nodes = slices.DeleteFunc(nodes, func(i int) bool { return !seat(i) }); fault.Who == "seat" {
+			nodes = nodes[:min(1, len(nodes))]
+		}
+	case "zone", "region":
+		nodes = n.place(fault.Who, f.chance, nodes)
+	default:
+		nodes = slices.DeleteFunc(nodes, seat)
+		nodes = nodes[:min(1, len(nodes))]
+	}
+	back := p.now() + int64(fault.For)
+	switch fault.Kind {
+	case "loss":
+		p.lose(float64(fault.Part))
+		*list = append(*list, begun{back, func() error { p.lose(0); return nil }})
+	case "cut":
+		var out []int
+		for _, i := range perm {
+			if !slices.Contains(nodes, i) {
+				out = append(out, i)
+			}
+		}
+		cutAll(p, nodes, out)
+		cutAll(p, out, nodes)
+		f.apartPolled(nodes, true)
+		f.noted("FAULT %d nodes of %s cut off", len(nodes), layout.Name(nodes[0]))
+		*list = append(*list, begun{back, func() error { p.heal(); f.apartPolled(nil, false); return nil }})
+	case "kill":
+		f.mu.Lock()
+		for _, i := range nodes {
+			f.up[i] = false
+			f.lives[i]++
+			f.members[i].out = append(f.members[i].out, stretch{p.now(), 1 << 62})
+		}
+		f.mu.Unlock()
+		endAll(p, nodes, false, make([]bool, n.Nodes))
+		for _, i := range nodes {
+			if fault.Shape == "forgets" {
+				os.RemoveAll(filepath.Join(p.folder, "configuration-"+name(i)))
+			}
+		}
+		if len(nodes) > 0 {
+			f.noted("FAULT %d killed: %s %s", len(nodes), name(nodes[0]), fault.Shape)
+		}
+		*list = append(*list, begun{back, func() error { return f.startSome(nodes) }})
+	}
+	return nil
+}
+
+// noted is a line of the timeline, sayNow one under the lock.
+func (f *polled) noted(form string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sayNow(form, args...)
+}
+
+func (f *polled) sayNow(form string, args ...any) {
+	f.Now = f.p.now()
+	f.say(form, args...)
+}
+
+// measurePolled measures what was asked for. Bytes are those that holders count, as they estimate them.
+func (f *polled) measurePolled(x map[string]float64, start int64) {
+	f.measureInForce(x)
+	x["gone_back"], x["two_contents"], x["stops"] = float64(f.back), float64(f.forked), float64(f.stops)
+	x["put_s"], x["changes"], x["versions"] = quantile(f.puts, 0.99), float64(len(f.changes)), float64(f.agreed.Newest.Version)
+	idle, nodes := 0.0, 0
+	for i, list := range f.bytes {
+		var first, last *sample
+		for k := range list {
+			if s := &list[k]; s.at <= start && s.at > start-int64(quietFor) && s.life == 0 {
+				if first == nil {
+					first = s
+				}
+				last = s
+			}
+		}
+		if !f.members[i].seat && first != nil && last.at > first.at {
+			idle, nodes = idle+float64(last.bytes-first.bytes)/seconds(last.at-first.at), nodes+1
+		}
+		for k := range list {
+			for j := k + 1; j < len(list) && list[j].life == list[k].life; j++ {
+				span := list[j].at - list[k].at
+				if span < window*second || list[k].at < start {
+					continue
+				}
+				if per := float64(list[j].bytes-list[k].bytes) / seconds(span); !f.members[i].seat {
+					x["window_bytes"] = max(x["window_bytes"], per)
+				} else {
+					x["seat_window_bytes"] = max(x["seat_window_bytes"], per)
+				}
+				break
+			}
+		}
+	}
+	x["idle_bytes"] = idle / float64(max(1, nodes))
+	unanswered, lost := 0, 0
+	for _, c := range f.changes {
+		if c.version == 0 {
+			unanswered++
+		} else if c.version > f.agreed.Newest.Version {
+			lost++
+		}
+	}
+	x["unanswered"] = float64(unanswered)
+	digests := map[configuration.Mark]bool{}
+	for _, m := range f.has {
+		digests[m] = true
+	}
+	x["digests"] = float64(len(digests))
+	x["lost"] = float64(lost + f.missing())
+}
+
+// missing counts items whose last acknowledged value isn't in the final content of a seat, though nobody took it back: a rollback
+// takes back all that was agreed on since the version that it names.
+func (f *polled) missing() (count int) {
+	last := map[string]*change{}
+	for _, c := range f.changes {
+		back := slices.ContainsFunc(f.undone, func(u [2]uint64) bool { return c.version > u[0] && c.version < u[1] })
+		if o := last[c.item.Name]; !back && c.version > 0 && !c.isNew && (o == nil || c.version >= o.version) {
+			last[c.item.Name] = c
+		}
+	}
+	for i := range f.terms.Seats {
+		var blocks []configuration.Block
+		var mark configuration.Mark
+		for from, more := 0, true; more; {
+			a, err := f.question(i, &configuration.Question{Kind: configuration.ReadBlocks, Which: configuration.Newest, From: from})
+			if err != nil || a.Why != "" {
+				blocks = nil
+				break
+			}
+			blocks, mark, from, more = append(blocks, a.Blocks...), a.Mark, a.Next, a.Next > 0
+		}
+		content := configuration.FromBlocks(blocks, mark.Digest)
+		if content == nil || len(blocks) == 0 {
+			continue
+		}
+		for part, c := range last {
+			if got := content.Get(configuration.Tenants, part); !bytes.Equal(got, c.item.Value) {
+				count++
+			}
+		}
+		return count
+	}
+	return len(last) // no seat can say
+}
+
+// seatFlags are those of a process that is a seat and serves nothing.
+func (p *processes) seatFlags(i int, fleet string) []string {
+	return []string{"seat", "--name", name(i), fleet}
+}
--- a/lab/rig/versions_test.go
+++ b/lab/rig/versions_test.go
@@ -37,6 +37,14 @@
 		"versions.changes": `[{"at":"1 s","for":"32 s","every":"1 s"},{"at":"25 s","new":true}]`}))
 }
 
+// The same on processes: five seats that serve nothing, and daemons.
+func TestVersionsSpreadOverProcesses(t *testing.T) {
+	play(t, "config-scale", map[string]string{"processes": "true", "nodes": "9", "seconds": "16", "versions.tenants": "50",
+		"faults": `[{"kind":"loss","at":"0 s","for":"16 s","part":"5 %"},{"kind":"kill","who":"seat","at":"2 s","for":"3 s"},
+			{"kind":"kill","who":"one","at":"3 s","for":"3 s"}]`,
+		"versions.changes": `[{"at":"1 s","for":"14 s","every":"1 s"},{"at":"9 s","new":true}]`})
+}
+
 // A measure that can't fail is none: seats that all lose their disks have lost what they acknowledged.
 func TestLostVersionsAreFound(t *testing.T) {
 	t.Parallel()
