--- a/cmd/topazpost/config.go
+++ b/cmd/topazpost/config.go
@@ -398,6 +398,11 @@
 			}
 		}
 	}
+	for _, a := range list { // what a seat says of itself is no report that may have been late
+		if s := a.Status; s != nil {
+			has[a.Node] = configuration.Standing{Name: a.Node, Mark: s.Mark, Refused: s.Refused, Why: s.Why, Age: s.TakenNS}
+		}
+	}
 	return has
 }
 
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -554,13 +554,11 @@
 		return append(effects, Effect{Kind: Remark, Warn: true, Text: fmt.Sprintf("configuration %d can't be taken, %d stays in force: %s", i.Mark.Version, h.mark.Version, h.why)})
 	}
 	h.Counters.Taken++
-	old := h.mark
 	h.mark, h.content, h.since, h.source = i.Mark, content, now, "fleet"
 	h.note(now)
 	if h.waiting == 0 {
 		h.report = min(h.report, now+h.draw(tookSpread))
 	}
-	effects = append(effects, Effect{Kind: Remark, Text: fmt.Sprintf("configuration %d is in force, after %d", h.mark.Version, old.Version)})
 	return h.persist(effects)
 }
 
--- /dev/null
+++ b/reducer/configuration_test.go
@@ -0,0 +1,263 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/configuration"
+	"topazpost/letter"
+	"topazpost/membership"
+	"topazpost/plate"
+)
+
+// contentOf is what a plate holds of what may change in service.
+func contentOf(t *testing.T, p *plate.Plate) *configuration.Content {
+	found, _ := plate.Diff(nil, p)
+	var items []configuration.Item
+	for i := range found {
+		items = append(items, configuration.Item(found[i]))
+	}
+	content, err := new(configuration.Content).Apply(items)
+	require.NoError(t, err)
+	return content
+}
+
+// configuredNode is a node that serves, with the only seat of its council and its configuration in service; start changes what it
+// begins with.
+func configuredNode(t *testing.T, to Addresses, start func(file *configuration.Content) configuration.Start) (*Reducer, error) {
+	p, err := plate.FromJSON(1, []byte(settings))
+	require.NoError(t, err)
+	r := New(p, to, 5_000*ms, 4, 3)
+	r.Peer("mobilier", membership.New(charter, 0, 1, 0, 1))
+	r.Convene([]string{"n1"}, 1<<20, 0, 1)
+	file := contentOf(t, p)
+	err = r.Configure(0, 1, start(file), file)
+	return r, err
+}
+
+func servingNode(t *testing.T, r *Reducer) (effects []Effect) {
+	effects = step(r, Input{Kind: Opened, Link: 7})
+	step(r, Input{Kind: Joined, Link: r.dialing})
+	told(r, "WELCOME old 0")
+	told(r, "METERS j1 0.1 1 0.1 3")
+	for r.claimed.seat.Leader() == "" {
+		step(r)
+	}
+	return effects
+}
+
+func fromFile(file *configuration.Content) configuration.Start {
+	return configuration.Start{Mark: configuration.Mark{Digest: file.Digest()}, Content: file, Source: "file", Journal: -1}
+}
+
+// questioned is a node's answer to a question, with all effects up to it.
+func questioned(t *testing.T, r *Reducer, q *configuration.Question) (a *configuration.Answer, all []Effect) {
+	text, err := letter.Seal(nil, letter.FleetOf("mobilier"), AskConfiguration(q))
+	require.NoError(t, err)
+	in := []Input{{Kind: PeerAsked, Link: 3, From: "10.0.0.9:9", Bytes: text}}
+	for range 3_000 {
+		r.heardAt, r.conns[7].used = r.now, r.now
+		effects := step(r, in...)
+		in = nil
+		all = append(all, effects...)
+		for _, e := range effects {
+			if e.Kind == PeerReply && e.Link == 3 {
+				a, err = OpenConfiguration(e.Bytes, letter.FleetOf("mobilier"))
+				require.NoError(t, err)
+				return a, all
+			}
+		}
+	}
+	t.Fatal("no answer")
+	return nil, nil
+}
+
+// put has changes ordered on a version, and steps on until that version or a refusal of it shows.
+func put(t *testing.T, r *Reducer, from string, base uint64, items ...plate.Item) (v *configuration.Verdict, all []Effect) {
+	c := &configuration.Command{Kind: configuration.Put, From: from, Seq: 1, Base: base}
+	for _, i := range items {
+		if len(i.Value) > 0 {
+			var err error
+			i.Value, err = configuration.Canonical(i.Value)
+			require.NoError(t, err)
+		}
+		c.Changes = append(c.Changes, configuration.Item(i))
+	}
+	a, all := questioned(t, r, &configuration.Question{Kind: configuration.Propose, Command: c})
+	require.NotNil(t, a.Verdict, a.Why)
+	for range 50 {
+		if !a.Verdict.Done || r.Configuration().Version >= a.Verdict.Version || r.Configuration().Refused >= a.Verdict.Version {
+			break
+		}
+		all = append(all, step(r)...)
+	}
+	return a.Verdict, append(all, step(r)...)
+}
+
+// settle lets time pass until nothing stands at the first stage.
+func settle(t *testing.T, r *Reducer) {
+	for range 100 {
+		if head := r.configuring.agreed.Head; head.All.Version == head.Newest {
+			return
+		}
+		pass(r, 50*ms)
+	}
+	t.Fatal("a version stands at the first stage for good")
+}
+
+// allOf is the file's content as items.
+func allOf(r *Reducer) (items []plate.Item) {
+	for i := range r.configuring.holder.Content().All {
+		items = append(items, plate.Item(i))
+	}
+	return items
+}
+
+func TestVersionComesIntoForceWithWorkInHand(t *testing.T) {
+	r, err := configuredNode(t, Addresses{"executor:1", "catalogue:1", "control:1"}, fromFile)
+	require.NoError(t, err)
+	first := kindsOf(servingNode(t, r), InForce)
+	require.Len(t, first, 1, "what it starts with is told")
+	assert.Equal(t, "file", first[0].InForce.Source)
+	v, _ := put(t, r, "a", 0, allOf(r)...)
+	require.True(t, v.Done, v.Refused)
+
+	settle(t, r)
+	assert.Equal(t, 1, runsOf(step(r, coming(r, 1, "op", "hold"))))
+	v, effects := put(t, r, "b", 1, removed(plate.Operations, "hold"), operation("new", ""))
+	require.True(t, v.Done, v.Refused)
+	in := kindsOf(effects, InForce)
+	require.Len(t, in, 1)
+	assert.Equal(t, VersionInForce{Mark: r.configuring.holder.Mark(), After: 1, Source: "fleet", First: true, Added: 1, Removed: 1,
+		TookNS: in[0].InForce.TookNS}, *in[0].InForce)
+	kept := kindsOf(effects, KeepVersion)
+	require.Len(t, kept, 1)
+	assert.Equal(t, uint64(2), kept[0].Persisting.Mark.Version)
+	assert.Equal(t, []string{"51 on 2"}, answers(t, step(r, coming(r, 2, "op", "hold"))))
+	assert.Equal(t, 1, runsOf(step(r, coming(r, 3, "op", "new"))))
+	assert.Equal(t, []string{"20 on 1"}, answers(t, ran(r, 1)), "what was in hand ends as it began")
+
+	v, _ = put(t, r, "c", 1, tenant("x", 3))
+	assert.True(t, v.Stale)
+	assert.ElementsMatch(t, []configuration.Item{{Part: plate.Operations, Name: "hold"}, {Part: plate.Operations, Name: "new"}}, v.Differ)
+	again, _ := put(t, r, "b", 7, operation("other", ""))
+	assert.Equal(t, uint64(2), again.Version, "the same request has the same verdict")
+}
+
+func TestPutIsCheckedBeforeItIsOrdered(t *testing.T) {
+	r, err := configuredNode(t, Addresses{"executor:1", "catalogue:1", "control:1"}, fromFile)
+	require.NoError(t, err)
+	servingNode(t, r)
+	for _, c := range []struct {
+		item plate.Item
+		want string
+	}{
+		{operation("new", `,"effect":"whenever"`), "operations.new"},
+		{plate.Item{Part: plate.Limits, Name: "family_info.n_cores", Value: []byte("4")}, "takes a new start"},
+		{plate.Item{Part: "levels", Name: "x", Value: []byte("4")}, "no such part"},
+		{tenant("x", 3), "no operation would be left"},
+	} {
+		v, _ := put(t, r, c.item.Part+c.item.Name, 0, c.item)
+		assert.False(t, v.Done)
+		assert.Contains(t, v.Refused, c.want)
+	}
+}
+
+func TestNodeThatCantTakeAVersionKeepsTheLastAndSaysSo(t *testing.T) {
+	r, err := configuredNode(t, Addresses{"executor:1", "", "control:1"}, fromFile)
+	require.NoError(t, err)
+	servingNode(t, r)
+	v, _ := put(t, r, "a", 0, allOf(r)...)
+	require.True(t, v.Done, v.Refused)
+	settle(t, r)
+	before := r.plate.Own()
+	v, effects := put(t, r, "b", 1, operation("new", `,"class_calls":true`), tenant("x", 3))
+	require.True(t, v.Done, "by itself it is sound: %s", v.Refused)
+	assert.Empty(t, kindsOf(effects, InForce))
+	assert.Equal(t, before, r.plate.Own())
+	s := r.Configuration()
+	assert.Equal(t, []uint64{1, 2}, []uint64{s.Version, s.Refused})
+	assert.Contains(t, s.Why, "operations.new: class_calls: it makes calls, and this node's own file names no catalogue")
+	for range 10 {
+		step(r)
+	}
+	a, _ := questioned(t, r, &configuration.Question{Kind: configuration.ShowStanding})
+	assert.True(t, a.Seat.Head.Stopped, "it goes no further")
+	assert.Equal(t, []any{"n1", uint64(1)}, []any{a.Seat.Head.Who, a.Seat.Head.All.Version})
+}
+
+func TestLargeVersionTakesNoLongStep(t *testing.T) {
+	r, err := configuredNode(t, Addresses{"executor:1", "catalogue:1", "control:1"}, fromFile)
+	require.NoError(t, err)
+	servingNode(t, r)
+	content := r.configuring.holder.Content()
+	var items []configuration.Item
+	for k := range 10 * amendedAStep {
+		items = append(items, configuration.Item(tenant(fmt.Sprint("t", k), 1)))
+	}
+	next, err := content.Apply(items)
+	require.NoError(t, err)
+	mark := configuration.Mark{Version: 9, Digest: next.Digest()}
+	r.carryConfiguration(&configuration.Effect{Kind: configuration.Take, Mark: mark, Old: content, New: next})
+	steps := 0
+	for ; r.configuring.taking != nil; steps++ {
+		was := r.plate.Tenants.Slots()
+		effects := r.Step(r.now+ms, r.now+ms+1_000_000*ms, nil)
+		assert.LessOrEqual(t, r.plate.Tenants.Slots()-was, amendedAStep)
+		if r.configuring.taking != nil {
+			assert.Equal(t, r.now+1, effects[len(effects)-1].At, "it goes on at once")
+		}
+	}
+	assert.GreaterOrEqual(t, steps, 20, "looked at and taken a part at a time")
+	assert.Equal(t, 10*amendedAStep, r.plate.Tenants.Len())
+	assert.Equal(t, uint64(9), r.Version())
+}
+
+func TestStartIsFromTheDiskWhereItCanBeTaken(t *testing.T) {
+	kept := func(items ...plate.Item) func(file *configuration.Content) configuration.Start {
+		return func(file *configuration.Content) configuration.Start {
+			var list []configuration.Item
+			for _, i := range items {
+				list = append(list, configuration.Item(i))
+			}
+			content, err := file.Apply(list)
+			require.NoError(t, err)
+			return configuration.Start{Mark: configuration.Mark{Version: 8, Digest: content.Digest()}, Content: content, Source: "disk"}
+		}
+	}
+	r, err := configuredNode(t, Addresses{"executor:1", "catalogue:1", "control:1"}, kept(operation("new", ""), removed(plate.Operations, "hold")))
+	require.NoError(t, err)
+	in := kindsOf(servingNode(t, r), InForce)
+	require.Len(t, in, 1)
+	assert.Equal(t, []any{"disk", uint64(8), 1, 1}, []any{in[0].InForce.Source, in[0].InForce.Mark.Version, in[0].InForce.Added, in[0].InForce.Removed})
+	assert.Equal(t, 1, runsOf(step(r, coming(r, 1, "op", "new"))))
+	assert.Equal(t, []string{"51 on 2"}, answers(t, step(r, coming(r, 2, "op", "hold"))))
+
+	r, err = configuredNode(t, Addresses{"executor:1", "", "control:1"}, kept(operation("new", `,"class_calls":true`)))
+	assert.ErrorContains(t, err, "names no catalogue")
+	assert.Nil(t, r.Configuration())
+	_, known := r.plate.Operations.Find("new")
+	assert.False(t, known, "nothing is changed")
+}
+
+func TestLettersOfTheConfigurationAreToldFromMembership(t *testing.T) {
+	fleet := letter.FleetOf("mobilier")
+	text, err := letter.Seal(nil, fleet, AskConfiguration(&configuration.Question{Kind: configuration.ShowStanding}))
+	require.NoError(t, err)
+	var older membership.Message
+	require.NoError(t, letter.Open(text, fleet, &older))
+	assert.Equal(t, membership.Message{}, older, "a build without the door finds a message of no kind, which it refuses")
+	r := peered(t)
+	effects := r.Step(ms, 1, []Input{{Kind: PeerAsked, Link: 4, Bytes: text}})
+	require.Len(t, kindsOf(effects, PeerReply), 1, "where it is off the exchange is closed")
+	assert.Empty(t, kindsOf(effects, PeerReply)[0].Bytes)
+	assert.Zero(t, r.peers.letters.Spoilt)
+	msg := membership.Message{Kind: membership.Push, From: 9, Seq: 5, Records: []membership.Record{other(3, true)}, Heads: []membership.Head{{ID: 1, Inc: 2}},
+		Wanted: []membership.ID{4}, Why: "x", Digest: 8, Neighbour: true}
+	var body peerLetter
+	require.NoError(t, letter.Open(sealed(t, "mobilier", msg), fleet, &body))
+	assert.Equal(t, peerLetter{Message: msg}, body)
+}
