--- a/council/helpers_test.go
+++ b/council/helpers_test.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"topazpost/claims"
+	"topazpost/configuration"
 	"topazpost/takeover"
 )
 
@@ -31,6 +32,7 @@
 	ended   map[claims.Key]string
 	waking  int64
 	backlog []event
+	decided []configuration.Verdict
 	disk    *disk // nil for one that is in memory only; it outlives the machine's lives
 }
 
@@ -292,6 +294,7 @@
 		for k := range msg.Verdicts {
 			m.toDesk = append(m.toDesk, claims.Input{Want: claims.Answered, Verdict: msg.Verdicts[k]})
 		}
+		m.decided = append(m.decided, msg.Decided...)
 		for _, key := range msg.Keys {
 			m.toDesk = append(m.toDesk, claims.Input{Want: claims.TellsEnd, Key: key})
 		}
--- /dev/null
+++ b/server/configuration_test.go
@@ -0,0 +1,93 @@
+package server
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/configuration"
+)
+
+// versions are some in a row, each with an item more.
+func versions(t *testing.T, n int) (list []*configuration.Effect) {
+	content, mark := new(configuration.Content), configuration.Mark{}
+	for k := range n {
+		changes := []configuration.Item{{Part: configuration.Tenants, Name: fmt.Sprint("t", k), Value: []byte(`{"quota_rps":1}`)}}
+		next, err := content.Apply(changes)
+		require.NoError(t, err)
+		r := &configuration.Record{Version: mark.Version + 1, Base: content.Digest(), Digest: next.Digest(), Changes: changes}
+		content, mark = next, configuration.Mark{Version: r.Version, Digest: r.Digest}
+		list = append(list, &configuration.Effect{Mark: mark, New: next, Records: []*configuration.Record{r}})
+	}
+	return list
+}
+
+func openDisk(folder string) (*configurationDisk, *bytes.Buffer) {
+	log := new(bytes.Buffer)
+	return &configurationDisk{s: &Server{log: zerolog.New(log)}, folder: folder, unlock: func() {}}, log
+}
+
+func TestLastGoodIsReadBackUpToTheFirstFault(t *testing.T) {
+	folder := t.TempDir()
+	d, _ := openDisk(folder)
+	_, there := d.read()
+	assert.False(t, there)
+	list := versions(t, 4)
+	require.Error(t, d.write(list[0]), "records follow on what is there")
+	list[0].Full = true
+	for _, e := range list[:3] {
+		require.NoError(t, d.write(e))
+	}
+	d.close()
+
+	d, _ = openDisk(folder)
+	start, there := d.read()
+	require.True(t, there)
+	assert.Equal(t, []any{list[2].Mark, "disk"}, []any{start.Mark, start.Source})
+	assert.Positive(t, start.Journal)
+	require.NoError(t, d.write(list[3]), "it goes on behind what was read")
+	d.close()
+
+	path := filepath.Join(folder, lastGood)
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, text[:len(text)-3], 0o600)) // half a record
+	d, log := openDisk(folder)
+	start, there = d.read()
+	require.True(t, there)
+	assert.Equal(t, list[2].Mark, start.Mark)
+	assert.Equal(t, -1, start.Journal, "so that all is written anew")
+	assert.Contains(t, log.String(), "spoilt the end of what was kept")
+	d.close()
+
+	text[20] ^= 1
+	require.NoError(t, os.WriteFile(path, text, 0o600))
+	d, log = openDisk(folder)
+	_, there = d.read()
+	assert.False(t, there)
+	assert.Contains(t, log.String(), "put aside; the node starts from its own file")
+	aside, err := os.ReadFile(filepath.Join(folder, lastGoodSpoilt))
+	require.NoError(t, err)
+	assert.Equal(t, text, aside, "nothing is lost")
+}
+
+func TestLastGoodThatCantBeReplacedStays(t *testing.T) {
+	folder := t.TempDir()
+	d, _ := openDisk(folder)
+	list := versions(t, 2)
+	list[0].Full, list[1].Full = true, true
+	require.NoError(t, d.write(list[0]))
+	require.NoError(t, os.Mkdir(filepath.Join(folder, lastGood+".new"), 0o700))
+	require.Error(t, d.write(list[1]))
+	d.close()
+	d, _ = openDisk(folder)
+	start, there := d.read()
+	require.True(t, there)
+	assert.Equal(t, list[0].Mark, start.Mark)
+}
