--- a/charter/charter.go
+++ b/charter/charter.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"fmt"
 	"net/netip"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -162,17 +161,9 @@
 	}
 	if w.Council != nil {
 		f.Council = &Council{Seats: w.Council.Seats, Bytes: tableUsual}
-		if folder := w.Council.Folder; folder != "" {
-			f.Council.Folder = filepath.Clean(strings.ReplaceAll(folder, "{name}", name))
-			if !filepath.IsAbs(f.Council.Folder) {
-				found = append(found, file.At([]string{"council", "folder"}, fmt.Sprintf("%q is no absolute path", folder),
-					`write it as "/var/lib/topazpost/seat-{name}"; {name} is the node's`))
-			}
-			if strings.Contains(folder, "{name}") && (strings.ContainsAny(name, "/\\\x00") || name == ".." || name == ".") {
-				found = append(found, file.At([]string{"council", "folder"}, fmt.Sprintf("takes in the node's name, and %q can't be part of a path", name),
-					"name the node otherwise, or write the folder without {name}"))
-			}
-		}
+		var wrong settings.Problems
+		f.Council.Folder, wrong = folderOf(file, name, w.Council.Folder, "seat", "council", "folder")
+		found = append(found, wrong...)
 		if w.Council.Table != nil {
 			f.Council.Bytes = int64(*w.Council.Table)
 		}
--- a/charter/configuration.go
+++ b/charter/configuration.go
@@ -18,18 +18,25 @@
 	if c = new(Configuration); !council {
 		found = append(found, file.At([]string{"configuration"}, "needs a council, whose seats agree on versions", "name seats in council.seats, or leave it out"))
 	}
+	var wrong settings.Problems
+	c.Folder, wrong = folderOf(file, name, folder, "configuration", "configuration", "folder")
+	return c, append(found, wrong...)
+}
+
+// folderOf reads a folder, empty for none; what says what it is for.
+func folderOf(file *settings.File, name, folder, what string, path ...string) (clean string, found settings.Problems) {
 	if folder == "" {
-		return c, found
+		return "", nil
 	}
 	if strings.Contains(folder, "{name}") && (strings.ContainsAny(name, "/\\\x00") || name == ".." || name == ".") {
-		return c, append(found, file.At([]string{"configuration", "folder"}, fmt.Sprintf("takes in the node's name, and %q can't be part of a path", name),
-			"name the node otherwise, or write the folder without {name}"))
+		return "", settings.Problems{file.At(path, fmt.Sprintf("takes in the node's name, and %q can't be part of a path", name),
+			"name the node otherwise, or write the folder without {name}")}
 	}
-	if c.Folder = filepath.Clean(strings.ReplaceAll(folder, "{name}", name)); !filepath.IsAbs(c.Folder) {
-		found = append(found, file.At([]string{"configuration", "folder"}, fmt.Sprintf("%q is no absolute path", folder),
-			`write it as "/var/lib/topazpost/configuration-{name}"; {name} is the node's`))
+	if clean = filepath.Clean(strings.ReplaceAll(folder, "{name}", name)); !filepath.IsAbs(clean) {
+		found = append(found, file.At(path, fmt.Sprintf("%q is no absolute path", folder),
+			fmt.Sprintf(`write it as "/var/lib/topazpost/%s-{name}"; {name} is the node's`, what)))
 	}
-	return c, found
+	return clean, found
 }
 
 // bounds says in words what holds of it.
