--- /dev/null
+++ b/configuration/pieces_test.go
@@ -0,0 +1,74 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A long change costs at each piece what the piece costs, so that no seat stands still with the last one.
+func TestLongChangeIsMadeAsItsPiecesCome(t *testing.T) {
+	const pieces, each = 60, 400
+	var changes []Item
+	for k := range pieces * each {
+		changes = append(changes, Item{Tenants, fmt.Sprintf("tenant-%06d", k), []byte(`{"quota_rps":5}`)})
+	}
+	whole, err := new(Content).Apply(changes)
+	require.NoError(t, err)
+	changes = changes[:0]
+	for i := range whole.All { // in the order of a difference, as commands put them
+		changes = append(changes, i)
+	}
+	table, restored := NewTable(), 0
+	piece := func(k int) *Command {
+		return &Command{Kind: Put, From: "a", Seq: uint64(k + 1), Piece: k, More: k < pieces-1, Changes: changes[k*each : (k+1)*each]}
+	}
+	for k := range pieces {
+		before := table.draft.content
+		v := table.Apply(int64(k), piece(k))
+		require.True(t, v.Done, v.Refused)
+		if next := table.draft.content; k > 0 && k < pieces-1 {
+			differ := 0
+			for n := range Blocks {
+				if _, a := before.Block(n); a != sumOf(next, n) {
+					differ++
+				}
+			}
+			assert.Less(t, differ, Blocks/10, "blocks that a piece changes")
+		}
+		if k%20 == 10 {
+			text, err := table.Snapshot()
+			require.NoError(t, err)
+			table, err = Restore(text)
+			require.NoError(t, err)
+			again, err := table.Snapshot()
+			require.NoError(t, err)
+			assert.Equal(t, text, again, "two that are equal are written alike")
+			restored++
+		}
+	}
+	assert.Equal(t, 3, restored)
+	assert.Equal(t, uint64(1), table.Head().Newest)
+	_, _, newest := table.Contents()
+	assert.Equal(t, whole.Digest(), newest.Digest())
+	assert.Empty(t, table.Log(), "a record that the log can't hold isn't kept")
+	v := table.Apply(100, &Command{Kind: Put, From: "b", Seq: 1, Changes: changes[:1]})
+	assert.Equal(t, []any{true, -1}, []any{v.Stale, v.More})
+	v = table.Apply(101, &Command{Kind: Put, From: "b", Seq: 2, Base: 1, Changes: []Item{{Tenants, "x", []byte(`{"quota_rps":5}`)}}})
+	assert.True(t, v.Done, v.Refused)
+	require.Len(t, table.Log(), 1)
+	assert.Equal(t, newest.Digest(), table.Log()[0].Base)
+}
+
+func TestPieceThatIsNotCanonicalIsRefusedAtOnce(t *testing.T) {
+	table := NewTable()
+	v := table.Apply(0, &Command{Kind: Put, From: "a", Seq: 1, More: true, Changes: []Item{{Tenants, "x", []byte(`{ "quota_rps": 5 }`)}}})
+	assert.Contains(t, v.Refused, "not in canonical form")
+}
+
+func sumOf(c *Content, n int) Digest {
+	_, sum := c.Block(n)
+	return sum
+}
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -145,8 +145,9 @@
 	Base    uint64 `cbor:"2,keyasint,omitempty"`
 	Pieces  int    `cbor:"3,keyasint,omitempty"`
 	At      int64  `cbor:"4,keyasint,omitempty"`
-	Changes []Item `cbor:"5,keyasint,omitempty"`
+	Changes []Item `cbor:"5,keyasint,omitempty"` // in a snapshot: what they come to
 	Bytes   int    `cbor:"6,keyasint,omitempty"`
+	content *Content
 }
 
 // NewTable is at version 0, which has no items.
@@ -247,14 +248,8 @@
 		t.stale(c.Base, v)
 		return
 	}
-	changes := c.Changes
-	if c.More || c.Piece > 0 {
-		if changes = t.piece(at, c, v); changes == nil {
-			return
-		}
-	}
-	for k := range changes {
-		i := &changes[k]
+	for k := range c.Changes {
+		i := &c.Changes[k]
 		if len(i.Value) == 0 {
 			continue
 		}
@@ -263,16 +258,20 @@
 			return
 		}
 	}
-	next, err := t.newest.Apply(changes)
-	if err != nil {
+	next, err := t.newest, error(nil)
+	if c.More || c.Piece > 0 {
+		if next = t.piece(at, c, v); next == nil {
+			return
+		}
+	} else if next, err = next.Apply(c.Changes); err != nil {
 		v.Refused = err.Error()
 		return
 	}
 	t.agree(at, c, next, false, v)
 }
 
-// piece takes one piece of a long change. With the last one it gives all of it, else nil.
-func (t *Table) piece(at int64, c *Command, v *Verdict) []Item {
+// piece takes one piece of a long change, at the cost of the piece. With the last one it gives what all of it comes to, else nil.
+func (t *Table) piece(at int64, c *Command, v *Verdict) *Content {
 	d := &t.draft
 	other := d.Pieces > 0 && d.From != c.From && at < d.At+draftFor
 	switch {
@@ -280,7 +279,7 @@
 		v.Refused = fmt.Sprintf("a long change by %s is coming in; try again when it is done, in %d s at the latest", d.From, draftFor/(1_000*ms))
 		return nil
 	case c.Piece == 0:
-		*d = draft{From: c.From, Base: c.Base}
+		*d = draft{From: c.From, Base: c.Base, content: t.newest}
 	case d.From != c.From || d.Pieces != c.Piece || d.Base != c.Base:
 		v.Refused = fmt.Sprintf("piece %d doesn't follow; put all of them again from the first", c.Piece)
 		return nil
@@ -290,13 +289,18 @@
 		v.Refused = fmt.Sprintf("over %d bytes in all", contentMost)
 		return nil
 	}
-	d.Pieces, d.At, d.Changes = d.Pieces+1, at, append(d.Changes, c.Changes...)
+	next, err := d.content.Apply(c.Changes)
+	if err != nil {
+		*d = draft{}
+		v.Refused = err.Error()
+		return nil
+	}
+	d.Pieces, d.At, d.content = d.Pieces+1, at, next
 	if v.Done = c.More; c.More {
 		return nil
 	}
-	changes := append([]Item{}, d.Changes...) // not nil
 	*d = draft{}
-	return changes
+	return next
 }
 
 // agree makes a content the newest version. One that comes to the same makes none.
@@ -309,21 +313,29 @@
 		t.head.Newest = min(c.Version, versionMost)
 	}
 	r := &Record{Version: t.head.Newest + 1, Base: t.newest.Digest(), Digest: next.Digest(), From: c.From, Wall: c.Wall, Back: back}
-	for d := Diff(t.newest, next); ; { // what comes to nothing isn't carried around
+	kept := true                           // one that the log can't hold isn't made at all
+	for d := Diff(t.newest, next); kept; { // what comes to nothing isn't carried around
 		some := d.Next(logMost)
 		if len(some) == 0 {
 			break
 		}
 		r.Changes = append(r.Changes, some...)
-	}
-	for _, i := range r.Changes {
-		r.Was = append(r.Was, Item{i.Part, i.Name, t.newest.Get(i.Part, i.Name)})
+		for _, i := range some {
+			r.Was = append(r.Was, Item{i.Part, i.Name, t.newest.Get(i.Part, i.Name)})
+		}
+		r.size = 0
+		kept = r.bytes() <= logBytes
 	}
 	t.newest, t.head.Newest, v.Version = next, r.Version, r.Version
-	t.log, t.logged = append(t.log, r), t.logged+r.bytes()
+	if !kept {
+		t.log, t.logged = nil, 0
+	} else {
+		t.log, t.logged = append(t.log, r), t.logged+r.bytes()
+	}
 	for t.logged > logBytes || len(t.log) > logMost {
 		t.logged -= t.log[0].bytes()
-		t.log = t.log[1:] // not cleared: what was given away goes on showing it
+		t.log[0] = nil
+		t.log = t.log[1:]
 	}
 	switch {
 	case back: // it was in force for all before
@@ -423,6 +435,9 @@
 	for n := range s.Blocks {
 		s.Blocks[n], _ = t.newest.Block(n)
 	}
+	if s.Draft.content != nil {
+		s.Draft.Changes = items(t.newest, s.Draft.content)
+	}
 	text, err := cbor.Marshal(&s)
 	if err == nil {
 		t.snapshot = text
@@ -479,6 +494,12 @@
 	}
 	t.head, t.since, t.newest, t.all, t.first = s.Head, s.Since, newest, all, first
 	t.log, t.good, t.askers, t.draft = s.Log, s.Good, s.Askers, s.Draft
+	if t.draft.Pieces > 0 {
+		if t.draft.content, err = newest.Apply(t.draft.Changes); err != nil {
+			return nil, fmt.Errorf("configuration: a snapshot can't be read: %w", err)
+		}
+		t.draft.Changes = nil
+	}
 	for k, r := range t.log {
 		if r == nil || r.Version != s.Head.Newest-uint64(len(t.log)-1-k) {
 			return nil, fmt.Errorf("configuration: the log of a snapshot has gaps")
