--- a/plate/amend.go
+++ b/plate/amend.go
@@ -262,6 +262,14 @@
 // Diff gives the items that make one plate's configuration another's, in the order of parts and indices, and the paths of
 // settings that differ and take a new start. From nil it gives all of them.
 func Diff(from, to *Plate) (items []Item, starts []string) {
+	starts = differences(from, to, func(i Item) { items = append(items, i) })
+	return items, starts
+}
+
+// Items gives what the plate holds of what may change in service, one item at a time.
+func (p *Plate) Items(yield func(Item)) { differences(nil, p, yield) }
+
+func differences(from, to *Plate, yield func(Item)) (starts []string) {
 	if from == nil {
 		from = &Plate{Operations: new(Names), Tenants: new(Names), general: to.startsOnly()}
 	}
@@ -269,7 +277,7 @@
 		for i := range int32(was.Slots()) {
 			if j, known := was.Find(was.Name(i)); known && j == i && was.Has(i) {
 				if _, stays := is.Find(was.Name(i)); !stays {
-					items = append(items, Item{Part: part, Name: was.Name(i)})
+					yield(Item{Part: part, Name: was.Name(i)})
 				}
 			}
 		}
@@ -279,7 +287,7 @@
 				continue
 			}
 			if i, known := was.Find(name); !known || !same(i, j) {
-				items = append(items, Item{Part: part, Name: name, Value: value(j)})
+				yield(Item{Part: part, Name: name, Value: value(j)})
 			}
 		}
 	}
@@ -303,14 +311,14 @@
 		case !may:
 			starts = append(starts, path)
 		case !has:
-			items = append(items, Item{Part: Limits, Name: path})
+			yield(Item{Part: Limits, Name: path})
 		case flag:
-			items = append(items, Item{Part: Limits, Name: path, Value: strconv.AppendBool(nil, is.flag(path))})
+			yield(Item{Part: Limits, Name: path, Value: strconv.AppendBool(nil, is.flag(path))})
 		default:
-			items = append(items, Item{Part: Limits, Name: path, Value: []byte(float(is.number(path)))})
+			yield(Item{Part: Limits, Name: path, Value: []byte(float(is.number(path)))})
 		}
 	}
-	return items, starts
+	return starts
 }
 
 // startsOnly are the settings that take a new start.
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"runtime"
 	"runtime/debug"
 
 	"topazpost/configuration"
@@ -18,6 +19,7 @@
 	lastGood         = "last-good"        // the file of the last version that was in force, with records behind it
 	lastGoodSpoilt   = "last-good.spoilt" // one of which nothing could be read, put aside
 	persistsWaiting  = 4                  // versions that may wait for the disk; more count as not kept, and the next is kept whole
+	itemsAtOnce      = 16 << 10           // items of the node's own file that are held at once: each time all blocks are written anew
 	configurationOwn = 0x636f6e6669677572 // told apart from the node's other sources of chance
 )
 
@@ -77,12 +79,24 @@
 	if settings.Operations == nil || settings.Operations.Len() == 0 { // a node that serves nothing
 		return content, nil
 	}
-	found, _ := plate.Diff(nil, settings)
-	items := make([]configuration.Item, len(found))
-	for i := range found {
-		items[i] = configuration.Item(found[i])
+	var items []configuration.Item
+	var err error
+	take := func() {
+		if err == nil {
+			content, err = content.Apply(items)
+		}
+		clear(items)
+		if items = items[:0]; content.Bytes() > itemsAtOnce*16 { // a large one: no more garbage than that; nobody is served yet
+			runtime.GC()
+		}
 	}
-	return content.Apply(items)
+	settings.Items(func(i plate.Item) {
+		if items = append(items, configuration.Item(i)); len(items) == itemsAtOnce {
+			take()
+		}
+	})
+	take()
+	return content, err
 }
 
 func (d *configurationDisk) path(name string) string { return filepath.Join(d.folder, name) }
