--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -137,23 +137,30 @@
 // idle long after it. Each is told before.
 func (r *Reducer) keepConnections() {
 	r.sweepAt = r.now + sweepEvery
-	for _, link := range slices.Sorted(maps.Keys(r.conns)) {
-		c := r.conns[link]
+	due := r.due[:0]
+	for link, c := range r.conns { // thousands, of which a few are due: only these are put in order
 		wait := crossWait
 		if c.evicted {
 			wait = evictWait
 		}
 		switch {
 		case c.closing || !c.idle():
-		case c.noMore && r.now-c.ended >= wait:
+		case c.noMore && r.now-c.ended < wait:
+			r.sweepAt = min(r.sweepAt, c.ended+wait)
+		case c.noMore, r.now-c.used >= idleWait, !c.usable && r.now-c.used >= firstWait:
+			due = append(due, link)
+		}
+	}
+	slices.Sort(due)
+	for _, link := range due {
+		if c := r.conns[link]; c.noMore {
 			r.Counters.Idle++
 			r.closeAfterFlush(link, c)
-		case c.noMore:
-			r.sweepAt = min(r.sweepAt, c.ended+wait)
-		case r.now-c.used >= idleWait, !c.usable && r.now-c.used >= firstWait:
+		} else {
 			r.noMore(link, c)
 		}
 	}
+	r.due = due
 }
 
 func (r *Reducer) noMore(link int, c *connection) {
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -163,7 +163,8 @@
 	free  []int32
 	calls map[string]int32
 	conns map[int]*connection
-	open  int // invocations that are owed an answer
+	due   []int // connections that the last sweep found due; the next one fills it anew
+	open  int   // invocations that are owed an answer
 
 	beatAt, meterAt int64
 	heardAt         int64 // when the executor's link last brought a line
