--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -114,6 +114,26 @@
 	}, bound, 20*time.Millisecond, "n%d has version %d from the %s: %s", node+1, version, source, &f.nodes[node].heard)
 }
 
+func TestConfigCommandSaysWhatIsWrong(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "change.jsonnet")
+	for text, want := range map[string]string{
+		`{ routes: { a: {} } }`: "routes: no such part; write operations, tenants and limits",
+		`{ operations: { a: { aim: 100, effect: 'idempotent' } } }`: "operations.a: name, aim and give_up must be set",
+		`{ limits: { 'family_info.n_cores': 4 } }`:                  "limits.family_info.n_cores: takes a new start",
+		`{ tenants: [1] }`: "tenants: it is an object of items by name",
+		`{}`:               "names no item",
+		`{ settings: { grades: [{ name: 'a', effect: 'idempotent' }] } }`: "configuration: name: missing",
+	} {
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		out, err := exec.Command(program, "config", "put", "--fleet", "tests", "--at", "127.0.0.1:1", file).CombinedOutput()
+		assert.Error(t, err)
+		assert.Contains(t, string(out), want, text)
+	}
+	command := exec.Command(program, "config", "put")
+	assert.Error(t, command.Run())
+	assert.Equal(t, 80, command.ProcessState.ExitCode())
+}
+
 func TestVersionsAreOrderedSpreadTakenAndKept(t *testing.T) {
 	f := startTookPart(t)
 	put := func(words ...string) []string { return append([]string{"put", "--within", "20s"}, words...) }
