--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -12,7 +12,7 @@
 
 const (
 	configurationLinks = 1 << 32     // added to the numbers of its exchanges, so that they are told from membership's
-	ordersMost         = 64          // orders of operators that wait for the council; more are told to ask again
+	ordersMost         = 8           // orders of operators that wait for the council, of up to 512 kB; more are told to ask again
 	orderFor           = 1_600 * ms  // ns that one waits here: its exchange ends after 2 s, and then it is asked again
 	orderEvery         = 400 * ms    // ns to the next try at having it ordered
 	answerBytes        = 384 << 10   // of blocks in one answer to an operator: an exchange carries 512 kB
