--- a/charter/configuration.go
+++ b/charter/configuration.go
@@ -16,7 +16,8 @@
 // configurationFrom reads it, for the node of a name.
 func configurationFrom(file *settings.File, name, folder string, council bool) (c *Configuration, found settings.Problems) {
 	if c = new(Configuration); !council {
-		found = append(found, file.At([]string{"configuration"}, "needs a council, whose seats agree on versions", "name seats in council.seats, or leave it out"))
+		found = append(found, file.At([]string{"configuration"}, "needs a council, whose seats agree on versions",
+			"name seats in council.seats, or leave it out"))
 	}
 	var wrong settings.Problems
 	c.Folder, wrong = folderOf(file, name, folder, "configuration", "configuration", "folder")
--- a/cmd/topazpost/config.go
+++ b/cmd/topazpost/config.go
@@ -45,7 +45,7 @@
 }
 
 type configAt struct {
-	Addresses []string `help:"Where nodes or seats hear their peers; one is enough, more are tried in turn." name:"at" required:"" env:"TOPAZPOST_PEERS" placeholder:"ADDRESS"`
+	Addresses []string `help:"Where nodes or seats hear peers; more are tried in turn." name:"at" required:"" env:"TOPAZPOST_PEERS" placeholder:"ADDRESS"`
 	Fleet     string   `help:"Name of the fleet." required:"" env:"TOPAZPOST_FLEET_NAME"`
 	JSON      bool     `help:"Print one object."`
 }
@@ -607,7 +607,8 @@
 	list, _, err := c.agreed()
 	if err != nil {
 		if a, wrong := c.any(&configuration.Question{Kind: configuration.ShowStanding}); wrong == nil {
-			fmt.Fprintf(os.Stderr, "%s has version %d in force, since %s; it last heard a seat %s\n", a.Node, a.Status.Mark.Version, ago(a.Status.TakenNS), ago(a.Status.HeardNS))
+			fmt.Fprintf(os.Stderr, "%s has version %d in force, since %s; it last heard a seat %s\n", a.Node, a.Status.Mark.Version,
+				ago(a.Status.TakenNS), ago(a.Status.HeardNS))
 		}
 		return err
 	}
@@ -656,7 +657,8 @@
 		}{seat.Head.All.Version, seat.Head.First.Version, seat.Head.Newest, seat.Head.Stopped, seat.Head.Who, seat.Head.Why, append([]uint64{}, seat.Good...),
 			versions, refusals, silent, len(list)})
 	}
-	fmt.Printf("in force for all: %d; first stage: %d; newest: %d; %d seats asked\n", seat.Head.All.Version, seat.Head.First.Version, seat.Head.Newest, len(list))
+	fmt.Printf("in force for all: %d; first stage: %d; newest: %d; %d seats asked\n", seat.Head.All.Version, seat.Head.First.Version,
+		seat.Head.Newest, len(list))
 	if seat.Head.Stopped {
 		fmt.Printf("stopped: %s can't take version %d: %s\n", seat.Head.Who, seat.Head.First.Version, seat.Head.Why)
 	}
--- a/integration/configuration_test.go
+++ b/integration/configuration_test.go
@@ -164,7 +164,8 @@
 	}
 	assert.Eventually(t, func() bool { out, _ := f.config("status"); return out.ForAll == 2 }, bound, 100*time.Millisecond)
 
-	out, code = f.config(put("--wait", f.file(`{ operations: { calls: { aim: 1000, give_up: 4000, importance: 2, effect: 'idempotent', class_calls: true } } }`))...)
+	out, code = f.config(put("--wait",
+		f.file(`{ operations: { calls: { aim: 1000, give_up: 4000, importance: 2, effect: 'idempotent', class_calls: true } } }`))...)
 	assert.Equal(t, 1, code, "n3 can't take it: %v", out)
 	assert.Contains(t, out.Stopped, "n3 can't take it")
 	assert.Contains(t, out.Stopped, "names no catalogue")
