--- a/lab/rig/versions_processes.go
+++ b/lab/rig/versions_processes.go
@@ -169,8 +169,9 @@
 func (f *polled) putAll(ctx context.Context, list []timed, base uint64) {
 	chance, seq := rand.New(rand.NewSource(f.p.seed)), uint64(0)
 	for len(list) > 0 && ctx.Err() == nil {
-		n := 0
-		for now := f.p.now(); n < len(list) && n < putMost && list[n].at <= now && !(n > 0 && (list[n].isNew || list[0].isNew)); n++ {
+		n, named := 0, map[string]bool{} // a put has each item once, and what is new alone
+		for now := f.p.now(); n < len(list) && n < putMost && list[n].at <= now && !(n > 0 && (list[n].isNew || list[0].isNew)) && !named[list[n].item.Name]; n++ {
+			named[list[n].item.Name] = true
 		}
 		if n == 0 {
 			time.Sleep(putPause)
