Cold cores of a test read their lines from a stand-in of their own

Under -race: the cores' goroutine read the field that the test sets once the node has started (cold_test.go, serve and line 101). It holds with a field that is set before; what is asserted is as before.

--- a/integration/cold_test.go
+++ b/integration/cold_test.go
@@ -25,6 +25,7 @@
 	mu    sync.Mutex
 	state string
 	born  time.Time // not later than the node takes it to be
+	reads *site     // for the lines that come to the cores, from before the node is there
 	most  int       // runs at a time in this life of the node
 	ended int
 	fell  string // the first moment at which they were more than survive
@@ -54,7 +55,7 @@
 
 func (c *coldCores) serve(conn net.Conn) {
 	runs, notice := 0, 0
-	c.site.read(conn, "EXEC RETURN", func(l lines.Line) {
+	c.reads.read(conn, "EXEC RETURN", func(l lines.Line) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		switch w := l.Words; w[0] {
@@ -93,10 +94,9 @@
 	below := listen(t)
 	var fleet []*coldCores
 	for range nodes {
-		c := &coldCores{}
+		c := &coldCores{reads: &site{t: t}}
 		executor := listen(t)
-		c.site = &site{t: t}
-		go c.site.accept(executor, c.serve)
+		go c.reads.accept(executor, c.serve)
 		c.begin("old")
 		c.site = start(t, false, func(config map[string]any) {
 			config["executor"], config["catalog"] = executor.Addr().String(), below.Addr().String()
