Capacity: ladders of changes in service and of a whole node with them; short ladders at once

Changes were measured as new starts of a node, which is what they are only without configuration in service.

Sizes of a short ladder are now played at once, but those of requests and tokens, of which it is asserted that none is refused: at once, tokens were.

--- /dev/null
+++ b/lab/capacity/changes.go
@@ -0,0 +1,408 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"topazpost/configuration"
+	"topazpost/lab/hollow"
+	"topazpost/letter"
+	"topazpost/plate"
+	"topazpost/reducer"
+	"topazpost/server"
+)
+
+const (
+	fleetName      = "rig"
+	changedNodes   = 80               // of the fleet whose changes a day are climbed
+	changesNodes   = 20 * 60 * 24     // a day, of the fleets whose nodes are climbed: 20 a minute
+	putFor         = 12 * time.Second // of changes
+	putShort       = 3 * time.Second
+	spreadFor      = 8 * time.Second // past the last change, in which traffic is still of it: two stages of 3 s, and room
+	spreadShort    = 5 * time.Second
+	forceMost      = 60 * time.Second // for a version to be in force everywhere
+	verdictMost    = 20 * time.Second
+	askAgain       = 200 * time.Millisecond
+	asksAtOnce     = 8
+	changedTenants = 50 // which are changed in turn
+
+	// WantedForce is how long a change may take until it is in force everywhere, s.
+	WantedForce = 10.0
+)
+
+// changes are the ladders of changes of configuration: as they are without the configuration in service, and in it.
+func changes() []*Quantity {
+	spread := []Measure{
+		{"done", "changes agreed on", false},
+		{"agreed_ms", "until one is agreed on, mean, ms", false},
+		{"force_s", "the last one, agreed on until in force everywhere, s", false},
+		{"idle_cpu", "before, ms of processor a second and node", true},
+		{"cpu", "meanwhile", true},
+		{"idle_bytes", "before, bytes a second and node", true},
+		{"bytes", "meanwhile", true},
+		{"idle_messages", "before, messages a second and node", true},
+		{"messages", "meanwhile", true},
+		{"worst_bytes", "worst second, bytes a node", true},
+		{"change_bytes", "bytes of one change, a node", true},
+		{"change_messages", "messages of one change, a node", true},
+		{"change_cpu", "ms of processor of one change, a node", true},
+	}
+	return []*Quantity{
+		{Name: "restarted", Title: "Changes of configuration without configuration in service, each a new start", Unit: "plays", Wanted: WantedChanges,
+			Ladder: []float64{1, 2, 3}, Measures: []Measure{
+				{"cpu_ms", "one change at one node, ms of processor", false},
+				{"known_ms", "until that node serves again, ms", false},
+				{"peak_mb", "peak, MB", false},
+				{"restarts", "starts of the fleet for it", false},
+			}, climb: func(b *Bench, _ float64) (map[string]float64, error) { return b.startedAnew() }},
+		{Name: "changes", Title: fmt.Sprintf("Changes in service, at %d hollow nodes and three seats among them", changedNodes), Unit: "changes a day",
+			Wanted: WantedChanges, Ladder: []float64{0, 10 * 60 * 24, 60 * 60 * 24, 300 * 60 * 24}, Short: nil, Measures: spread,
+			climb: func(b *Bench, x float64) (map[string]float64, error) { return b.inService(changedNodes, x) }},
+		{Name: "spread", Title: "Nodes that take 20 changes a minute in service, hollow", Unit: "nodes", Wanted: WantedNodes,
+			Ladder: []float64{80, 160, 325}, Short: []float64{12, 24, 48}, Measures: spread,
+			climb: func(b *Bench, x float64) (map[string]float64, error) { return b.inService(int(x), changesNodes) }},
+		{Name: "service", Title: "A whole node with configuration in service", Unit: "% of 4,700 routes and 130,000 tenants", Wanted: portion,
+			Ladder: []float64{0, 25, 50, 100}, Short: []float64{0, 5, 10}, Measures: []Measure{
+				{"rss_mb", "resident, MB", true},
+				{"over_mb", "over a node with one route and none in service, MB", true},
+				{"put_s", "the whole file put, agreed on and in force, s", false},
+				{"put_peak_mb", "peak then, MB", true},
+				{"change_ms", "a change of one item until in force, ms", false},
+				{"change_cpu_ms", "ms of processor of it, with 2 s around it", true},
+				{"change_peak_mb", "peak then, MB", true},
+				{"change_over_mb", "peak then, over, MB", true},
+				{"reload_mb", "resident after SIGHUP, MB", true},
+				{"reload_peak_mb", "peak at SIGHUP, MB", true},
+				{"reload_over_mb", "peak at SIGHUP, over, MB", true},
+				{"idle_cpu", "idle, ms of processor a second", true},
+				{"seat_mb", "the seat beside it, resident, MB", true},
+				{"seat_peak_mb", "its peak, MB", true},
+			}, climb: func(b *Bench, x float64) (map[string]float64, error) { return b.served(x) }},
+	}
+}
+
+// startedAnew is what a change costs where each is a new start of the node.
+func (b *Bench) startedAnew() (map[string]float64, error) {
+	d, _, err := b.start(shape{routes: WantedRoutes, tenants: WantedTenants})
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	u, err := d.look()
+	_, ready := d.serves()
+	return map[string]float64{"cpu_ms": u.cpu.Seconds() * 1e3, "known_ms": ready.Seconds() * 1e3, "peak_mb": u.peakMB,
+		"restarts": WantedNodes}, err
+}
+
+// operator asks nodes what `topazpost config` does, and has changes put.
+type operator struct {
+	seats   []string
+	version uint64
+	puts    int
+}
+
+var errVerdict = errors.New("no verdict in time")
+
+func question(address string, q *configuration.Question) (*configuration.Answer, error) {
+	name := letter.FleetOf(fleetName)
+	ask, err := letter.Seal(nil, name, reducer.AskConfiguration(q))
+	if err != nil {
+		return nil, err
+	}
+	text, err := server.Swap(context.Background(), "", address, ask)
+	if err != nil {
+		return nil, err
+	}
+	return reducer.OpenConfiguration(text, name)
+}
+
+// put has changes agreed on, made on the newest version.
+func (o *operator) put(items []configuration.Item) error {
+	o.puts++
+	c := &configuration.Command{Kind: configuration.Put, From: fmt.Sprint("put", o.puts), Seq: 1, Base: o.version, Changes: items,
+		Wall: time.Now().UnixNano()}
+	end := time.Now().Add(verdictMost)
+	for k := 0; ; k++ {
+		a, err := question(o.seats[k%len(o.seats)], &configuration.Question{Kind: configuration.Propose, Command: c})
+		switch {
+		case err == nil && a.Verdict != nil && a.Verdict.Done:
+			o.version = a.Verdict.Version
+			return nil
+		case err == nil && a.Verdict != nil:
+			return fmt.Errorf("put %d on version %d is refused: %s", o.puts, o.version, a.Verdict.Refused)
+		case time.Now().After(end):
+			return errors.Join(errVerdict, err)
+		}
+		time.Sleep(askAgain)
+	}
+}
+
+// inForce waits until all nodes have a version or a later one, and says when the last one took it.
+func inForce(addresses []string, version uint64) (last time.Time, err error) {
+	left := addresses
+	for end := time.Now().Add(forceMost); ; time.Sleep(askAgain) {
+		var mu sync.Mutex
+		var missing []string
+		var group sync.WaitGroup
+		places := make(chan struct{}, asksAtOnce)
+		for _, address := range left {
+			places <- struct{}{}
+			group.Go(func() {
+				defer func() { <-places }()
+				began := time.Now()
+				a, err := question(address, &configuration.Question{Kind: configuration.ShowStanding})
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil || a.Status == nil || a.Status.Mark.Version < version {
+					missing = append(missing, address)
+				} else if at := began.Add(-time.Duration(a.Status.TakenNS)); at.After(last) {
+					last = at
+				}
+			})
+		}
+		group.Wait()
+		if left = missing; len(left) == 0 {
+			return last, nil
+		}
+		if time.Now().After(end) {
+			return last, fmt.Errorf("version %d is not in force at %d of %d nodes", version, len(left), len(addresses))
+		}
+	}
+}
+
+// tenantChange gives one tenant in turn a quota that differs from the last one.
+func tenantChange(n int) []configuration.Item {
+	return []configuration.Item{{Part: configuration.Tenants, Name: tenantName(n % changedTenants), Value: fmt.Appendf(nil, `{"quota_rps":%d}`, 1+n)}}
+}
+
+// inService has a fleet of hollow nodes take changes at a rate.
+func (b *Bench) inService(nodes int, aDay float64) (map[string]float64, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	f, err := hollow.Start(ctx, b.Lab, hollow.Options{Nodes: nodes, Seats: seats, Seed: b.Seed, Log: io.Discard,
+		Fleet: map[string]any{"members": 1_500, "configuration": map[string]any{}}})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	if _, agreed := f.Agreed(joinMost, 0); !agreed {
+		return nil, errors.Join(errApart, f.Err())
+	}
+	var all []string
+	for i := range nodes {
+		all = append(all, hollow.At(hollow.Bind(f.Block, i)))
+	}
+	o := &operator{seats: all[:seats]}
+	first, err := usualItems()
+	if err != nil {
+		return nil, err
+	}
+	for n := range changedTenants {
+		first = append(first, tenantChange(n)...)
+	}
+	if err := o.put(first); err != nil {
+		return nil, err
+	}
+	if _, err := inForce(all, o.version); err != nil {
+		return nil, err
+	}
+	rest, length, after := restFor/2, putFor, spreadFor
+	if b.Brief {
+		rest, length, after = restShort/2, putShort, spreadShort
+	}
+	time.Sleep(rest)
+	from := time.Now()
+	time.Sleep(rest)
+	to := time.Now()
+	count := int(aDay / DaySeconds * length.Seconds())
+	m := map[string]float64{}
+	waited := time.Duration(0)
+	for n := range count {
+		time.Sleep(time.Until(to.Add(time.Duration(n) * length / time.Duration(count))))
+		began := time.Now()
+		if err := o.put(tenantChange(changedTenants + n)); err != nil {
+			return nil, err
+		}
+		waited += time.Since(began)
+	}
+	acknowledged := time.Now()
+	time.Sleep(time.Until(acknowledged.Add(after)))
+	end := time.Now()
+	m["done"] = float64(count)
+	if count > 0 {
+		last, err := inForce(all, o.version)
+		if err != nil {
+			return nil, err
+		}
+		m["force_s"], m["agreed_ms"] = last.Sub(acknowledged).Seconds(), waited.Seconds()*1e3/float64(count)
+	}
+	time.Sleep(time.Second + time.Second/2) // for the last second's figures
+	idle, busy := spanOf(f.Sample(), from, to), spanOf(f.Sample(), to, end)
+	m["idle_cpu"], m["cpu"], m["idle_bytes"], m["bytes"] = idle.cpu, busy.cpu, idle.bytes, busy.bytes
+	m["idle_messages"], m["messages"], m["worst_bytes"] = idle.messages, busy.messages, busy.worst
+	if count > 0 {
+		each := float64(busy.seconds) / float64(count)
+		m["change_bytes"], m["change_messages"] = (busy.bytes-idle.bytes)*each, (busy.messages-idle.messages)*each
+		m["change_cpu"] = (busy.cpu - idle.cpu) * each
+	}
+	return m, f.Err()
+}
+
+// usualItems are those of hollow nodes' own files.
+func usualItems() (list []configuration.Item, err error) {
+	var fields map[string]any
+	if err := json.Unmarshal(hollow.UsualConfig(), &fields); err != nil {
+		return nil, err
+	}
+	fields["name"] = "n0"
+	text, err := json.Marshal(fields)
+	if err != nil {
+		return nil, err
+	}
+	n, err := server.ReadNameplate(text)
+	if err != nil {
+		return nil, err
+	}
+	found, _ := plate.Diff(nil, n.Settings)
+	for _, i := range found {
+		list = append(list, configuration.Item(i))
+	}
+	return list, nil
+}
+
+// bare is what a node with one route and nothing in service has resident, measured once.
+func (b *Bench) bare() (float64, error) {
+	if b.bareMB > 0 {
+		return b.bareMB, nil
+	}
+	d, _, err := b.start(shape{routes: 1})
+	if err != nil {
+		return 0, err
+	}
+	defer d.close()
+	c := newCallers(d.listens, connectionsUsed)
+	defer c.closeAll()
+	if err := b.loaded(c, shape{routes: 1}); err != nil {
+		return 0, err
+	}
+	u, err := d.look()
+	b.bareMB = u.rssMB
+	return b.bareMB, err
+}
+
+// served starts a node and a seat beside it, puts the node's whole file and then one change, and has the node read its file anew.
+func (b *Bench) served(part float64) (map[string]float64, error) {
+	bare, err := b.bare()
+	if err != nil {
+		return nil, err
+	}
+	block, held, err := hollow.Reserve()
+	if err != nil {
+		return nil, err
+	}
+	defer held.Close()
+	at := func(i int) netip.Addr { return hollow.Bind(block, i) }
+	file := func(name string, i int) (string, error) {
+		text, err := json.Marshal(map[string]any{"fleet": fleetName, "bind": hollow.At(at(i)), "seeds": []string{hollow.At(at(0))},
+			"council": map[string]any{"seats": []string{"s1"}}, "configuration": map[string]any{"folder": filepath.Join(b.folder, "last-{name}")}})
+		path := filepath.Join(b.folder, name+".fleet.jsonnet")
+		if err == nil {
+			err = os.WriteFile(path, text, 0o600)
+		}
+		return path, err
+	}
+	seatFile, err := file("s1", 0)
+	if err != nil {
+		return nil, err
+	}
+	os.RemoveAll(filepath.Join(b.folder, "last-n0")) // of the size before
+	seat := exec.Command(b.Program, "seat", "--name", "s1", seatFile)
+	if err := seat.Start(); err != nil {
+		return nil, err
+	}
+	defer func() { seat.Process.Kill(); seat.Wait() }()
+	s := shape{routes: max(1, int(WantedRoutes*part/portion)), tenants: int(WantedTenants * part / portion)}
+	if s.fleet, err = file("n0", 1); err != nil {
+		return nil, err
+	}
+	d, _, err := b.start(s)
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	m := map[string]float64{}
+	time.Sleep(settleFor) // until the seat knows it
+	if m["put_s"], err = b.config(d.config, at(0)); err != nil {
+		return nil, err
+	}
+	put, err := d.look()
+	if err != nil {
+		return nil, err
+	}
+	m["put_peak_mb"] = put.peakMB
+	if err := b.rest(d, m); err != nil {
+		return nil, err
+	}
+	c := newCallers(d.listens, connectionsUsed)
+	defer c.closeAll()
+	if err := b.loaded(c, s); err != nil {
+		return nil, err
+	}
+	steady, err := d.look()
+	if err != nil {
+		return nil, err
+	}
+	m["rss_mb"], m["over_mb"] = steady.rssMB, steady.rssMB-bare
+	change := filepath.Join(b.folder, "change.json")
+	text := fmt.Sprintf(`{"tenants":{%q:{"quota_rps":7}}}`, tenantName(0))
+	if s.tenants == 0 {
+		text = `{"limits":{"limits.max_retry_after":1500}}`
+	}
+	if err := os.WriteFile(change, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	d.lowerPeak()
+	took, err := b.config(change, at(0))
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(settleFor)
+	changed, err := d.look()
+	if err != nil {
+		return nil, err
+	}
+	m["change_ms"], m["change_cpu_ms"] = took*1e3, (changed.cpu-steady.cpu).Seconds()*1e3
+	m["change_peak_mb"], m["change_over_mb"] = changed.peakMB, changed.peakMB-bare
+	d.lowerPeak()
+	_, after, err := d.reload()
+	if err != nil {
+		return nil, err
+	}
+	m["reload_mb"], m["reload_peak_mb"], m["reload_over_mb"] = after.rssMB, after.peakMB, after.peakMB-bare
+	u, err := look(seat.Process.Pid)
+	m["seat_mb"], m["seat_peak_mb"] = u.rssMB, u.peakMB
+	return m, err
+}
+
+// config puts a file and waits until it is in force, and says how many seconds that took.
+func (b *Bench) config(file string, seat netip.Addr) (seconds float64, err error) {
+	ctx, stop := context.WithTimeout(context.Background(), 2*forceMost)
+	defer stop()
+	began := time.Now()
+	out, err := exec.CommandContext(ctx, b.Program, "config", "put", "--fleet", fleetName, "--at", hollow.At(seat), "--wait",
+		"--within", forceMost.String(), file).CombinedOutput()
+	if err != nil {
+		return 0, fmt.Errorf("config put: %w: %s", err, strings.TrimSpace(string(out)))
+	}
+	return time.Since(began).Seconds(), nil
+}
--- a/lab/capacity/daemon.go
+++ b/lab/capacity/daemon.go
@@ -35,6 +35,7 @@
 // shape is what a generated configuration has.
 type shape struct {
 	routes, tenants, sockets int
+	fleet                    string // path of its fleet file, empty outside a fleet
 }
 
 func routeName(k int) string  { return fmt.Sprintf("orders.v1/Route%04d", k) }
@@ -107,7 +108,11 @@
 	if size, err = s.write(d.config, d.executor.listener.Addr().String(), control.Addr().String()); err != nil {
 		return nil, 0, err
 	}
-	d.command = exec.Command(b.Program, "serve", d.config)
+	arguments := []string{"serve", d.config}
+	if s.fleet != "" {
+		arguments = []string{"serve", "--fleet", s.fleet, d.config}
+	}
+	d.command = exec.Command(b.Program, arguments...)
 	out, err := d.command.StderrPipe()
 	if err != nil {
 		return nil, 0, err
--- a/lab/capacity/ladder_test.go
+++ b/lab/capacity/ladder_test.go
@@ -93,6 +93,25 @@
 	assert.Positive(t, d.Rungs[2].Measures["claim_bytes"])
 }
 
+// Each change that was agreed on comes to be in force at each node, over sockets, however many they are.
+func TestChangesInServiceComeToEachNode(t *testing.T) {
+	t.Parallel()
+	d := climb(t, "spread")
+	for _, r := range d.Rungs {
+		assert.Positive(t, r.Measures["done"])
+		assert.Contains(t, r.Measures, "force_s")
+		assert.Positive(t, r.Measures["idle_bytes"])
+	}
+}
+
+func TestNodeWithConfigurationInServiceGrowsNoFasterThanItsSize(t *testing.T) {
+	t.Parallel()
+	d := climb(t, "service")
+	for _, m := range []string{"rss_mb", "change_peak_mb", "reload_peak_mb", "seat_mb"} {
+		atMostLinear(t, d, m, 8)
+	}
+}
+
 // Nodes on sockets come to one view after a herd of joins, a death, a new start and a restart, at each size; what that
 // costs is held to its shape in virtual time, where no other work on the machine is in the figures.
 func TestNodesComeToOneViewAtEachSize(t *testing.T) {
--- a/lab/capacity/tokens.go
+++ b/lab/capacity/tokens.go
@@ -24,7 +24,7 @@
 // tokens is the ladder of a council of three.
 func tokens() *Quantity {
 	return &Quantity{Name: "tokens", Title: "Tokens agreed on a second, by a council of three", Unit: "tokens a second", Wanted: WantedTokens,
-		Ladder: []float64{0, 100, 200, 400, 800, 1_600}, Short: []float64{0, 50, 100}, Played: "done", Measures: []Measure{
+		Ladder: []float64{0, 100, 200, 400, 800, 1_600}, Short: []float64{0, 50, 100}, Alone: true, Played: "done", Measures: []Measure{
 			{"done", "agreed on a second", false},
 			{"lost", "refused or not answered", false},
 			{"leader_cpu", "busiest seat, ms of processor a second", true},
