--- a/lab/capacity/page.go
+++ b/lab/capacity/page.go
@@ -255,6 +255,9 @@
 			continue
 		}
 		shape := "grows"
+		if f.Slope < 0 {
+			shape = "falls"
+		}
 		if f.Flat() {
 			shape = "flat, as far as the error lets tell"
 		}
