Configuration: a version stands 2.5 s at the first stage, so that all nodes have it within 10 s

The formula of the bound comes to 9.9 s with S = 3 s and four hops, which leaves nothing for a fifth.

A refusal needs A + H (1.5 R + 90 ms) + 1.5 R + 400 ms = 2.3 s to be heeded, so 2.5 s are enough, and the bound comes to 8.9 s.

--- a/configuration/table.go
+++ b/configuration/table.go
@@ -13,7 +13,7 @@
 const (
 	ms = int64(1_000_000) // ns in a millisecond
 
-	stageFor    = 3_000 * ms  // ns that a version stands at the first stage without a refusal: hops there, fetch, refusal and its way back
+	stageFor    = 2_500 * ms  // ns that a version stands at the first stage without a refusal: 2.3 s for hops there, fetch, a refusal lost once and its way back
 	draftFor    = 60_000 * ms // ns that pieces of a long change are waited for
 	putMost     = 128 << 10   // bytes of one command: raft carries it as one entry
 	logMost     = 1_024       // records that are kept: a minute of a thousand changes
