--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -28,7 +28,7 @@
 )
 
 // bound ends a test that hangs; no verdict rests on it.
-const bound = 8 * time.Second
+const bound = 30 * time.Second
 
 var program string
 
--- a/lab/capacity/ladder_test.go
+++ b/lab/capacity/ladder_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -12,6 +13,11 @@
 	"github.com/stretchr/testify/require"
 )
 
+const (
+	waitedMost   = 100.0 // ms a second that a node may have waited for a core: a tenth of the time, past which it is starved
+	starvedAgain = 3     // times that a ladder is climbed anew for it
+)
+
 var built string // folder of topazpost and topazlab
 
 func TestMain(m *testing.M) {
@@ -76,6 +82,13 @@
 func TestRequestsAreAllServedAndCostNoMoreEachWhenThereAreMore(t *testing.T) {
 	t.Parallel()
 	d := climb(t, "requests")
+	starved := func(r Rung) bool { return r.Measures["waited"] > waitedMost }
+	for range starvedAgain { // of a node without its core nothing can be told: the ladder is climbed anew
+		if !slices.ContainsFunc(d.Rungs, starved) {
+			break
+		}
+		d = climb(t, "requests")
+	}
 	for _, r := range d.Rungs {
 		assert.Zero(t, r.Measures["refused"])
 		assert.Equal(t, r.Size*loadForShort.Seconds(), r.Measures["succeeded"])
