--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -21,9 +21,26 @@
 
 const readingGC = 40 // % that the heap may grow between collections while a configuration is read: most of it is soon garbage
 
-type serve struct {
+// logging is the log of a process that serves or sits.
+type logging struct {
 	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
 	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
+}
+
+func (l *logging) logger() (log zerolog.Logger, err error) {
+	level, err := zerolog.ParseLevel(l.Level)
+	if err != nil {
+		return log, err
+	}
+	log = zerolog.New(os.Stderr)
+	if l.Form == "console" {
+		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
+	}
+	return log.Level(level).With().Timestamp().Logger(), nil
+}
+
+type serve struct {
+	logging
 	Plan  string `help:"Plan of levels of reduced service, a Jsonnet file; none without it." type:"path" env:"TOPAZPOST_PLAN" placeholder:"FILE"`
 	Keep  string `help:"What is kept of tokened invocations, a Jsonnet file; in memory only without it." type:"path" env:"TOPAZPOST_KEEP" placeholder:"FILE"`
 	Fleet string `help:"Fleet that the node is one of, a Jsonnet file; it shares nothing without it." type:"path" env:"TOPAZPOST_FLEET" placeholder:"FILE"`
@@ -63,15 +80,10 @@
 		return err
 	}
 	nameplate.Limit()
-	level, err := zerolog.ParseLevel(c.Level)
+	log, err := c.logger()
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(os.Stderr)
-	if c.Form == "console" {
-		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
-	}
-	log = log.Level(level).With().Timestamp().Logger()
 	if err := c.readLevels(nameplate); err != nil {
 		return err
 	}
--- a/cmd/topazpost/seat.go
+++ b/cmd/topazpost/seat.go
@@ -7,8 +7,6 @@
 	"os"
 	"slices"
 
-	"github.com/rs/zerolog"
-
 	"topazpost/charter"
 	"topazpost/plate"
 	"topazpost/server"
@@ -20,9 +18,8 @@
 )
 
 type seat struct {
-	Name  string `help:"Name of the node, one of those in council.seats." required:"" env:"TOPAZPOST_NAME"`
-	Level string `help:"Least level that is logged: debug, info, warn or error." default:"info" enum:"debug,info,warn,error"`
-	Form  string `help:"Form of the log: json, or console to read by eye." default:"json" enum:"json,console"`
+	Name string `help:"Name of the node, one of those in council.seats." required:"" env:"TOPAZPOST_NAME"`
+	logging
 	Fleet string `arg:"" env:"TOPAZPOST_FLEET" help:"Fleet that it is a member of, a Jsonnet file." type:"path" placeholder:"FILE"`
 }
 
@@ -36,15 +33,10 @@
 		return fmt.Errorf("%s: council.seats: %q is not one of them, and a process without a seat has nothing to do; name it there, or start it with the name of one",
 			c.Fleet, c.Name)
 	}
-	level, err := zerolog.ParseLevel(c.Level)
+	log, err := c.logger()
 	if err != nil {
 		return err
 	}
-	log := zerolog.New(os.Stderr)
-	if c.Form == "console" {
-		log = log.Output(zerolog.ConsoleWriter{Out: os.Stderr})
-	}
-	log = log.Level(level).With().Timestamp().Logger()
 	n := &server.Nameplate{Name: c.Name, StopMS: seatStopMS, Sockets: seatSockets, Fleet: fleet, Hollow: server.OnlySeat(),
 		Settings: &plate.Plate{Operations: plate.NewNames(), Tenants: plate.NewNames()}}
 	n.Settings.Nameplate.Seed = int64(os.Getpid())
--- a/lab/capacity/standins.go
+++ b/lab/capacity/standins.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"topazpost/lab/rig"
 )
 
 // executor runs what it is sent for a set time, and tells in the result how long that came to be, in ns: what an answer
@@ -19,28 +21,10 @@
 	run      time.Duration
 }
 
-// accept serves each connection to a listener by itself.
-func accept(serve func(net.Conn)) (net.Listener, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return l, nil
-}
-
 func newExecutor(run time.Duration) (*executor, error) {
 	e := &executor{run: run}
 	var err error
-	e.listener, err = accept(e.serve)
+	e.listener, err = rig.Accept(e.serve)
 	return e, err
 }
 
--- a/lab/rig/storm.go
+++ b/lab/rig/storm.go
@@ -111,12 +111,12 @@
 func newBench(s *storm, calls *supply) (*bench, error) {
 	b := &bench{storm: s, supply: calls, standing: map[string]string{}, ran: map[string]bool{}}
 	var err error
-	b.listener, err = accept(b.serve)
+	b.listener, err = Accept(b.serve)
 	return b, err
 }
 
-// accept listens on loopback and serves each connection by itself.
-func accept(serve func(net.Conn)) (net.Listener, error) {
+// Accept listens on loopback and serves each connection by itself.
+func Accept(serve func(net.Conn)) (net.Listener, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/lab/rig/supply.go
+++ b/lab/rig/supply.go
@@ -81,7 +81,7 @@
 		closed: make(chan struct{})}
 	go s.watch()
 	var err error
-	s.listener, err = accept(s.serve)
+	s.listener, err = Accept(s.serve)
 	return s, err
 }
 
