--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -111,7 +111,7 @@
 			old.post = nil
 		}
 		i := &instance{number: f.target, host: ember.NewHost(settings), marked: true}
-		i.post = control.New(&settings.Nameplate, f.now)
+		i.post = control.New(&settings.Node, f.now)
 		f.instances[f.target] = i
 		f.order = append(f.order, i)
 		return nil
--- a/cmd/topazpost/config.go
+++ b/cmd/topazpost/config.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"topazpost/configuration"
-	"topazpost/letter"
-	"topazpost/plate"
+	"topazpost/envelope"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 	"topazpost/server"
 	"topazpost/settings"
@@ -85,8 +85,8 @@
 
 // question asks one node.
 func (c *configAt) question(address string, q *configuration.Question) (*configuration.Answer, error) {
-	name := letter.FleetOf(c.Fleet)
-	ask, err := letter.Seal(nil, name, reducer.AskConfiguration(q))
+	name := envelope.FleetOf(c.Fleet)
+	ask, err := envelope.Seal(nil, name, reducer.AskConfiguration(q))
 	if err != nil {
 		return nil, err
 	}
@@ -207,11 +207,11 @@
 	}
 	if _, whole = top["settings"]; whole {
 		top = nil
-		n, err := server.DecodeNameplate(bytes.NewReader(text))
+		n, err := server.DecodeConfig(bytes.NewReader(text))
 		if err != nil {
 			return nil, true, fmt.Errorf("%s: %w", path, err)
 		}
-		found, _ := plate.Diff(nil, n.Settings)
+		found, _ := nodeconfig.Diff(nil, n.Settings)
 		for i := range found {
 			changes = append(changes, configuration.Item(found[i]))
 		}
@@ -238,11 +238,11 @@
 	if len(changes) == 0 {
 		return nil, false, fmt.Errorf("%s: names no item; write operations, tenants and limits, or a node's whole file with its settings", path)
 	}
-	list := make([]plate.Item, len(changes))
+	list := make([]nodeconfig.Item, len(changes))
 	for i := range changes {
-		list[i] = plate.Item(changes[i])
+		list[i] = nodeconfig.Item(changes[i])
 	}
-	if _, err := plate.Parse(list); err != nil {
+	if _, err := nodeconfig.Parse(list); err != nil {
 		return nil, false, fmt.Errorf("%s: %w", path, err)
 	}
 	return changes, false, nil
--- a/cmd/topazpost/main.go
+++ b/cmd/topazpost/main.go
@@ -12,7 +12,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 
-	"topazpost/charter"
+	"topazpost/fleetconfig"
 	"topazpost/keep"
 	"topazpost/node"
 	"topazpost/plan"
@@ -60,7 +60,7 @@
 	Config string `arg:"" optional:"" env:"GW_CONFIG" help:"Path of the configuration." type:"path"`
 }
 
-func (w *where) read() (*server.Nameplate, error) {
+func (w *where) read() (*server.Config, error) {
 	if w.Config == "" {
 		return nil, fmt.Errorf("configuration: no path is given and GW_CONFIG is not set")
 	}
@@ -70,30 +70,30 @@
 	}
 	defer file.Close()
 	defer debug.SetGCPercent(debug.SetGCPercent(readingGC)) // a node that serves goes on beside it, within its memory
-	return server.DecodeNameplate(file)
+	return server.DecodeConfig(file)
 }
 
 // Run serves until a signal to end has been heeded. The first one drains, a second one aborts what is in hand and answers it, a third one stops at once.
 func (c *serve) Run() error {
-	nameplate, err := c.read()
+	config, err := c.read()
 	if err != nil {
 		return err
 	}
-	nameplate.Limit()
+	config.Limit()
 	log, err := c.logger()
 	if err != nil {
 		return err
 	}
-	if err := c.readLevels(nameplate); err != nil {
+	if err := c.readLevels(config); err != nil {
 		return err
 	}
-	if err := c.readFleet(nameplate); err != nil {
+	if err := c.readFleet(config); err != nil {
 		return err
 	}
-	if err := c.readKeep(nameplate); err != nil {
+	if err := c.readKeep(config); err != nil {
 		return err
 	}
-	node := server.New(nameplate, log, server.SystemClock())
+	node := server.New(config, log, server.SystemClock())
 	debug.FreeOSMemory() // what reading a large file took; nobody is served yet
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -111,7 +111,7 @@
 		"%d descriptors, %g ms from the notice to the kill\n", n.Name, n.Listen, n.Executor, n.Catalog, n.Control,
 		n.Settings.Operations.Len(), n.Cores, n.MemoryMB, n.Sockets, n.StopMS)
 	if c.Fleet != "" {
-		fleet, err := charter.Read(c.Fleet, n.Name)
+		fleet, err := fleetconfig.Read(c.Fleet, n.Name)
 		if err != nil {
 			return err
 		}
@@ -122,7 +122,7 @@
 		}
 	}
 	if c.Keep != "" {
-		k, err := keep.Read(c.Keep, n.Settings.Nameplate.Operations, n.MemoryMB)
+		k, err := keep.Read(c.Keep, n.Settings.Node.Operations, n.MemoryMB)
 		if err != nil {
 			return err
 		}
@@ -140,9 +140,9 @@
 }
 
 // tooShort names the tokened operations whose work can't be taken over in time.
-func tooShort(n *server.Nameplate, fleet *charter.Fleet) {
+func tooShort(n *server.Config, fleet *fleetconfig.Fleet) {
 	for i, name := range n.Settings.Operations.All() {
-		if op := &n.Settings.Nameplate.Operations[i]; op.Effect == node.Tokened && op.ClientTimeout <= fleet.Known() {
+		if op := &n.Settings.Node.Operations[i]; op.Effect == node.Tokened && op.ClientTimeout <= fleet.Known() {
 			fmt.Printf("note: %s has a client timeout of %g s, and a death is known after %g s: what a lost node held of it is not taken over in "+
 				"time; shorten silence, settle and probe\n", name, float64(op.ClientTimeout)/1e9, float64(fleet.Known())/1e9)
 		}
--- a/cmd/topazpost/members.go
+++ b/cmd/topazpost/members.go
@@ -11,7 +11,7 @@
 	"text/tabwriter"
 	"time"
 
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
 	"topazpost/server"
 )
@@ -45,8 +45,8 @@
 
 // lookInto asks a node for what it shows of itself.
 func lookInto(fleet, address, what string, into any) error {
-	name := letter.FleetOf(fleet)
-	ask, err := letter.Seal(nil, name, membership.Message{Kind: membership.Look, Why: what})
+	name := envelope.FleetOf(fleet)
+	ask, err := envelope.Seal(nil, name, membership.Message{Kind: membership.Look, Why: what})
 	if err != nil {
 		return err
 	}
@@ -55,7 +55,7 @@
 		err = fmt.Errorf("closed without an answer; is it a node of the fleet %q?", fleet)
 	}
 	if err == nil {
-		err = letter.Open(answer, name, into)
+		err = envelope.Open(answer, name, into)
 	}
 	if err != nil {
 		return fmt.Errorf("%s: %w", address, err)
--- a/cmd/topazpost/plans.go
+++ b/cmd/topazpost/plans.go
@@ -10,7 +10,7 @@
 	"runtime"
 	"time"
 
-	"topazpost/charter"
+	"topazpost/fleetconfig"
 	"topazpost/history"
 	"topazpost/keep"
 	"topazpost/plan"
@@ -45,21 +45,21 @@
 // Run prints the ladder.
 func (c *planShow) Run() error {
 	w := where{c.Config}
-	nameplate, err := w.read()
+	config, err := w.read()
 	if err != nil {
 		return err
 	}
-	ladder, err := plan.Read(c.File, nameplate.Settings.Operations)
+	ladder, err := plan.Read(c.File, config.Settings.Operations)
 	if err != nil {
 		return err
 	}
 	if len(c.Mix) == 0 {
 		c.Mix = make(map[string]float64)
-		for _, name := range nameplate.Settings.Operations.All() {
+		for _, name := range config.Settings.Operations.All() {
 			c.Mix[name] = 1
 		}
 	}
-	return plan.Show(os.Stdout, ladder, nameplate.Settings, c.Mix)
+	return plan.Show(os.Stdout, ladder, config.Settings, c.Mix)
 }
 
 // Run evaluates a plan within bounds of its own: it ends itself where a template takes too much memory.
@@ -83,7 +83,7 @@
 }
 
 // readLevels reads the plan of levels, if there is one.
-func (c *serve) readLevels(into *server.Nameplate) error {
+func (c *serve) readLevels(into *server.Config) error {
 	if c.Plan == "" {
 		return nil
 	}
@@ -96,7 +96,7 @@
 }
 
 // readFleet reads the fleet's file, if there is one.
-func (c *serve) readFleet(into *server.Nameplate) error {
+func (c *serve) readFleet(into *server.Config) error {
 	if c.Fleet == "" {
 		return nil
 	}
@@ -104,14 +104,14 @@
 	if err != nil {
 		return err
 	}
-	if into.Fleet, err = charter.From(file, into.Name); err == nil {
+	if into.Fleet, err = fleetconfig.From(file, into.Name); err == nil {
 		into.Fleet.Terms.Version = revision()[:min(versionMost, len(revision()))]
 	}
 	return err
 }
 
 // readKeep reads what is kept of tokened invocations, if there is a file.
-func (c *serve) readKeep(into *server.Nameplate) error {
+func (c *serve) readKeep(into *server.Config) error {
 	if c.Keep == "" {
 		return nil
 	}
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	into.Keep, err = keep.From(file, into.Settings.Nameplate.Operations, into.MemoryMB)
+	into.Keep, err = keep.From(file, into.Settings.Node.Operations, into.MemoryMB)
 	return err
 }
 
--- a/cmd/topazpost/quota.go
+++ b/cmd/topazpost/quota.go
@@ -5,7 +5,7 @@
 	"os"
 	"text/tabwriter"
 
-	"topazpost/charter"
+	"topazpost/fleetconfig"
 )
 
 // quotas are the commands about limits of a whole fleet.
@@ -48,7 +48,7 @@
 
 // Run says what holds.
 func (c *quotaBound) Run() error {
-	f, err := charter.Read(c.File, c.Name)
+	f, err := fleetconfig.Read(c.File, c.Name)
 	if err != nil {
 		return err
 	}
--- a/cmd/topazpost/seat.go
+++ b/cmd/topazpost/seat.go
@@ -7,8 +7,8 @@
 	"os"
 	"slices"
 
-	"topazpost/charter"
-	"topazpost/plate"
+	"topazpost/fleetconfig"
+	"topazpost/nodeconfig"
 	"topazpost/server"
 )
 
@@ -25,7 +25,7 @@
 
 // Run is a seat until a signal to end: the first one says farewell to the fleet, a second one stops at once.
 func (c *seat) Run() error {
-	fleet, err := charter.Read(c.Fleet, c.Name)
+	fleet, err := fleetconfig.Read(c.Fleet, c.Name)
 	if err != nil {
 		return err
 	}
@@ -37,9 +37,9 @@
 	if err != nil {
 		return err
 	}
-	n := &server.Nameplate{Name: c.Name, StopMS: seatStopMS, Sockets: seatSockets, Fleet: fleet, Hollow: server.OnlySeat(),
-		Settings: &plate.Plate{Operations: plate.NewNames(), Tenants: plate.NewNames()}}
-	n.Settings.Nameplate.Seed = int64(os.Getpid())
+	n := &server.Config{Name: c.Name, StopMS: seatStopMS, Sockets: seatSockets, Fleet: fleet, Hollow: server.OnlySeat(),
+		Settings: &nodeconfig.Config{Operations: nodeconfig.NewNames(), Tenants: nodeconfig.NewNames()}}
+	n.Settings.Node.Seed = int64(os.Getpid())
 	log.Info().Str("name", c.Name).Strs("seats", fleet.Council.Seats).Str("folder", fleet.Council.Folder).Msg("a seat of the council, serving nothing")
 	node := server.New(n, log, server.SystemClock())
 	ctx, stop := context.WithCancel(context.Background())
--- a/cmd/topazpost/signals.go
+++ b/cmd/topazpost/signals.go
@@ -44,12 +44,12 @@
 			continue
 		}
 		again = nil
-		nameplate, err := c.read()
+		config, err := c.read()
 		if err == nil {
-			err = c.readLevels(nameplate)
+			err = c.readLevels(config)
 		}
 		if err == nil {
-			node.Reload(nameplate)
+			node.Reload(config)
 			tidy = time.After(tidyAfter)
 			continue
 		}
--- a/configuration/message_test.go
+++ b/configuration/message_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"topazpost/letter"
+	"topazpost/envelope"
 )
 
 // TestLettersFit seals the largest messages and reads them back within the bounds of letters; their estimated sizes are no less than the real ones.
@@ -39,18 +39,18 @@
 		*Message
 		most int
 	}{
-		{&Message{Kind: Tell, Head: head.marks(), Has: most, Records: wired(x.log, eagerMost, false)}, letter.DatagramMost},
-		{&Message{Kind: Report, Seq: 1 << 31, Has: most, Refused: most, Why: strings.Repeat("y", reasonMost), Age: 1 << 60}, letter.DatagramMost},
-		{&Message{Kind: Vouch, Seq: 1 << 31, Head: head}, letter.DatagramMost},
+		{&Message{Kind: Tell, Head: head.marks(), Has: most, Records: wired(x.log, eagerMost, false)}, envelope.DatagramMost},
+		{&Message{Kind: Report, Seq: 1 << 31, Has: most, Refused: most, Why: strings.Repeat("y", reasonMost), Age: 1 << 60}, envelope.DatagramMost},
+		{&Message{Kind: Vouch, Seq: 1 << 31, Head: head}, envelope.DatagramMost},
 		{ask, 64 << 10}, {wanted, 64 << 10}, {piece, 64 << 10}, {index, 64 << 10}, {blocks, 64 << 10},
 	} {
-		text, err := letter.Seal(nil, 1, m.Message)
+		text, err := envelope.Seal(nil, 1, m.Message)
 		require.NoError(t, err)
 		t.Logf("kind %d: %d bytes, estimated %d, at the most %d", m.Kind, len(text), m.size(), m.most)
 		require.LessOrEqual(t, len(text), m.most)
 		require.LessOrEqual(t, len(text)+28, m.size(), "with the heads of IP and UDP")
 		var again Message
-		require.NoError(t, letter.Open(text, 1, &again))
+		require.NoError(t, envelope.Open(text, 1, &again))
 		require.Equal(t, m.Has, again.Has)
 		require.Len(t, again.Records, len(m.Records))
 		require.Len(t, again.Blocks, len(m.Blocks))
--- a/control/control.go
+++ b/control/control.go
@@ -118,7 +118,7 @@
 
 // Post decides for one node.
 type Post struct {
-	plate           *node.Nameplate
+	config          *node.Config
 	chance          *rand.Rand
 	born, now, next int64 // next is when the beat is due
 	out             []node.Action
@@ -164,27 +164,27 @@
 func ratios(memory float64) tally.Ratios { return tally.NewRatios(binCount, binsAnOctave, memory) }
 
 // New makes the decisions' state of a node that has just started, on cores that started at now.
-func New(plate *node.Nameplate, now int64) *Post {
-	cores := float64(plate.Cores)
-	p := &Post{plate: plate, chance: rand.New(rand.NewSource(plate.Seed)), born: now, now: now, next: now,
+func New(config *node.Config, now int64) *Post {
+	cores := float64(config.Cores)
+	p := &Post{config: config, chance: rand.New(rand.NewSource(config.Seed)), born: now, now: now, next: now,
 		pace: ratios(paceMemory), callFails: ratios(shortMemory), callTime: ratios(shortMemory),
 		stays:    tally.NewStays(patienceBins, longMemory),
-		callUsed: tally.NewWindow(plate.CallSpan, callSlices),
+		callUsed: tally.NewWindow(config.CallSpan, callSlices),
 		windowAt: now, cores: cores, limit: cores, open: 1, tightest: math.Inf(1), said: -1,
 		units: math.MaxInt, hold: math.MaxInt64 / 4,
 		patient: 1}
-	for i := range plate.Operations {
-		if p.ops = append(p.ops, nil); !plate.Operations[i].Gone {
-			p.setOperation(int32(i), &plate.Operations[i], nil)
+	for i := range config.Operations {
+		if p.ops = append(p.ops, nil); !config.Operations[i].Gone {
+			p.setOperation(int32(i), &config.Operations[i], nil)
 		}
 	}
 	p.callUnit = p.tightest
-	if plate.Fresh {
-		p.open = plate.ColdFrom
+	if config.Fresh {
+		p.open = config.ColdFrom
 		// What a life before this one may have held counts as used: the dependency's mean still holds it.
-		part := callRoom * plate.CallShare * float64(plate.CallSpan) / callSlices
-		for k, began := int64(callSlices), max(now, plate.Began); k > 0; k-- {
-			p.callUsed.Add(began-k*plate.CallSpan/callSlices, part)
+		part := callRoom * config.CallShare * float64(config.CallSpan) / callSlices
+		for k, began := int64(callSlices), max(now, config.Began); k > 0; k-- {
+			p.callUsed.Add(began-k*config.CallSpan/callSlices, part)
 		}
 	}
 	return p
@@ -280,7 +280,7 @@
 func (p *Post) weigh(v *invocation, by int) {
 	kb := v.kb
 	if v.state >= running {
-		kb *= p.plate.Blowup
+		kb *= p.config.Blowup
 	}
 	switch v.state {
 	case ended:
@@ -332,8 +332,8 @@
 		p.giveUp(e.Inv, node.Levelled)
 	case op.Effect == node.Tokened:
 		p.record(e.Inv, v.arrived+op.Window)
-	case op.Effect == node.Idempotent && p.plate.ReuseFor > 0 && e.Subject && !e.Write:
-		p.record(e.Inv, v.due+p.plate.ReuseFor)
+	case op.Effect == node.Idempotent && p.config.ReuseFor > 0 && e.Subject && !e.Write:
+		p.record(e.Inv, v.due+p.config.ReuseFor)
 	}
 }
 
@@ -391,8 +391,8 @@
 
 // record guards against a second effect; a tokened invocation that finds no room is turned away unrun.
 func (p *Post) record(i int32, until int64) {
-	room := p.plate.RecordsMost == 0 || len(p.records) < p.plate.RecordsMost
-	if room && p.recordKB()+p.plate.EntryKB <= recordRoom*p.plate.MemoryKB && until > p.now {
+	room := p.config.RecordsMost == 0 || len(p.records) < p.config.RecordsMost
+	if room && p.recordKB()+p.config.EntryKB <= recordRoom*p.config.MemoryKB && until > p.now {
 		p.do(node.Action{Kind: node.Record, Inv: i, For: until - p.now})
 		p.records = append(p.records, until)
 	} else if p.invs[i].op.Effect == node.Tokened {
@@ -400,7 +400,7 @@
 	}
 }
 
-func (p *Post) recordKB() float64 { return float64(len(p.records)) * p.plate.EntryKB }
+func (p *Post) recordKB() float64 { return float64(len(p.records)) * p.config.EntryKB }
 
 // giveUp gives the final answer to what will not be served, at once.
 func (p *Post) giveUp(i int32, why node.Why) {
@@ -413,7 +413,7 @@
 		if why == node.Levelled {
 			p.levelled++
 		}
-		if p.throttled++; !p.plate.RetriesMarked {
+		if p.throttled++; !p.config.RetriesMarked {
 			p.echoes++ // where they bear no mark, what is turned away here tells of those to come
 		}
 		p.do(node.Action{Kind: node.Throttle, Inv: i, For: p.comeBack(), NoRetry: v.further || p.allFull,
@@ -437,7 +437,7 @@
 	case held, joined, paused:
 		p.end(i)
 	case running:
-		if p.plate.Halting != node.NoHalt {
+		if p.config.Halting != node.NoHalt {
 			p.do(node.Action{Kind: node.Stop, Inv: i})
 		}
 	}
@@ -446,9 +446,9 @@
 // comeBack names the time after which the node can take more: the end of its life, or of its backlog.
 func (p *Post) comeBack() int64 {
 	if p.noticed != 0 {
-		return p.plate.ComeBackMax
+		return p.config.ComeBackMax
 	}
-	return min(p.plate.ComeBackMax, int64((0.5+p.chance.Float64())*p.wait())) // spread, not all at once
+	return min(p.config.ComeBackMax, int64((0.5+p.chance.Float64())*p.wait())) // spread, not all at once
 }
 
 // Order of the hold.
@@ -530,7 +530,7 @@
 // rank sets the place in the order: billed value for each unit of core time, by the chance to end in time.
 func (p *Post) rank(v *invocation) {
 	v.key = v.op.BilledValue * v.worth * p.withinShare(v.tenant)
-	if !p.plate.ByWork {
+	if !p.config.ByWork {
 		v.key /= p.expected(v)
 	}
 	if v.op.service.Form == node.Refused && !v.ran {
@@ -554,22 +554,22 @@
 
 // withinShare is the expected part of full value for a tenant that may be over its share of the fleet.
 func (p *Post) withinShare(tenant int32) float64 {
-	if tenant < 0 || p.plate.TenantRates[tenant] <= 0 {
+	if tenant < 0 || p.config.TenantRates[tenant] <= 0 {
 		return 1
 	}
-	share := p.plate.TenantRates[tenant] / float64(max(1, p.plate.Peers)) * float64(beat) / 1e9 / (1 - fade)
+	share := p.config.TenantRates[tenant] / float64(max(1, p.config.Peers)) * float64(beat) / 1e9 / (1 - fade)
 	inside := share / max(share, p.tenants.Of(int64(tenant)))
-	return inside + (1-inside)*p.plate.OverShare
+	return inside + (1-inside)*p.config.OverShare
 }
 
 // survivable is the crowd on the cores that is safe now, at the slowest warm-up that is guaranteed.
 func (p *Post) survivable() float64 {
 	warm := 1.0
-	if p.plate.Fresh {
-		age := float64(p.now-p.born) / float64(max(1, p.plate.WarmAfter))
-		warm = min(1, p.plate.ColdFrom+(1-p.plate.ColdFrom)*age)
+	if p.config.Fresh {
+		age := float64(p.now-p.born) / float64(max(1, p.config.WarmAfter))
+		warm = min(1, p.config.ColdFrom+(1-p.config.ColdFrom)*age)
 	}
-	return crowdRoom * p.cores * (1 + (p.plate.TipMultiple-1)*warm)
+	return crowdRoom * p.cores * (1 + (p.config.TipMultiple-1)*warm)
 }
 
 // startRuns starts the hold in order. Reading counts towards the limit, but one run always goes on. What left
@@ -585,7 +585,7 @@
 			p.makeWay(v)
 			return
 		}
-		if v.state == held && p.memory+p.recordKB()+v.kb*(p.plate.Blowup-1) > memoryRoom*p.plate.MemoryKB {
+		if v.state == held && p.memory+p.recordKB()+v.kb*(p.config.Blowup-1) > memoryRoom*p.config.MemoryKB {
 			continue
 		}
 		form := node.Whole
@@ -611,7 +611,7 @@
 			}
 		}
 	}
-	if least >= 0 && p.plate.Halting == node.PauseHalt {
+	if least >= 0 && p.config.Halting == node.PauseHalt {
 		p.do(node.Action{Kind: node.Stop, Inv: least})
 	}
 }
@@ -639,12 +639,12 @@
 // runEnded closes a run and learns what it cost.
 func (p *Post) runEnded(i int32, outcome node.Outcome) {
 	v := &p.invs[i]
-	if outcome == node.Withdrawn && !v.answered && p.plate.Halting != node.NoHalt {
-		p.shift(v, map[node.Halting]state{node.PauseHalt: paused, node.DropHalt: held}[p.plate.Halting])
+	if outcome == node.Withdrawn && !v.answered && p.config.Halting != node.NoHalt {
+		p.shift(v, map[node.Halting]state{node.PauseHalt: paused, node.DropHalt: held}[p.config.Halting])
 		return
 	}
 	if v.state == calling {
-		p.callUsed.Add(p.now, float64(p.plate.Linger))
+		p.callUsed.Add(p.now, float64(p.config.Linger))
 	}
 	p.watch(v, false)
 	own, usual := v.state != joined, v.base*v.part*v.op.usual.Mean(1)
@@ -696,11 +696,11 @@
 // callRoom is how long one more call may take: a third of the share left if all in hand are left at the
 // last, or some times the usual. Guards against hangs, small shares; does harm where calls grow longer.
 func (p *Post) callRoom() int64 {
-	if p.plate.Below != node.SharedBelow || p.units < math.MaxInt { // a lease counts calls, not their time
+	if p.config.Below != node.SharedBelow || p.units < math.MaxInt { // a lease counts calls, not their time
 		return math.MaxInt64 / 4
 	}
-	linger := float64(p.plate.Linger)
-	spare := callRoom*p.plate.CallShare*float64(p.plate.CallSpan) - p.callUsed.Sum()
+	linger := float64(p.config.Linger)
+	spare := callRoom*p.config.CallShare*float64(p.config.CallSpan) - p.callUsed.Sum()
 	for _, i := range p.live {
 		if v := &p.invs[i]; v.state == calling {
 			spare -= float64(max(0, v.callUntil-p.now)) + linger
@@ -730,7 +730,7 @@
 	p.shift(v, standing)
 	if outcome != node.Overloaded && outcome != node.Unreachable {
 		v.tries += 1 + callTries*int(v.op.Effect) // no more, unless it is idempotent
-		p.callUsed.Add(p.now, float64(p.plate.Linger))
+		p.callUsed.Add(p.now, float64(p.config.Linger))
 	}
 }
 
@@ -738,7 +738,7 @@
 func (p *Post) keepDeadlines() {
 	for _, i := range p.live {
 		v := &p.invs[i]
-		futile := v.state == running && p.plate.Halting != node.NoHalt && v.op.LateShare == 0
+		futile := v.state == running && p.config.Halting != node.NoHalt && v.op.LateShare == 0
 		if v.state != ended && (futile && float64(p.now) > p.objective(v) || p.now >= v.due-answerMargin) {
 			p.giveUp(i, node.Overdue)
 		}
@@ -751,7 +751,7 @@
 // keepMemory turns away the end of the hold before memory runs out and forgets records that ended.
 func (p *Post) keepMemory() {
 	p.records = slices.DeleteFunc(p.records, func(until int64) bool { return until < p.now })
-	for k := len(p.order) - 1; k >= 0 && p.memory+p.recordKB() > (1+memoryRoom)/2*p.plate.MemoryKB; k-- {
+	for k := len(p.order) - 1; k >= 0 && p.memory+p.recordKB() > (1+memoryRoom)/2*p.config.MemoryKB; k-- {
 		if p.invs[p.order[k]].state == held {
 			p.giveUp(p.order[k], node.Crowded)
 		}
@@ -770,7 +770,7 @@
 	room := max(0, kill-killMargin-p.noticed)
 	scale := min(1, float64(room)/float64(preDrain+drainBudget))
 	delay := max(int64(scale*float64(preDrain)), min(preDrain, room-p.slowest))
-	p.intakeEnd = min(p.intakeEnd, p.noticed+min(delay, p.plate.DrainGrace))
+	p.intakeEnd = min(p.intakeEnd, p.noticed+min(delay, p.config.DrainGrace))
 	p.drainEnd = min(p.drainEnd, p.noticed+room, p.intakeEnd+int64(scale*float64(drainBudget)))
 }
 
@@ -835,16 +835,16 @@
 		p.open = min(1, p.open+adviceUp)
 	}
 	value, away := p.open, 0.0
-	if p.plate.Advice == node.LevelAdvice {
+	if p.config.Advice == node.LevelAdvice {
 		value, away = levelHigh*(1-p.open), 1
-	} else if p.plate.Advice == node.CreditAdvice { // for each caller that counts, unequal as they are
+	} else if p.config.Advice == node.CreditAdvice { // for each caller that counts, unequal as they are
 		value *= creditTop * p.cores / max(1, sum*sum/squares)
 	}
 	if p.noticed != 0 && p.now >= p.intakeEnd-awayLead {
 		value = away
 	}
 	value = math.Ceil(value*100) / 100 // never rounded to nothing
-	if value != p.said && p.plate.Advice != node.NoAdvice {
+	if value != p.said && p.config.Advice != node.NoAdvice {
 		p.do(node.Action{Kind: node.Advise, Value: value})
 	}
 	p.said = value
@@ -857,7 +857,7 @@
 		Wait: p.wait(), CallWait: p.callWait(), Lag: p.lag, Reading: p.reading, MeanReading: p.meanReading,
 		Pace: p.pace.Mean(1), Stall: p.stall, Patient: p.patient, CallTime: p.callTime.Mean(0) * p.callUnit,
 		CallFails: p.callFails.Mean(0), CallRoom: float64(p.callRoom()), Open: p.open, Said: p.said,
-		CallUsed: p.callUsed.Sum() / max(1, p.plate.CallShare*float64(p.plate.CallSpan)),
+		CallUsed: p.callUsed.Sum() / max(1, p.config.CallShare*float64(p.config.CallSpan)),
 		Arrivals: p.arrivals, Echoes: p.echoes, Throttled: p.throttled, Callers: len(p.callers.Counts()),
 		Memory: p.memory, AllFull: p.allFull, Unhealthy: p.unhealthy, Free: p.free}
 }
@@ -875,5 +875,5 @@
 	}
 	m.Reading = min(p.meanReading, p.cores) / max(p.cores, float64(p.onCores)+p.meanReading)
 	m.Wait, m.Lag, m.Calls = p.wait()/p.tightest, p.lag/p.tightest, p.callWait()/p.tightest
-	m.Throttled, m.Memory = (p.throttled-p.levelled)/max(1, p.arrivals), p.memory/p.plate.MemoryKB
+	m.Throttled, m.Memory = (p.throttled-p.levelled)/max(1, p.arrivals), p.memory/p.config.MemoryKB
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -19,7 +19,7 @@
 }
 
 func TestRunPastItsObjectiveGoesOnWhereItCannotBeStopped(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Halting = node.NoHalt })
+	p := post(func(n *node.Config) { n.Halting = node.NoHalt })
 	v := put(p, 0, running)
 	v.arrived -= 2_000 * ms
 	p.keepDeadlines()
@@ -48,7 +48,7 @@
 }
 
 func TestTenantOverItsShareComesAfterOthers(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.TenantRates = []float64{2, 2}; n.OverShare = 0.1 })
+	p := post(func(n *node.Config) { n.TenantRates = []float64{2, 2}; n.OverShare = 0.1 })
 	for k := range 50 {
 		p.tenants.Add(0)
 		if k < 5 {
@@ -71,7 +71,7 @@
 }
 
 func TestTokenedWithoutRoomInTheTableIsThrottledUnrun(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.EntryKB = 300 })
+	p := post(func(n *node.Config) { n.EntryKB = 300 })
 	put(p, 1, held)
 	p.record(0, p.now+5_000*ms)
 	assert.Equal(t, []node.ActionKind{node.Throttle}, kinds(p))
@@ -113,7 +113,7 @@
 }
 
 func TestReplyThatHardlyComesIsNotWaitedForWhereTheCallMayBeRepeated(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.CallShare = 24 })
+	p := post(func(n *node.Config) { n.CallShare = 24 })
 	p.callTime.Add(0.0625) // of the shortest objective
 	for op, tries := range []int{0, 0, 2} {
 		v := put(p, min(op, 2)%2, standing)
@@ -125,7 +125,7 @@
 }
 
 func TestFailedCallIsLeftOutWhereAllowed(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Operations[0].SkipShare = 0.5 })
+	p := post(func(n *node.Config) { n.Operations[0].SkipShare = 0.5 })
 	v := put(p, 0, standing)
 	v.tries = callTries
 	p.makeCalls()
@@ -144,7 +144,7 @@
 
 // The incident of meubles-rennes on which a large fleet left each node a share below one.
 func TestCallsInHandKeepTheShareAsAMean(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.CallShare, n.Linger = 0.35, 200*ms })
+	p := post(func(n *node.Config) { n.CallShare, n.Linger = 0.35, 200*ms })
 	for range 8 {
 		p.callTime.Add(0.02)
 		put(p, 1, standing)
@@ -152,7 +152,7 @@
 	p.makeCalls()
 	reserved := 0.0
 	for _, a := range p.out {
-		reserved += float64(a.At - p.now + p.plate.Linger)
+		reserved += float64(a.At - p.now + p.config.Linger)
 	}
 	assert.Len(t, p.out, 4, "not one at a time")
 	assert.LessOrEqual(t, reserved, 0.35*5e9)
@@ -184,7 +184,7 @@
 }
 
 func TestCrowdIsTighterWhileCold(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Fresh = true; n.ColdFrom = 0.2; n.WarmAfter = 10_000 * ms })
+	p := post(func(n *node.Config) { n.Fresh = true; n.ColdFrom = 0.2; n.WarmAfter = 10_000 * ms })
 	assert.InDelta(t, crowdRoom*2*(1+3*0.2), p.survivable(), 1e-9)
 	p.now += 20_000 * ms
 	assert.InDelta(t, crowdRoom*2*4, p.survivable(), 1e-9)
@@ -286,7 +286,7 @@
 }
 
 func TestAFullHoldIsNotUnhealthyButAsksForLess(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Advice = node.LevelAdvice })
+	p := post(func(n *node.Config) { n.Advice = node.LevelAdvice })
 	for range 20 {
 		put(p, 0, held)
 	}
@@ -298,7 +298,7 @@
 
 func TestDrainAdvisesCallersAway(t *testing.T) {
 	for advice, want := range map[node.Advice]float64{node.LevelAdvice: 1, node.CreditAdvice: 0, node.WeightAdvice: 0} {
-		p := post(func(n *node.Nameplate) { n.Advice = advice })
+		p := post(func(n *node.Config) { n.Advice = advice })
 		p.noticed, p.intakeEnd = p.now, p.now+2*awayLead
 		p.adjustAdvice()
 		assert.NotEqual(t, want, p.said, "it serves on, others may be full")
@@ -331,7 +331,7 @@
 
 // The incident of pret-quimper on which fresh nodes were flooded before their first answers.
 func TestColdStartInvitesLess(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Fresh = true; n.ColdFrom = 0.25 })
+	p := post(func(n *node.Config) { n.Fresh = true; n.ColdFrom = 0.25 })
 	assert.Equal(t, 0.25, p.open)
 }
 
@@ -403,7 +403,7 @@
 
 // Overloaded days of the grown deployments: what every node turned away was read at node after node.
 func TestManyFurtherTriesAskForNoMoreUntilFewAreThrottled(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.RetriesMarked = true })
+	p := post(func(n *node.Config) { n.RetriesMarked = true })
 	p.arrivals, p.echoes, p.throttled = 10, 5, 4
 	p.adjustAdvice()
 	assert.True(t, p.allFull)
@@ -416,7 +416,7 @@
 }
 
 func TestCreditForManyCallersIsNeverRoundedToNothing(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Advice = node.CreditAdvice })
+	p := post(func(n *node.Config) { n.Advice = node.CreditAdvice })
 	for caller := range int64(1_000) {
 		p.callers.Add(caller)
 	}
@@ -487,7 +487,7 @@
 
 // The service days of meubles-rennes: a burst being read, or a few long runs, made nodes throttle what they had room for.
 func TestABurstOfReadingDoesNotShrinkWhatTheHoldIsReckonedToClear(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Cores = 8 })
+	p := post(func(n *node.Config) { n.Cores = 8 })
 	for range 20 { // a second of little reading, then a beat of much
 		p.now += 50 * ms
 		p.take(&node.Event{Kind: node.TimerDue, Busy: 0.5, Runnable: 1})
@@ -566,7 +566,7 @@
 // What a beat costs is that of the tenants seen of late, not of those that there are.
 func TestBeatGoesOverTheTenantsSeenOnly(t *testing.T) {
 	for _, all := range []int{0, 1_000, 130_000} {
-		p := post(func(n *node.Nameplate) { n.TenantRates = make([]float64, all) })
+		p := post(func(n *node.Config) { n.TenantRates = make([]float64, all) })
 		for k := range int32(40) {
 			p.Decide(p.now, []node.Event{{Kind: node.Arrived, Inv: k, Tenant: min(k, int32(all)) - 1, Repeats: node.NoRepeat, HeldKB: 1}})
 		}
@@ -581,7 +581,7 @@
 func BenchmarkBeat(b *testing.B) {
 	for _, all := range []int{0, 1_000, 130_000} {
 		b.Run(fmt.Sprint(all, " tenants"), func(b *testing.B) {
-			p := post(func(n *node.Nameplate) { n.TenantRates = make([]float64, all) })
+			p := post(func(n *node.Config) { n.TenantRates = make([]float64, all) })
 			now := start
 			for b.Loop() {
 				now += beat
@@ -624,7 +624,7 @@
 
 // A node that starts with indices that no operation has goes on without them.
 func TestIndicesOfNoOperationCountForNothing(t *testing.T) {
-	p := post(func(n *node.Nameplate) { n.Operations = append(n.Operations, node.Operation{Gone: true}) })
+	p := post(func(n *node.Config) { n.Operations = append(n.Operations, node.Operation{Gone: true}) })
 	assert.Equal(t, float64(1_000*ms), p.tightest)
 	p.Decide(p.now+beat, []node.Event{{Kind: node.TimerDue, Busy: 0.5, Runnable: 1}})
 }
--- a/control/helpers_test.go
+++ b/control/helpers_test.go
@@ -14,8 +14,8 @@
 const start = 1_000 * 1_000 * ms
 
 // post is a sound, warm node of two cores with one idempotent and one tokened operation.
-func post(change ...func(*node.Nameplate)) *Post {
-	plate := &node.Nameplate{
+func post(change ...func(*node.Config)) *Post {
+	config := &node.Config{
 		Operations: []node.Operation{
 			{Objective: 1_000 * ms, ClientTimeout: 3_000 * ms, BilledValue: 1, MayCall: true},
 			{Objective: 1_000 * ms, ClientTimeout: 3_000 * ms, BilledValue: 5, Effect: node.Tokened,
@@ -26,9 +26,9 @@
 		ComeBackMax: 1_000 * ms, Halting: node.PauseHalt,
 	}
 	for _, c := range change {
-		c(plate)
+		c(config)
 	}
-	return New(plate, start)
+	return New(config, start)
 }
 
 // put adds an invocation that arrived now, in the given state, and returns it.
@@ -56,7 +56,7 @@
 func decisions(t *testing.T, seed int64, steps int) uint64 {
 	t.Helper()
 	chance := rand.New(rand.NewSource(seed))
-	p := post(func(n *node.Nameplate) {
+	p := post(func(n *node.Config) {
 		n.Seed, n.OverShare, n.Advice, n.MemoryKB = seed, 0.1, node.CreditAdvice, 100_000
 		for range 500 {
 			n.TenantRates = append(n.TenantRates, float64(1+chance.Intn(4)))
--- a/control/levels_test.go
+++ b/control/levels_test.go
@@ -143,7 +143,7 @@
 }
 
 func benchmarkDecide(b *testing.B, live int, level bool) {
-	p := post(func(n *node.Nameplate) { n.MemoryKB, n.ComeBackMax = 1e9, 0 })
+	p := post(func(n *node.Config) { n.MemoryKB, n.ComeBackMax = 1e9, 0 })
 	for k := range live {
 		put(p, k%2, held).due = start * 1000
 		p.invs[k].arrived = start * 900
--- a/control/ramp_test.go
+++ b/control/ramp_test.go
@@ -26,11 +26,11 @@
 )
 
 func (f *fleet) start(k int, fresh bool, age int64) {
-	f.posts[k] = New(post(func(n *node.Nameplate) {
+	f.posts[k] = New(post(func(n *node.Config) {
 		n.CallShare, n.CallSpan, n.Linger, n.Fresh, n.ColdFrom = f.share, fleetSpan, 200*ms, fresh, 0.3
 		n.Operations[0].ClientTimeout, n.Operations[0].Objective = 60_000*ms, 30_000*ms
 		n.Began = f.now
-	}).plate, f.now-age)
+	}).config, f.now-age)
 	for _, end := range f.ends[k] { // they linger in the dependency's hands
 		f.adrift = append(f.adrift, min(end, f.now+200*ms))
 	}
--- a/ember/ember.go
+++ b/ember/ember.go
@@ -12,20 +12,20 @@
 	"strings"
 
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
 // Host is the door of one instance: it gives wire ids small indices and takes them back.
 type Host struct {
-	plate   *plate.Plate
+	config  *nodeconfig.Config
 	indices map[uint64]int32
 	ids     []uint64
 	free    []int32
 }
 
-// NewHost opens the door of an instance that was started with the given plate.
-func NewHost(settings *plate.Plate) *Host {
-	return &Host{plate: settings, indices: make(map[uint64]int32)}
+// NewHost opens the door of an instance that was started with the given config.
+func NewHost(settings *nodeconfig.Config) *Host {
+	return &Host{config: settings, indices: make(map[uint64]int32)}
 }
 
 func (h *Host) admit(id uint64) int32 {
@@ -156,13 +156,13 @@
 }
 
 // Start reads a PROVISION line.
-func Start(line []string) (*plate.Plate, error) {
+func Start(line []string) (*nodeconfig.Config, error) {
 	f := fields{name: line[0], values: line[1:]}
 	seed := int64(f.id())
 	if f.err != nil {
 		return nil, f.err
 	}
-	return plate.FromPairs(seed, f.values)
+	return nodeconfig.FromPairs(seed, f.values)
 }
 
 // Event reads one event of this instance; live is false for one that names an id no longer live.
@@ -220,12 +220,12 @@
 		e.Hint = hint
 	}
 	e.HeldKB = f.number()
-	op, ok := h.plate.Operations.Lookup(operation)
+	op, ok := h.config.Operations.Lookup(operation)
 	if !ok {
 		f.fail(operation)
 	}
 	e.Operation, e.Tenant, e.Repeats = op, -1, node.NoRepeat
-	if t, ok := h.plate.Tenants.Lookup(tenant); ok {
+	if t, ok := h.config.Tenants.Lookup(tenant); ok {
 		e.Tenant = t
 	}
 	if f.err != nil {
@@ -251,10 +251,10 @@
 			f.fail(v)
 			return
 		}
-		if i >= len(h.plate.Gauges) {
+		if i >= len(h.config.Gauges) {
 			return
 		}
-		switch h.plate.Gauges[i] {
+		switch h.config.Gauges[i] {
 		case "cpu_busy":
 			e.Busy = n
 		case "runnable":
--- a/letter/letter.go
+++ b/envelope/envelope.go
@@ -1,6 +1,6 @@
-// Package letter is the envelope of all that nodes tell each other: a version, the fleet, a checksum, and a body in
+// Package envelope is the envelope of all that nodes tell each other: a version, the fleet, a checksum, and a body in
 // CBOR. It is pure, and knows no body's meaning.
-package letter
+package envelope
 
 import (
 	"encoding/binary"
@@ -28,11 +28,11 @@
 
 // What makes a letter of no use.
 var (
-	ErrShort   = errors.New("letter: too short")
-	ErrVersion = errors.New("letter: another version")
-	ErrFleet   = errors.New("letter: of another fleet")
-	ErrSpoilt  = errors.New("letter: checksum differs")
-	ErrBody    = errors.New("letter: the body can't be read")
+	ErrShort   = errors.New("envelope: too short")
+	ErrVersion = errors.New("envelope: another version")
+	ErrFleet   = errors.New("envelope: of another fleet")
+	ErrSpoilt  = errors.New("envelope: checksum differs")
+	ErrBody    = errors.New("envelope: the body can't be read")
 )
 
 var decode = func() cbor.DecMode {
--- a/letter/letter_test.go
+++ b/envelope/envelope_test.go
@@ -1,4 +1,4 @@
-package letter
+package envelope
 
 import (
 	"testing"
--- a/example/main.go
+++ b/example/main.go
@@ -33,7 +33,7 @@
 }
 
 func run() error {
-	nameplate, err := server.ReadNameplate(config)
+	config, err := server.ReadConfig(config)
 	if err != nil {
 		return err
 	}
@@ -45,14 +45,14 @@
 	if err != nil {
 		return err
 	}
-	nameplate.Executor, nameplate.Control = executor.Addr().String(), control.Addr().String()
+	config.Executor, config.Control = executor.Addr().String(), control.Addr().String()
 	go execute(executor)
 	go http.Serve(control, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusNoContent)
 	}))
 
 	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr}).Level(zerolog.InfoLevel)
-	node := server.New(nameplate, log, server.SystemClock())
+	node := server.New(config, log, server.SystemClock())
 	if err := node.Listen(); err != nil {
 		return err
 	}
--- a/charter/configuration_test.go
+++ b/fleetconfig/configuration_test.go
@@ -1,4 +1,4 @@
-package charter
+package fleetconfig
 
 import (
 	"testing"
--- a/charter/charter.go
+++ b/fleetconfig/fleetconfig.go
@@ -1,6 +1,6 @@
-// Package charter reads what operators write of a fleet: its name, where peers meet, and the timing of membership.
+// Package fleetconfig reads what operators write of a fleet: its name, where peers meet, and the timing of membership.
 // It decides nothing.
-package charter
+package fleetconfig
 
 import (
 	"cmp"
@@ -30,12 +30,12 @@
 	probesLeast  = 4                 // pings in a silence, so that a few that are lost end no link
 )
 
-// Fleet is a charter with what the sockets need.
+// Fleet is a fleet configuration with what the sockets need.
 type Fleet struct {
 	Name          string
 	Bind          string // where peers' datagrams and exchanges are heard
 	Exposed       bool   // Bind may be an unspecified address
-	Terms         membership.Charter
+	Terms         membership.Config
 	Kept          uint64         // incarnation that the last life left on a disk, 0 without one
 	Council       *Council       // nil without one
 	Configuration *Configuration // nil where it takes a new start
@@ -119,7 +119,7 @@
 		return nil, err
 	}
 	f := &Fleet{Name: w.Fleet, Bind: w.Bind, Exposed: w.AnyAddress, WallAhead: int64(w.ClockAhead - w.ClockBehind),
-		Path: file.Path, Terms: membership.Charter{Name: name, Address: w.Advertise, Zone: w.Zone, Seeds: w.Seeds,
+		Path: file.Path, Terms: membership.Config{Name: name, Address: w.Advertise, Zone: w.Zone, Seeds: w.Seeds,
 			Probe: probeUsual, Silence: silenceUsual, Settle: settleUsual, Forget: forgetUsual, MembersMost: membersUsual}}
 	c := &f.Terms
 	if c.Address == "" {
--- a/integration/peers_test.go
+++ b/integration/peers_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
 )
 
@@ -28,11 +28,11 @@
 	require.NoError(t, err)
 	bind = l.Addr().String()
 	l.Close()
-	charter := map[string]any{"fleet": "tests", "bind": bind, "seeds": []string{bind}}
+	config := map[string]any{"fleet": "tests", "bind": bind, "seeds": []string{bind}}
 	if seats != nil {
-		charter["council"] = map[string]any{"seats": seats}
+		config["council"] = map[string]any{"seats": seats}
 	}
-	text, err := json.Marshal(charter)
+	text, err := json.Marshal(config)
 	require.NoError(t, err)
 	path = filepath.Join(t.TempDir(), "fleet.jsonnet")
 	require.NoError(t, os.WriteFile(path, text, 0o600))
@@ -69,7 +69,7 @@
 		b := make([]byte, chance.Intn(1_400))
 		chance.Read(b)
 		if len(b) > 0 {
-			b[0] = letter.Version
+			b[0] = envelope.Version
 		}
 		return b
 	}
@@ -171,7 +171,7 @@
 	s := startWith(b, false, nil, flags...)
 	defer s.command.Process.Kill()
 	if kind == "flood" {
-		text, err := letter.Seal(nil, letter.FleetOf("tests"), &membership.Message{Kind: membership.Ping, From: 7})
+		text, err := envelope.Seal(nil, envelope.FleetOf("tests"), &membership.Message{Kind: membership.Ping, From: 7})
 		require.NoError(b, err)
 		end := flood(b, bind, func() []byte { return text })
 		defer end()
--- a/integration/standins_test.go
+++ b/integration/standins_test.go
@@ -23,8 +23,8 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/frame"
+	"topazpost/invariant"
 	"topazpost/lines"
-	"topazpost/must"
 )
 
 // bound ends a test that hangs; no verdict rests on it.
@@ -61,7 +61,7 @@
 		}
 	}
 	line := strings.Replace(build, "-o bin/", "-o "+folder+"/", 1)
-	if must.Debug {
+	if invariant.Debug {
 		line = strings.Replace(line, "go build", "go build -tags debug", 1)
 	}
 	return line
--- a/integration/streams_test.go
+++ b/integration/streams_test.go
@@ -16,7 +16,7 @@
 
 	"topazpost/claims"
 	"topazpost/council"
-	"topazpost/letter"
+	"topazpost/envelope"
 )
 
 // convened is the file of a fleet of one, which is its own council.
@@ -34,7 +34,7 @@
 }
 
 func write(t testing.TB, conn net.Conn, m *council.Message) {
-	text, err := letter.Seal(nil, letter.FleetOf("tests"), m)
+	text, err := envelope.Seal(nil, envelope.FleetOf("tests"), m)
 	require.NoError(t, err)
 	_, err = conn.Write(append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...))
 	require.NoError(t, err)
@@ -52,7 +52,7 @@
 	_, err := io.ReadFull(conn, text)
 	require.NoError(t, err)
 	m := new(council.Message)
-	require.NoError(t, letter.Open(text, letter.FleetOf("tests"), m))
+	require.NoError(t, envelope.Open(text, envelope.FleetOf("tests"), m))
 	return m
 }
 
@@ -95,7 +95,7 @@
 	for range 4 {
 		flood := stream(t, bind)
 		go func() {
-			text, _ := letter.Seal(nil, letter.FleetOf("tests"), &council.Message{Kind: council.Raft, From: "n9", Raft: make([]byte, 1_000)})
+			text, _ := envelope.Seal(nil, envelope.FleetOf("tests"), &council.Message{Kind: council.Raft, From: "n9", Raft: make([]byte, 1_000)})
 			text = append(binary.LittleEndian.AppendUint32(nil, uint32(len(text))), text...)
 			for range 200_000 {
 				if _, err := flood.Write(text); err != nil {
@@ -136,13 +136,13 @@
 func FuzzCouncilMessages(f *testing.F) {
 	for _, m := range []*council.Message{{Kind: council.Hail, From: "n2", ID: 7, Life: 9, Fresh: true}, {Kind: council.Raft, From: "n2", Raft: []byte{8, 3}},
 		{Kind: council.Propose, From: "n2", Commands: []claims.Command{{Kind: claims.Claim}}}} {
-		text, err := letter.Seal(nil, 1, m)
+		text, err := envelope.Seal(nil, 1, m)
 		require.NoError(f, err)
-		f.Add(text[letter.Head:])
+		f.Add(text[envelope.Head:])
 	}
 	f.Fuzz(func(t *testing.T, body []byte) {
 		m := new(council.Message)
-		if letter.Body(body, m) != nil {
+		if envelope.Body(body, m) != nil {
 			return
 		}
 		c := council.New([]string{"n1", "n2", "n3"}, "n1", 1, 1, 1)
--- a/must/debug.go
+++ b/invariant/debug.go
@@ -1,6 +1,6 @@
 //go:build debug
 
-package must
+package invariant
 
 // Debug says that a breach panics.
 const Debug = true
--- a/lab/baselines/pool.go
+++ b/lab/baselines/pool.go
@@ -24,7 +24,7 @@
 
 // pool runs so many for each core and keeps a short line; it rejects the rest.
 type pool struct {
-	plate   *node.Nameplate
+	config  *node.Config
 	entries []entry
 	line    []int32
 	running int
@@ -34,7 +34,7 @@
 }
 
 // Pool is a plain pool with a short queue that rejects.
-func Pool(plate *node.Nameplate, _ int64) reducer.Decider { return &pool{plate: plate} }
+func Pool(config *node.Config, _ int64) reducer.Decider { return &pool{config: config} }
 
 func (p *pool) do(a node.Action) { p.out = append(p.out, a) }
 
@@ -51,7 +51,7 @@
 		case node.Arrived:
 			p.arrived(now, e, &over)
 		case node.DrainNotice:
-			p.intake = now + min(p.plate.DrainGrace, e.Kill-now)
+			p.intake = now + min(p.config.DrainGrace, e.Kill-now)
 		case node.CallWanted:
 			p.do(node.Action{Kind: node.Call, Inv: e.Inv, At: max(now+1, p.entries[e.Inv].due-margin)})
 		case node.CallEnded:
@@ -73,7 +73,7 @@
 		}
 	}
 	p.line = slices.DeleteFunc(p.line, func(i int32) bool { return p.entries[i].answered })
-	for len(p.line) > 0 && p.running < runsACore*p.plate.Cores {
+	for len(p.line) > 0 && p.running < runsACore*p.config.Cores {
 		i := p.line[0]
 		p.line = p.line[1:]
 		if x := &p.entries[i]; x.live && !x.answered {
@@ -96,8 +96,8 @@
 
 func (p *pool) arrived(now int64, e *node.Event, over *[]int32) {
 	p.entries = append(p.entries, make([]entry, max(0, int(e.Inv)+1-len(p.entries)))...)
-	p.entries[e.Inv] = entry{due: now - e.Age + p.plate.Operations[e.Operation].ClientTimeout, live: true}
-	if p.running+len(p.line) >= (runsACore+lineACore)*p.plate.Cores || p.intake > 0 && now >= p.intake {
+	p.entries[e.Inv] = entry{due: now - e.Age + p.config.Operations[e.Operation].ClientTimeout, live: true}
+	if p.running+len(p.line) >= (runsACore+lineACore)*p.config.Cores || p.intake > 0 && now >= p.intake {
 		p.answer(e.Inv, node.Throttle)
 		*over = append(*over, e.Inv)
 		return
@@ -139,5 +139,5 @@
 
 // Measure tells nothing: a pool has no levels.
 func (p *pool) Measure(m *node.Measures) {
-	*m = node.Measures{Asked: append(m.Asked[:0], make([]float64, len(p.plate.Operations))...)}
+	*m = node.Measures{Asked: append(m.Asked[:0], make([]float64, len(p.config.Operations))...)}
 }
--- a/lab/capacity/changes.go
+++ b/lab/capacity/changes.go
@@ -15,9 +15,9 @@
 	"time"
 
 	"topazpost/configuration"
+	"topazpost/envelope"
 	"topazpost/lab/hollow"
-	"topazpost/letter"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 	"topazpost/server"
 )
@@ -114,8 +114,8 @@
 var errVerdict = errors.New("no verdict in time")
 
 func question(address string, q *configuration.Question) (*configuration.Answer, error) {
-	name := letter.FleetOf(fleetName)
-	ask, err := letter.Seal(nil, name, reducer.AskConfiguration(q))
+	name := envelope.FleetOf(fleetName)
+	ask, err := envelope.Seal(nil, name, reducer.AskConfiguration(q))
 	if err != nil {
 		return nil, err
 	}
@@ -269,11 +269,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n, err := server.ReadNameplate(text)
+	n, err := server.ReadConfig(text)
 	if err != nil {
 		return nil, err
 	}
-	found, _ := plate.Diff(nil, n.Settings)
+	found, _ := nodeconfig.Diff(nil, n.Settings)
 	for _, i := range found {
 		list = append(list, configuration.Item(i))
 	}
--- a/lab/capacity/reach.go
+++ b/lab/capacity/reach.go
@@ -9,10 +9,10 @@
 
 // Bounds of the code and operators' sizes that no run measures. A test compares each bound with the source.
 const (
-	membersMost  = 1_500    // charter: members and lost ones in a view's table
-	membersUsual = 512      // charter: the same without a setting
-	tableUsual   = 4 << 20  // charter: bytes of the council's table without a setting
-	tableMost    = 12 << 20 // charter: the most that a setting may say
+	membersMost  = 1_500    // fleetconfig: members and lost ones in a view's table
+	membersUsual = 512      // fleetconfig: the same without a setting
+	tableUsual   = 4 << 20  // fleetconfig: bytes of the council's table without a setting
+	tableMost    = 12 << 20 // fleetconfig: the most that a setting may say
 	streamsSeat  = 96       // server: streams of a node with a seat
 	sourceRate   = 200      // server: datagrams a second that are taken of one sender
 	sourcesMost  = 4_096    // server: senders whose pace is kept
@@ -32,8 +32,8 @@
 }
 
 var bounds = []bound{
-	{"charter/charter.go", "membersMost", membersMost}, {"charter/charter.go", "membersUsual", membersUsual},
-	{"charter/charter.go", "tableUsual", tableUsual}, {"charter/charter.go", "tableMost", tableMost},
+	{"fleetconfig/fleetconfig.go", "membersMost", membersMost}, {"fleetconfig/fleetconfig.go", "membersUsual", membersUsual},
+	{"fleetconfig/fleetconfig.go", "tableUsual", tableUsual}, {"fleetconfig/fleetconfig.go", "tableMost", tableMost},
 	{"server/streams.go", "streamsSeat", streamsSeat}, {"server/peers.go", "sourceRate", sourceRate},
 	{"server/peers.go", "sourcesMost", sourcesMost},
 	{"reducer/reducer.go", "idleWait", idleWaitS * 1e9},
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -19,8 +19,8 @@
 
 	"topazpost/lab/baselines"
 	"topazpost/lab/fleet"
+	"topazpost/nodeconfig"
 	"topazpost/plan"
-	"topazpost/plate"
 	"topazpost/reducer"
 	"topazpost/settings"
 )
@@ -226,7 +226,7 @@
 	d := &x.Day
 	day := &fleet.Day{Seed: seed, Nodes: d.Nodes, Length: int64(d.Length), Reading: float64(d.Reading), Rate: d.Rate,
 		Slots: d.Slots, Subjects: d.Subjects}
-	index := new(plate.Names)
+	index := new(nodeconfig.Names)
 	for k, op := range d.Operations {
 		index.Put(int32(k), op.Name)
 		day.Operations = append(day.Operations, fleet.Operation{Name: op.Name, Share: float64(op.Share), Work: float64(op.Work),
--- a/lab/fleet/cold_test.go
+++ b/lab/fleet/cold_test.go
@@ -106,7 +106,7 @@
 func TestFloodsOfColdNodesThatSayNothingAreSeen(t *testing.T) {
 	for _, n := range []int{20, 30} {
 		d := told(n)
-		d.Make = func(p *node.Nameplate, now int64) reducer.Decider { return silent{control.New(p, now)} }
+		d.Make = func(p *node.Config, now int64) reducer.Decider { return silent{control.New(p, now)} }
 		assert.Greater(t, play(t, d).MostTold, 1.0)
 	}
 }
--- a/lab/fleet/day.go
+++ b/lab/fleet/day.go
@@ -11,7 +11,7 @@
 
 	"topazpost/lab/world"
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 )
 
@@ -94,7 +94,7 @@
 
 	Plan  *reducer.Plan // nil for none
 	Next  *reducer.Plan // that a fault of the kind adopt brings
-	Make  func(*node.Nameplate, int64) reducer.Decider
+	Make  func(*node.Config, int64) reducer.Decider
 	Watch func(at int64, s *Second)
 }
 
@@ -121,7 +121,7 @@
 func Play(day *Day) (*Outcome, error) {
 	f := &fleet{World: world.New(day.Seed, epoch), day: day, start: epoch, total: newOutcome(day),
 		arrivals: rand.New(rand.NewSource(day.Seed ^ 0x61727269))}
-	f.settings = f.plate()
+	f.settings = f.config()
 	cores, power := 0, 0.0
 	for k := range day.Nodes {
 		model := day.Models[k%len(day.Models)]
@@ -219,8 +219,8 @@
 	return math.Exp(sigma*chance.NormFloat64() - sigma*sigma/2)
 }
 
-// plate writes the settings of a node as an installation would.
-func (f *fleet) plate() string {
+// config writes the settings of a node as an installation would.
+func (f *fleet) config() string {
 	var ops, calls []string
 	for _, op := range f.day.Operations {
 		ops = append(ops, fmt.Sprintf(`{"name":%q,"aim":%g,"give_up":%g,"importance":%g,"late_share":%g,"effect":"idempotent","window":5000}`,
@@ -242,7 +242,7 @@
 func (f *fleet) callSpan() int64 { return cmp.Or(f.day.CallSpan, callSpan) }
 
 func (f *fleet) brain(seed int64) (*reducer.Reducer, error) {
-	p, err := plate.FromJSON(seed, []byte(f.settings))
+	p, err := nodeconfig.FromJSON(seed, []byte(f.settings))
 	if err != nil {
 		return nil, err
 	}
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -91,7 +91,7 @@
 // The laboratory has to see what breaks a rule, or its silence says nothing.
 func TestBrokenRulesAreSeen(t *testing.T) {
 	never := play(t, day(0.3, func(d *Day) {
-		d.Make = func(*node.Nameplate, int64) reducer.Decider { return mute{} }
+		d.Make = func(*node.Config, int64) reducer.Decider { return mute{} }
 	}))
 	assert.Positive(t, never.Breaches["an invocation that was read had no answer in time"])
 	crowd := play(t, day(2, func(d *Day) { d.Make, d.Models[0].By = baselines.Pool, 1 }))
--- a/lab/fleet/outcome.go
+++ b/lab/fleet/outcome.go
@@ -217,7 +217,7 @@
 	o.Value, o.ByReduced = o.Value/math.Max(1, asked), o.ByReduced/math.Max(1, asked)
 	for _, m := range f.machines {
 		if m.brain != nil {
-			for what, times := range m.brain.Guard.All() {
+			for what, times := range m.brain.Invariants.All() {
 				o.Breaches["did not hold: "+what] += times
 			}
 		}
--- a/lab/hollow/process.go
+++ b/lab/hollow/process.go
@@ -17,7 +17,7 @@
 
 	"github.com/rs/zerolog"
 
-	"topazpost/charter"
+	"topazpost/fleetconfig"
 	"topazpost/membership"
 	"topazpost/reducer"
 	"topazpost/server"
@@ -164,7 +164,7 @@
 
 type process struct {
 	spec    spec
-	fleet   *charter.Fleet
+	fleet   *fleetconfig.Fleet
 	filters *filters
 	nodes   []*running
 	byIndex map[int]*running
@@ -241,7 +241,7 @@
 	if err != nil {
 		return err
 	}
-	if p.fleet, err = charter.From(file, anyNode); err != nil {
+	if p.fleet, err = fleetconfig.From(file, anyNode); err != nil {
 		return err
 	}
 	p.fleet.Terms.Seeds = nil
@@ -253,7 +253,7 @@
 		p.nodes = append(p.nodes, n)
 		p.byIndex[i] = n
 	}
-	_, err = p.nameplate(0) // so that a mistake in it is told at once
+	_, err = p.config(0) // so that a mistake in it is told at once
 	return err
 }
 
@@ -275,8 +275,8 @@
 	return At(Bind(p.spec.Block, i))
 }
 
-// nameplate is that of a life of a node.
-func (p *process) nameplate(i int) (*server.Nameplate, error) {
+// config is that of a life of a node.
+func (p *process) config(i int) (*server.Config, error) {
 	fields := map[string]any{}
 	if err := json.Unmarshal(p.spec.Config, &fields); err != nil {
 		return nil, fmt.Errorf("hollow: configuration: %w", err)
@@ -286,14 +286,14 @@
 	if err != nil {
 		return nil, err
 	}
-	n, err := server.ReadNameplate(text)
+	n, err := server.ReadConfig(text)
 	if err != nil {
 		return nil, err
 	}
 	own := *p.fleet
 	own.Bind, own.Terms.Name, own.Terms.Address, own.Terms.Zone = At(Bind(p.spec.Block, i)), n.Name, p.heardAt(i), p.spec.Layout.Name(i)
 	if c := own.Configuration; c != nil { // each has a folder of its own
-		own.Configuration = &charter.Configuration{Folder: strings.ReplaceAll(c.Folder, anyNode, n.Name)}
+		own.Configuration = &fleetconfig.Configuration{Folder: strings.ReplaceAll(c.Folder, anyNode, n.Name)}
 	}
 	n.Fleet = &own
 	return n, nil
@@ -362,7 +362,7 @@
 
 // start begins a life of a node, if none goes on.
 func (p *process) start(ctx context.Context, n *running) {
-	plate, err := p.nameplate(n.i)
+	config, err := p.config(n.i)
 	if err != nil {
 		p.tell(&line{Failed: err.Error()})
 		return
@@ -378,12 +378,12 @@
 		n.earlier[0], n.earlier[1], n.earlier[2] = n.earlier[0]+c.Dropped.Load(), n.earlier[1]+c.Flooded.Load(), n.earlier[2]+c.Refused.Load()
 	}
 	seed := p.spec.Seed<<24 ^ int64(n.i)<<8 ^ int64(n.life)
-	plate.Settings.Nameplate.Seed = seed
+	config.Settings.Node.Seed = seed
 	f := newFilter(p.filters, n.i, &n.counts, seed)
-	plate.Hollow = &server.Hollow{Wire: f, Counters: &n.load, Changed: func(c *membership.Change) { p.changed(n, c) }}
+	config.Hollow = &server.Hollow{Wire: f, Counters: &n.load, Changed: func(c *membership.Change) { p.changed(n, c) }}
 	ctx, end := context.WithCancel(ctx)
 	n.up, n.size, n.hash, n.filter, n.end, n.ended = true, 1, 0, f, end, make(chan struct{})
-	n.server = server.New(plate, p.log.With().Str("node", plate.Name).Logger(), server.SystemClock())
+	n.server = server.New(config, p.log.With().Str("node", config.Name).Logger(), server.SystemClock())
 	s, ended, life := n.server, n.ended, n.life
 	go func() {
 		defer close(ended)
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -67,11 +67,11 @@
 	Late   float64               // that come up to LateMost ns later
 	Begin  func(n *Node) Payload // makes what a node carries beside its membership at each start; may be nil
 
-	LateMost int64
-	Far      int64          // ns that a message takes more between regions
-	Small    map[[2]int]int // ordered pairs that carry datagrams up to a size
-	Charter  membership.Charter
-	Seeds    []string
+	LateMost   int64
+	Far        int64          // ns that a message takes more between regions
+	Small      map[[2]int]int // ordered pairs that carry datagrams up to a size
+	Membership membership.Config
+	Seeds      []string
 
 	byAddress map[string]*Node
 	cuts      []uint64 // a bit for each ordered pair that carries nothing
@@ -81,12 +81,12 @@
 	standing  *standing
 }
 
-// Usual is a charter as nodes have it.
-var Usual = membership.Charter{Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 600_000 * ms, MembersMost: 1_500} // as settings allow at the most
+// Usual is a configuration as nodes have it.
+var Usual = membership.Config{Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 600_000 * ms, MembersMost: 1_500} // as settings allow at the most
 
 // New makes a fleet in which nobody is up yet; the first nodes are seeds.
 func New(seed int64, nodes, seeds int) *Mesh {
-	m := &Mesh{World: world.New(seed, 1), Small: map[[2]int]int{}, Charter: Usual, byAddress: map[string]*Node{},
+	m := &Mesh{World: world.New(seed, 1), Small: map[[2]int]int{}, Membership: Usual, byAddress: map[string]*Node{},
 		cuts: make([]uint64, (nodes*nodes+63)/64)}
 	for i := range nodes {
 		n := &Node{Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("10.0.%d.%d:9", i/250, i%250+1), m: m, index: i}
@@ -103,7 +103,7 @@
 
 // Start gives a node a new life.
 func (n *Node) Start() {
-	c := n.m.Charter
+	c := n.m.Membership
 	c.Name, c.Address, c.Seeds = n.Name, n.Address, n.m.Seeds
 	if n.Zone != "" {
 		c.Zone = n.Zone
--- a/lab/mesh/schedule.go
+++ b/lab/mesh/schedule.go
@@ -10,7 +10,7 @@
 // did not hold; the same seed plays the same course.
 func Schedule(seed int64, nodes int, length, settle int64) error {
 	m := New(seed, nodes, min(3, nodes))
-	m.Charter.Forget = 1_000_000 * ms
+	m.Membership.Forget = 1_000_000 * ms
 	for _, n := range m.Nodes {
 		m.After(m.Chance.Int63n(2_000*ms), func() {
 			if !n.Up {
--- a/lab/mesh/size.go
+++ b/lab/mesh/size.go
@@ -1,14 +1,14 @@
 package mesh
 
 import (
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
 )
 
 // sizeOf is the bytes of a letter that holds a message, without making it: a herd's records would be encoded by the
 // million. It is held against the letter itself by a test.
 func sizeOf(msg *membership.Message) int {
-	size := letter.Head + 1 + member(uint64(msg.Kind)) + optional(uint64(msg.From)) + optional(uint64(msg.Seq)) +
+	size := envelope.Head + 1 + member(uint64(msg.Kind)) + optional(uint64(msg.From)) + optional(uint64(msg.Seq)) +
 		optional(msg.Digest) + text(msg.Why)
 	if msg.Neighbour {
 		size += 2
--- a/lab/mesh/size_test.go
+++ b/lab/mesh/size_test.go
@@ -6,7 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
 )
 
@@ -33,7 +33,7 @@
 		for range rapid.IntRange(0, 30).Draw(t, "heads") {
 			msg.Heads = append(msg.Heads, membership.Head{ID: membership.ID(number.Draw(t, "id")), Inc: number.Draw(t, "inc"), Ver: uint32(number.Draw(t, "ver"))})
 		}
-		b, err := letter.Seal(nil, 1, &msg)
+		b, err := envelope.Seal(nil, 1, &msg)
 		require.NoError(t, err)
 		require.Equal(t, len(b), sizeOf(&msg))
 	})
--- a/lab/rig/hollow.go
+++ b/lab/rig/hollow.go
@@ -180,7 +180,7 @@
 	}
 	p.hollowLog = log
 	p.fleet, err = hollow.Start(context.Background(), filepath.Join(filepath.Dir(p.program), "topazlab"), hollow.Options{Nodes: n.Hollow, Whole: whole,
-		Block: p.block, Contacts: contacts, Layout: n.layout(), Fleet: p.charter(), Config: config, Seed: p.seed, Events: p.fromHollow, Idle: true, Log: log})
+		Block: p.block, Contacts: contacts, Layout: n.layout(), Fleet: p.fleetFile(), Config: config, Seed: p.seed, Events: p.fromHollow, Idle: true, Log: log})
 	return err
 }
 
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -166,18 +166,18 @@
 			seeds = append(seeds, p.told[s])
 		}
 		layout := p.night.layout()
-		charter := map[string]any{"bind": p.bind[i], "advertise": p.told[i], "seeds": seeds, "zone": layout.Name(i)}
-		maps.Copy(charter, p.charter())
+		config := map[string]any{"bind": p.bind[i], "advertise": p.told[i], "seeds": seeds, "zone": layout.Name(i)}
+		maps.Copy(config, p.fleetFile())
 		if v := p.night.Versions; v != nil && i < v.Seats {
-			return p.seatFlags(i, file(".fleet.jsonnet", charter)), err
+			return p.seatFlags(i, file(".fleet.jsonnet", config)), err
 		}
-		flags = append(flags, "--fleet", file(".fleet.jsonnet", charter))
+		flags = append(flags, "--fleet", file(".fleet.jsonnet", config))
 	}
 	return append(flags, config), err
 }
 
-// charter are the fields of the fleet's file that all nodes share.
-func (p *processes) charter() map[string]any {
+// fleetFile are the fields of the fleet's file that all nodes share.
+func (p *processes) fleetFile() map[string]any {
 	n := p.night
 	o := hollow.Options{Seats: n.Council, Fleet: map[string]any{}}
 	if n.Calls > 0 && !n.Share {
--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"topazpost/invariant"
 	"topazpost/membership"
-	"topazpost/must"
 )
 
 var program string
@@ -23,7 +23,7 @@
 	}
 	program = filepath.Join(folder, "topazpost")
 	tags := ""
-	if must.Debug {
+	if invariant.Debug {
 		tags = "debug"
 	}
 	if out, err := exec.Command("go", "build", "-tags", tags, "-o", program, "topazpost/cmd/topazpost").CombinedOutput(); err != nil {
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -10,8 +10,8 @@
 
 	"topazpost/configuration"
 	"topazpost/council"
+	"topazpost/envelope"
 	"topazpost/lab/mesh"
-	"topazpost/letter"
 	"topazpost/membership"
 	"topazpost/settings"
 )
@@ -24,7 +24,7 @@
 	writeMost = 10 * ms    // ns until it is on a node's disk
 	syncMost  = 4 * ms     // ns until a seat's write is
 	lookAgain = second     // ns between looks at links, which change without the view
-	sealed    = letter.Fleet(1)
+	sealed    = envelope.Fleet(1)
 	newBuild  = `"of a later build"` // a value that nodes of the build before can't take
 )
 
@@ -292,7 +292,7 @@
 }
 
 func sized(body any) int {
-	b, err := letter.Seal(nil, sealed, body)
+	b, err := envelope.Seal(nil, sealed, body)
 	if err != nil {
 		panic(err) // of plain fields
 	}
@@ -441,7 +441,7 @@
 		return
 	}
 	if to := f.byName[e.To]; to != nil {
-		size := len(text) + letter.Head
+		size := len(text) + envelope.Head
 		m.spend(f.Now, size)
 		m.Tell(to.Node, parcel{text, size}, size)
 	}
--- a/lab/rig/versions_processes.go
+++ b/lab/rig/versions_processes.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"topazpost/configuration"
+	"topazpost/envelope"
 	"topazpost/lab/world"
-	"topazpost/letter"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 	"topazpost/server"
 )
@@ -34,7 +34,7 @@
 type polled struct {
 	*versions
 	p     *processes
-	fleet letter.Fleet
+	fleet envelope.Fleet
 
 	mu     sync.Mutex
 	marks  map[uint64]configuration.Digest // as nodes had them in force
@@ -55,13 +55,13 @@
 }
 
 // versionsFiles has the files of a fleet's nodes say that they take versions.
-func (p *processes) versionsFiles(config, charter map[string]any, i int) {
+func (p *processes) versionsFiles(config, fleet map[string]any, i int) {
 	if p.night.Versions == nil {
 		return
 	}
-	if charter != nil {
-		charter["configuration"] = map[string]any{"folder": filepath.Join(p.folder, "configuration-{name}")}
-		charter["council"].(map[string]any)["folder"] = filepath.Join(p.folder, "council-{name}")
+	if fleet != nil {
+		fleet["configuration"] = map[string]any{"folder": filepath.Join(p.folder, "configuration-{name}")}
+		fleet["council"].(map[string]any)["folder"] = filepath.Join(p.folder, "council-{name}")
 	}
 	if config != nil {
 		family := config["settings"].(map[string]any)["family_info"].(map[string]any)
@@ -75,7 +75,7 @@
 
 // question asks a node.
 func (f *polled) question(i int, q *configuration.Question) (*configuration.Answer, error) {
-	text, err := letter.Seal(nil, f.fleet, reducer.AskConfiguration(q))
+	text, err := envelope.Seal(nil, f.fleet, reducer.AskConfiguration(q))
 	if err != nil {
 		return nil, err
 	}
@@ -281,7 +281,7 @@
 // playVersionsOnProcesses plays the same on built daemons, hollow nodes and processes that are seats.
 func (n *Night) playVersionsOnProcesses(p *processes, seed int64) *Outcome {
 	o := &Outcome{Seed: seed, Measures: map[string]float64{}}
-	f := &polled{versions: newVersions(n, seed), p: p, fleet: letter.FleetOf("rig"), marks: map[uint64]configuration.Digest{},
+	f := &polled{versions: newVersions(n, seed), p: p, fleet: envelope.FleetOf("rig"), marks: map[uint64]configuration.Digest{},
 		has: make([]configuration.Mark, n.Nodes), up: make([]bool, n.Nodes), lives: make([]int, n.Nodes), bytes: make([][]sample, n.Nodes),
 		ask: make(chan struct{}, asksMost)}
 	f.World = world.New(seed, 0)
@@ -353,12 +353,12 @@
 	if err != nil {
 		return 0, err
 	}
-	n, err := server.DecodeNameplate(bytes.NewReader(text))
+	n, err := server.DecodeConfig(bytes.NewReader(text))
 	if err != nil {
 		return 0, err
 	}
 	var items []configuration.Item
-	found, _ := plate.Diff(nil, n.Settings)
+	found, _ := nodeconfig.Diff(nil, n.Settings)
 	for k := range found {
 		items = append(items, configuration.Item(found[k]))
 	}
--- a/lab/rig/virtual.go
+++ b/lab/rig/virtual.go
@@ -14,8 +14,8 @@
 
 func newVirtual(n *Night, seed int64) (*virtual, error) {
 	m := mesh.New(seed, n.Nodes, min(n.Contacts, n.Nodes))
-	for field, to := range map[string]*int64{"probe": &m.Charter.Probe, "silence": &m.Charter.Silence, "settle": &m.Charter.Settle,
-		"forget": &m.Charter.Forget} {
+	for field, to := range map[string]*int64{"probe": &m.Membership.Probe, "silence": &m.Membership.Silence, "settle": &m.Membership.Settle,
+		"forget": &m.Membership.Forget} {
 		if value, set := n.Fleet[field]; set {
 			var t settings.Time
 			if err := json.Unmarshal([]byte(strconv.Quote(value)), &t); err != nil {
--- a/membership/helpers_test.go
+++ b/membership/helpers_test.go
@@ -7,7 +7,7 @@
 
 const s = 1_000 * ms
 
-var usual = Charter{Name: "a", Address: "10.0.0.1:9", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 60 * s, MembersMost: 1_000}
+var usual = Config{Name: "a", Address: "10.0.0.1:9", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 60 * s, MembersMost: 1_000}
 
 // record is what a member of a name tells of itself.
 func record(name string, inc uint64, links ...string) Record {
--- a/membership/links.go
+++ b/membership/links.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"topazpost/must"
+	"topazpost/invariant"
 )
 
 // open takes up a link to a member. Where all are taken, the one that is unwanted longest makes room.
@@ -27,7 +27,7 @@
 			continue
 		}
 		m.oweNothing(int8(k))
-		*l = link{member: i, asked: m.t, proof: -m.charter.Silence, heard: -m.charter.Silence, healed: m.t, next: m.t}
+		*l = link{member: i, asked: m.t, proof: -m.config.Silence, heard: -m.config.Silence, healed: m.t, next: m.t}
 		m.members[i].link = int8(k)
 		m.oweTo(int8(k), 0)
 		return l
@@ -75,7 +75,7 @@
 			for n := 1; n < len(order) && passed < passedMost; n++ {
 				i := order[((at+n*side)%len(order)+len(order))%len(order)]
 				l := m.want(i)
-				if l == nil || l.quiet(m.t) <= m.charter.Silence/2 {
+				if l == nil || l.quiet(m.t) <= m.config.Silence/2 {
 					break
 				}
 				passed++
@@ -115,7 +115,7 @@
 	for _, i := range m.joined {
 		m.ringed[i] = true
 	}
-	if must.Debug {
+	if invariant.Debug {
 		for r, order := range m.order {
 			n := 0
 			for i := range m.members {
@@ -124,7 +124,7 @@
 					n++
 				}
 			}
-			m.Guard.Hold(n == len(order) && slices.IsSortedFunc(order, func(a, b int32) int { return m.along(r, a, b) }), "an order is whole and sorted")
+			m.Invariants.Check(n == len(order) && slices.IsSortedFunc(order, func(a, b int32) int { return m.along(r, a, b) }), "an order is whole and sorted")
 		}
 	}
 }
@@ -176,23 +176,23 @@
 			continue
 		}
 		quiet := l.quiet(m.t)
-		if l.up && m.t-l.proof > m.charter.Silence {
+		if l.up && m.t-l.proof > m.config.Silence {
 			l.up, m.dirtySelf, m.publishAt = false, true, m.published+publishEvery
 			m.members[l.member].word = m.members[0].id
 		}
-		if !l.wanted && m.t > l.linger && m.t-max(l.heard, l.asked) > m.charter.Silence {
+		if !l.wanted && m.t > l.linger && m.t-max(l.heard, l.asked) > m.config.Silence {
 			m.close(int8(k))
 			continue
 		}
-		if doubt := quiet > m.charter.Silence/2; doubt != l.doubt {
+		if doubt := quiet > m.config.Silence/2; doubt != l.doubt {
 			l.doubt = doubt
 			m.dirtyRings = true
 		}
 		if m.t < l.next || m.members[0].rec.Left {
 			continue
 		}
-		every := m.charter.Probe
-		if quiet > m.charter.Silence { // it is still asked now and then: a broken link may be mended
+		every := m.config.Probe
+		if quiet > m.config.Silence { // it is still asked now and then: a broken link may be mended
 			every *= 4
 		}
 		if l.seq == 0 {
@@ -290,13 +290,13 @@
 		for _, bits := range m.owed {
 			n += int(bits >> k & 1)
 		}
-		m.Guard.Hold(m.links[k].member < 0 || n == m.links[k].owing, "what is owed on a link is counted")
+		m.Invariants.Check(m.links[k].member < 0 || n == m.links[k].owing, "what is owed on a link is counted")
 	}
 }
 
 // keepNews sends what is owed, a datagram a link at a time.
 func (m *Members) keepNews() {
-	if must.Debug {
+	if invariant.Debug {
 		m.checkOwed()
 	}
 	for k := range m.links {
@@ -304,7 +304,7 @@
 		if l.member < 0 || l.owing == 0 || m.t < l.newsAt {
 			continue
 		}
-		if l.quiet(m.t) > m.charter.Silence { // it is healed once it is back
+		if l.quiet(m.t) > m.config.Silence { // it is healed once it is back
 			m.oweNothing(int8(k))
 			continue
 		}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math/rand"
 
-	"topazpost/must"
+	"topazpost/invariant"
 )
 
 // member is what is kept of one; index 0 is this node.
@@ -38,7 +38,7 @@
 type link struct {
 	member         int32
 	wanted, doubt  bool
-	up             bool // an answer came within the charter's Silence
+	up             bool // an answer came within the config's Silence
 	asked          int64
 	linger         int64 // until which it is kept although not wanted
 	proof          int64 // when the last ping that was answered was sent
@@ -54,10 +54,10 @@
 // Members is one node's state. Its own time stands still while its process does: what it did not see in a pause
 // accuses nobody.
 type Members struct {
-	Guard    must.Guard
-	Counters Counters
+	Invariants invariant.Checker
+	Counters   Counters
 
-	charter  Charter
+	config   Config
 	chance   *rand.Rand
 	t, slip  int64
 	wake     int64 // as last told, by the caller's clock
@@ -104,17 +104,17 @@
 }
 
 // New starts a node. Wall is Unix time in nanoseconds, kept the incarnation of its last life where a disk kept it.
-func New(charter Charter, now, wall int64, kept uint64, seed int64) *Members {
-	m := &Members{charter: charter, chance: rand.New(rand.NewSource(seed)), byID: map[ID]int32{}, t: now, joinFor: joinEvery, follows: 1}
-	m.charter.MembersMost = min(charter.MembersMost, tableMost)
+func New(config Config, now, wall int64, kept uint64, seed int64) *Members {
+	m := &Members{config: config, chance: rand.New(rand.NewSource(seed)), byID: map[ID]int32{}, t: now, joinFor: joinEvery, follows: 1}
+	m.config.MembersMost = min(config.MembersMost, tableMost)
 	for k := range m.links {
 		m.links[k].member = -1
 	}
-	self := Record{Name: charter.Name, Address: charter.Address, Born: wall, Inc: max(uint64(max(wall, 1)), kept+1),
-		Facts: Facts{Version: charter.Version, Zone: charter.Zone}}
+	self := Record{Name: config.Name, Address: config.Address, Born: wall, Inc: max(uint64(max(wall, 1)), kept+1),
+		Facts: Facts{Version: config.Version, Zone: config.Zone}}
 	m.add(&self)
 	m.members[0].in, m.members[0].was, m.inView, m.hash = true, true, 1, m.members[0].life()
-	m.joinAt, m.seed = now+m.jitter(joinEvery/2), m.chance.Intn(len(charter.Seeds)+1)
+	m.joinAt, m.seed = now+m.jitter(joinEvery/2), m.chance.Intn(len(config.Seeds)+1)
 	m.knockAt, m.seedAt = now+m.jitter(knockEvery), now+m.jitter(joinEvery)
 	return m
 }
@@ -163,9 +163,9 @@
 		m.slip += stood
 		m.Counters.Pauses++
 	}
-	m.Guard.Hold(now-m.slip >= m.t, "its own time only advances")
+	m.Invariants.Check(now-m.slip >= m.t, "its own time only advances")
 	m.t = max(m.t, now-m.slip)
-	if stood > m.charter.Silence/4 {
+	if stood > m.config.Silence/4 {
 		m.hurry()
 	}
 	for i := range inputs {
@@ -210,7 +210,7 @@
 	case Told:
 		if self := &m.members[0].rec; self.Facts != in.Facts {
 			self.Facts = in.Facts
-			self.Facts.Zone, self.Facts.Version = m.charter.Zone, m.charter.Version
+			self.Facts.Zone, self.Facts.Version = m.config.Zone, m.config.Version
 			m.renew()
 		}
 	case Leaving:
@@ -279,7 +279,7 @@
 		l := &m.links[b.link]
 		if age := l.seq - seq; age < sentKept && l.sent[seq%sentKept] > 0 && seq>>31 == 0 {
 			l.proof = max(l.proof, l.sent[seq%sentKept])
-			if !l.up && m.t-l.proof <= m.charter.Silence {
+			if !l.up && m.t-l.proof <= m.config.Silence {
 				l.up, m.dirtySelf = true, true
 			}
 			return
@@ -288,7 +288,7 @@
 	for k := range m.knocks {
 		if m.knocks[k].id == b.id && m.knocks[k].seq == seq {
 			m.knocks[k].id = 0
-			b.hope = m.t + 2*m.charter.Silence
+			b.hope = m.t + 2*m.config.Silence
 			m.dirtyRings = true
 			if m.healing == 0 {
 				m.ask(b.rec.Address)
@@ -328,7 +328,7 @@
 		}
 		m.relink(i, b.rec.Links, r.Links)
 		if b.rec.Born != r.Born && b.in {
-			b.grace = m.t + m.charter.Silence + m.charter.Settle
+			b.grace = m.t + m.config.Silence + m.config.Settle
 			b.since = m.t
 			cause, changed = Replaced, true
 		} else if b.rec.Facts.NoUse != r.Facts.NoUse && b.in {
@@ -341,7 +341,7 @@
 			m.digest ^= b.hash()
 		}
 		if !b.in && r.Inc > b.rec.Inc {
-			b.hope = m.t + m.charter.Silence
+			b.hope = m.t + m.config.Silence
 		}
 		if b.in {
 			m.hash ^= b.life()
@@ -387,7 +387,7 @@
 func (m *Members) keepAway(holder string) {
 	m.Counters.Refused++
 	m.remark(true, "the name %s is held by a node at %s that started earlier: this one keeps away; give it another name",
-		m.charter.Name, holder)
+		m.config.Name, holder)
 	for k := range m.links {
 		if m.links[k].member >= 0 {
 			m.close(int8(k))
@@ -406,7 +406,7 @@
 
 // add keeps a member that was not known; -1 where the table is full of such as are in the view.
 func (m *Members) add(r *Record) int32 {
-	if len(m.byID) >= m.charter.MembersMost && len(m.members) > 0 {
+	if len(m.byID) >= m.config.MembersMost && len(m.members) > 0 {
 		oldest := int32(-1)
 		for i := range m.members {
 			if b := &m.members[i]; i > 0 && b.rec.Name != "" && !b.in && (oldest < 0 || b.out < m.members[oldest].out) {
@@ -430,7 +430,7 @@
 	}
 	m.near[i].left, m.followed[i], m.calm[i] = r.Left, 0, false
 	b := &m.members[i]
-	*b = member{rec: *r, id: IDOf(r.Name), link: -1, out: m.t, hope: m.t + m.charter.Silence, since: m.t}
+	*b = member{rec: *r, id: IDOf(r.Name), link: -1, out: m.t, hope: m.t + m.config.Silence, since: m.t}
 	m.byID[b.id] = i
 	m.relink(i, nil, r.Links)
 	if i == 0 {
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -265,7 +265,7 @@
 				slices.SortFunc(all, func(a, b int32) int { return m.along(r, a, b) })
 				require.Equal(t, all, order)
 			}
-			require.Empty(t, m.Guard.All())
+			require.Empty(t, m.Invariants.All())
 		}
 	})
 }
--- a/membership/types.go
+++ b/membership/types.go
@@ -48,8 +48,8 @@
 // IDOf is the id of a name.
 func IDOf(name string) ID { return ID(xxhash.Sum64String(name)) }
 
-// Charter is what a node goes by. Times are nanoseconds.
-type Charter struct {
+// Config is what a node goes by. Times are nanoseconds.
+type Config struct {
 	Name, Address, Zone, Version string
 	Seeds                        []string
 	Probe                        int64 // between pings on a link
@@ -181,7 +181,7 @@
 // The statuses.
 const (
 	Alive   Status = iota
-	Suspect        // no path of links leads to it, for less than the charter's Settle, or this node is alone
+	Suspect        // no path of links leads to it, for less than the config's Settle, or this node is alone
 	Dead
 	Left
 )
--- a/membership/view.go
+++ b/membership/view.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"slices"
 
-	"topazpost/must"
+	"topazpost/invariant"
 )
 
 // follow finds whom a path of links leads to: links that both ends tell of, from this node on.
@@ -37,7 +37,7 @@
 			b.lost = m.t
 		}
 	}
-	if must.Debug {
+	if invariant.Debug {
 		m.checkNear()
 	}
 }
@@ -104,18 +104,18 @@
 func (m *Members) checkNear() {
 	for i := range m.members {
 		b, n, kept := &m.members[i], 0, m.linked(int32(i))
-		m.Guard.Hold(i == 0 || m.near[i].left == b.rec.Left && b.reached == (m.followed[i] == m.follows), "what is followed is as the records are")
+		m.Invariants.Check(i == 0 || m.near[i].left == b.rec.Left && b.reached == (m.followed[i] == m.follows), "what is followed is as the records are")
 		if b.rec.Name == "" {
-			m.Guard.Hold(len(kept) == 0, "nobody is linked with the forgotten")
+			m.Invariants.Check(len(kept) == 0, "nobody is linked with the forgotten")
 			continue
 		}
 		for j := range m.members {
 			if o := &m.members[j]; i != j && o.rec.Name != "" && tells(b.rec.Links, o.id) && tells(o.rec.Links, b.id) {
 				n++
-				m.Guard.Hold(slices.Contains(kept, uint16(j)), "a link that both ends tell of is kept")
+				m.Invariants.Check(slices.Contains(kept, uint16(j)), "a link that both ends tell of is kept")
 			}
 		}
-		m.Guard.Hold(n == len(kept), "a link is kept only where both ends tell of it")
+		m.Invariants.Check(n == len(kept), "a link is kept only where both ends tell of it")
 	}
 }
 
@@ -133,7 +133,7 @@
 	}
 	if alone != m.alone {
 		m.alone = alone
-		m.changed(map[bool]Cause{true: CutOff, false: Restored}[alone], &m.members[0], m.members[0].rec.Inc, m.charter.Name, 0)
+		m.changed(map[bool]Cause{true: CutOff, false: Restored}[alone], &m.members[0], m.members[0].rec.Inc, m.config.Name, 0)
 	}
 	m.viewAt = m.t + viewEvery
 	for i := 1; i < len(m.members); i++ {
@@ -153,13 +153,13 @@
 			m.status(b, Suspect)
 		case b.in && !b.reached && b.rec.Facts.Beat > 0:
 			m.leave(b, Departed)
-		case b.in && !b.reached && m.t >= max(b.lost+m.charter.Settle, b.grace):
+		case b.in && !b.reached && m.t >= max(b.lost+m.config.Settle, b.grace):
 			b.falls = min(b.falls+1, fallsMost)
 			b.fell = m.t
 			m.leave(b, Lost)
 		case b.in && !b.reached:
 			m.status(b, Suspect)
-			m.viewAt = min(m.viewAt, max(b.lost+m.charter.Settle, b.grace))
+			m.viewAt = min(m.viewAt, max(b.lost+m.config.Settle, b.grace))
 		case b.in:
 			if b.falls > 0 && m.t-b.fell > pardon {
 				b.falls = 0
@@ -173,7 +173,7 @@
 		case b.counted && m.t-b.out > coldAfter:
 			m.digest ^= b.hash()
 			b.counted = false
-		case m.t-b.out > m.charter.Forget:
+		case m.t-b.out > m.config.Forget:
 			m.forget(int32(i))
 		}
 	}
@@ -218,7 +218,7 @@
 	m.status(b, map[bool]Status{true: Left, false: Dead}[cause == Departed])
 	after := int64(0)
 	if b.lost > 0 {
-		after = m.t - b.lost + m.charter.Silence
+		after = m.t - b.lost + m.config.Silence
 	}
 	word := b.rec.Name
 	if cause == Lost {
@@ -234,8 +234,8 @@
 func (m *Members) changed(cause Cause, b *member, inc uint64, word string, after int64) {
 	m.number++
 	m.Counters.Views++
-	if must.Debug {
-		m.Guard.Hold(m.hash == m.View().Hash, "the hash is that of the view")
+	if invariant.Debug {
+		m.Invariants.Check(m.hash == m.View().Hash, "the hash is that of the view")
 	}
 	m.do(Effect{Kind: Changed, Change: Change{Number: m.number, Cause: cause, Who: b.rec.Name, Inc: inc, Word: word,
 		After: after, Size: m.inView, Hash: m.hash}})
@@ -249,7 +249,7 @@
 	up := m.up()
 	if up == 0 && m.t >= m.joinAt {
 		m.joinAt = m.t + m.jitter(m.joinFor)
-		if m.tried++; m.tried%max(1, len(m.charter.Seeds)) == 0 { // all were asked in vain
+		if m.tried++; m.tried%max(1, len(m.config.Seeds)) == 0 { // all were asked in vain
 			m.joinFor = min(2*m.joinFor, joinMost)
 		}
 		m.askSeed(false)
@@ -282,11 +282,11 @@
 
 // askSeed asks the next seed in turn for all that it knows; with strange, one that is in nobody's place of the view.
 func (m *Members) askSeed(strange bool) {
-	seeds := m.charter.Seeds
+	seeds := m.config.Seeds
 	for range seeds {
 		m.seed = (m.seed + 1) % len(seeds)
 		address := seeds[m.seed]
-		known := address == m.charter.Address
+		known := address == m.config.Address
 		for i := range m.members {
 			known = known || strange && m.members[i].in && m.members[i].rec.Address == address
 		}
@@ -441,13 +441,13 @@
 		}
 		at = min(at, l.next)
 		if l.up {
-			at = min(at, l.proof+m.charter.Silence+1)
+			at = min(at, l.proof+m.config.Silence+1)
 		}
 		if l.owing > 0 {
 			at = min(at, l.newsAt)
 		}
 	}
-	if m.up() == 0 && len(m.charter.Seeds) > 0 {
+	if m.up() == 0 && len(m.config.Seeds) > 0 {
 		at = min(at, m.joinAt)
 	}
 	return max(at, m.t+1)
--- a/node/node.go
+++ b/node/node.go
@@ -57,8 +57,8 @@
 	Gone          bool // the index is no operation's now
 }
 
-// Nameplate is what a node reads at start. Times are nanoseconds, memory is in kilobytes.
-type Nameplate struct {
+// Config is what a node reads at start. Times are nanoseconds, memory is in kilobytes.
+type Config struct {
 	Seed          int64
 	Operations    []Operation
 	TenantRates   []float64
@@ -104,7 +104,7 @@
 	UnitsSet // how many calls the fleet's limit leaves this node
 
 	// OperationSet gives an operation its terms, or other ones; what was taken before keeps those it was taken under. Limits
-	// of the nameplate may change too: they are read from it whenever they are needed.
+	// of the configuration may change too: they are read from it whenever they are needed.
 	OperationSet
 )
 
--- a/plate/amend.go
+++ b/nodeconfig/amend.go
@@ -1,4 +1,4 @@
-package plate
+package nodeconfig
 
 import (
 	"bytes"
@@ -78,7 +78,7 @@
 	for i := range items {
 		key := [2]string{items[i].Part, items[i].Name}
 		if _, twice := seen[key]; twice {
-			return nil, fmt.Errorf("plate: %s.%s: named twice; a change has each item once", key[0], key[1])
+			return nil, fmt.Errorf("nodeconfig: %s.%s: named twice; a change has each item once", key[0], key[1])
 		}
 		seen[key] = struct{}{}
 		c, err := items[i].read()
@@ -98,7 +98,7 @@
 func (it *Item) read() (Change, error) {
 	c := Change{Part: it.Part, Name: it.Name, Removed: it.Value == nil}
 	at := it.Part + "." + it.Name
-	fault := func(what string) (Change, error) { return c, fmt.Errorf("plate: %s: %s", at, what) }
+	fault := func(what string) (Change, error) { return c, fmt.Errorf("nodeconfig: %s: %s", at, what) }
 	if _, may := changing(it.Name); it.Part == Limits && !may {
 		return fault("takes a new start: set it in the nodes' own files and restart them; in service may change " +
 			strings.Join(InService(), ", "))
@@ -162,9 +162,9 @@
 	return c, nil
 }
 
-// Check says why a plate can't take an amendment as a whole, at the cost of the operations in it, and of the tenants only
+// Check says why a config can't take an amendment as a whole, at the cost of the operations in it, and of the tenants only
 // near their bound. Nothing is changed.
-func (p *Plate) Check(a *Amendment) error {
+func (p *Config) Check(a *Amendment) error {
 	left, operations, tenants := p.Operations.Len(), 0, len(a.tenants)
 	for _, i := range a.operations {
 		c := &a.Changes[i]
@@ -187,7 +187,7 @@
 			}
 		}
 	}
-	return (&Checking{plate: p, left: left, operations: operations, tenants: tenants}).Err()
+	return (&Checking{config: p, left: left, operations: operations, tenants: tenants}).Err()
 }
 
 // Taken is what became of a change.
@@ -199,8 +199,8 @@
 
 // Take takes a change that was checked, at its own cost. What goes out of service keeps its index, its name and its terms
 // until Forget; what comes again before that has them again.
-func (p *Plate) Take(c *Change) (t Taken) {
-	n := &p.Nameplate
+func (p *Config) Take(c *Change) (t Taken) {
+	n := &p.Node
 	if c.Part == Limits {
 		was := *n
 		if delete(p.general, c.Name); !c.Removed {
@@ -240,38 +240,38 @@
 }
 
 // Forget gives the index of an operation or tenant that is out of service to whatever comes next.
-func (p *Plate) Forget(part string, i int32) {
+func (p *Config) Forget(part string, i int32) {
 	if part == Operations {
 		p.Operations.Remove(i)
-		p.Nameplate.Operations[i] = node.Operation{Gone: true}
+		p.Node.Operations[i] = node.Operation{Gone: true}
 	} else {
 		p.Tenants.Remove(i)
-		p.Nameplate.TenantRates[i] = 0
+		p.Node.TenantRates[i] = 0
 	}
 }
 
 // Own is a copy that may be amended without the original's changing.
-func (p *Plate) Own() *Plate {
+func (p *Config) Own() *Config {
 	own := *p
 	own.general = maps.Clone(p.general)
 	own.Operations, own.Tenants = p.Operations.clone(), p.Tenants.clone()
-	own.Nameplate.Operations, own.Nameplate.TenantRates = slices.Clone(p.Nameplate.Operations), slices.Clone(p.Nameplate.TenantRates)
+	own.Node.Operations, own.Node.TenantRates = slices.Clone(p.Node.Operations), slices.Clone(p.Node.TenantRates)
 	return &own
 }
 
-// Diff gives the items that make one plate's configuration another's, in the order of parts and indices, and the paths of
+// Diff gives the items that make one config's configuration another's, in the order of parts and indices, and the paths of
 // settings that differ and take a new start. From nil it gives all of them.
-func Diff(from, to *Plate) (items []Item, starts []string) {
+func Diff(from, to *Config) (items []Item, starts []string) {
 	starts = differences(from, to, func(i Item) { items = append(items, i) })
 	return items, starts
 }
 
-// Items gives what the plate holds of what may change in service, one item at a time.
-func (p *Plate) Items(yield func(Item)) { differences(nil, p, yield) }
+// Items gives what the config holds of what may change in service, one item at a time.
+func (p *Config) Items(yield func(Item)) { differences(nil, p, yield) }
 
-func differences(from, to *Plate, yield func(Item)) (starts []string) {
+func differences(from, to *Config, yield func(Item)) (starts []string) {
 	if from == nil {
-		from = &Plate{Operations: new(Names), Tenants: new(Names), general: to.startsOnly()}
+		from = &Config{Operations: new(Names), Tenants: new(Names), general: to.startsOnly()}
 	}
 	each := func(part string, was, is *Names, same func(i, j int32) bool, value func(j int32) []byte) {
 		for i := range int32(was.Slots()) {
@@ -291,12 +291,12 @@
 			}
 		}
 	}
-	each(Operations, from.Operations, to.Operations, func(i, j int32) bool { return from.Nameplate.Operations[i] == to.Nameplate.Operations[j] },
-		func(j int32) []byte { return operationJSON(&to.Nameplate.Operations[j]) })
-	each(Tenants, from.Tenants, to.Tenants, func(i, j int32) bool { return from.Nameplate.TenantRates[i] == to.Nameplate.TenantRates[j] },
-		func(j int32) []byte { return object(field{"quota_rps", float(to.Nameplate.TenantRates[j])}) })
+	each(Operations, from.Operations, to.Operations, func(i, j int32) bool { return from.Node.Operations[i] == to.Node.Operations[j] },
+		func(j int32) []byte { return operationJSON(&to.Node.Operations[j]) })
+	each(Tenants, from.Tenants, to.Tenants, func(i, j int32) bool { return from.Node.TenantRates[i] == to.Node.TenantRates[j] },
+		func(j int32) []byte { return object(field{"quota_rps", float(to.Node.TenantRates[j])}) })
 	paths := make(map[string]struct{})
-	for _, of := range []*Plate{from, to} {
+	for _, of := range []*Config{from, to} {
 		for path := range of.general {
 			paths[path] = struct{}{}
 		}
@@ -322,7 +322,7 @@
 }
 
 // startsOnly are the settings that take a new start.
-func (p *Plate) startsOnly() map[string]string {
+func (p *Config) startsOnly() map[string]string {
 	only := make(map[string]string)
 	for path, value := range p.general {
 		if _, may := changing(path); !may {
--- a/plate/amend_test.go
+++ b/nodeconfig/amend_test.go
@@ -1,4 +1,4 @@
-package plate
+package nodeconfig
 
 import (
 	"fmt"
@@ -17,14 +17,14 @@
 	"family_info":{"class_calls":[true,false],"class_skip_worth":[0.5],"memory_kb":900},"guarantees":{"tip_multiple":4},
 	"group_size":"30","limits":{"retry_after":true,"max_retry_after":500}}`
 
-func plateOf(t require.TestingT, text string) *Plate {
+func plateOf(t require.TestingT, text string) *Config {
 	p, err := FromJSON(1, []byte(text))
 	require.NoError(t, err)
 	return p
 }
 
-// amend takes items on a plate as a node does.
-func amend(p *Plate, items ...Item) ([]Taken, error) {
+// amend takes items on a config as a node does.
+func amend(p *Config, items ...Item) ([]Taken, error) {
 	a, err := Parse(items)
 	if err == nil {
 		err = p.Check(a)
@@ -84,10 +84,10 @@
 		Item{Tenants, "x", []byte(`{"quota_rps":7}`)}, Item{Part: Tenants, Name: "none"}, Item{Limits, "limits.retry_after", []byte(`false`)})
 	require.NoError(t, err)
 	assert.Equal(t, []Taken{{Removed: true, Changed: true}, {Index: 2, Added: true, Changed: true}, {Changed: true}, {}, {Changed: true}}, taken)
-	assert.Equal(t, node.Operation{Objective: 1e6, ClientTimeout: 2e6, MayCall: true}, p.Nameplate.Operations[2])
-	assert.Equal(t, int64(200e6), p.Nameplate.Operations[0].ClientTimeout, "what is in hand still goes by it")
-	assert.Equal(t, []float64{7, 0.5}, p.Nameplate.TenantRates)
-	assert.Zero(t, p.Nameplate.ComeBackMax)
+	assert.Equal(t, node.Operation{Objective: 1e6, ClientTimeout: 2e6, MayCall: true}, p.Node.Operations[2])
+	assert.Equal(t, int64(200e6), p.Node.Operations[0].ClientTimeout, "what is in hand still goes by it")
+	assert.Equal(t, []float64{7, 0.5}, p.Node.TenantRates)
+	assert.Zero(t, p.Node.ComeBackMax)
 	_, known := p.Operations.Find("a")
 	assert.False(t, known)
 	i, known := p.Operations.Lookup("a")
@@ -96,21 +96,21 @@
 	taken, err = amend(p, Item{Operations, "a", []byte(`{"aim":1,"give_up":2,"effect":"idempotent"}`)}, Item{Limits, "limits.retry_after", []byte(`true`)})
 	require.NoError(t, err)
 	assert.Equal(t, Taken{Added: true, Changed: true}, taken[0], "it has its index again")
-	assert.Equal(t, int64(500e6), p.Nameplate.ComeBackMax)
+	assert.Equal(t, int64(500e6), p.Node.ComeBackMax)
 	_, err = amend(p, Item{Part: Operations, Name: "b"})
 	require.NoError(t, err)
 	p.Forget(Operations, 1)
-	assert.True(t, p.Nameplate.Operations[1].Gone)
+	assert.True(t, p.Node.Operations[1].Gone)
 	taken, err = amend(p, Item{Operations, "d", []byte(`{"aim":1,"give_up":2,"effect":"idempotent"}`)})
 	require.NoError(t, err)
 	assert.Equal(t, int32(1), taken[0].Index)
 	assert.Equal(t, []string{"a", "d", "c"}, p.Operations.All())
 }
 
-// From any plate to any other: the difference, taken, leaves no difference, and is nothing where there is none.
+// From any config to any other: the difference, taken, leaves no difference, and is nothing where there is none.
 func TestDifferenceMakesOnePlateTheOther(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		draw := func(which string) *Plate {
+		draw := func(which string) *Config {
 			text, sep := `{"grades":[`, ""
 			for _, name := range rapid.Permutation([]string{"a", "b", "c", "d"}).Draw(t, which)[:rapid.IntRange(1, 4).Draw(t, "operations")] {
 				text += fmt.Sprintf(`%s{"name":%q,"aim":%d.%03d,"give_up":%g,"effect":%q,"window":%d,"importance":%g}`, sep, name, rapid.IntRange(1, 3).Draw(t, "aim"),
@@ -133,7 +133,7 @@
 		assert.Empty(t, starts)
 		_, err := amend(from, items...)
 		require.NoError(t, err)
-		for _, pair := range [][2]*Plate{{from, to}, {to, from}, {to, to}} {
+		for _, pair := range [][2]*Config{{from, to}, {to, from}, {to, to}} {
 			rest, starts := Diff(pair[0], pair[1])
 			assert.Empty(t, rest)
 			assert.Empty(t, starts)
--- a/plate/checking.go
+++ b/nodeconfig/checking.go
@@ -1,19 +1,19 @@
-package plate
+package nodeconfig
 
 import "fmt"
 
-// Checking checks an amendment that comes in pieces against a plate, at the cost of the changes. Nothing is changed.
+// Checking checks an amendment that comes in pieces against a config, at the cost of the changes. Nothing is changed.
 type Checking struct {
-	plate                     *Plate
+	config                    *Config
 	left, operations, tenants int // operations in service after all of it, and what needs an index
 }
 
 // Checking begins with no change.
-func (p *Plate) Checking() *Checking { return &Checking{plate: p, left: p.Operations.Len()} }
+func (p *Config) Checking() *Checking { return &Checking{config: p, left: p.Operations.Len()} }
 
 // Add takes further changes; each item is in one of them at the most.
 func (c *Checking) Add(changes []Change) {
-	p := c.plate
+	p := c.config
 	for i := range changes {
 		switch ch := &changes[i]; {
 		case ch.Part == Operations:
@@ -39,17 +39,17 @@
 	}
 }
 
-// Err says why the plate can't take all that was added.
+// Err says why the config can't take all that was added.
 func (c *Checking) Err() error {
 	if c.left < 1 {
-		return fmt.Errorf("plate: operations: none would be left; add one before the last is removed")
+		return fmt.Errorf("nodeconfig: operations: none would be left; add one before the last is removed")
 	}
 	for _, t := range []struct {
 		part      string
 		all, most int
-	}{{Operations, c.plate.Operations.live + c.operations, operationsMost}, {Tenants, c.plate.Tenants.live + c.tenants, tenantsMost}} {
+	}{{Operations, c.config.Operations.live + c.operations, operationsMost}, {Tenants, c.config.Tenants.live + c.tenants, tenantsMost}} {
 		if t.all > t.most {
-			return fmt.Errorf("plate: %s: %d with those removed of late, %d at the most; wait, or remove some", t.part, t.all, t.most)
+			return fmt.Errorf("nodeconfig: %s: %d with those removed of late, %d at the most; wait, or remove some", t.part, t.all, t.most)
 		}
 	}
 	return nil
--- a/plate/names_test.go
+++ b/nodeconfig/names_test.go
@@ -1,4 +1,4 @@
-package plate
+package nodeconfig
 
 import (
 	"fmt"
--- a/plate/plate.go
+++ b/nodeconfig/nodeconfig.go
@@ -1,6 +1,6 @@
-// Package plate decodes the settings that a node is started with, once, into its nameplate. Wire pairs and
+// Package nodeconfig decodes the settings that a node is started with, once, into its configuration. Wire pairs and
 // nested JSON go through the same decoder.
-package plate
+package nodeconfig
 
 import (
 	"errors"
@@ -14,9 +14,9 @@
 	"topazpost/node"
 )
 
-// Plate is a nameplate with the names that a door needs to read events.
-type Plate struct {
-	Nameplate  node.Nameplate
+// Config is a configuration with the names that a door needs to read events.
+type Config struct {
+	Node       node.Config
 	Operations *Names
 	Tenants    *Names
 	Gauges     []string
@@ -25,12 +25,12 @@
 }
 
 // FromPairs decodes the path=value pairs of a start.
-func FromPairs(seed int64, list []string) (*Plate, error) {
+func FromPairs(seed int64, list []string) (*Config, error) {
 	values := make(map[string]string, len(list))
 	for _, pair := range list {
 		path, value, ok := strings.Cut(pair, "=")
 		if !ok {
-			return nil, fmt.Errorf("plate: malformed pair %q", pair)
+			return nil, fmt.Errorf("nodeconfig: malformed pair %q", pair)
 		}
 		values[path] = value
 	}
@@ -73,7 +73,7 @@
 
 func (s *settings) fail(path string) {
 	if s.err == nil {
-		s.err = fmt.Errorf("plate: %s: malformed value %q", s.told+path, s.text(path))
+		s.err = fmt.Errorf("nodeconfig: %s: malformed value %q", s.told+path, s.text(path))
 	}
 }
 
@@ -113,7 +113,7 @@
 	value, known := words[text]
 	if !known && s.err == nil {
 		may := slices.Sorted(maps.Keys(words))
-		s.err = fmt.Errorf("plate: %s: %q is not known; it may be %s", s.told+path, text, strings.Join(slices.DeleteFunc(may,
+		s.err = fmt.Errorf("nodeconfig: %s: %q is not known; it may be %s", s.told+path, text, strings.Join(slices.DeleteFunc(may,
 			func(w string) bool { return w == "" }), ", "))
 	}
 	return value
@@ -127,9 +127,9 @@
 }
 
 // decode decodes settings of which all are in values.
-func decode(seed int64, values map[string]string) (*Plate, error) {
+func decode(seed int64, values map[string]string) (*Config, error) {
 	s := &settings{values: values}
-	p := &Plate{Operations: new(Names), Tenants: new(Names)}
+	p := &Config{Operations: new(Names), Tenants: new(Names)}
 	p.read(s, seed)
 	for i := range s.count("grades") {
 		p.addOperation(s.item("grades." + strconv.Itoa(i) + "."))
@@ -150,15 +150,15 @@
 }
 
 // addOperation adds the operation whose settings are read.
-func (p *Plate) addOperation(s *settings) {
-	p.Operations.Put(int32(len(p.Nameplate.Operations)), s.text("name"))
-	p.Nameplate.Operations = append(p.Nameplate.Operations, s.operation())
+func (p *Config) addOperation(s *settings) {
+	p.Operations.Put(int32(len(p.Node.Operations)), s.text("name"))
+	p.Node.Operations = append(p.Node.Operations, s.operation())
 }
 
 // addTenant adds the tenant whose settings are read.
-func (p *Plate) addTenant(s *settings) {
-	p.Tenants.Put(int32(len(p.Nameplate.TenantRates)), s.text("name"))
-	p.Nameplate.TenantRates = append(p.Nameplate.TenantRates, s.number("quota_rps"))
+func (p *Config) addTenant(s *settings) {
+	p.Tenants.Put(int32(len(p.Node.TenantRates)), s.text("name"))
+	p.Node.TenantRates = append(p.Node.TenantRates, s.number("quota_rps"))
 }
 
 // operation reads one operation, but for its calls.
@@ -176,10 +176,10 @@
 }
 
 // callsOf reads what lists over all operations say: whether each calls, and what its reply is worth without the call.
-func (p *Plate) callsOf(s *settings) {
+func (p *Config) callsOf(s *settings) {
 	calls, skips := s.list("family_info.class_calls"), s.list("family_info.class_skip_worth")
-	for i := range p.Nameplate.Operations {
-		op := &p.Nameplate.Operations[i]
+	for i := range p.Node.Operations {
+		op := &p.Node.Operations[i]
 		op.MayCall = i < len(calls) && calls[i] == "true"
 		if i < len(skips) {
 			share, err := strconv.ParseFloat(skips[i], 64)
@@ -192,7 +192,7 @@
 }
 
 // limitsInto reads the settings that may change while a node serves.
-func (s *settings) limitsInto(n *node.Nameplate) {
+func (s *settings) limitsInto(n *node.Config) {
 	n.OverShare = s.number("over_share_worth")
 	n.Peers = int(s.number("group_size"))
 	n.CallShare = s.number("family_info.calls_out")
@@ -203,7 +203,7 @@
 }
 
 // read reads what concerns all of a node.
-func (p *Plate) read(s *settings, seed int64) {
+func (p *Config) read(s *settings, seed int64) {
 	p.general = make(map[string]string)
 	for path, value := range s.values {
 		if part, _, _ := strings.Cut(path, "."); part != "grades" && part != "tenants" {
@@ -211,8 +211,8 @@
 		}
 	}
 	p.Gauges = s.list("family_info.gauges")
-	n := &p.Nameplate
-	*n = node.Nameplate{
+	n := &p.Node
+	*n = node.Config{
 		Operations: n.Operations, TenantRates: n.TenantRates,
 		Seed:          seed,
 		ByWork:        s.text("counted_by") == "work",
@@ -239,25 +239,25 @@
 	s.limitsInto(n)
 }
 
-// Usable says whether a real node can start from the plate, naming the first setting that it misses.
-func (p *Plate) Usable() error {
+// Usable says whether a real node can start from the config, naming the first setting that it misses.
+func (p *Config) Usable() error {
 	if p.Operations.Len() == 0 {
-		return errors.New("plate: grades: no operation")
+		return errors.New("nodeconfig: grades: no operation")
 	}
-	for i := range p.Nameplate.Operations {
+	for i := range p.Node.Operations {
 		name := p.Operations.Name(int32(i))
 		if last, _ := p.Operations.Lookup(name); int(last) != i {
 			continue // of two of one name the last holds
 		}
-		if fault := unusable(name, &p.Nameplate.Operations[i]); fault != "" {
-			return fmt.Errorf("plate: grades.%d: %s", i, fault)
+		if fault := unusable(name, &p.Node.Operations[i]); fault != "" {
+			return fmt.Errorf("nodeconfig: grades.%d: %s", i, fault)
 		}
 	}
-	if p.Nameplate.MemoryKB <= 0 {
-		return errors.New("plate: family_info.memory_kb must be above 0")
+	if p.Node.MemoryKB <= 0 {
+		return errors.New("nodeconfig: family_info.memory_kb must be above 0")
 	}
-	if p.Nameplate.TipMultiple < 1 {
-		return errors.New("plate: guarantees.tip_multiple must be at least 1")
+	if p.Node.TipMultiple < 1 {
+		return errors.New("nodeconfig: guarantees.tip_multiple must be at least 1")
 	}
 	return nil
 }
--- a/plate/plate_test.go
+++ b/nodeconfig/nodeconfig_test.go
@@ -1,4 +1,4 @@
-package plate
+package nodeconfig
 
 import (
 	"testing"
@@ -19,13 +19,13 @@
 		"limits":{"retry_after":true,"max_retry_after":500},"tenants":[],"unknown":null}`))
 	require.NoError(t, err)
 	assert.Equal(t, pairs, nested)
-	assert.True(t, nested.Nameplate.Operations[0].MayCall)
+	assert.True(t, nested.Node.Operations[0].MayCall)
 	assert.NoError(t, nested.Usable())
 }
 
 func TestMalformedSettingsAreNamed(t *testing.T) {
 	for text, field := range map[string]string{`{"family_info":{"memory_kb":"x"}}`: "family_info.memory_kb",
-		`{"grades":{"count":99}}`: "grades.count", `[`: "plate",
+		`{"grades":{"count":99}}`: "grades.count", `[`: "nodeconfig",
 		`{"grades":[{"name":"a","effect":"idempotent"},{"name":"b","effect":"twice"}]}`: `grades.1.effect: "twice" is not known; it may be at_most_once, deduplicated, idempotent`,
 		`{"grades":[{"name":"a"}]}`:         `grades.0.effect: "" is not known`,
 		`{"family_info":{"halt":"stop"}}`:   "family_info.halt",
--- a/plate/stream.go
+++ b/nodeconfig/stream.go
@@ -1,4 +1,4 @@
-package plate
+package nodeconfig
 
 import (
 	"bytes"
@@ -16,7 +16,7 @@
 const nestMost = 64 // objects and lists within one another: guards against a file that only nests
 
 // FromJSON decodes the same settings as one nested object.
-func FromJSON(seed int64, object []byte) (*Plate, error) {
+func FromJSON(seed int64, object []byte) (*Config, error) {
 	d := json.NewDecoder(bytes.NewReader(object))
 	d.UseNumber()
 	p, _, err := Decode(seed, d)
@@ -26,14 +26,14 @@
 // Decode decodes settings as one nested object that comes next from a decoder of numbers as they are written. It keeps
 // one item of a list of operations or tenants at a time. The digest is that of what was read, however it was spaced and
 // in whatever order keys came.
-func Decode(seed int64, d *json.Decoder) (p *Plate, digest uint64, err error) {
-	w := &stream{d: d, plate: &Plate{Operations: new(Names), Tenants: new(Names)}, hash: xxhash.New(), flat: make(map[string]string),
+func Decode(seed int64, d *json.Decoder) (p *Config, digest uint64, err error) {
+	w := &stream{d: d, config: &Config{Operations: new(Names), Tenants: new(Names)}, hash: xxhash.New(), flat: make(map[string]string),
 		rest: make(map[string]any)}
 	if err := w.object(); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
-		return nil, 0, fmt.Errorf("plate: byte %d: %w", d.InputOffset(), err)
+		return nil, 0, fmt.Errorf("nodeconfig: byte %d: %w", d.InputOffset(), err)
 	}
 	return w.end(seed)
 }
@@ -41,7 +41,7 @@
 // stream is the state of a decoding.
 type stream struct {
 	d                   *json.Decoder
-	plate               *Plate
+	config              *Config
 	hash                *xxhash.Digest
 	rest                map[string]any    // of the object, but for lists of operations and tenants
 	flat                map[string]string // of the item in hand
@@ -74,16 +74,16 @@
 		}
 		switch key { // of two of one key the last holds
 		case "grades":
-			w.operations, w.plate.Operations, w.plate.Nameplate.Operations = list{}, new(Names), nil
+			w.operations, w.config.Operations, w.config.Node.Operations = list{}, new(Names), nil
 		case "tenants":
-			w.tenants, w.plate.Tenants, w.plate.Nameplate.TenantRates = list{}, new(Names), nil
+			w.tenants, w.config.Tenants, w.config.Node.TenantRates = list{}, new(Names), nil
 		}
 		delete(w.rest, key)
 		switch {
 		case key == "grades" && tok == json.Delim('['):
-			err = w.list(key, &w.operations, w.plate.addOperation)
+			err = w.list(key, &w.operations, w.config.addOperation)
 		case key == "tenants" && tok == json.Delim('['):
-			err = w.list(key, &w.tenants, w.plate.addTenant)
+			err = w.list(key, &w.tenants, w.config.addTenant)
 		default:
 			w.rest[key], err = w.tree(tok, nestMost)
 		}
@@ -170,10 +170,10 @@
 }
 
 // end decodes the rest, once all was read.
-func (w *stream) end(seed int64) (*Plate, uint64, error) {
+func (w *stream) end(seed int64) (*Config, uint64, error) {
 	values := make(map[string]string)
 	flatten(values, "", w.rest)
-	p, s := w.plate, &settings{values: values}
+	p, s := w.config, &settings{values: values}
 	p.read(s, seed)
 	errs := []error{s.err}
 	if !w.operations.seen { // they may be told by their paths, as pairs are
--- a/plate/stream_test.go
+++ b/nodeconfig/stream_test.go
@@ -1,4 +1,4 @@
-package plate
+package nodeconfig
 
 import (
 	"encoding/json"
@@ -12,7 +12,7 @@
 )
 
 // whole decodes settings as it was done before they were read as a stream: all of them by their paths.
-func whole(seed int64, object []byte) (*Plate, error) {
+func whole(seed int64, object []byte) (*Config, error) {
 	var tree map[string]any
 	d := json.NewDecoder(strings.NewReader(string(object)))
 	d.UseNumber()
@@ -24,7 +24,7 @@
 	return decode(seed, values)
 }
 
-// A stream gives the nameplate that paths give, in whatever shape the lists come, and refuses what they refuse.
+// A stream gives the config that paths give, in whatever shape the lists come, and refuses what they refuse.
 func TestStreamGivesWhatPathsGive(t *testing.T) {
 	plain := []string{`"x"`, `3`, `true`, `null`, `[]`, `[{"name":"deep"}]`}
 	effects := []string{"idempotent", "deduplicated", "at_most_once", "idempotent", "idempotent", "idempotent", "twice"}
@@ -65,7 +65,7 @@
 			return
 		}
 		require.NoError(t, err, string(text))
-		if assert.Equal(t, want.Nameplate, got.Nameplate, string(text)) {
+		if assert.Equal(t, want.Node, got.Node, string(text)) {
 			assert.Equal(t, want, got, string(text))
 		}
 	})
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -12,7 +12,7 @@
 
 	"topazpost/levels"
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 	"topazpost/settings"
 )
@@ -100,8 +100,8 @@
 	}
 }
 
-// Read reads a plan for the operations of a plate, evaluating the file in this process.
-func Read(path string, operations *plate.Names) (*reducer.Plan, error) {
+// Read reads a plan for the operations of a config, evaluating the file in this process.
+func Read(path string, operations *nodeconfig.Names) (*reducer.Plan, error) {
 	file, err := settings.Read(path)
 	if err != nil {
 		return nil, err
@@ -110,7 +110,7 @@
 }
 
 // From reads a plan from a file that was evaluated. All that is wrong with it is told at once.
-func From(file *settings.File, operations *plate.Names) (*reducer.Plan, error) {
+func From(file *settings.File, operations *nodeconfig.Names) (*reducer.Plan, error) {
 	if err := file.Check(schema()); err != nil {
 		return nil, err
 	}
@@ -158,7 +158,7 @@
 	return p, nil
 }
 
-func addRung(p *reducer.Plan, file *settings.File, w *written, k int, operations *plate.Names,
+func addRung(p *reducer.Plan, file *settings.File, w *written, k int, operations *nodeconfig.Names,
 	names []string) (found settings.Problems) {
 	at := func(what ...string) []string { return append([]string{"levels", fmt.Sprint(k)}, what...) }
 	from := &w.Levels[k]
@@ -223,7 +223,7 @@
 
 // Show prints a plan as a table: what each level leaves, what it saves of the work and gives up of the billed value,
 // and its conditions. The mix tells the share of each operation in the work; one that it lacks has none.
-func Show(w io.Writer, p *reducer.Plan, of *plate.Plate, mix map[string]float64) error {
+func Show(w io.Writer, p *reducer.Plan, of *nodeconfig.Config, mix map[string]float64) error {
 	names := of.Operations.All()
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintf(t, "plan %s\n", p.Name)
@@ -234,7 +234,7 @@
 		fmt.Fprint(t, r.Name)
 		work, value, all, allValue := 0.0, 0.0, 0.0, 0.0
 		for i, s := range r.Service {
-			op := of.Nameplate.Operations[i]
+			op := of.Node.Operations[i]
 			share := mix[names[i]]
 			billed := share * op.BilledValue
 			all, allValue = all+share, allValue+billed
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -14,11 +14,11 @@
 
 	"topazpost/levels"
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/settings"
 )
 
-var operations = plate.NewNames("catalogue", "delivery-quote", "hold")
+var operations = nodeconfig.NewNames("catalogue", "delivery-quote", "hold")
 
 var header = regexp.MustCompile(`^// line (\d+) \| (.*) \| (.*)\n`)
 
@@ -68,7 +68,7 @@
 func TestTableShowsWhatEachRungSaves(t *testing.T) {
 	p, err := Read("testdata/sound/plain.jsonnet", operations)
 	require.NoError(t, err)
-	of := &plate.Plate{Operations: operations, Nameplate: node.Nameplate{Operations: []node.Operation{
+	of := &nodeconfig.Config{Operations: operations, Node: node.Config{Operations: []node.Operation{
 		{BilledValue: 1}, {BilledValue: 2}, {BilledValue: 5}}}}
 	var b strings.Builder
 	require.NoError(t, Show(&b, p, of, map[string]float64{"catalogue": 50, "delivery-quote": 40, "hold": 10}))
--- a/reducer/amend.go
+++ b/reducer/amend.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
 const (
@@ -36,9 +36,9 @@
 // version is one that came, as far as it is not taken.
 type version struct {
 	number  uint64
-	of      *plate.Amendment
-	changes []plate.Change // of it, those not taken
-	looked  int            // changes that were looked at by name
+	of      *nodeconfig.Amendment
+	changes []nodeconfig.Change // of it, those not taken
+	looked  int                 // changes that were looked at by name
 	checked bool
 	counts  [3]int // added, changed, removed
 }
@@ -83,7 +83,7 @@
 	if list := a.terms[op]; len(list) > 0 {
 		return list[len(list)-1]
 	}
-	t := termsOf(&r.plate.Nameplate.Operations[op])
+	t := termsOf(&r.config.Node.Operations[op])
 	a.terms[op] = append(a.terms[op], t)
 	return t
 }
@@ -126,7 +126,7 @@
 
 // retired says whether an invocation is of an operation or a tenant that is out of service, and repeats none that is known.
 func (r *Reducer) retired(e *node.Event) bool {
-	return e.Repeats == node.NoRepeat && (r.plate.Operations.Retired(e.Operation) || e.Tenant >= 0 && r.plate.Tenants.Retired(e.Tenant))
+	return e.Repeats == node.NoRepeat && (r.config.Operations.Retired(e.Operation) || e.Tenant >= 0 && r.config.Tenants.Retired(e.Tenant))
 }
 
 // amend takes in a version: it is checked and taken once those before it are.
@@ -193,38 +193,38 @@
 			return true, err
 		}
 	}
-	return true, r.plate.Check(v.of)
+	return true, r.config.Check(v.of)
 }
 
 // misfits says which of some changes this node can't take, by what only its own files say.
-func (r *Reducer) misfits(changes []plate.Change) error {
+func (r *Reducer) misfits(changes []nodeconfig.Change) error {
 	for i := range changes {
 		c := &changes[i]
-		if c.Part == plate.Operations && !c.Removed && c.Operation.MayCall && r.to.Catalogue == "" && !r.hollow.on {
-			return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNoCatalogue)
+		if c.Part == nodeconfig.Operations && !c.Removed && c.Operation.MayCall && r.to.Catalogue == "" && !r.hollow.on {
+			return fmt.Errorf("nodeconfig: %s.%s: %w", c.Part, c.Name, errNoCatalogue)
 		}
 		if !r.amended.numbers {
 			continue
 		}
-		_, operation := r.plate.Operations.Find(c.Name)
-		_, tenant := r.plate.Tenants.Find(c.Name)
-		if c.Part == plate.Operations && operation == c.Removed || c.Part == plate.Tenants && tenant == c.Removed {
-			return fmt.Errorf("plate: %s.%s: %w", c.Part, c.Name, errNumbers)
+		_, operation := r.config.Operations.Find(c.Name)
+		_, tenant := r.config.Tenants.Find(c.Name)
+		if c.Part == nodeconfig.Operations && operation == c.Removed || c.Part == nodeconfig.Tenants && tenant == c.Removed {
+			return fmt.Errorf("nodeconfig: %s.%s: %w", c.Part, c.Name, errNumbers)
 		}
 	}
 	return nil
 }
 
 // change brings one change into force.
-func (r *Reducer) change(v *version, c plate.Change) {
+func (r *Reducer) change(v *version, c nodeconfig.Change) {
 	a := &r.amended
 	if a.longest == 0 { // once in a node's life
-		for i := range r.plate.Nameplate.Operations {
-			a.longest = max(a.longest, termsOf(&r.plate.Nameplate.Operations[i]).known)
+		for i := range r.config.Node.Operations {
+			a.longest = max(a.longest, termsOf(&r.config.Node.Operations[i]).known)
 		}
 	}
 	c.Operation.SkipShare = 0 // as in all settings on sockets
-	t := r.plate.Take(&c)
+	t := r.config.Take(&c)
 	switch {
 	case !t.Changed:
 		return
@@ -238,7 +238,7 @@
 	default:
 		v.counts[1]++
 	}
-	if c.Part != plate.Operations {
+	if c.Part != nodeconfig.Operations {
 		return
 	}
 	op := c.Operation
@@ -259,7 +259,7 @@
 // hold is how long an index out of service is kept after its last invocation: while a token of it may be known, and a
 // tenant counts for something in the module.
 func (a *amended) hold(part string) int64 {
-	if part == plate.Tenants {
+	if part == nodeconfig.Tenants {
 		return max(a.longest, countsFade)
 	}
 	return a.longest
@@ -276,7 +276,7 @@
 
 // inHand counts the invocations of an operation or a tenant.
 func (r *Reducer) inHand(part string, index int32) (n int) {
-	if part == plate.Tenants {
+	if part == nodeconfig.Tenants {
 		return r.amended.tenants[index]
 	}
 	if int(index) < len(r.amended.terms) {
@@ -306,8 +306,8 @@
 			continue
 		}
 		delete(a.since, key)
-		r.plate.Forget(l.part, l.index)
-		if l.part == plate.Tenants {
+		r.config.Forget(l.part, l.index)
+		if l.part == nodeconfig.Tenants {
 			continue
 		}
 		if int(l.index) < len(a.terms) {
--- a/reducer/amend_test.go
+++ b/reducer/amend_test.go
@@ -9,29 +9,29 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/results"
 )
 
-func operation(name, fields string) plate.Item {
-	return plate.Item{Part: plate.Operations, Name: name, Value: []byte(`{"aim":1000,"effect":"idempotent","give_up":3000` + fields + `}`)}
+func operation(name, fields string) nodeconfig.Item {
+	return nodeconfig.Item{Part: nodeconfig.Operations, Name: name, Value: []byte(`{"aim":1000,"effect":"idempotent","give_up":3000` + fields + `}`)}
 }
 
-func removed(part, name string) plate.Item { return plate.Item{Part: part, Name: name} }
+func removed(part, name string) nodeconfig.Item { return nodeconfig.Item{Part: part, Name: name} }
 
-func tenant(name string, rate int) plate.Item {
-	return plate.Item{Part: plate.Tenants, Name: name, Value: fmt.Appendf(nil, `{"quota_rps":%d}`, rate)}
+func tenant(name string, rate int) nodeconfig.Item {
+	return nodeconfig.Item{Part: nodeconfig.Tenants, Name: name, Value: fmt.Appendf(nil, `{"quota_rps":%d}`, rate)}
 }
 
 // version is the input of the next version.
-func versionOf(t require.TestingT, number uint64, items ...plate.Item) Input {
-	change, err := plate.Parse(items)
+func versionOf(t require.TestingT, number uint64, items ...nodeconfig.Item) Input {
+	change, err := nodeconfig.Parse(items)
 	require.NoError(t, err)
 	return Input{Kind: Amend, Version: number, Change: change}
 }
 
 // amended brings items into force as the next version, and says why it can't.
-func amendedBy(t *testing.T, r *Reducer, items ...plate.Item) error {
+func amendedBy(t *testing.T, r *Reducer, items ...nodeconfig.Item) error {
 	got := kindsOf(step(r, versionOf(t, r.Version()+1, items...)), Amended)
 	require.Len(t, got, 1)
 	return got[0].Err
@@ -64,28 +64,28 @@
 func TestVersionIsInForceBetweenTwoSteps(t *testing.T) {
 	r := up(t)
 	assert.Equal(t, []string{"51 on 1"}, answers(t, step(r, coming(r, 1, "op", "new"))))
-	require.NoError(t, amendedBy(t, r, operation("new", `,"class_calls":true`), tenant("x", 3), plate.Item{Part: plate.Limits, Name: "limits.max_retry_after",
+	require.NoError(t, amendedBy(t, r, operation("new", `,"class_calls":true`), tenant("x", 3), nodeconfig.Item{Part: nodeconfig.Limits, Name: "limits.max_retry_after",
 		Value: []byte("70")}))
 	assert.Equal(t, uint64(1), r.Version())
-	assert.Equal(t, 70*ms, r.plate.Nameplate.ComeBackMax)
+	assert.Equal(t, 70*ms, r.config.Node.ComeBackMax)
 	assert.Equal(t, 1, runsOf(step(r, coming(r, 2, "op", "new", "org", "x"))))
 	assert.Equal(t, []string{"51 on 3"}, answers(t, step(r, coming(r, 3, "op", "new", "org", "y"))))
 	assert.Equal(t, []string{"20 on 2"}, answers(t, ran(r, 2)))
 	got := kindsOf(step(r, versionOf(t, 1, tenant("x", 4))), Amended)
 	assert.ErrorIs(t, got[0].Err, errVersion)
-	assert.Equal(t, []float64{3}, r.plate.Nameplate.TenantRates)
+	assert.Equal(t, []float64{3}, r.config.Node.TenantRates)
 }
 
 func TestVersionThatCannotBeTakenChangesNothing(t *testing.T) {
 	r := up(t)
-	before := r.plate.Own()
-	assert.ErrorContains(t, amendedBy(t, r, tenant("x", 3), removed(plate.Operations, "catalogue"), removed(plate.Operations, "hold")), "none would be left")
-	assert.Equal(t, before, r.plate.Own())
+	before := r.config.Own()
+	assert.ErrorContains(t, amendedBy(t, r, tenant("x", 3), removed(nodeconfig.Operations, "catalogue"), removed(nodeconfig.Operations, "hold")), "none would be left")
+	assert.Equal(t, before, r.config.Own())
 	assert.Zero(t, r.Version())
 	assert.Equal(t, 1, r.Counters.VersionsRefused)
 	r.amended.numbers = true
 	assert.ErrorContains(t, amendedBy(t, r, operation("catalogue", `,"importance":7`), operation("new", "")), "operations.new: results are kept in a folder")
-	assert.ErrorContains(t, amendedBy(t, r, removed(plate.Operations, "hold")), "operations.hold")
+	assert.ErrorContains(t, amendedBy(t, r, removed(nodeconfig.Operations, "hold")), "operations.hold")
 	assert.NoError(t, amendedBy(t, r, operation("catalogue", `,"importance":7`)))
 }
 
@@ -94,7 +94,7 @@
 	r := up(t)
 	from := r.now
 	step(r, coming(r, 1))
-	short := plate.Item{Part: plate.Operations, Name: "catalogue", Value: []byte(`{"aim":200,"effect":"at_most_once","give_up":400}`)}
+	short := nodeconfig.Item{Part: nodeconfig.Operations, Name: "catalogue", Value: []byte(`{"aim":200,"effect":"at_most_once","give_up":400}`)}
 	require.NoError(t, amendedBy(t, r, short))
 	step(r, coming(r, 2))
 	ends := map[string]int64{}
@@ -113,7 +113,7 @@
 func TestOperationGoesWithWorkInHandAndInItsTokenWindow(t *testing.T) {
 	r := keeping(t, results.InMemory)
 	assert.Equal(t, 1, runsOf(step(r, holding(r, 1, "a"))))
-	require.NoError(t, amendedBy(t, r, operation("other", ""), removed(plate.Operations, "hold")))
+	require.NoError(t, amendedBy(t, r, operation("other", ""), removed(nodeconfig.Operations, "hold")))
 	for stream := range faultsMost + 2 {
 		assert.Equal(t, []string{fmt.Sprint("51 on ", stream+2)}, answers(t, step(r, holding(r, stream+2, "b"))))
 	}
@@ -124,30 +124,30 @@
 	pass(r, 10_000*ms)
 	assert.Equal(t, []string{"20 on 60"}, answers(t, step(r, holding(r, 60, "a"))), "its result is kept for its window")
 	require.NoError(t, amendedBy(t, r, operation("next", "")))
-	i, _ := r.plate.Operations.Find("next")
+	i, _ := r.config.Operations.Find("next")
 	assert.Equal(t, int32(2), i, "the index is still that of the tokens")
 	pass(r, 40_000*ms)
 	assert.Empty(t, r.amended.queue)
-	assert.True(t, r.plate.Nameplate.Operations[0].Gone)
+	assert.True(t, r.config.Node.Operations[0].Gone)
 	require.NoError(t, amendedBy(t, r, operation("last", "")))
-	i, _ = r.plate.Operations.Find("last")
+	i, _ = r.config.Operations.Find("last")
 	assert.Zero(t, i, "it is free")
 	assert.Equal(t, 1, runsOf(step(r, coming(r, 99, "op", "last"))))
-	assert.Empty(t, r.Guard.All())
+	assert.Empty(t, r.Invariants.All())
 }
 
 func TestOperationThatComesBackHasItsTokensAgain(t *testing.T) {
 	r := keeping(t, results.InMemory)
 	step(r, holding(r, 1, "a"))
 	ran(r, 1)
-	require.NoError(t, amendedBy(t, r, operation("other", ""), removed(plate.Operations, "hold")))
-	back := plate.Item{Part: plate.Operations, Name: "hold", Value: []byte(`{"aim":1000,"effect":"deduplicated","give_up":3000,"window":20000}`)}
+	require.NoError(t, amendedBy(t, r, operation("other", ""), removed(nodeconfig.Operations, "hold")))
+	back := nodeconfig.Item{Part: nodeconfig.Operations, Name: "hold", Value: []byte(`{"aim":1000,"effect":"deduplicated","give_up":3000,"window":20000}`)}
 	require.NoError(t, amendedBy(t, r, back))
 	assert.Equal(t, []string{"20 on 2"}, answers(t, step(r, holding(r, 2, "a"))))
 	assert.Equal(t, 1, runsOf(step(r, holding(r, 3, "b"))))
 	ran(r, 3)
 	pass(r, 200_000*ms)
-	i, known := r.plate.Operations.Find("hold")
+	i, known := r.config.Operations.Find("hold")
 	assert.True(t, known && i == 0, "what came back is not forgotten")
 }
 
@@ -155,7 +155,7 @@
 func TestShorterWindowIsForWhatComes(t *testing.T) {
 	r := keeping(t, results.OnDisk)
 	written(r, step(r, holding(r, 1, "a")))
-	short := plate.Item{Part: plate.Operations, Name: "hold", Value: []byte(`{"aim":1000,"effect":"deduplicated","give_up":3000,"window":1000}`)}
+	short := nodeconfig.Item{Part: nodeconfig.Operations, Name: "hold", Value: []byte(`{"aim":1000,"effect":"deduplicated","give_up":3000,"window":1000}`)}
 	require.NoError(t, amendedBy(t, r, short))
 	written(r, step(r, holding(r, 2, "b")))
 	kept := map[string]int64{}
@@ -179,28 +179,28 @@
 	require.NoError(t, amendedBy(t, r, tenant("x", 3), tenant("y", 1)))
 	step(r, coming(r, 1, "op", "hold", "org", "y"))
 	ran(r, 1)
-	require.NoError(t, amendedBy(t, r, removed(plate.Tenants, "y")))
+	require.NoError(t, amendedBy(t, r, removed(nodeconfig.Tenants, "y")))
 	assert.Equal(t, []string{"51 on 2"}, answers(t, step(r, coming(r, 2, "org", "y"))))
 	assert.Zero(t, r.conns[7].faults)
 	require.NoError(t, amendedBy(t, r, tenant("z", 1), tenant("y", 5)))
-	i, _ := r.plate.Tenants.Find("y")
+	i, _ := r.config.Tenants.Find("y")
 	assert.Equal(t, int32(1), i)
-	assert.Equal(t, []float64{3, 5, 1}, r.plate.Nameplate.TenantRates)
-	require.NoError(t, amendedBy(t, r, removed(plate.Tenants, "y")))
+	assert.Equal(t, []float64{3, 5, 1}, r.config.Node.TenantRates)
+	require.NoError(t, amendedBy(t, r, removed(nodeconfig.Tenants, "y")))
 	pass(r, countsFade+1_000*ms)
 	require.NoError(t, amendedBy(t, r, tenant("w", 9)))
-	i, _ = r.plate.Tenants.Find("w")
+	i, _ = r.config.Tenants.Find("w")
 	assert.Equal(t, int32(1), i, "once nothing of it is left the index is another's")
 }
 
 func TestLevelsGoByNamesAsOperationsComeAndGo(t *testing.T) {
 	r := at(t, 1)
-	require.NoError(t, amendedBy(t, r, operation("new", ""), removed(plate.Operations, "catalogue")))
+	require.NoError(t, amendedBy(t, r, operation("new", ""), removed(nodeconfig.Operations, "catalogue")))
 	assert.Equal(t, "51 on 1", answers(t, step(r, coming(r, 1)))[0])
 	assert.Contains(t, text(step(r, coming(r, 2, "op", "new")), Tell), "EXEC "+id(2)+" new")
 	ran(r, 2)
 	pass(r, 10_000*ms)
-	assert.True(t, r.plate.Nameplate.Operations[0].Gone)
+	assert.True(t, r.config.Node.Operations[0].Gone)
 	require.NoError(t, amendedBy(t, r, operation("newer", "")))
 	assert.Contains(t, text(step(r, coming(r, 3, "op", "newer")), Tell), "EXEC "+id(3)+" newer", "not the form of the one before")
 	ran(r, 3)
@@ -213,25 +213,25 @@
 		plan.Rungs[k].Service[0], plan.Rungs[k].Service[1] = plan.Rungs[k].Service[1], plan.Rungs[k].Service[0]
 	}
 	step(r, Input{Kind: Adopt, Plan: plan})
-	i, _ := r.plate.Operations.Find("newer")
+	i, _ := r.config.Operations.Find("newer")
 	assert.Equal(t, node.Reduced, r.levels.plan.Rungs[0].Service[i].Form)
 	assert.Equal(t, "newer-plain", r.levels.plan.Forms[0][i])
-	assert.Empty(t, r.Guard.All())
+	assert.Empty(t, r.Invariants.All())
 }
 
 // A large version takes steps of a bounded size, and nothing in it waits for a timer.
 func TestLargeVersionIsTakenInBoundedSteps(t *testing.T) {
 	r := up(t)
-	var items []plate.Item
+	var items []nodeconfig.Item
 	for k := range 10*amendedAStep + 1 {
 		items = append(items, tenant(fmt.Sprint("t", k), 1))
 	}
-	in := []Input{versionOf(t, 1, items...), versionOf(t, 2, removed(plate.Tenants, "t0"))}
+	in := []Input{versionOf(t, 1, items...), versionOf(t, 2, removed(nodeconfig.Tenants, "t0"))}
 	for steps := 1; ; steps++ {
-		was := r.plate.Tenants.Slots()
+		was := r.config.Tenants.Slots()
 		effects := r.Step(r.now+ms, r.now+ms+1_000_000*ms, in)
 		in = nil
-		assert.LessOrEqual(t, r.plate.Tenants.Slots()-was, amendedAStep)
+		assert.LessOrEqual(t, r.config.Tenants.Slots()-was, amendedAStep)
 		if len(r.amended.waiting) == 0 {
 			assert.Equal(t, 11, steps)
 			break
@@ -251,7 +251,7 @@
 // allocations counts those of one change at a table of some size.
 func allocations(t *testing.T, operations, tenants int) float64 {
 	r := up(t)
-	var items []plate.Item
+	var items []nodeconfig.Item
 	for k := range operations {
 		items = append(items, operation(fmt.Sprint("o", k), ""))
 	}
@@ -265,7 +265,7 @@
 	number := uint64(1)
 	return testing.AllocsPerRun(200, func() {
 		number++
-		step(r, versionOf(t, number, operation("o7", fmt.Sprintf(`,"importance":%d`, number)), tenant("t7", int(number)), removed(plate.Tenants, "t8")))
+		step(r, versionOf(t, number, operation("o7", fmt.Sprintf(`,"importance":%d`, number)), tenant("t7", int(number)), removed(nodeconfig.Tenants, "t8")))
 		number++
 		step(r, versionOf(t, number, tenant("t8", 1)))
 	})
@@ -282,7 +282,7 @@
 func TestThousandChangesInAMinute(t *testing.T) {
 	for seed := range int64(6) {
 		chance := rand.New(rand.NewSource(seed))
-		p, err := plate.FromJSON(1, []byte(settings))
+		p, err := nodeconfig.FromJSON(1, []byte(settings))
 		require.NoError(t, err)
 		want := p.Own()
 		r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
@@ -294,18 +294,18 @@
 		stream, asked, answered := uint32(0), 0, 0
 		for k := range 1_000 {
 			name := names[1+chance.Intn(len(names)-1)]
-			var it plate.Item
+			var it nodeconfig.Item
 			switch chance.Intn(4) {
 			case 0:
-				it = removed(plate.Operations, name)
+				it = removed(nodeconfig.Operations, name)
 			case 1:
 				it = operation(name, fmt.Sprintf(`,"importance":%d`, k))
 			case 2:
 				it = tenant(name, k)
 			default:
-				it = removed(plate.Tenants, name)
+				it = removed(nodeconfig.Tenants, name)
 			}
-			change, err := plate.Parse([]plate.Item{it})
+			change, err := nodeconfig.Parse([]nodeconfig.Item{it})
 			require.NoError(t, err)
 			want.Take(&change.Changes[0])
 			r.heardAt = r.now
@@ -327,12 +327,12 @@
 		assert.Greater(t, asked, 200)
 		assert.GreaterOrEqual(t, answered, asked)
 		assert.Equal(t, uint64(1_000), r.Version())
-		want.Nameplate.Operations[0].SkipShare = 0
-		rest, starts := plate.Diff(want, r.plate)
+		want.Node.Operations[0].SkipShare = 0
+		rest, starts := nodeconfig.Diff(want, r.config)
 		assert.Empty(t, rest)
 		assert.Empty(t, starts)
-		assert.LessOrEqual(t, r.plate.Operations.Slots(), 20)
-		assert.Empty(t, r.Guard.All())
+		assert.LessOrEqual(t, r.config.Operations.Slots(), 20)
+		assert.Empty(t, r.Invariants.All())
 	}
 }
 
@@ -340,9 +340,9 @@
 func TestLargeVersionIsLookedAtInBoundedSteps(t *testing.T) {
 	r := up(t)
 	r.amended.numbers = true
-	items := []plate.Item{operation("catalogue", `,"importance":7`)}
+	items := []nodeconfig.Item{operation("catalogue", `,"importance":7`)}
 	for k := range 2 * lookedAStep {
-		items = append(items, removed(plate.Tenants, fmt.Sprint("t", k)))
+		items = append(items, removed(nodeconfig.Tenants, fmt.Sprint("t", k)))
 	}
 	refused := items[: len(items)-1 : len(items)-1]
 	refused = append(refused, operation("new", ""))
@@ -351,5 +351,5 @@
 	got := kindsOf(step(r), Amended)
 	require.Len(t, got, 1)
 	assert.ErrorContains(t, got[0].Err, "operations.new")
-	assert.Equal(t, 1.0, r.plate.Nameplate.Operations[0].BilledValue)
+	assert.Equal(t, 1.0, r.config.Node.Operations[0].BilledValue)
 }
--- a/reducer/amendbench_test.go
+++ b/reducer/amendbench_test.go
@@ -4,19 +4,19 @@
 	"fmt"
 	"testing"
 
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
 // BenchmarkVersion takes the largest part of a version that one step takes.
 func BenchmarkVersion(b *testing.B) {
 	for _, size := range [][2]int{{20, 300}, {4_700, 130_000}} {
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			p, err := plate.FromJSON(1, []byte(settings))
+			p, err := nodeconfig.FromJSON(1, []byte(settings))
 			if err != nil {
 				b.Fatal(err)
 			}
 			r := New(p, Addresses{}, 5_000*ms, 4, 3)
-			var items []plate.Item
+			var items []nodeconfig.Item
 			for k := range size[0] {
 				items = append(items, operation(fmt.Sprint("o", k), ""))
 			}
--- a/reducer/catalogue.go
+++ b/reducer/catalogue.go
@@ -22,10 +22,10 @@
 // call makes the call that a run stands at.
 func (r *Reducer) call(i int32, until int64) {
 	v := &r.invs[i]
-	if !r.Guard.Hold(v.live && !v.calling && v.wanted != nil, "a call is made where a run stands at one") {
+	if !r.Invariants.Check(v.live && !v.calling && v.wanted != nil, "a call is made where a run stands at one") {
 		return
 	}
-	r.Guard.Hold(r.leasing.holder == nil || r.leasing.holder.Allowed(r.now) > 0, "a call is made while a lease goes on")
+	r.Invariants.Check(r.leasing.holder == nil || r.leasing.holder.Allowed(r.now) > 0, "a call is made while a lease goes on")
 	v.calling, v.until = true, until
 	r.waiting = append(r.waiting, i)
 	r.supplyWaiting()
@@ -102,7 +102,7 @@
 	r.invs[i].calling = false
 	if k := slices.Index(r.waiting, i); k >= 0 {
 		r.waiting = slices.Delete(r.waiting, k, k+1)
-	} else if k := r.supplying(i); r.Guard.Hold(k >= 0, "a call in hand has a link or waits for one") {
+	} else if k := r.supplying(i); r.Invariants.Check(k >= 0, "a call in hand has a link or waits for one") {
 		r.leave(k)
 	}
 }
--- a/reducer/claims.go
+++ b/reducer/claims.go
@@ -9,8 +9,8 @@
 	"topazpost/claims"
 	"topazpost/configuration"
 	"topazpost/council"
+	"topazpost/envelope"
 	"topazpost/frame"
-	"topazpost/letter"
 	"topazpost/membership"
 	"topazpost/node"
 	"topazpost/quota"
@@ -100,16 +100,16 @@
 }
 
 func (r *Reducer) claimKey(k results.Key) claims.Key {
-	key := claims.Key{Operation: r.plate.Operations.Name(k.Operation), Token: k.Token}
+	key := claims.Key{Operation: r.config.Operations.Name(k.Operation), Token: k.Token}
 	if k.Tenant >= 0 {
-		key.Tenant = r.plate.Tenants.Name(k.Tenant)
+		key.Tenant = r.config.Tenants.Name(k.Tenant)
 	}
 	return key
 }
 
 func (r *Reducer) resultKey(k claims.Key) (key results.Key, known bool) {
-	op, known := r.plate.Operations.Lookup(k.Operation)
-	tenant, named := r.plate.Tenants.Lookup(k.Tenant)
+	op, known := r.config.Operations.Lookup(k.Operation)
+	tenant, named := r.config.Tenants.Lookup(k.Tenant)
 	if !named {
 		tenant = -1
 	}
@@ -143,7 +143,7 @@
 	}
 	v := &r.invs[i]
 	text, err := cbor.Marshal(work{Call: v.call, Body: v.body, HeldKB: v.arrival.HeldKB, Hint: v.arrival.Hint, Caller: v.arrival.Caller})
-	if !r.Guard.Hold(err == nil, "what an heir needs can be written") {
+	if !r.Invariants.Check(err == nil, "what an heir needs can be written") {
 		return
 	}
 	r.want(claims.Input{Want: claims.Arrived, Key: r.claimKey(v.key), Body: v.hash, For: v.due - r.now, Call: v.call, Work: text,
@@ -162,7 +162,7 @@
 		return
 	}
 	m := new(council.Message)
-	if err := letter.Open(in.Bytes, r.peers.fleet, m); err != nil {
+	if err := envelope.Open(in.Bytes, r.peers.fleet, m); err != nil {
 		r.unusable(in, err)
 		r.do(Effect{Kind: PeerHangUp, Link: in.Link}) // where its letters begin is not known any more
 		return
@@ -370,7 +370,7 @@
 	if _, known := r.kept.keeper.Body(key); known {
 		return nil
 	}
-	v := invocation{live: true, conn: heir, call: w.Call, op: r.plate.Operations.Name(key.Operation), body: w.Body, key: key, hash: a.Body,
+	v := invocation{live: true, conn: heir, call: w.Call, op: r.config.Operations.Name(key.Operation), body: w.Body, key: key, hash: a.Body,
 		operation: key.Operation, tenant: key.Tenant, taken: r.now, due: r.now + a.For}
 	v.arrival = node.Event{Kind: node.Arrived, Operation: key.Operation, Tenant: key.Tenant, Repeats: node.NoRepeat, Further: true,
 		Due: r.now + a.For, HeldKB: w.HeldKB, Hint: w.Hint, Caller: w.Caller}
@@ -433,7 +433,7 @@
 // turnAway throttles a token's first invocation while the council is out of reach.
 func (r *Reducer) turnAway(link int, stream uint32) {
 	var fields []frame.Field
-	if back := min(contactFor, r.plate.Nameplate.ComeBackMax); back > 0 {
+	if back := min(contactFor, r.config.Node.ComeBackMax); back > 0 {
 		fields = append(fields, frame.Field{Name: "pushback", Value: fmt.Sprint((back + ms - 1) / ms)})
 	}
 	r.Counters.Throttled++
--- a/reducer/claims_test.go
+++ b/reducer/claims_test.go
@@ -9,19 +9,19 @@
 
 	"topazpost/claims"
 	"topazpost/council"
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/results"
 )
 
 // sitting is a node that serves, whose claims are agreed on by a council in which n0 sits alone, and this node does not.
 func sitting(t *testing.T) *Reducer {
-	p, err := plate.FromJSON(1, []byte(tokened))
+	p, err := nodeconfig.FromJSON(1, []byte(tokened))
 	require.NoError(t, err)
 	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
-	charter := membership.Charter{Name: "n1", Address: "127.0.0.1:1", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 1 << 50, MembersMost: 8}
-	r.Peer("tests", membership.New(charter, 0, 1_000_000*ms, 0, 1))
+	config := membership.Config{Name: "n1", Address: "127.0.0.1:1", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms, Forget: 1 << 50, MembersMost: 8}
+	r.Peer("tests", membership.New(config, 0, 1_000_000*ms, 0, 1))
 	r.Keep(results.Rules{Durability: results.OnDisk, BytesMost: 1 << 20, ResultMost: 1 << 10, Window: 60_000 * ms}, "dedupe", false)
 	r.Convene([]string{"n0"}, 0, 0, 1)
 	step(r, Input{Kind: Opened, Link: 7})
@@ -37,7 +37,7 @@
 // heardFrom is a message of the council's seat.
 func heardFrom(t *testing.T, r *Reducer, m *council.Message) []Effect {
 	m.From, m.Owner = "n0", r.claimed.self
-	text, err := letter.Seal(nil, r.peers.fleet, m)
+	text, err := envelope.Seal(nil, r.peers.fleet, m)
 	require.NoError(t, err)
 	return step(r, Input{Kind: PeerTold, Link: 3, Bytes: text})
 }
@@ -47,7 +47,7 @@
 	for _, e := range effects {
 		if e.Kind == PeerStream {
 			m := new(council.Message)
-			require.NoError(t, letter.Open(e.Bytes, r.peers.fleet, m))
+			require.NoError(t, envelope.Open(e.Bytes, r.peers.fleet, m))
 			list = append(list, m.Commands...)
 		}
 	}
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -6,8 +6,8 @@
 	"slices"
 
 	"topazpost/configuration"
-	"topazpost/letter"
-	"topazpost/plate"
+	"topazpost/envelope"
+	"topazpost/nodeconfig"
 )
 
 const (
@@ -39,13 +39,13 @@
 }
 
 // OpenConfiguration reads the answer to a question.
-func OpenConfiguration(text []byte, fleet letter.Fleet) (*configuration.Answer, error) {
+func OpenConfiguration(text []byte, fleet envelope.Fleet) (*configuration.Answer, error) {
 	var body configurationBody
-	if err := letter.Open(text, fleet, &body); err != nil {
+	if err := envelope.Open(text, fleet, &body); err != nil {
 		return nil, err
 	}
 	if body.Configuration == nil || body.Configuration.Answer == nil {
-		return nil, letter.ErrBody
+		return nil, envelope.ErrBody
 	}
 	return body.Configuration.Answer, nil
 }
@@ -88,7 +88,7 @@
 	began    int64
 	old, new *configuration.Content
 	diff     *configuration.Difference
-	checking *plate.Checking // nil in the second pass
+	checking *nodeconfig.Checking // nil in the second pass
 	version  version
 }
 
@@ -115,7 +115,7 @@
 	v := version{number: start.Mark.Version}
 	if !r.hollow.on {
 		for _, take := range []bool{false, true} {
-			checking := r.plate.Checking()
+			checking := r.config.Checking()
 			for diff := configuration.Diff(file, start.Content); ; {
 				changes, err := r.changesOf(diff.Next(amendedAStep))
 				if err != nil {
@@ -162,18 +162,18 @@
 }
 
 // changesOf reads items, and says which this node can't take.
-func (r *Reducer) changesOf(items []configuration.Item) ([]plate.Change, error) {
-	a, err := plate.Parse(plateItems(items))
+func (r *Reducer) changesOf(items []configuration.Item) ([]nodeconfig.Change, error) {
+	a, err := nodeconfig.Parse(plateItems(items))
 	if err != nil {
 		return nil, err
 	}
 	return a.Changes, r.misfits(a.Changes)
 }
 
-func plateItems(items []configuration.Item) []plate.Item {
-	list := make([]plate.Item, len(items))
+func plateItems(items []configuration.Item) []nodeconfig.Item {
+	list := make([]nodeconfig.Item, len(items))
 	for i := range items {
-		list[i] = plate.Item(items[i])
+		list[i] = nodeconfig.Item(items[i])
 	}
 	return list
 }
@@ -181,7 +181,7 @@
 // unsound says why a change must not be ordered, as a check of a file would; empty where it may. What only some nodes can't
 // take they refuse themselves, at the first stage.
 func (r *Reducer) unsound(command *configuration.Command) string {
-	if _, err := plate.Parse(plateItems(command.Changes)); err != nil {
+	if _, err := nodeconfig.Parse(plateItems(command.Changes)); err != nil {
 		return err.Error()
 	}
 	agreed := r.configuring.agreed
@@ -221,7 +221,7 @@
 	case in.Kind == PeerCame && m != nil && m.Kind >= configuration.Tell && m.Kind <= configuration.Vouch:
 		c.inputs = append(c.inputs, configuration.Input{Kind: configuration.Came, From: l.From, Message: m})
 	default:
-		r.unusable(in, fmt.Errorf("%w: a letter of the configuration that does not belong there", letter.ErrSpoilt))
+		r.unusable(in, fmt.Errorf("%w: a letter of the configuration that does not belong there", envelope.ErrSpoilt))
 	}
 }
 
@@ -234,7 +234,7 @@
 	next := configuration.Input{Kind: configuration.Missed, Link: in.Link - configurationLinks}
 	if in.Kind == PeerAnswered {
 		var body configurationBody
-		if err := letter.Open(in.Bytes, r.peers.fleet, &body); err != nil {
+		if err := envelope.Open(in.Bytes, r.peers.fleet, &body); err != nil {
 			r.remark(Warn, "answer of a peer on the configuration can't be understood", in.From, err)
 		} else if l := body.Configuration; l != nil && l.Message != nil && l.Message.Kind == configuration.Piece {
 			next.Kind, next.From, next.Message = configuration.Answered, l.From, l.Message
@@ -268,7 +268,7 @@
 				t.checking, t.diff = nil, configuration.Diff(t.old, t.new)
 				continue
 			}
-		case t.checking == nil && r.Guard.Hold(err == nil, "a version that was checked can be taken") && len(items) > 0:
+		case t.checking == nil && r.Invariants.Check(err == nil, "a version that was checked can be taken") && len(items) > 0:
 			for i := range changes {
 				r.change(&t.version, changes[i])
 			}
@@ -355,7 +355,7 @@
 		r.sealConfiguration(Effect{Kind: PeerReply, Link: e.Link}, &configurationLetter{Message: e.Message})
 	case configuration.Take:
 		t := &taking{mark: e.Mark, first: e.First, began: r.now, old: e.Old, new: e.New, diff: configuration.Diff(e.Old, e.New),
-			checking: r.plate.Checking(), version: version{number: e.Mark.Version}}
+			checking: r.config.Checking(), version: version{number: e.Mark.Version}}
 		if r.hollow.on { // it has no module that could not take it
 			r.taken(t, nil)
 			return
@@ -383,13 +383,13 @@
 		return
 	}
 	l := &configurationLetter{From: r.peers.members.Self().Name, Message: m}
-	text, err := letter.Seal(nil, r.peers.fleet, configurationBody{l})
-	if err == nil && len(text) > letter.DatagramMost && len(m.Records) > 0 {
+	text, err := envelope.Seal(nil, r.peers.fleet, configurationBody{l})
+	if err == nil && len(text) > envelope.DatagramMost && len(m.Records) > 0 {
 		short := *m
 		short.Records, l.Message = nil, &short
-		text, err = letter.Seal(nil, r.peers.fleet, configurationBody{l})
+		text, err = envelope.Seal(nil, r.peers.fleet, configurationBody{l})
 	}
-	if r.Guard.Hold(err == nil && len(text) <= letter.DatagramMost, "a word on the configuration can be written, and fits any path") {
+	if r.Invariants.Check(err == nil && len(text) <= envelope.DatagramMost, "a word on the configuration can be written, and fits any path") {
 		r.do(Effect{Kind: PeerSend, Address: address, Bytes: text})
 	}
 }
--- a/reducer/configuration_test.go
+++ b/reducer/configuration_test.go
@@ -8,14 +8,14 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/configuration"
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
-// contentOf is what a plate holds of what may change in service.
-func contentOf(t *testing.T, p *plate.Plate) *configuration.Content {
-	found, _ := plate.Diff(nil, p)
+// contentOf is what a config holds of what may change in service.
+func contentOf(t *testing.T, p *nodeconfig.Config) *configuration.Content {
+	found, _ := nodeconfig.Diff(nil, p)
 	var items []configuration.Item
 	for i := range found {
 		items = append(items, configuration.Item(found[i]))
@@ -28,10 +28,10 @@
 // configuredNode is a node that serves, with the only seat of its council and its configuration in service; start changes what it
 // begins with.
 func configuredNode(t *testing.T, to Addresses, start func(file *configuration.Content) configuration.Start) (*Reducer, error) {
-	p, err := plate.FromJSON(1, []byte(settings))
+	p, err := nodeconfig.FromJSON(1, []byte(settings))
 	require.NoError(t, err)
 	r := New(p, to, 5_000*ms, 4, 3)
-	r.Peer("mobilier", membership.New(charter, 0, 1, 0, 1))
+	r.Peer("mobilier", membership.New(config, 0, 1, 0, 1))
 	r.Convene([]string{"n1"}, 1<<20, 0, 1)
 	file := contentOf(t, p)
 	err = r.Configure(0, 1, start(file), file)
@@ -55,7 +55,7 @@
 
 // questioned is a node's answer to a question, with all effects up to it.
 func questioned(t *testing.T, r *Reducer, q *configuration.Question) (a *configuration.Answer, all []Effect) {
-	text, err := letter.Seal(nil, letter.FleetOf("mobilier"), AskConfiguration(q))
+	text, err := envelope.Seal(nil, envelope.FleetOf("mobilier"), AskConfiguration(q))
 	require.NoError(t, err)
 	in := []Input{{Kind: PeerAsked, Link: 3, From: "10.0.0.9:9", Bytes: text}}
 	for range 3_000 {
@@ -65,7 +65,7 @@
 		all = append(all, effects...)
 		for _, e := range effects {
 			if e.Kind == PeerReply && e.Link == 3 {
-				a, err = OpenConfiguration(e.Bytes, letter.FleetOf("mobilier"))
+				a, err = OpenConfiguration(e.Bytes, envelope.FleetOf("mobilier"))
 				require.NoError(t, err)
 				return a, all
 			}
@@ -76,7 +76,7 @@
 }
 
 // put has changes ordered on a version, and steps on until that version or a refusal of it shows.
-func put(t *testing.T, r *Reducer, from string, base uint64, items ...plate.Item) (v *configuration.Verdict, all []Effect) {
+func put(t *testing.T, r *Reducer, from string, base uint64, items ...nodeconfig.Item) (v *configuration.Verdict, all []Effect) {
 	c := &configuration.Command{Kind: configuration.Put, From: from, Seq: 1, Base: base}
 	for _, i := range items {
 		if len(i.Value) > 0 {
@@ -109,9 +109,9 @@
 }
 
 // allOf is the file's content as items.
-func allOf(r *Reducer) (items []plate.Item) {
+func allOf(r *Reducer) (items []nodeconfig.Item) {
 	for i := range r.configuring.holder.Content().All {
-		items = append(items, plate.Item(i))
+		items = append(items, nodeconfig.Item(i))
 	}
 	return items
 }
@@ -127,7 +127,7 @@
 
 	settle(t, r)
 	assert.Equal(t, 1, runsOf(step(r, coming(r, 1, "op", "hold"))))
-	v, effects := put(t, r, "b", 1, removed(plate.Operations, "hold"), operation("new", ""))
+	v, effects := put(t, r, "b", 1, removed(nodeconfig.Operations, "hold"), operation("new", ""))
 	require.True(t, v.Done, v.Refused)
 	in := kindsOf(effects, InForce)
 	require.Len(t, in, 1)
@@ -142,7 +142,7 @@
 
 	v, _ = put(t, r, "c", 1, tenant("x", 3))
 	assert.True(t, v.Stale)
-	assert.ElementsMatch(t, []configuration.Item{{Part: plate.Operations, Name: "hold"}, {Part: plate.Operations, Name: "new"}}, v.Differ)
+	assert.ElementsMatch(t, []configuration.Item{{Part: nodeconfig.Operations, Name: "hold"}, {Part: nodeconfig.Operations, Name: "new"}}, v.Differ)
 	again, _ := put(t, r, "b", 7, operation("other", ""))
 	assert.Equal(t, uint64(2), again.Version, "the same request has the same verdict")
 }
@@ -152,12 +152,12 @@
 	require.NoError(t, err)
 	servingNode(t, r)
 	for _, c := range []struct {
-		item plate.Item
+		item nodeconfig.Item
 		want string
 	}{
 		{operation("new", `,"effect":"whenever"`), "operations.new"},
-		{plate.Item{Part: plate.Limits, Name: "family_info.n_cores", Value: []byte("4")}, "takes a new start"},
-		{plate.Item{Part: "levels", Name: "x", Value: []byte("4")}, "no such part"},
+		{nodeconfig.Item{Part: nodeconfig.Limits, Name: "family_info.n_cores", Value: []byte("4")}, "takes a new start"},
+		{nodeconfig.Item{Part: "levels", Name: "x", Value: []byte("4")}, "no such part"},
 		{tenant("x", 3), "no operation would be left"},
 	} {
 		v, _ := put(t, r, c.item.Part+c.item.Name, 0, c.item)
@@ -173,11 +173,11 @@
 	v, _ := put(t, r, "a", 0, allOf(r)...)
 	require.True(t, v.Done, v.Refused)
 	settle(t, r)
-	before := r.plate.Own()
+	before := r.config.Own()
 	v, effects := put(t, r, "b", 1, operation("new", `,"class_calls":true`), tenant("x", 3))
 	require.True(t, v.Done, "by itself it is sound: %s", v.Refused)
 	assert.Empty(t, kindsOf(effects, InForce))
-	assert.Equal(t, before, r.plate.Own())
+	assert.Equal(t, before, r.config.Own())
 	s := r.Configuration()
 	assert.Equal(t, []uint64{1, 2}, []uint64{s.Version, s.Refused})
 	assert.Contains(t, s.Why, "operations.new: class_calls: it makes calls, and this node's own file names no catalogue")
@@ -204,20 +204,20 @@
 	r.carryConfiguration(&configuration.Effect{Kind: configuration.Take, Mark: mark, Old: content, New: next})
 	steps := 0
 	for ; r.configuring.taking != nil; steps++ {
-		was := r.plate.Tenants.Slots()
+		was := r.config.Tenants.Slots()
 		effects := r.Step(r.now+ms, r.now+ms+1_000_000*ms, nil)
-		assert.LessOrEqual(t, r.plate.Tenants.Slots()-was, amendedAStep)
+		assert.LessOrEqual(t, r.config.Tenants.Slots()-was, amendedAStep)
 		if r.configuring.taking != nil {
 			assert.Equal(t, r.now+1, effects[len(effects)-1].At, "it goes on at once")
 		}
 	}
 	assert.GreaterOrEqual(t, steps, 20, "looked at and taken a part at a time")
-	assert.Equal(t, 10*amendedAStep, r.plate.Tenants.Len())
+	assert.Equal(t, 10*amendedAStep, r.config.Tenants.Len())
 	assert.Equal(t, uint64(9), r.Version())
 }
 
 func TestStartIsFromTheDiskWhereItCanBeTaken(t *testing.T) {
-	kept := func(items ...plate.Item) func(file *configuration.Content) configuration.Start {
+	kept := func(items ...nodeconfig.Item) func(file *configuration.Content) configuration.Start {
 		return func(file *configuration.Content) configuration.Start {
 			var list []configuration.Item
 			for _, i := range items {
@@ -228,7 +228,7 @@
 			return configuration.Start{Mark: configuration.Mark{Version: 8, Digest: content.Digest()}, Content: content, Source: "disk"}
 		}
 	}
-	r, err := configuredNode(t, Addresses{"executor:1", "catalogue:1", "control:1"}, kept(operation("new", ""), removed(plate.Operations, "hold")))
+	r, err := configuredNode(t, Addresses{"executor:1", "catalogue:1", "control:1"}, kept(operation("new", ""), removed(nodeconfig.Operations, "hold")))
 	require.NoError(t, err)
 	in := kindsOf(servingNode(t, r), InForce)
 	require.Len(t, in, 1)
@@ -239,16 +239,16 @@
 	r, err = configuredNode(t, Addresses{"executor:1", "", "control:1"}, kept(operation("new", `,"class_calls":true`)))
 	assert.ErrorContains(t, err, "names no catalogue")
 	assert.Nil(t, r.Configuration())
-	_, known := r.plate.Operations.Find("new")
+	_, known := r.config.Operations.Find("new")
 	assert.False(t, known, "nothing is changed")
 }
 
 func TestLettersOfTheConfigurationAreToldFromMembership(t *testing.T) {
-	fleet := letter.FleetOf("mobilier")
-	text, err := letter.Seal(nil, fleet, AskConfiguration(&configuration.Question{Kind: configuration.ShowStanding}))
+	fleet := envelope.FleetOf("mobilier")
+	text, err := envelope.Seal(nil, fleet, AskConfiguration(&configuration.Question{Kind: configuration.ShowStanding}))
 	require.NoError(t, err)
 	var older membership.Message
-	require.NoError(t, letter.Open(text, fleet, &older))
+	require.NoError(t, envelope.Open(text, fleet, &older))
 	assert.Equal(t, membership.Message{}, older, "a build without the door finds a message of no kind, which it refuses")
 	r := peered(t)
 	effects := r.Step(ms, 1, []Input{{Kind: PeerAsked, Link: 4, Bytes: text}})
@@ -258,6 +258,6 @@
 	msg := membership.Message{Kind: membership.Push, From: 9, Seq: 5, Records: []membership.Record{other(3, true)}, Heads: []membership.Head{{ID: 1, Inc: 2}},
 		Wanted: []membership.ID{4}, Why: "x", Digest: 8, Neighbour: true}
 	var body peerLetter
-	require.NoError(t, letter.Open(sealed(t, "mobilier", msg), fleet, &body))
+	require.NoError(t, envelope.Open(sealed(t, "mobilier", msg), fleet, &body))
 	assert.Equal(t, peerLetter{Message: msg}, body)
 }
--- a/reducer/dispatchers.go
+++ b/reducer/dispatchers.go
@@ -200,7 +200,7 @@
 
 func (r *Reducer) gone(i int32) {
 	v := &r.invs[i]
-	if r.Guard.Hold(v.live && !v.answered, "an open stream is owed an answer") {
+	if r.Invariants.Check(v.live && !v.answered, "an open stream is owed an answer") {
 		r.Counters.Gone++
 		v.answered = true
 		r.open--
@@ -267,7 +267,7 @@
 	e.Inv = r.admit(v)
 	if v.key.Token != "" {
 		r.invs[e.Inv].arrival, r.invs[e.Inv].taken = e, r.now
-		r.invs[e.Inv].due = cmp.Or(e.Due, r.now-e.Age+r.plate.Nameplate.Operations[e.Operation].ClientTimeout)
+		r.invs[e.Inv].due = cmp.Or(e.Due, r.now-e.Age+r.config.Node.Operations[e.Operation].ClientTimeout)
 		r.hold(e.Inv, e.Repeats)
 	}
 	c.open[f.Stream] = e.Inv
@@ -289,7 +289,7 @@
 		ok, n := true, 0.0
 		switch field.Name {
 		case "op":
-			e.Operation, ok = r.plate.Operations.Lookup(field.Value)
+			e.Operation, ok = r.config.Operations.Lookup(field.Value)
 			v.op, op = field.Value, true
 		case "call":
 			v.call, call, ok = field.Value, true, hex16(field.Value)
@@ -302,8 +302,8 @@
 			e.Caller, ok = whole(field.Value)
 			src, ok = true, ok && e.Caller <= callerMost
 		case "org":
-			if r.plate.Tenants.Len() > 0 {
-				e.Tenant, ok = r.plate.Tenants.Lookup(field.Value)
+			if r.config.Tenants.Len() > 0 {
+				e.Tenant, ok = r.config.Tenants.Lookup(field.Value)
 			}
 		case "ttl":
 			left, ok = whole(field.Value)
@@ -331,10 +331,10 @@
 	if !(op && call && recv && src && heap) {
 		return fmt.Errorf("op, call, recv, src or heap: %w", errField)
 	}
-	if e.Tenant < 0 && r.plate.Tenants.Len() > 0 {
+	if e.Tenant < 0 && r.config.Tenants.Len() > 0 {
 		return fmt.Errorf("field org: %w: the settings name tenants", errField)
 	}
-	if r.kept.keeper != nil && v.key.Token == "" && r.plate.Nameplate.Operations[e.Operation].Effect == node.Tokened {
+	if r.kept.keeper != nil && v.key.Token == "" && r.config.Node.Operations[e.Operation].Effect == node.Tokened {
 		return fmt.Errorf("field %s: %w: repeats of %s are known by it", r.kept.token, errField, v.op)
 	}
 	if left >= 0 {
@@ -386,7 +386,7 @@
 	} else {
 		c.usable, c.used = true, r.now
 	}
-	if deep && r.good && !r.stored && r.plate.Nameplate.FullChecks && r.link != 0 && len(r.diags) < streamsOpen {
+	if deep && r.good && !r.stored && r.config.Node.FullChecks && r.link != 0 && len(r.diags) < streamsOpen {
 		r.diagged++
 		tag := "d" + strconv.Itoa(r.diagged)
 		r.diags[tag] = check{link, f.Stream, r.now + diagWait}
@@ -474,7 +474,7 @@
 		r.quitCall(i)
 		return
 	}
-	if !r.Guard.Hold(v.live && !v.answered, "one answer an invocation") {
+	if !r.Invariants.Check(v.live && !v.answered, "one answer an invocation") {
 		return
 	}
 	v.answered = true
--- a/reducer/executor.go
+++ b/reducer/executor.go
@@ -34,7 +34,7 @@
 func (r *Reducer) order(i int32, bytes []byte) {
 	r.seq++
 	r.unread = append(r.unread, command{r.seq, i, r.invs[i].call, bytes})
-	r.Guard.Hold(len(r.unread) <= commandMost, "commands not known to be read are bounded")
+	r.Invariants.Check(len(r.unread) <= commandMost, "commands not known to be read are bounded")
 	if r.synced {
 		r.do(Effect{Kind: Tell, Link: r.link, Bytes: bytes})
 	}
@@ -73,7 +73,7 @@
 
 func (r *Reducer) run(i int32, form node.Form) {
 	v := &r.invs[i]
-	if r.Guard.Hold(v.live && !v.answered, "no run after an answer") {
+	if r.Invariants.Check(v.live && !v.answered, "no run after an answer") {
 		if v.key.Token != "" && !v.asked {
 			v.runForm = form
 			r.runToken(i)
@@ -122,7 +122,7 @@
 	case word == "WELCOME" && len(words) == 3 && (words[1] == "new" || words[1] == "old"):
 		r.welcome(words)
 		return nil
-	case word == "METERS" && len(words) == 2+len(r.plate.Gauges):
+	case word == "METERS" && len(words) == 2+len(r.config.Gauges):
 		return r.meters(words)
 	case word == "DIAGNOSED" && len(words) == 3:
 		r.diagnosed(words[1], words[2] == "good")
@@ -162,8 +162,8 @@
 	if err != nil || age < 0 {
 		age = 0
 	}
-	r.plate.Nameplate.Fresh, r.plate.Nameplate.Began = words[1] == "new", r.began
-	r.post = r.Decisions(&r.plate.Nameplate, r.now-int64(age*float64(ms)))
+	r.config.Node.Fresh, r.config.Node.Began = words[1] == "new", r.began
+	r.post = r.Decisions(&r.config.Node, r.now-int64(age*float64(ms)))
 	r.good, r.beatAt = true, r.now
 	if r.levels.plan != nil {
 		r.events = append(r.events, r.levels.event())
@@ -173,7 +173,7 @@
 
 func (r *Reducer) meters(words []string) error {
 	tag := words[1]
-	for k, name := range r.plate.Gauges {
+	for k, name := range r.config.Gauges {
 		v, err := strconv.ParseFloat(words[2+k], 64)
 		if err != nil {
 			return fmt.Errorf("gauge %s: %w", name, err)
--- a/reducer/executor_test.go
+++ b/reducer/executor_test.go
@@ -7,19 +7,19 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
 // A process that begins on cores that live on has to count what the life before it may still hold: its module is told
 // how old the cores are, and when this process began.
 func TestModuleHearsWhenItsProcessBegan(t *testing.T) {
-	p, err := plate.FromJSON(1, []byte(customers))
+	p, err := nodeconfig.FromJSON(1, []byte(customers))
 	require.NoError(t, err)
 	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
-	var heard *node.Nameplate
+	var heard *node.Config
 	var cores int64
 	decisions := r.Decisions
-	r.Decisions = func(n *node.Nameplate, born int64) Decider {
+	r.Decisions = func(n *node.Config, born int64) Decider {
 		heard, cores = n, born
 		return decisions(n, born)
 	}
--- a/reducer/fields_test.go
+++ b/reducer/fields_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/results"
 )
 
@@ -36,11 +36,11 @@
 
 // serving is a node at a site with tenants; arrived are the invocations that its module is told of.
 func serving(t *testing.T) (r *Reducer, arrived *[]node.Event) {
-	p, err := plate.FromJSON(1, []byte(customers))
+	p, err := nodeconfig.FromJSON(1, []byte(customers))
 	require.NoError(t, err)
 	r, arrived = New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3), new([]node.Event)
 	make := r.Decisions
-	r.Decisions = func(plate *node.Nameplate, born int64) Decider { return spy{make(plate, born), arrived} }
+	r.Decisions = func(config *node.Config, born int64) Decider { return spy{make(config, born), arrived} }
 	r.Keep(results.Rules{BytesMost: 1 << 20, ResultMost: 1_000, Window: 20_000 * ms}, "dedupe", false)
 	step(r, Input{Kind: Opened, Link: 7})
 	step(r, Input{Kind: Joined, Link: r.dialing})
@@ -94,23 +94,23 @@
 	}
 	assert.Equal(t, 8, r.Counters.Succeeded)
 	assert.Len(t, *arrived, 8)
-	assert.Equal(t, node.NoHalt, r.plate.Nameplate.Halting)
-	assert.Zero(t, r.plate.Nameplate.Operations[0].SkipShare)
+	assert.Equal(t, node.NoHalt, r.config.Node.Halting)
+	assert.Zero(t, r.config.Node.Operations[0].SkipShare)
 }
 
 // Two nodes of one process that were given the same settings share nothing through them.
 func TestNodesOfOneProcessShareNothing(t *testing.T) {
-	p, err := plate.FromJSON(1, []byte(customers))
+	p, err := nodeconfig.FromJSON(1, []byte(customers))
 	require.NoError(t, err)
-	before := p.Nameplate
+	before := p.Node
 	first := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
 	second := New(p, Addresses{"executor:2", "catalogue:2", "control:2"}, 5_000*ms, 4, 3)
 	first.Keep(results.Rules{BytesMost: 1 << 20, ResultMost: 1_000, Window: 20_000 * ms}, "dedupe", false)
 	step(first)
 	step(first, Input{Kind: Joined, Link: first.dialing})
 	told(first, "WELCOME new 0")
-	assert.True(t, first.plate.Nameplate.Fresh)
-	assert.False(t, second.plate.Nameplate.Fresh, "it has heard of no executor")
-	assert.Zero(t, second.plate.Nameplate.RecordsMost)
-	assert.Equal(t, before, p.Nameplate)
+	assert.True(t, first.config.Node.Fresh)
+	assert.False(t, second.config.Node.Fresh, "it has heard of no executor")
+	assert.Zero(t, second.config.Node.RecordsMost)
+	assert.Equal(t, before, p.Node)
 }
--- a/reducer/helpers_test.go
+++ b/reducer/helpers_test.go
@@ -8,7 +8,7 @@
 
 	"topazpost/frame"
 	"topazpost/lines"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
 const settings = `{"grades":[{"name":"catalogue","aim":1000,"give_up":3000,"importance":1,"effect":"at_most_once"},
@@ -19,7 +19,7 @@
 
 // fresh is a node that has not heard of its executor, with connection 7 open.
 func fresh(t *testing.T) *Reducer {
-	p, err := plate.FromJSON(1, []byte(settings))
+	p, err := nodeconfig.FromJSON(1, []byte(settings))
 	require.NoError(t, err)
 	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
 	step(r, Input{Kind: Opened, Link: 7})
--- a/reducer/hollow.go
+++ b/reducer/hollow.go
@@ -54,7 +54,7 @@
 // fromLoad takes what a hollow node is asked to do.
 func (r *Reducer) fromLoad(in *Input) {
 	h := &r.hollow
-	if !r.Guard.Hold(h.on, "only a hollow node has its load from inputs") {
+	if !r.Invariants.Check(h.on, "only a hollow node has its load from inputs") {
 		return
 	}
 	if in.Kind == CallsWanted {
@@ -85,9 +85,9 @@
 
 // hollowOperation is the first that is deduplicated.
 func (r *Reducer) hollowOperation() string {
-	for i := range r.plate.Nameplate.Operations {
-		if r.plate.Nameplate.Operations[i].Effect == node.Tokened {
-			return r.plate.Operations.Name(int32(i))
+	for i := range r.config.Node.Operations {
+		if r.config.Node.Operations[i].Effect == node.Tokened {
+			return r.config.Operations.Name(int32(i))
 		}
 	}
 	return "hollow"
--- a/reducer/hollow_test.go
+++ b/reducer/hollow_test.go
@@ -7,20 +7,20 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"topazpost/invariant"
 	"topazpost/membership"
-	"topazpost/must"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/quota"
 )
 
 // hollowNode sits alone in its council.
 func hollowNode(t *testing.T) (*Reducer, *HollowCounters) {
-	p, err := plate.FromJSON(1, []byte(tokened))
+	p, err := nodeconfig.FromJSON(1, []byte(tokened))
 	require.NoError(t, err)
 	r, c := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3), new(HollowCounters)
 	r.Hollow(c, false)
-	r.Peer("tests", membership.New(charter, 0, 1_000_000*ms, 0, 1))
-	r.Convene([]string{charter.Name}, 4<<20, 0, 1)
+	r.Peer("tests", membership.New(config, 0, 1_000_000*ms, 0, 1))
+	r.Convene([]string{config.Name}, 4<<20, 0, 1)
 	r.Lease(quota.Terms{Name: "calls", Units: 5, Hold: 500 * ms, Term: 3_000 * ms}, 1)
 	return r, c
 }
@@ -38,7 +38,7 @@
 		inputs = nil
 	}
 	assert.Less(t, steps, int(until/ms), "it sleeps")
-	require.Empty(t, r.Guard.All())
+	require.Empty(t, r.Invariants.All())
 	return came
 }
 
@@ -77,10 +77,10 @@
 func TestLoadOfAHollowNodeIsNotForAWholeOne(t *testing.T) {
 	r := fresh(t)
 	load := func() { step(r, Input{Kind: TokenWanted, Bytes: []byte("t")}) }
-	if must.Debug {
+	if invariant.Debug {
 		assert.Panics(t, load)
 		return
 	}
 	load()
-	assert.NotEmpty(t, r.Guard.All())
+	assert.NotEmpty(t, r.Invariants.All())
 }
--- a/reducer/kept.go
+++ b/reducer/kept.go
@@ -39,7 +39,7 @@
 // Keep has the node keep results of tokened invocations, whose token comes in a field. With unread, tokened work is
 // turned away until KeptRead tells that the store was read.
 func (r *Reducer) Keep(rules results.Rules, field string, unread bool) {
-	r.plate.Nameplate.RecordsMost = rules.TokensMost()
+	r.config.Node.RecordsMost = rules.TokensMost()
 	r.amended.numbers = unread
 	r.kept = kept{keeper: results.New(rules), token: field, held: make(map[results.Key]*unrun), unread: unread}
 }
@@ -61,7 +61,7 @@
 	if v.key.Token == "" {
 		return nil
 	}
-	if k.keeper == nil || r.plate.Nameplate.Operations[e.Operation].Effect != node.Tokened {
+	if k.keeper == nil || r.config.Node.Operations[e.Operation].Effect != node.Tokened {
 		v.key.Token = ""
 		return nil
 	}
@@ -91,7 +91,7 @@
 // reuse has a repeat wait for the run of its token, or gets it what was kept.
 func (r *Reducer) reuse(i int32) {
 	v := &r.invs[i]
-	if !r.Guard.Hold(v.live && !v.answered && v.key.Token != "", "only a repeat of a token is reused") {
+	if !r.Invariants.Check(v.live && !v.answered && v.key.Token != "", "only a repeat of a token is reused") {
 		return
 	}
 	if h := r.kept.held[v.key]; h != nil {
@@ -120,7 +120,7 @@
 func (r *Reducer) runToken(i int32) {
 	v := &r.invs[i]
 	h := r.kept.held[v.key]
-	if r.Guard.Hold(h != nil && h.first == i, "a token's first invocation runs") {
+	if r.Invariants.Check(h != nil && h.first == i, "a token's first invocation runs") {
 		delete(r.kept.held, v.key)
 	} else {
 		h = &unrun{}
@@ -138,7 +138,7 @@
 	if c == nil { // its connection ends in this step, and it with it
 		return
 	}
-	if !r.Guard.Hold(v.live && !v.answered, "one that is taken in anew still waits") {
+	if !r.Invariants.Check(v.live && !v.answered, "one that is taken in anew still waits") {
 		return
 	}
 	r.invs[i].answered = true
@@ -301,7 +301,7 @@
 func (r *Reducer) answerKept(a *results.Action) {
 	i := a.Asker
 	v := &r.invs[i]
-	if !r.Guard.Hold(v.live && !v.answered, "the keeper answers only those that wait") {
+	if !r.Invariants.Check(v.live && !v.answered, "the keeper answers only those that wait") {
 		return
 	}
 	own := v.exited // a run of its own is over with its answer
@@ -317,7 +317,7 @@
 		r.succeed(i, a.Result, fields...)
 	case results.Deny:
 		outcome = node.Void
-		if back := min(a.For, r.plate.Nameplate.ComeBackMax); back > 0 {
+		if back := min(a.For, r.config.Node.ComeBackMax); back > 0 {
 			note("pushback", strconv.FormatInt((back+ms-1)/ms, 10))
 		}
 		r.answer(i, frame.Throttled, fields, nil)
--- a/reducer/kept_test.go
+++ b/reducer/kept_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/frame"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/results"
 )
 
@@ -21,7 +21,7 @@
 
 // keeping is a node that keeps results, in memory or with a store that the test plays.
 func keeping(t *testing.T, durability results.Durability) *Reducer {
-	p, err := plate.FromJSON(1, []byte(tokened))
+	p, err := nodeconfig.FromJSON(1, []byte(tokened))
 	require.NoError(t, err)
 	r := New(p, Addresses{"executor:1", "catalogue:1", "control:1"}, 5_000*ms, 4, 3)
 	r.Keep(results.Rules{Durability: durability, BytesMost: 100_000, ResultMost: 1_000, Window: 20_000 * ms}, "dedupe", false)
--- a/reducer/levels.go
+++ b/reducer/levels.go
@@ -7,7 +7,7 @@
 
 	"topazpost/levels"
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
 // Plan is a ladder of levels together with the names that this door needs of it.
@@ -42,8 +42,8 @@
 // ladder is the door's state of the levels; the zero value has no plan.
 type ladder struct {
 	plan     *Plan
-	source   *Plan        // as it was given
-	names    *plate.Names // of operations, by index in the source
+	source   *Plan             // as it was given
+	names    *nodeconfig.Names // of operations, by index in the source
 	steps    *levels.Ladder
 	chance   *rand.Rand
 	measures node.Measures
@@ -59,20 +59,20 @@
 	if plan != nil && l.plan != nil && plan.Text != "" && plan.Text == l.plan.Text {
 		return // what was learnt of it stays
 	}
-	source, names := plan, (*plate.Names)(nil)
+	source, names := plan, (*nodeconfig.Names)(nil)
 	if plan != nil {
-		if names = plate.NewNames(plan.Operations...); plan.Operations == nil {
-			names = plate.NewNames(r.plate.Operations.All()...)
+		if names = nodeconfig.NewNames(plan.Operations...); plan.Operations == nil {
+			names = nodeconfig.NewNames(r.config.Operations.All()...)
 		}
 		if faults := plan.Check(names.Slots()); len(faults) > 0 {
 			r.remark(Warn, "plan of levels can't be used, the one of before stays", "",
 				fmt.Errorf("%v: %s", faults[0].Path, faults[0].What))
 			return
 		}
-		plan = fitted(plan, names, r.plate.Operations)
+		plan = fitted(plan, names, r.config.Operations)
 	}
 	if l.chance == nil {
-		l.chance = rand.New(rand.NewSource(r.plate.Nameplate.Seed ^ 0x6c6576656c73))
+		l.chance = rand.New(rand.NewSource(r.config.Node.Seed ^ 0x6c6576656c73))
 	}
 	change := levels.Change{Cause: levels.Replaced}
 	from := ""
@@ -109,7 +109,7 @@
 
 // fitted is a plan by the indices of the node that takes it: those change in service, and need not be those of a file. What
 // it says of operations that the node doesn't have counts for nothing.
-func fitted(plan *Plan, names, to *plate.Names) *Plan {
+func fitted(plan *Plan, names, to *nodeconfig.Names) *Plan {
 	p := *plan
 	p.Rungs, p.Forms = slices.Clone(plan.Rungs), make([][]string, len(plan.Rungs))
 	for k := range p.Rungs {
@@ -124,7 +124,7 @@
 }
 
 // place gives an index what the source says of the operation of a name.
-func (p *Plan) place(index int32, name string, source *Plan, names *plate.Names) {
+func (p *Plan) place(index int32, name string, source *Plan, names *nodeconfig.Names) {
 	i, known := names.Lookup(name)
 	for k := range p.Rungs {
 		more := make([]node.Service, max(0, int(index)+1-len(p.Rungs[k].Service)))
@@ -217,9 +217,9 @@
 		return op, ""
 	}
 	level = l.plan.LevelName(l.steps.Level())
-	i, _ := r.plate.Operations.Lookup(op) // one that is out of service is known while it runs
+	i, _ := r.config.Operations.Lookup(op) // one that is out of service is known while it runs
 	class = l.plan.Forms[l.steps.Level()-1][i]
-	if !r.Guard.Hold(class != "", "a reduced run has a form that the executor knows") {
+	if !r.Invariants.Check(class != "", "a reduced run has a form that the executor knows") {
 		return op, ""
 	}
 	return class, level
--- a/reducer/levels_test.go
+++ b/reducer/levels_test.go
@@ -137,7 +137,7 @@
 	r.now += 10_000 * ms
 	step(r)
 	assert.NotZero(t, r.dialing)
-	assert.Zero(t, r.Guard.Broken("the next wake lies ahead"))
+	assert.Zero(t, r.Invariants.Broken("the next wake lies ahead"))
 }
 
 func TestStateIsSampledOnceASecond(t *testing.T) {
--- a/reducer/peers.go
+++ b/reducer/peers.go
@@ -4,7 +4,7 @@
 	"errors"
 	"fmt"
 
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
 )
 
@@ -16,7 +16,7 @@
 // peers is the door to the other nodes; without members it is shut: no timer, no cost.
 type peers struct {
 	members *membership.Members
-	fleet   letter.Fleet
+	fleet   envelope.Fleet
 	inputs  []membership.Input
 	wakeAt  int64
 	loose   int64 // since when there is no executor, -1 while there is
@@ -40,8 +40,8 @@
 
 // Peer makes the node one of a fleet, before its first step.
 func (r *Reducer) Peer(fleet string, members *membership.Members) {
-	r.peers = peers{members: members, fleet: letter.FleetOf(fleet), loose: -1}
-	r.Guard.Hold(r.now == 0, "a node joins its fleet before its first step")
+	r.peers = peers{members: members, fleet: envelope.FleetOf(fleet), loose: -1}
+	r.Invariants.Check(r.now == 0, "a node joins its fleet before its first step")
 }
 
 // Members is what the node knows of its fleet, nil outside one.
@@ -66,7 +66,7 @@
 		return
 	}
 	body := new(peerLetter)
-	if err := letter.Open(in.Bytes, p.fleet, body); err != nil {
+	if err := envelope.Open(in.Bytes, p.fleet, body); err != nil {
 		r.unusable(in, err)
 		return
 	}
@@ -76,7 +76,7 @@
 	}
 	msg := &body.Message
 	if datagram := msg.Kind <= membership.News; datagram != (in.Kind == PeerCame) || msg.Kind == 0 {
-		r.unusable(in, fmt.Errorf("%w: kind %d does not belong there", letter.ErrSpoilt, msg.Kind))
+		r.unusable(in, fmt.Errorf("%w: kind %d does not belong there", envelope.ErrSpoilt, msg.Kind))
 		return
 	}
 	if msg.Kind == membership.Look {
@@ -100,9 +100,9 @@
 func (r *Reducer) unusable(in *Input, err error) {
 	p := &r.peers
 	switch {
-	case errors.Is(err, letter.ErrFleet):
+	case errors.Is(err, envelope.ErrFleet):
 		p.letters.Fleet++
-	case errors.Is(err, letter.ErrVersion):
+	case errors.Is(err, envelope.ErrVersion):
 		p.letters.Version++
 	default:
 		p.letters.Spoilt++
@@ -189,10 +189,10 @@
 
 func (r *Reducer) seal(e Effect, body any) {
 	var err error
-	if e.Bytes, err = letter.Seal(nil, r.peers.fleet, body); !r.Guard.Hold(err == nil, "what peers are told can be written") {
+	if e.Bytes, err = envelope.Seal(nil, r.peers.fleet, body); !r.Invariants.Check(err == nil, "what peers are told can be written") {
 		return
 	}
-	if r.Guard.Hold(e.Kind != PeerSend || len(e.Bytes) <= letter.DatagramMost, "a datagram fits any path") {
+	if r.Invariants.Check(e.Kind != PeerSend || len(e.Bytes) <= envelope.DatagramMost, "a datagram fits any path") {
 		r.do(e)
 	}
 }
--- a/reducer/peers_test.go
+++ b/reducer/peers_test.go
@@ -8,25 +8,25 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/membership"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
-var charter = membership.Charter{Name: "n1", Address: "10.0.0.1:9", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms,
+var config = membership.Config{Name: "n1", Address: "10.0.0.1:9", Probe: 500 * ms, Silence: 3_500 * ms, Settle: 400 * ms,
 	Forget: 60_000 * ms, MembersMost: 100}
 
 // peered is a node of a fleet that has not stepped yet.
 func peered(t *testing.T) *Reducer {
-	p, err := plate.FromJSON(1, []byte(settings))
+	p, err := nodeconfig.FromJSON(1, []byte(settings))
 	require.NoError(t, err)
 	r := New(p, Addresses{}, 3_000*ms, 10, 10)
-	r.Peer("mobilier", membership.New(charter, 0, 1, 0, 1))
+	r.Peer("mobilier", membership.New(config, 0, 1, 0, 1))
 	return r
 }
 
 func sealed(t *testing.T, fleet string, msg membership.Message) []byte {
-	b, err := letter.Seal(nil, letter.FleetOf(fleet), &msg)
+	b, err := envelope.Seal(nil, envelope.FleetOf(fleet), &msg)
 	require.NoError(t, err)
 	return b
 }
@@ -53,7 +53,7 @@
 	for _, e := range kindsOf(effects, PeerSend) {
 		assert.Equal(t, "10.0.0.2:9", e.Address)
 		var msg membership.Message
-		require.NoError(t, letter.Open(e.Bytes, letter.FleetOf("mobilier"), &msg))
+		require.NoError(t, envelope.Open(e.Bytes, envelope.FleetOf("mobilier"), &msg))
 		kinds = append(kinds, msg.Kind)
 	}
 	assert.Subset(t, kinds, []membership.MessageKind{membership.Ack, membership.Ping})
@@ -86,7 +86,7 @@
 	replies := kindsOf(effects, PeerReply)
 	require.Len(t, replies, 1)
 	var v membership.View
-	require.NoError(t, letter.Open(replies[0].Bytes, letter.FleetOf("mobilier"), &v))
+	require.NoError(t, envelope.Open(replies[0].Bytes, envelope.FleetOf("mobilier"), &v))
 	assert.Equal(t, "n1", v.Members[0].Name)
 }
 
@@ -101,7 +101,7 @@
 	last := 0
 	for _, e := range kindsOf(effects, PeerSend) {
 		var msg membership.Message
-		require.NoError(t, letter.Open(e.Bytes, letter.FleetOf("mobilier"), &msg))
+		require.NoError(t, envelope.Open(e.Bytes, envelope.FleetOf("mobilier"), &msg))
 		for _, rec := range msg.Records {
 			if rec.Name == "n1" && rec.Left {
 				last++
@@ -112,9 +112,9 @@
 }
 
 func FuzzPeers(f *testing.F) {
-	b, _ := letter.Seal(nil, letter.FleetOf("mobilier"), &membership.Message{Kind: membership.Ping, From: 7, Records: []membership.Record{other(0, false)},
+	b, _ := envelope.Seal(nil, envelope.FleetOf("mobilier"), &membership.Message{Kind: membership.Ping, From: 7, Records: []membership.Record{other(0, false)},
 		Heads: []membership.Head{{ID: 1, Inc: 2}}, Wanted: []membership.ID{3}})
-	f.Add(b[letter.Head:], uint8(0))
+	f.Add(b[envelope.Head:], uint8(0))
 	f.Fuzz(func(t *testing.T, body []byte, kind uint8) {
 		r := peered(t)
 		text := append([]byte(nil), b[:5]...) // of the same version and fleet
--- a/reducer/quota_test.go
+++ b/reducer/quota_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"topazpost/council"
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/node"
 	"topazpost/quota"
 )
@@ -26,7 +26,7 @@
 func asksOf(t *testing.T, r *Reducer, effects []Effect) (list []quota.Command) {
 	for _, e := range kindsOf(effects, PeerStream) {
 		m := new(council.Message)
-		require.NoError(t, letter.Open(e.Bytes, r.peers.fleet, m))
+		require.NoError(t, envelope.Open(e.Bytes, r.peers.fleet, m))
 		list = append(list, m.Leases...)
 	}
 	return list
--- a/reducer/reducer.go
+++ b/reducer/reducer.go
@@ -8,9 +8,9 @@
 
 	"topazpost/control"
 	"topazpost/council"
-	"topazpost/must"
+	"topazpost/invariant"
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/results"
 )
 
@@ -143,12 +143,12 @@
 
 // Reducer is the state of one node.
 type Reducer struct {
-	Guard     must.Guard
-	Counters  Counters
-	Decisions func(plate *node.Nameplate, born int64) Decider // made once the executor is up
-	Spare     int                                             // connections that may be kept beside the most, while they end
+	Invariants invariant.Checker
+	Counters   Counters
+	Decisions  func(config *node.Config, born int64) Decider // made once the executor is up
+	Spare      int                                           // connections that may be kept beside the most, while they end
 
-	plate    *plate.Plate
+	config   *nodeconfig.Config
 	stop     int64 // ns from the notice to the kill
 	connMost int
 	linkMost int
@@ -214,12 +214,12 @@
 
 // New is the state of a node that has just started. Settings are those of its configuration, and the node's own from then
 // on, since it amends them; connections and links are the most that it is to keep of dispatchers and to the catalogue.
-func New(settings *plate.Plate, to Addresses, stop int64, connections, links int) *Reducer {
-	r := &Reducer{plate: onSockets(settings), to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
+func New(settings *nodeconfig.Config, to Addresses, stop int64, connections, links int) *Reducer {
+	r := &Reducer{config: onSockets(settings), to: to, stop: stop, connMost: connections, linkMost: links, calls: map[string]int32{},
 		conns: map[int]*connection{}, diags: map[string]check{}, beatAt: never, meterAt: never,
 		metered: math.MinInt64 / 2, wait: redialFirst,
-		Decisions: func(plate *node.Nameplate, born int64) Decider { return control.New(plate, born) }}
-	r.Guard.Tell = func(what string, times int) {
+		Decisions: func(config *node.Config, born int64) Decider { return control.New(config, born) }}
+	r.Invariants.Tell = func(what string, times int) {
 		r.do(Effect{Kind: Remark, Level: Warn, Text: fmt.Sprintf("did not hold, %d times so far: %s", times, what)})
 	}
 	return r
@@ -227,9 +227,9 @@
 
 // onSockets leaves out of the settings what the protocol on sockets has no word for: to stop a run, to go on without a
 // call, to share the answer of a read. Records of tokens lie in the node's own memory there, not in the executor's.
-func onSockets(settings *plate.Plate) *plate.Plate {
+func onSockets(settings *nodeconfig.Config) *nodeconfig.Config {
 	own := *settings
-	n := &own.Nameplate
+	n := &own.Node
 	n.EntryKB, n.Halting, n.ReuseFor, n.Operations = 0, node.NoHalt, 0, slices.Clone(n.Operations)
 	for i := range n.Operations {
 		n.Operations[i].SkipShare = 0
@@ -280,7 +280,7 @@
 	r.keepPeers()
 	r.keepLeaving()
 	wake := r.wake()
-	r.Guard.Hold(wake > now, "the next wake lies ahead")
+	r.Invariants.Check(wake > now, "the next wake lies ahead")
 	r.do(Effect{Kind: Wake, At: wake})
 	return r.effects
 }
@@ -436,7 +436,7 @@
 	case node.Release:
 		r.release(a.Inv)
 	default:
-		r.Guard.Hold(false, "an action that this site allows")
+		r.Invariants.Check(false, "an action that this site allows")
 	}
 }
 
@@ -538,10 +538,10 @@
 // release forgets an index; the module ends nothing unanswered, but should it, an error is the answer.
 func (r *Reducer) release(i int32) {
 	v := &r.invs[i]
-	if !r.Guard.Hold(v.live, "an index released is live") {
+	if !r.Invariants.Check(v.live, "an index released is live") {
 		return
 	}
-	if !r.Guard.Hold(v.answered, "what is released was answered") {
+	if !r.Invariants.Check(v.answered, "what is released was answered") {
 		r.fail(i)
 	}
 	r.quitCall(i)
--- a/reducer/reducer_test.go
+++ b/reducer/reducer_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/assert"
 
 	"topazpost/frame"
+	"topazpost/invariant"
 	"topazpost/lines"
-	"topazpost/must"
 	"topazpost/node"
 )
 
@@ -268,7 +268,7 @@
 	assert.Equal(t, []string{"check 51"}, answers(t, step(r, deep)), "no executor yet")
 	r = up(t)
 	assert.Equal(t, []string{"check 20"}, answers(t, step(r, deep)))
-	r.stored, r.plate.Nameplate.FullChecks = false, true
+	r.stored, r.config.Node.FullChecks = false, true
 	assert.Equal(t, "DIAG d1\r\n", text(step(r, deep), Tell))
 	assert.Equal(t, []string{"check 51"}, answers(t, told(r, "DIAGNOSED d1 bad")))
 	step(r, deep)
@@ -446,12 +446,12 @@
 	r := up(t)
 	step(r, invoke(1))
 	again := func() { r.fail(0); r.fail(0) }
-	if must.Debug {
+	if invariant.Debug {
 		assert.Panics(t, again)
 		return
 	}
 	again()
-	assert.Equal(t, 1, r.Guard.Broken("one answer an invocation"))
+	assert.Equal(t, 1, r.Invariants.Broken("one answer an invocation"))
 	assert.Equal(t, 1, r.Counters.Errored)
 }
 
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -8,7 +8,7 @@
 	"topazpost/frame"
 	"topazpost/lines"
 	"topazpost/membership"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/results"
 )
 
@@ -69,8 +69,8 @@
 	Number uint64 // Persisted
 	From   string // address of the peer that sent them
 
-	Version uint64           // Amend
-	Change  *plate.Amendment // Amend
+	Version uint64                // Amend
+	Change  *nodeconfig.Amendment // Amend
 }
 
 // EffectKind names what is to be done.
--- a/server/config.go
+++ b/server/config.go
@@ -12,36 +12,36 @@
 	"strconv"
 	"strings"
 
-	"topazpost/charter"
+	"topazpost/fleetconfig"
 	"topazpost/keep"
 	"topazpost/node"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 )
 
 const readAhead = 64 << 10 // bytes of a configuration that are read at a time
 
-// Nameplate is what a node is started with.
-type Nameplate struct {
+// Config is what a node is started with.
+type Config struct {
 	Name, Listen, Executor, Control, Catalog string
 	StopMS                                   float64
 	Cores                                    float64
 	MemoryMB                                 int
 	Sockets                                  int
-	Settings                                 *plate.Plate
-	Levels                                   *reducer.Plan  // of reduced service, nil for none; from a file of its own
-	Fleet                                    *charter.Fleet // nil for a node that shares nothing; from a file of its own
-	Keep                                     *keep.Keep     // what is kept of tokened invocations; nil for what is usual
-	Hollow                                   *Hollow        // nil for a whole node
-	digest                                   uint64         // of the settings as they were read
+	Settings                                 *nodeconfig.Config
+	Levels                                   *reducer.Plan      // of reduced service, nil for none; from a file of its own
+	Fleet                                    *fleetconfig.Fleet // nil for a node that shares nothing; from a file of its own
+	Keep                                     *keep.Keep         // what is kept of tokened invocations; nil for what is usual
+	Hollow                                   *Hollow            // nil for a whole node
+	digest                                   uint64             // of the settings as they were read
 }
 
-func (n *Nameplate) peers() reducer.Addresses {
+func (n *Config) peers() reducer.Addresses {
 	return reducer.Addresses{Executor: n.Executor, Catalogue: n.Catalog, Control: n.Control}
 }
 
-// differs names the fields of another nameplate that a running node does not take.
-func (n *Nameplate) differs(next *Nameplate) (fields []string) {
+// differs names the fields of another config that a running node does not take.
+func (n *Config) differs(next *Config) (fields []string) {
 	for field, same := range map[string]bool{"name": n.Name == next.Name, "listen": n.Listen == next.Listen,
 		"stop_ms": n.StopMS == next.StopMS, "settings": n.digest == next.digest,
 		"limits": n.Cores == next.Cores && n.MemoryMB == next.MemoryMB && n.Sockets == next.Sockets} {
@@ -67,12 +67,12 @@
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  float64 `json:"sockets"`
 	} `json:"limits"`
-	settings *plate.Plate
+	settings *nodeconfig.Config
 	digest   uint64
 }
 
-// ReadNameplate reads a configuration; an error names the field that is unusable.
-func ReadNameplate(text []byte) (*Nameplate, error) { return DecodeNameplate(bytes.NewReader(text)) }
+// ReadConfig reads a configuration; an error names the field that is unusable.
+func ReadConfig(text []byte) (*Config, error) { return DecodeConfig(bytes.NewReader(text)) }
 
 // decode reads the fields as they come. Of the settings, by far the most of it, one item at a time is kept; the other
 // fields go the way of the JSON package, so that they are named in its errors.
@@ -88,7 +88,7 @@
 			break
 		}
 		if key := tok.(string); strings.EqualFold(key, "settings") {
-			if f.settings, f.digest, err = plate.Decode(0, d); err != nil {
+			if f.settings, f.digest, err = nodeconfig.Decode(0, d); err != nil {
 				return fmt.Errorf("configuration: settings: %w", err)
 			}
 		} else {
@@ -113,8 +113,8 @@
 	return nil
 }
 
-// DecodeNameplate reads a configuration as a stream; an error names the field that is unusable.
-func DecodeNameplate(from io.Reader) (*Nameplate, error) {
+// DecodeConfig reads a configuration as a stream; an error names the field that is unusable.
+func DecodeConfig(from io.Reader) (*Config, error) {
 	var f file
 	if err := f.decode(from); err != nil {
 		return nil, err
@@ -148,14 +148,14 @@
 	if settings == nil {
 		return nil, fmt.Errorf("configuration: settings: missing")
 	}
-	settings.Nameplate.Seed = int64(seed)
+	settings.Node.Seed = int64(seed)
 	if err := settings.Usable(); err != nil {
 		return nil, fmt.Errorf("configuration: settings: %w", err)
 	}
-	if f.Catalog == "" && settings.Nameplate.Below != node.NothingBelow {
+	if f.Catalog == "" && settings.Node.Below != node.NothingBelow {
 		return nil, fmt.Errorf("configuration: catalog: missing, though family_info.below says that there is something below; set both or none")
 	}
-	return &Nameplate{Name: f.Name, Listen: f.Listen, Executor: f.Executor, Control: f.Control,
+	return &Config{Name: f.Name, Listen: f.Listen, Executor: f.Executor, Control: f.Control,
 		Catalog: f.Catalog, StopMS: f.StopMS, Cores: f.Limits.Cores, MemoryMB: int(f.Limits.MemoryMB),
 		Sockets: int(f.Limits.Sockets), Settings: settings, digest: f.digest}, nil
 }
--- a/server/config_test.go
+++ b/server/config_test.go
@@ -15,7 +15,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 )
 
 // large is a configuration with so many operations and tenants.
@@ -63,7 +63,7 @@
 	text := large(4_700, 130_000)
 	before := live()
 	w := &watched{Reader: bytes.NewReader(text)}
-	n, err := DecodeNameplate(w)
+	n, err := DecodeConfig(w)
 	require.NoError(t, err)
 	held := live() - before
 	assert.Less(t, held, uint64(8<<20))
@@ -72,15 +72,15 @@
 	i, known := n.Settings.Tenants.Lookup("tenant-129999")
 	assert.True(t, known)
 	assert.Equal(t, int32(129_999), i)
-	assert.Equal(t, 1+129_999%9, int(n.Settings.Nameplate.TenantRates[i]))
+	assert.Equal(t, 1+129_999%9, int(n.Settings.Node.TenantRates[i]))
 	runtime.KeepAlive(text)
 }
 
 // Only other settings are another digest: order and space are none.
 func TestSettingsDifferByWhatTheySay(t *testing.T) {
-	read := func(from, to string) *Nameplate {
+	read := func(from, to string) *Config {
 		text := strings.Replace(string(large(3, 3)), from, to, 1)
-		n, err := ReadNameplate([]byte(text))
+		n, err := ReadConfig([]byte(text))
 		require.NoError(t, err)
 		return n
 	}
@@ -96,10 +96,10 @@
 func TestFaultsDeepInALargeFileAreNamed(t *testing.T) {
 	for from, to := range map[string]string{`"tenant-000077","quota_rps":6`: `"tenant-000077","quota_rps":"many"`,
 		`"route-0031","aim":500`: `"route-0031","aim":-1`} {
-		_, err := ReadNameplate(bytes.Replace(large(40, 100), []byte(from), []byte(to), 1))
+		_, err := ReadConfig(bytes.Replace(large(40, 100), []byte(from), []byte(to), 1))
 		assert.ErrorContains(t, err, map[string]string{`"many"`: "tenants.77.quota_rps", "-1": "grades.31"}[to[strings.LastIndex(to, ":")+1:]])
 	}
-	_, err := ReadNameplate(large(40, 100)[:2_000])
+	_, err := ReadConfig(large(40, 100)[:2_000])
 	assert.ErrorContains(t, err, "byte")
 	assert.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
@@ -131,20 +131,20 @@
 	return list
 }
 
-// samePlate compares what a stream gives with what the same settings give as pairs.
-func samePlate(t *testing.T, text []byte, n *Nameplate) {
+// sameConfig compares what a stream gives with what the same settings give as pairs.
+func sameConfig(t *testing.T, text []byte, n *Config) {
 	var f struct{ Settings any }
 	d := json.NewDecoder(bytes.NewReader(text))
 	d.UseNumber()
 	require.NoError(t, d.Decode(&f))
-	pairs, err := plate.FromPairs(n.Settings.Nameplate.Seed, asPairs(t, "", f.Settings))
+	pairs, err := nodeconfig.FromPairs(n.Settings.Node.Seed, asPairs(t, "", f.Settings))
 	require.NoError(t, err)
 	assert.Equal(t, pairs, n.Settings)
 }
 
 // A version comes into force in a node that runs, or is refused with the item named; either is told in the log.
 func TestVersionComesIntoForceInANodeThatRuns(t *testing.T) {
-	n, err := DecodeNameplate(bytes.NewReader(large(3, 3)))
+	n, err := DecodeConfig(bytes.NewReader(large(3, 3)))
 	require.NoError(t, err)
 	told := make(lineWriter, 100)
 	s := New(n, zerolog.New(told), SystemClock())
@@ -164,15 +164,15 @@
 		return line
 	}
 	awaited("listening")
-	op := func(value string) plate.Item {
-		return plate.Item{Part: plate.Operations, Name: "new", Value: []byte(value)}
+	op := func(value string) nodeconfig.Item {
+		return nodeconfig.Item{Part: nodeconfig.Operations, Name: "new", Value: []byte(value)}
 	}
-	assert.ErrorContains(t, s.Amend(1, []plate.Item{op(`{"aim":1,"give_up":2,"effect":"twice"}`)}), `operations.new.effect: "twice" is not known`)
-	assert.ErrorContains(t, s.Amend(1, []plate.Item{{Part: plate.Limits, Name: "family_info.memory_kb", Value: []byte("1")}}), "takes a new start")
-	require.NoError(t, s.Amend(1, []plate.Item{op(`{"aim":1,"give_up":90000,"effect":"idempotent"}`), {Part: plate.Tenants, Name: "tenant-000001"}}))
+	assert.ErrorContains(t, s.Amend(1, []nodeconfig.Item{op(`{"aim":1,"give_up":2,"effect":"twice"}`)}), `operations.new.effect: "twice" is not known`)
+	assert.ErrorContains(t, s.Amend(1, []nodeconfig.Item{{Part: nodeconfig.Limits, Name: "family_info.memory_kb", Value: []byte("1")}}), "takes a new start")
+	require.NoError(t, s.Amend(1, []nodeconfig.Item{op(`{"aim":1,"give_up":90000,"effect":"idempotent"}`), {Part: nodeconfig.Tenants, Name: "tenant-000001"}}))
 	assert.Contains(t, awaited("in force"), `"version":1,"message":"configuration: the version is in force, 1 added, 0 changed, 1 removed"`)
 	assert.Equal(t, int64(90_000e6), s.conns.slowest.Load())
-	require.NoError(t, s.Amend(1, []plate.Item{op(`{"aim":1,"give_up":2,"effect":"idempotent"}`)}))
+	require.NoError(t, s.Amend(1, []nodeconfig.Item{op(`{"aim":1,"give_up":2,"effect":"idempotent"}`)}))
 	assert.Contains(t, awaited("can't be taken"), "as new")
 	s.Drain()
 	assert.NoError(t, <-ended)
--- a/server/configuration.go
+++ b/server/configuration.go
@@ -11,7 +11,7 @@
 	"runtime/debug"
 
 	"topazpost/configuration"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 )
 
@@ -38,15 +38,15 @@
 // takeConfiguration has the node take its configuration in service, where the fleet's file says so: it begins with the last
 // version on its disk, else with its own file.
 func (s *Server) takeConfiguration() error {
-	if s.plate.Fleet == nil || s.plate.Fleet.Configuration == nil {
+	if s.config.Fleet == nil || s.config.Fleet.Configuration == nil {
 		return nil
 	}
-	file, err := contentOf(s.plate.Settings)
+	file, err := contentOf(s.config.Settings)
 	if err != nil {
 		return fmt.Errorf("configuration: the node's own file: %w", err)
 	}
 	ours := configuration.Start{Mark: configuration.Mark{Digest: file.Digest()}, Content: file, Source: "file", Journal: -1}
-	start, folder := ours, s.plate.Fleet.Configuration.Folder
+	start, folder := ours, s.config.Fleet.Configuration.Folder
 	if folder != "" {
 		d := &configurationDisk{s: s, folder: folder, in: make(chan *configuration.Effect, persistsWaiting)}
 		if err := os.MkdirAll(folder, 0o700); err != nil {
@@ -61,7 +61,7 @@
 		}
 	}
 	now, _ := s.clock.Now()
-	seed := s.plate.Settings.Nameplate.Seed ^ configurationOwn
+	seed := s.config.Settings.Node.Seed ^ configurationOwn
 	if err := s.state.Configure(now, seed, start, file); err != nil {
 		s.log.Warn().Uint64("version", start.Mark.Version).Err(err).
 			Msg("configuration: this node can't start from the last version on its disk, and starts from its own file")
@@ -74,7 +74,7 @@
 }
 
 // contentOf is what a node's own file holds of what may change in service.
-func contentOf(settings *plate.Plate) (*configuration.Content, error) {
+func contentOf(settings *nodeconfig.Config) (*configuration.Content, error) {
 	content := new(configuration.Content)
 	if settings.Operations == nil || settings.Operations.Len() == 0 { // a node that serves nothing
 		return content, nil
@@ -90,7 +90,7 @@
 			runtime.GC()
 		}
 	}
-	settings.Items(func(i plate.Item) {
+	settings.Items(func(i nodeconfig.Item) {
 		if items = append(items, configuration.Item(i)); len(items) == itemsAtOnce {
 			take()
 		}
--- a/server/control.go
+++ b/server/control.go
@@ -20,7 +20,7 @@
 	s.endReport()
 	ctx, end := context.WithTimeout(s.ctx, reportWait)
 	s.endReport = end
-	address := url.URL{Scheme: "http", Host: e.Address, Path: "/v2/endpoints/" + s.plate.Name}
+	address := url.URL{Scheme: "http", Host: e.Address, Path: "/v2/endpoints/" + s.config.Name}
 	number, ready := e.Link, e.Ready
 	s.group.Go(func() error {
 		defer end()
--- a/server/dispatchers.go
+++ b/server/dispatchers.go
@@ -124,11 +124,11 @@
 }
 
 func newConnections(s *Server) *connections {
-	kept, closing, _ := s.plate.shares()
-	c := &connections{s: s, open: make(map[int]*connection), most: int64(s.plate.MemoryMB) << 20 / pendingPart,
+	kept, closing, _ := s.config.shares()
+	c := &connections{s: s, open: make(map[int]*connection), most: int64(s.config.MemoryMB) << 20 / pendingPart,
 		slots: make(chan struct{}, kept+closing)}
 	c.slower(int64(halfWait))
-	for _, op := range s.plate.Settings.Nameplate.Operations {
+	for _, op := range s.config.Settings.Node.Operations {
 		c.slower(op.ClientTimeout)
 	}
 	return c
--- a/server/hollow.go
+++ b/server/hollow.go
@@ -87,7 +87,7 @@
 }
 
 func (p *peering) wired(conn net.Conn, to string) net.Conn {
-	if h := p.s.plate.Hollow; h != nil && h.Wire != nil {
+	if h := p.s.config.Hollow; h != nil && h.Wire != nil {
 		return h.Wire.Conn(conn, to)
 	}
 	return conn
--- a/server/peers.go
+++ b/server/peers.go
@@ -15,8 +15,8 @@
 
 	"golang.org/x/time/rate"
 
-	"topazpost/charter"
-	"topazpost/letter"
+	"topazpost/envelope"
+	"topazpost/fleetconfig"
 	"topazpost/membership"
 	"topazpost/reducer"
 )
@@ -48,7 +48,7 @@
 // peering is the sockets of a fleet: one for datagrams, a listener for exchanges. A node without a fleet has none.
 type peering struct {
 	s        *Server
-	fleet    *charter.Fleet
+	fleet    *fleetconfig.Fleet
 	udp      Datagrams
 	tcp      net.Listener
 	in       chan reducer.Input
@@ -64,13 +64,13 @@
 }
 
 // join makes the node one of its fleet; run opens the sockets.
-func (s *Server) join(fleet *charter.Fleet) {
+func (s *Server) join(fleet *fleetconfig.Fleet) {
 	s.peers = &peering{s: s, fleet: fleet, in: make(chan reducer.Input, peeredWaiting), out: make(chan reducer.Effect, sendsWaiting),
 		served: make(map[int]chan []byte), opened: make(chan struct{}, openedMost)}
-	s.peers.streams = newStreams(s.peers, s.plate.streamsMost())
+	s.peers.streams = newStreams(s.peers, s.config.streamsMost())
 	s.clock = ahead{s.clock, fleet.WallAhead}
 	now, wall := s.clock.Now()
-	s.state.Peer(fleet.Name, membership.New(fleet.Terms, now, wall, fleet.Kept, s.plate.Settings.Nameplate.Seed^fleetSeed))
+	s.state.Peer(fleet.Name, membership.New(fleet.Terms, now, wall, fleet.Kept, s.config.Settings.Node.Seed^fleetSeed))
 }
 
 // ahead sets the wall clock off, for tests of clocks that disagree.
@@ -96,7 +96,7 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	p.udp = udp
-	if h := s.plate.Hollow; h != nil && h.Wire != nil {
+	if h := s.config.Hollow; h != nil && h.Wire != nil {
 		p.udp = h.Wire.Datagrams(udp)
 	}
 	if p.tcp, err = net.Listen("tcp", p.fleet.Bind); err != nil {
@@ -127,7 +127,7 @@
 // address, which share a pace.
 func (p *peering) read() {
 	paces := make(map[netip.Addr]*rate.Limiter)
-	space := make([]byte, letter.DatagramMost+1)
+	space := make([]byte, envelope.DatagramMost+1)
 	for {
 		n, from, err := p.udp.ReadFromUDPAddrPort(space)
 		if errors.Is(err, net.ErrClosed) {
@@ -151,7 +151,7 @@
 			p.s.limited.Warn().Stringer("from", from).Msg("peer floods, its datagrams are dropped")
 			continue
 		}
-		if n > letter.DatagramMost {
+		if n > envelope.DatagramMost {
 			n = 0 // told as one that is too short
 		}
 		p.give(reducer.Input{Kind: reducer.PeerCame, From: from.String(), Bytes: append([]byte(nil), space[:n]...)})
@@ -334,8 +334,8 @@
 		return nil, err
 	}
 	length := binary.LittleEndian.Uint32(head[:])
-	if length < letter.Head || length > letter.ExchangeMost {
-		return nil, fmt.Errorf("a length of %d, %d to %d may be", length, letter.Head, letter.ExchangeMost)
+	if length < envelope.Head || length > envelope.ExchangeMost {
+		return nil, fmt.Errorf("a length of %d, %d to %d may be", length, envelope.Head, envelope.ExchangeMost)
 	}
 	text, err := io.ReadAll(io.LimitReader(from, int64(length)))
 	if err == nil && len(text) < int(length) {
@@ -356,7 +356,7 @@
 
 // viewChanged logs a change of the view; membership bounds how often it can come.
 func (s *Server) viewChanged(c *membership.Change) {
-	if h := s.plate.Hollow; h != nil && h.Changed != nil {
+	if h := s.config.Hollow; h != nil && h.Changed != nil {
 		h.Changed(c)
 		return
 	}
