--- a/server/server.go
+++ b/server/server.go
@@ -19,7 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"topazpost/keep"
-	"topazpost/plate"
+	"topazpost/nodeconfig"
 	"topazpost/reducer"
 	"topazpost/results"
 )
@@ -47,7 +47,7 @@
 
 // Server is one node.
 type Server struct {
-	plate   *Nameplate
+	config  *Config
 	log     zerolog.Logger
 	limited zerolog.Logger // for what peers can cause any number of times
 	clock   Clock
@@ -56,7 +56,7 @@
 	heard   chan reducer.Input // of the node's own peers; they never wait behind dispatchers
 	notice  chan struct{}
 	abort   chan struct{}
-	reload  chan *Nameplate
+	reload  chan *Config
 	ctx     context.Context
 	group   *errgroup.Group
 
@@ -75,26 +75,26 @@
 }
 
 // New makes a node that Run starts. What a logger and a clock are handed in for is the embedder's to choose.
-func New(nameplate *Nameplate, log zerolog.Logger, clock Clock) *Server {
+func New(config *Config, log zerolog.Logger, clock Clock) *Server {
 	limited := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
-	s := &Server{plate: nameplate, log: log, limited: limited, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
+	s := &Server{config: config, log: log, limited: limited, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
 		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1), abort: make(chan struct{}, 1),
-		reload: make(chan *Nameplate, 1), links: make(map[int]*link), endReport: func() {}, reporter: newReporter()}
-	connections, spare, links := nameplate.shares()
+		reload: make(chan *Config, 1), links: make(map[int]*link), endReport: func() {}, reporter: newReporter()}
+	connections, spare, links := config.shares()
 	s.calls = make(chan struct{}, links)
-	s.state = reducer.New(nameplate.Settings, nameplate.peers(), int64(nameplate.StopMS*1e6), connections, links)
+	s.state = reducer.New(config.Settings, config.peers(), int64(config.StopMS*1e6), connections, links)
 	s.state.Spare = spare - 1 // the last place is for the next one to be accepted
-	if h := nameplate.Hollow; h != nil {
+	if h := config.Hollow; h != nil {
 		s.state.Hollow(h.Counters, h.OnlySeat)
 	}
-	if nameplate.Fleet != nil {
-		s.join(nameplate.Fleet)
+	if config.Fleet != nil {
+		s.join(config.Fleet)
 	}
-	if nameplate.Keep == nil && nameplate.Hollow == nil {
-		nameplate.Keep = keep.Usual(nameplate.Settings.Nameplate.Operations, nameplate.MemoryMB)
+	if config.Keep == nil && config.Hollow == nil {
+		config.Keep = keep.Usual(config.Settings.Node.Operations, config.MemoryMB)
 	}
-	convened := nameplate.Fleet != nil && nameplate.Fleet.Council != nil
-	if k := nameplate.Keep; k != nil {
+	convened := config.Fleet != nil && config.Fleet.Council != nil
+	if k := config.Keep; k != nil {
 		rules := k.Rules
 		if convened { // what the council agrees on takes the place of the disk
 			rules.Durability, rules.Trouble = results.OnDisk, results.Refuse
@@ -103,8 +103,8 @@
 	}
 	if convened {
 		now, _ := s.clock.Now()
-		c := nameplate.Fleet.Council
-		s.state.Convene(c.Seats, c.Bytes, now, nameplate.Settings.Nameplate.Seed^councilSeed)
+		c := config.Fleet.Council
+		s.state.Convene(c.Seats, c.Bytes, now, config.Settings.Node.Seed^councilSeed)
 		if c.Calls != nil {
 			s.state.Lease(*c.Calls, c.Version)
 		}
@@ -128,9 +128,9 @@
 	}
 }
 
-// Reload goes on with the peers' addresses and the levels of another nameplate, at any time of the node's life. All
+// Reload goes on with the peers' addresses and the levels of another config, at any time of the node's life. All
 // else in it takes a new start; what differs there is logged.
-func (s *Server) Reload(next *Nameplate) {
+func (s *Server) Reload(next *Config) {
 	light := *next
 	light.Settings = nil // by far the most of it, and not taken
 	for {
@@ -144,8 +144,8 @@
 
 // Amend brings a version of the configuration into force, between two steps; what comes of it is in the log. An error names
 // the item that is unsound by itself, and nothing is changed.
-func (s *Server) Amend(version uint64, items []plate.Item) error {
-	change, err := plate.Parse(items)
+func (s *Server) Amend(version uint64, items []nodeconfig.Item) error {
+	change, err := nodeconfig.Parse(items)
 	if err == nil && !s.tell(reducer.Input{Kind: reducer.Amend, Version: version, Change: change}) {
 		err = errLeft
 	}
@@ -163,7 +163,7 @@
 
 // shares says how the descriptors are parted: among dispatchers' connections, those of them that are about to
 // close, and links to the catalogue.
-func (n *Nameplate) shares() (connections, closing, links int) {
+func (n *Config) shares() (connections, closing, links int) {
 	links, closing = max(linkLeast, n.Sockets/linkPart), max(closingLeast, n.Sockets/closingPart)
 	connections = n.Sockets - ownFiles - links - closing
 	if n.Fleet != nil {
@@ -173,7 +173,7 @@
 }
 
 // streamsMost is how many streams to peers the node may have.
-func (n *Nameplate) streamsMost() int {
+func (n *Config) streamsMost() int {
 	switch {
 	case n.Fleet == nil || n.Fleet.Council == nil:
 		return 0
@@ -183,9 +183,9 @@
 	return streamsOther
 }
 
-// Limit tells the runtime of the cores and memory that the nameplate allows, for programs that are nothing
+// Limit tells the runtime of the cores and memory that the config allows, for programs that are nothing
 // but this node.
-func (n *Nameplate) Limit() {
+func (n *Config) Limit() {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(n.Cores))))
 	debug.SetMemoryLimit(int64(memoryPart * float64(n.MemoryMB) * (1 << 20)))
 }
@@ -197,7 +197,7 @@
 // listen waits no longer than ctx and the notice to drain: a node that nobody could reach owes nothing.
 func (s *Server) listen(ctx context.Context) error {
 	for end := time.Now().Add(listenFor); ; {
-		listener, err := net.Listen("tcp", s.plate.Listen)
+		listener, err := net.Listen("tcp", s.config.Listen)
 		if err == nil {
 			s.listener = listener.(*net.TCPListener)
 			return nil
@@ -217,7 +217,7 @@
 
 // Run serves until the drain is over, which is no error, or until ctx ends, which stops at once.
 func (s *Server) Run(ctx context.Context) error {
-	if s.plate.Hollow != nil {
+	if s.config.Hollow != nil {
 		return s.runHollow(ctx)
 	}
 	if s.listener == nil {
@@ -227,8 +227,8 @@
 			return err
 		}
 	}
-	if k := s.plate.Keep; k != nil && k.Folder != "" {
-		if s.plate.Fleet != nil && s.plate.Fleet.Council != nil {
+	if k := s.config.Keep; k != nil && k.Folder != "" {
+		if s.config.Fleet != nil && s.config.Fleet.Council != nil {
 			s.listener.Close()
 			return errors.New("keep: a folder and the fleet's council can't both keep results; leave out durability and folder, or the council")
 		}
@@ -246,7 +246,7 @@
 	s.group, s.ctx = group, ctx
 	s.conns = newConnections(s)
 	context.AfterFunc(ctx, s.close)
-	s.log.Info().Str("name", s.plate.Name).Stringer("listen", s.Addr()).Msg("listening")
+	s.log.Info().Str("name", s.config.Name).Stringer("listen", s.Addr()).Msg("listening")
 	group.Go(func() error { return s.conns.accept() })
 	if s.peers != nil {
 		if err := s.peers.run(); err != nil {
@@ -294,8 +294,8 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	inputs := make([]reducer.Input, 0, inputsAStep)
-	if s.plate.Levels != nil {
-		s.heard <- reducer.Input{Kind: reducer.Adopt, Plan: s.plate.Levels}
+	if s.config.Levels != nil {
+		s.heard <- reducer.Input{Kind: reducer.Adopt, Plan: s.config.Levels}
 	}
 	notice, wake := s.notice, int64(math.MaxInt64)
 	var peered, streamed chan reducer.Input
@@ -325,7 +325,7 @@
 		case <-s.abort:
 			inputs = append(inputs, reducer.Input{Kind: reducer.Abort})
 		case next := <-s.reload:
-			for _, field := range s.plate.differs(next) {
+			for _, field := range s.config.differs(next) {
 				s.log.Warn().Str("field", field).Msg("configuration: a new value here takes a new start")
 			}
 			inputs = append(inputs, reducer.Input{Kind: reducer.Reload, To: next.peers(), Plan: next.Levels})
@@ -344,7 +344,7 @@
 				s.log.Info().Interface("counters", s.state.Counters).Interface("levels", s.state.Levels()).
 					Interface("results", s.state.Results()).Interface("peers", s.peerCounts()).
 					Interface("claims", s.state.Claims()).Interface("configuration", s.state.Configuration()).
-					Interface("did_not_hold", s.state.Guard.All()).Msg("drained, leaving")
+					Interface("did_not_hold", s.state.Invariants.All()).Msg("drained, leaving")
 				s.conns.flushAll()
 				if s.peers != nil {
 					s.peers.flush()
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -21,7 +21,7 @@
 	"guarantees":{"tip_multiple":8}}}`
 
 func server(t *testing.T) *Server {
-	n, err := ReadNameplate([]byte(config))
+	n, err := ReadConfig([]byte(config))
 	require.NoError(t, err)
 	return New(n, zerolog.Nop(), SystemClock())
 }
@@ -70,7 +70,7 @@
 	last, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := server(t)
-	s.plate.Listen = last.Addr().String()
+	s.config.Listen = last.Addr().String()
 	heard := make(chan error, 1)
 	go func() { heard <- s.Listen() }()
 	last.Close()
@@ -84,22 +84,22 @@
 	require.NoError(t, err)
 	defer last.Close()
 	s := server(t)
-	s.plate.Listen = last.Addr().String()
+	s.config.Listen = last.Addr().String()
 	s.Drain()
 	assert.NoError(t, s.Run(context.Background()))
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
 	s = server(t)
-	s.plate.Listen = last.Addr().String()
+	s.config.Listen = last.Addr().String()
 	assert.ErrorIs(t, s.Run(ctx), context.Canceled)
 }
 
-func TestUnusableNameplatesNameTheirField(t *testing.T) {
+func TestUnusableConfigurationsNameTheirField(t *testing.T) {
 	for field, text := range map[string]string{"name": `{}`, "listen": `{"name":"n"}`,
 		"seed":          `{"name":"n","listen":":1","executor":":1","control":":1","catalog":":1","seed":"x"}`,
 		"stop_ms":       `{"name":"n","listen":":1","executor":":1","control":":1","catalog":":1","seed":"1"}`,
 		"configuration": `[`} {
-		_, err := ReadNameplate([]byte(text))
+		_, err := ReadConfig([]byte(text))
 		assert.ErrorContains(t, err, field)
 	}
 }
@@ -107,11 +107,11 @@
 // A site with nothing below its nodes names no catalogue; one that has something must.
 func TestCatalogueIsNeededOnlyWhereSomethingLiesBelow(t *testing.T) {
 	without := strings.Replace(config, `"catalog":"127.0.0.1:1",`, "", 1)
-	n, err := ReadNameplate([]byte(without))
+	n, err := ReadConfig([]byte(without))
 	require.NoError(t, err)
 	s := New(n, zerolog.Nop(), SystemClock())
 	s.Drain()
 	assert.NoError(t, s.Run(context.Background()))
-	_, err = ReadNameplate([]byte(strings.Replace(without, `"memory_kb":9000`, `"memory_kb":9000,"below":"common"`, 1)))
+	_, err = ReadConfig([]byte(strings.Replace(without, `"memory_kb":9000`, `"memory_kb":9000,"below":"common"`, 1)))
 	assert.ErrorContains(t, err, "catalog")
 }
--- a/server/sites_test.go
+++ b/server/sites_test.go
@@ -109,19 +109,19 @@
 		var s site
 		require.NoError(t, toml.Unmarshal(text, &s), file)
 		text = configurationOf(t, &s, &w)
-		n, err := ReadNameplate(text)
+		n, err := ReadConfig(text)
 		require.NoError(t, err, file)
-		samePlate(t, text, n)
-		plate := n.Settings
-		require.Equal(t, len(s.Classes), plate.Operations.Len(), file)
-		assert.Equal(t, len(s.Tenants), plate.Tenants.Len(), file)
-		assert.Equal(t, node.SharedBelow, plate.Nameplate.Below, file)
-		assert.Equal(t, map[string]node.Advice{"level": node.LevelAdvice, "credit": node.CreditAdvice}[s.Fam.Say], plate.Nameplate.Advice, file)
-		assert.Equal(t, s.Rules.Fall, plate.Nameplate.TipMultiple, file)
+		sameConfig(t, text, n)
+		config := n.Settings
+		require.Equal(t, len(s.Classes), config.Operations.Len(), file)
+		assert.Equal(t, len(s.Tenants), config.Tenants.Len(), file)
+		assert.Equal(t, node.SharedBelow, config.Node.Below, file)
+		assert.Equal(t, map[string]node.Advice{"level": node.LevelAdvice, "credit": node.CreditAdvice}[s.Fam.Say], config.Node.Advice, file)
+		assert.Equal(t, s.Rules.Fall, config.Node.TipMultiple, file)
 		for k, c := range s.Classes {
-			i, known := plate.Operations.Lookup(c.Name)
+			i, known := config.Operations.Lookup(c.Name)
 			require.True(t, known, c.Name)
-			op := plate.Nameplate.Operations[i]
+			op := config.Node.Operations[i]
 			assert.Equal(t, map[string]node.Effect{"safe": node.Idempotent, "keyed": node.Tokened, "unsafe": node.NonIdempotent}[c.Effect], op.Effect, c.Name)
 			assert.Equal(t, []int64{int64(c.Aim * 1e6), int64(c.Deadline * 1e6)}, []int64{op.Objective, op.ClientTimeout}, c.Name)
 			assert.Equal(t, int32(k), i, c.Name)
--- a/server/streams.go
+++ b/server/streams.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"topazpost/letter"
+	"topazpost/envelope"
 	"topazpost/reducer"
 )
 
@@ -214,7 +214,7 @@
 			if _, err := conn.Write(space); err != nil {
 				return
 			}
-			if cap(space) > letter.ExchangeMost {
+			if cap(space) > envelope.ExchangeMost {
 				space = nil
 			}
 		case <-idle.C:
@@ -241,8 +241,8 @@
 			return err
 		}
 		length := binary.LittleEndian.Uint32(head[:])
-		if length < letter.Head || length > letter.StreamMost {
-			return fmt.Errorf("%w: a length of %d, %d to %d may be", errStream, length, letter.Head, letter.StreamMost)
+		if length < envelope.Head || length > envelope.StreamMost {
+			return fmt.Errorf("%w: a length of %d, %d to %d may be", errStream, length, envelope.Head, envelope.StreamMost)
 		}
 		conn.SetReadDeadline(time.Now().Add(streamRest + time.Duration(length)*streamPace))
 		text, err := io.ReadAll(io.LimitReader(conn, int64(length))) // memory grows with what really comes
