Pings without an answer are sent again; a link that is back is told of at once

Change: a link without an answer is pinged again after max(probe / 4, two round trips) until it is in doubt; a link that was lost and is back is told of after 100 ms.

--- a/lab/rig/rig_test.go
+++ b/lab/rig/rig_test.go
@@ -100,6 +100,20 @@
 	}
 }
 
+// What the play on processes claims must not rest on which datagrams are lost: of the first 320 seeds, 116, 188
+// and 317 failed where each ping was sent but once a probe, and 166, 257 and 317 where only that was mended and a link
+// that was back was still told of too late.
+func TestPausesAreBorneWhicheverFifthIsLost(t *testing.T) {
+	t.Parallel()
+	n, _, err := Read("../experiments/members-pause.jsonnet", map[string]string{"processes": "false", "nodes": "6", "seconds": "24", "calm": "10"})
+	require.NoError(t, err)
+	for seed := int64(1); seed <= 320; seed++ {
+		r, err := n.Run([]int64{seed}, "", "")
+		require.NoError(t, err)
+		assert.Zero(t, r.Measures[0]["wrong"], "seed %d", seed)
+	}
+}
+
 // A measure that can't fail is none: a fleet whose silence is shorter than the pauses loses those that were paused.
 func TestShortSilenceIsFound(t *testing.T) {
 	n, _, err := Read("../experiments/members-pause.jsonnet", map[string]string{"processes": "false", "seconds": "60"})
--- a/membership/links.go
+++ b/membership/links.go
@@ -177,7 +177,7 @@
 		}
 		quiet := l.quiet(m.t)
 		if l.up && m.t-l.proof > m.config.Silence {
-			l.up, m.dirtySelf, m.publishAt = false, true, m.published+publishEvery
+			l.up, l.lost, m.dirtySelf, m.publishAt = false, true, true, min(m.publishAt, m.published+publishEvery)
 			m.members[l.member].word = m.members[0].id
 		}
 		if !l.wanted && m.t > l.linger && m.t-max(l.heard, l.asked) > m.config.Silence {
@@ -196,9 +196,13 @@
 			every *= 4
 		}
 		if l.seq == 0 {
-			l.next = m.t + m.jitter(every) // from then on links are asked at moments of their own
-		} else {
-			l.next = max(l.next+every, m.t+every/2)
+			l.probe = m.t + m.jitter(every) // from then on links are asked at moments of their own
+		} else if m.t >= l.probe {
+			l.probe = max(l.probe+every, m.t+every/2)
+		}
+		l.next = l.probe
+		if l.up && quiet < m.config.Silence/2 { // a lost one costs no more than this, up to the next that is due anyway
+			l.next = min(l.probe, m.t+max(m.config.Probe/retriesMost, 2*l.trip))
 		}
 		l.seq = (l.seq + 1) &^ (1 << 31)
 		l.sent[l.seq%sentKept] = m.t
@@ -212,7 +216,8 @@
 
 func (m *Members) own() []Record { return []Record{m.members[0].rec} }
 
-// publish tells of this node's links once they changed. What is lost goes at once, unless it changes all the time.
+// publish tells of this node's links once they changed. What is lost goes at once, unless it changes all the time; what
+// was lost and is back has to be known to all before the view follows the loss.
 func (m *Members) publish() {
 	if !m.dirtySelf || m.t < m.publishAt || m.members[0].rec.Left {
 		return
@@ -224,11 +229,11 @@
 		}
 	}
 	slices.Sort(ids)
-	if told := m.members[0].rec.Links; m.t < m.published+gainsEvery && len(told) >= rings && contains(ids, told) {
+	if told := m.members[0].rec.Links; !m.regained && m.t < m.published+gainsEvery && len(told) >= rings && contains(ids, told) {
 		m.publishAt = m.published + gainsEvery
 		return
 	}
-	m.dirtySelf, m.published, m.publishAt = false, m.t, m.t+publishEvery
+	m.dirtySelf, m.regained, m.published, m.publishAt = false, false, m.t, m.t+publishEvery
 	if !slices.Equal(ids, m.members[0].rec.Links) {
 		m.relink(0, m.members[0].rec.Links, ids)
 		m.members[0].rec.Links = ids
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -39,11 +39,13 @@
 	member         int32
 	wanted, doubt  bool
 	up             bool // an answer came within the config's Silence
+	lost           bool // it was up before
 	asked          int64
 	linger         int64 // until which it is kept although not wanted
 	proof          int64 // when the last ping that was answered was sent
 	heard          int64 // when it last pinged as one that watches
-	next           int64
+	next, probe    int64 // when the next ping is due at the earliest; when it is even if all were answered
+	trip           int64 // ns of a round trip, smoothed: no ping is sent again before its answer can be there
 	seq            uint32
 	sent           [sentKept]int64
 	differ, healed int64
@@ -88,6 +90,7 @@
 	lastLink int
 
 	dirtyRings, dirtyView, dirtySelf bool
+	regained                         bool // a link that was lost, or one to a member to which no path leads, is not told of yet
 	ringsAt, publishAt, published    int64
 	followAt, viewAt                 int64
 	knockAt, joinAt, seedAt, joinFor int64
@@ -185,7 +188,7 @@
 func (m *Members) hurry() {
 	for k := range m.links {
 		if l := &m.links[k]; l.member >= 0 {
-			l.next = m.t
+			l.next, l.probe = m.t, m.t
 		}
 	}
 }
@@ -278,9 +281,21 @@
 	if b.link >= 0 {
 		l := &m.links[b.link]
 		if age := l.seq - seq; age < sentKept && l.sent[seq%sentKept] > 0 && seq>>31 == 0 {
-			l.proof = max(l.proof, l.sent[seq%sentKept])
+			sent := l.sent[seq%sentKept]
+			l.proof = max(l.proof, sent)
+			if seq == l.seq { // an answer to an earlier one tells of a pause, and not of the way
+				if trip := min(m.t-sent, m.config.Probe); l.trip == 0 {
+					l.trip = trip
+				} else {
+					l.trip += (trip - l.trip) / 8
+				}
+				l.next = l.probe
+			}
 			if !l.up && m.t-l.proof <= m.config.Silence {
 				l.up, m.dirtySelf = true, true
+				if l.lost || b.in && !b.reached {
+					l.lost, m.regained, m.publishAt = false, true, min(m.publishAt, m.published+regainsEvery)
+				}
 			}
 			return
 		}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -269,3 +269,74 @@
 		}
 	})
 }
+
+// pingsOn are when a link is pinged until a moment, in ms after the first of them.
+func pingsOn(m *Members, id ID, to int64, answered func(seq uint32) bool) (at []int64) {
+	first := int64(0)
+	for now := m.wake; now < to; now = max(m.wake, now+1) {
+		effects, _ := m.Step(now, now, nil)
+		var answers []Input
+		for _, e := range effects {
+			if e.Kind != Send || e.Message.Kind != Ping {
+				continue
+			}
+			to := m.byAddress(e.To)
+			if to == id {
+				if len(at) == 0 {
+					first = now
+				}
+				at = append(at, (now-first)/ms)
+			}
+			if to != id || answered(e.Message.Seq) {
+				answers = append(answers, Input{Kind: Came, Message: &Message{Kind: Ack, From: to, Seq: e.Message.Seq, Digest: m.digest}})
+			}
+		}
+		m.Step(now, now, answers)
+	}
+	return at
+}
+
+func (m *Members) byAddress(address string) ID {
+	for i := range m.members {
+		if m.members[i].rec.Address == address {
+			return m.members[i].id
+		}
+	}
+	return 0
+}
+
+// A ping without an answer is sent again within its probe, so that a proof is seldom older than one; answered ones
+// cost no more than before, and neither does a link that has long been silent.
+func TestPingsWithoutAnAnswerAreSentAgain(t *testing.T) {
+	b := IDOf("b")
+	m := held("b", "c")
+	assert.Equal(t, []int64{0, 500, 1_000, 1_500}, pingsOn(m, b, m.wake+1_990*ms, func(uint32) bool { return true }))
+	m = held("b", "c")
+	got := pingsOn(m, b, m.wake+1_990*ms, func(uint32) bool { return false })
+	require.Greater(t, len(got), 8)
+	assert.Equal(t, []int64{0, 125, 250, 375, 500, 625}, got[:6])
+	l := &m.links[m.members[m.byID[b]].link]
+	assert.True(t, l.up)
+	got = pingsOn(m, b, m.wake+1_400*ms, func(uint32) bool { return false })
+	assert.LessOrEqual(t, len(got), 4, "a probe each once it is in doubt")
+	m = held("b", "c")
+	m.links[m.members[m.byID[b]].link].trip = 200 * ms
+	got = pingsOn(m, b, m.wake+1_500*ms, func(uint32) bool { return false })
+	require.Greater(t, len(got), 4)
+	assert.Equal(t, []int64{0, 400, 500, 900}, got[:4], "none before an answer from afar can be there")
+}
+
+// The settling bridges a link that was lost for a moment only if it is told of within it once it is back.
+func TestLinksThatAreBackAreToldOfBeforeTheLossIsBelieved(t *testing.T) {
+	m := held("b", "c", "d", "e", "f")
+	l := &m.links[m.members[m.byID[IDOf("b")]].link]
+	l.proof = m.t - usual.Silence - ms
+	m.Step(m.wake, m.wake, nil)
+	until(m, m.wake, m.wake+250*ms, false)
+	require.NotContains(t, m.Self().Links, IDOf("b"))
+	told := m.published
+	m.Step(m.wake, m.wake, answer(m))
+	until(m, m.wake, told+regainsEvery+20*ms, false)
+	assert.Contains(t, m.Self().Links, IDOf("b"))
+	assert.Less(t, regainsEvery+newsEvery+followEvery, usual.Settle)
+}
--- a/membership/types.go
+++ b/membership/types.go
@@ -14,7 +14,8 @@
 	rings        = 4           // orders of the fleet in each of which a node watches both sides: eight links hold a graph together
 	passedMost   = 4           // silent members passed over on a side of a ring: two of three gone still leave a link
 	linksMost    = 32          // links of a node: four times those it looks for itself
-	sentKept     = 8           // pings on a link whose answer still counts: more than are sent while it may be silent
+	sentKept     = 32          // pings on a link whose answer still counts: more than are sent while it may be silent
+	retriesMost  = 4           // pings that one probe can become where none is answered: a fifth of loss takes all four in 1 of 60 cases
 	recordsOnce  = 6           // records in one datagram: 1,200 bytes of the largest that are usual
 	roomOfNews   = 1_000       // bytes of records in one datagram, the rest of 1,200 is for its head
 	tableMost    = 1<<16 - 1   // members: places in the table are two bytes in what is followed
@@ -30,6 +31,7 @@
 	viewEvery    = 1_000 * ms  // ns between looks at who is forgotten
 	newsEvery    = 100 * ms    // ns between news on one link: records that change again meanwhile go once
 	publishEvery = 200 * ms    // ns between new links of one's own record
+	regainsEvery = 100 * ms    // ns between them where a link is back that was lost: with the news' way less than the settling
 	gainsEvery   = 500 * ms    // ns between them where only more were gained: in a herd many come at once
 	knockEvery   = 1_000 * ms  // ns between tries at one that was lost
 	joinEvery    = 500 * ms    // ns between tries at a seed, doubled up to joinMost
