A loss in a play of pauses is wrong unless the machine kept the member standing too

Cause: the verdict of members-pause on processes took a pause for as long as it was asked for. Where the relays or the stopped node got no processor before or after it, nothing can have carried a round trip for longer than any setting bears, and the play failed.

Only from silence + settle - probe (3.4 s) on is the loss counted as starved and not as wrong; silence with a processor at hand excuses nothing, and the claim is 0 wrong as before.

--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -192,6 +193,11 @@
 	if storming = storming && n.Storm; storming {
 		p.storm.begin(p)
 	}
+	var still *standstills
+	if p != nil && slices.ContainsFunc(n.Faults, func(f Fault) bool { return f.Kind == "pause" }) {
+		still = p.still
+		go still.watch(p)
+	}
 	start := d.now()
 	idle, idleAt := d.sent(), start
 	spans, actions := n.draw(d, start, rand.New(rand.NewSource(seed)), up)
@@ -226,7 +232,7 @@
 		o.Measures["agree_s"] = math.Inf(1)
 	}
 	o.Measures["pace"] = float64(d.now()) / float64(max(1, time.Since(began)))
-	n.measure(o, d.seen(), spans, start)
+	n.measure(o, d.seen(), spans, start, still)
 	return o
 }
 
@@ -418,8 +424,9 @@
 	}
 }
 
-// measure holds what views told against the faults.
-func (n *Night) measure(o *Outcome, events []Event, spans []*span, start int64) {
+// measure holds what views told against the faults. A loss of one that a fault and the machine together kept standing still
+// for longer than a fleet bears is counted apart, with its return; still is nil where no machine has a part in it.
+func (n *Night) measure(o *Outcome, events []Event, spans []*span, start int64, still *standstills) {
 	bound := 3_000 * ms // a pause up to it must be borne
 	var known, back []float64
 	missed, wrong, others, most, losses, returns := 0, 0, 0, 0, 0, 0
@@ -443,6 +450,20 @@
 		node int
 		who  string
 	}
+	starving, starved := map[concern]bool{}, 0
+	starves := func(e *Event) bool {
+		c := concern{e.Node, e.Who}
+		switch e.Cause {
+		case membership.Lost:
+			i, err := strconv.Atoi(strings.TrimPrefix(e.Who, "n"))
+			starving[c] = still != nil && err == nil && still.of(i, e.At-silence-settle-probe, e.At) >= borne
+			return starving[c]
+		case membership.Returned:
+			defer delete(starving, c)
+			return starving[c]
+		}
+		return false
+	}
 	changes, of := map[about]int{}, map[concern][]*Event{}
 	for k := range events {
 		e := &events[k]
@@ -456,7 +477,9 @@
 		case membership.Returned, membership.Replaced, membership.Joined:
 			returns++
 		}
-		if !excused(e) {
+		if starves(e) && !excused(e) {
+			starved++
+		} else if !excused(e) {
 			others++
 			if e.Cause == membership.Lost {
 				wrong++
@@ -516,6 +539,9 @@
 	}
 	m := o.Measures
 	m["known_s"], m["known_worst_s"], m["back_s"] = quantile(known, 0.99), quantile(known, 1), quantile(back, 1)
+	if still != nil {
+		m["starved"] = float64(starved)
+	}
 	m["losses"], m["returns"] = float64(losses), float64(returns)
 	m["missed"], m["wrong"], m["others"], m["cut_changes"] = float64(missed), float64(wrong), float64(others), float64(most)
 	for _, s := range spans {
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -47,6 +47,7 @@
 	hollowLog       *os.File
 	joined          int64 // Unix s
 	storm           *storm
+	still           *standstills
 	began           time.Time
 
 	mu      sync.Mutex
@@ -69,7 +70,7 @@
 // newProcesses takes a block of addresses that nobody uses, and stands the relays on it.
 func newProcesses(n *Night, seed int64, program, folder string) (*processes, error) {
 	p := &processes{program: program, folder: folder, night: n, seed: seed, began: time.Now(), daemons: make([]*daemon, n.Nodes),
-		latest: make([]Event, n.Nodes)}
+		latest: make([]Event, n.Nodes), still: &standstills{from: map[int]int64{}, over: make(chan struct{})}}
 	chance := rand.New(rand.NewSource(seed))
 	var err error
 	p.storm = newStorm(seed, n)
@@ -364,6 +365,7 @@
 
 func (p *processes) pause(i int, stop bool) {
 	p.signal(i, map[bool]os.Signal{true: syscall.SIGSTOP, false: syscall.SIGCONT}[stop])
+	p.still.stopped(i, p.now(), stop)
 }
 
 func (p *processes) cut(from, to int) {
@@ -421,6 +423,7 @@
 }
 
 func (p *processes) close() {
+	close(p.still.over)
 	if p.fleet != nil {
 		p.fleet.Close()
 	}
