--- a/integration/cold_test.go
+++ b/integration/cold_test.go
@@ -79,10 +79,10 @@
 	})
 }
 
-// Twenty dispatchers press twenty processes whose calls all hang, so that every run may be back on the cores at once: warm
+// Thirty dispatchers press thirty processes whose calls all hang, so that every run may be back on the cores at once: warm
 // nodes take many, and the same nodes, killed and started again with cold cores, no more than these survive.
-func TestColdProcessesSurviveWhatTwentyDispatchersSend(t *testing.T) {
-	const nodes, dispatchers = 20, 20
+func TestColdProcessesSurviveWhatThirtyDispatchersSend(t *testing.T) {
+	const nodes, dispatchers = 30, 30
 	var hangs atomic.Pointer[chan struct{}]
 	hang := func() func() {
 		c := make(chan struct{})
