--- a/lab/capacity/reach.go
+++ b/lab/capacity/reach.go
@@ -58,67 +58,60 @@
 	factor                   float64 // of the measure, 0 for 1
 }
 
-// ends are those that are measured.
+// ends are those that are measured, in groups that share what is wanted, the budget and the promise.
 func ends() []end {
-	control := func(what string) string { return what + " for control" }
-	return []end{
-		{what: "configuration from a file alone, resident", wanted: "4,700 routes and 130,000 tenants", ends: control("32 MB over one route and no tenant"),
-			kind: "safe", quantity: "configuration", measure: "rss_mb", budget: BudgetMB, over: true},
-		{what: "configuration from a file alone, peak at SIGHUP", wanted: "4,700 routes and 130,000 tenants", ends: control("32 MB over one route and no tenant"),
-			kind: "safe", quantity: "configuration", measure: "reload_peak_mb", budget: BudgetMB, over: true},
-		{what: "configuration in service, the whole node resident", wanted: "4,700 routes and 130,000 tenants", ends: control("32 MB over one route and no tenant"),
-			kind: "safe", quantity: "service", measure: "over_mb", budget: BudgetMB},
-		{what: "configuration in service, peak at a change", wanted: "4,700 routes and 130,000 tenants", ends: control("32 MB over one route and no tenant"),
-			kind: "safe", quantity: "service", measure: "change_over_mb", budget: BudgetMB},
-		{what: "configuration in service, peak at SIGHUP", wanted: "4,700 routes and 130,000 tenants", ends: control("32 MB over one route and no tenant"),
-			kind: "safe", quantity: "service", measure: "reload_over_mb", budget: BudgetMB},
-		{what: "changes in service, processor time of a node among 80", wanted: "900 changes a day", ends: control("14 ms of processor a second"),
-			kind: "timely", quantity: "changes", measure: "cpu", budget: BudgetCPU},
-		{what: "changes in service, traffic of a node among 80, membership's with it", wanted: "900 changes a day", ends: control("21 KB a second"),
-			kind: "timely", quantity: "changes", measure: "bytes", budget: BudgetBytes},
-		{what: "changes in service, processor time, mean of a day with 900", wanted: "1,300 nodes", ends: control("14 ms of processor a second"),
-			kind: "timely", quantity: "spread", measure: "change_cpu", budget: BudgetCPU, factor: WantedChanges / DaySeconds},
-		{what: "changes in service, traffic, mean of a day with 900", wanted: "1,300 nodes", ends: control("21 KB a second"),
-			kind: "timely", quantity: "spread", measure: "change_bytes", budget: BudgetBytes, factor: WantedChanges / DaySeconds},
-		{what: "changes in service, worst second at 20 a minute, membership's with it", wanted: "1,300 nodes", ends: control("21 KB a second"),
-			kind: "timely", quantity: "spread", measure: "worst_bytes", budget: BudgetBytes},
-		{what: "configuration from a file alone, idle node", wanted: "4,700 routes and 130,000 tenants", ends: control("14 ms of processor a second"),
-			kind: "timely", quantity: "configuration", measure: "idle_cpu", budget: BudgetCPU},
-		{what: "membership, idle traffic", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "nodes", measure: "idle_bytes", budget: BudgetBytes},
-		{what: "membership, idle traffic, simulated", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "idle_bytes", budget: BudgetBytes},
-		{what: "membership, worst second after a death", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "killed_bytes", budget: BudgetBytes},
-		{what: "membership, worst second of one restart", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "restarted_bytes", budget: BudgetBytes},
-		{what: "membership, a zone of 15 that is lost, mean of 15 s", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "zone_mean", budget: BudgetBytes},
-		{what: "membership, a zone of 15 that comes back at once, mean of 15 s", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "zone_back_mean", budget: BudgetBytes},
-		{what: "membership, a region of 7 that is lost, mean of 15 s", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "region_mean", budget: BudgetBytes},
-		{what: "membership, a region of 7 that comes back at once, mean of 15 s", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "region_back_mean", budget: BudgetBytes},
-		{what: "membership, a region of 7 whose cut is healed, mean of 15 s", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "healed_mean", budget: BudgetBytes},
-		{what: "membership, all nodes join at once, mean of 60 s", wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "virtual", measure: "herd_mean", budget: BudgetBytes},
-		{what: "membership, traffic of a day's restarts, evenly spread", wanted: "3,000 restarts a day of 300 nodes", ends: control("21 KB a second"), kind: "timely",
-			quantity: "restarts", measure: "bytes", budget: BudgetBytes},
-		{what: "callers' connections, idle node", wanted: "14,000 connections at one node", ends: "14 ms of processor a second, were they counted as control", kind: "timely",
-			quantity: "callers", measure: "idle_cpu", budget: BudgetCPU},
-		{what: "callers' connections, resident", wanted: "14,000 connections at one node", ends: "32 MB over none, were they counted as control", kind: "safe",
-			quantity: "callers", measure: "rss_mb", budget: BudgetMB, over: true},
-		{what: "membership, idle processor time", wanted: "1,300 nodes", ends: control("14 ms of processor a second"), kind: "timely",
-			quantity: "nodes", measure: "idle_cpu", budget: BudgetCPU},
-		{what: "agreeing on tokens: the leader's processor", wanted: "55,000 tokens a second (a quarter of all requests, assumed)",
-			ends: "one core of the leader", kind: "safe", quantity: "tokens", measure: "leader_cpu", budget: oneCore},
-		{what: "requests: processor time of the node", wanted: "169 requests a second", ends: "one core", kind: "timely",
-			quantity: "requests", measure: "cpu", budget: oneCore},
-		{what: "requests, one region's load shifted", wanted: "197 requests a second", ends: "one core", kind: "timely",
-			quantity: "requests", measure: "cpu", budget: oneCore, size: RequestsEach * RegionLost},
+	var list []end
+	group := func(shared end, lines ...[3]string) { // what, quantity, measure
+		for _, l := range lines {
+			shared.what, shared.quantity, shared.measure = l[0], l[1], l[2]
+			list = append(list, shared)
+		}
 	}
+	control := func(what string) string { return what + " for control" }
+	whole := end{wanted: "4,700 routes and 130,000 tenants", ends: control("32 MB over one route and no tenant"), kind: "safe", budget: BudgetMB}
+	group(whole, [3]string{"configuration in service, the whole node resident", "service", "over_mb"},
+		[3]string{"configuration in service, peak at a change", "service", "change_over_mb"},
+		[3]string{"configuration in service, peak at SIGHUP", "service", "reload_over_mb"})
+	whole.over = true
+	group(whole, [3]string{"configuration from a file alone, resident", "configuration", "rss_mb"},
+		[3]string{"configuration from a file alone, peak at SIGHUP", "configuration", "reload_peak_mb"})
+	processor := end{wanted: "900 changes a day", ends: control("14 ms of processor a second"), kind: "timely", budget: BudgetCPU}
+	group(processor, [3]string{"changes in service, processor time of a node among 80", "changes", "cpu"})
+	processor.wanted = "4,700 routes and 130,000 tenants"
+	group(processor, [3]string{"configuration from a file alone, idle node", "configuration", "idle_cpu"})
+	processor.wanted = "1,300 nodes"
+	group(processor, [3]string{"membership, idle processor time", "nodes", "idle_cpu"})
+	processor.factor = WantedChanges / DaySeconds
+	group(processor, [3]string{"changes in service, processor time, mean of a day with 900", "spread", "change_cpu"})
+	bytes := end{wanted: "1,300 nodes", ends: control("21 KB a second"), kind: "timely", budget: BudgetBytes}
+	group(bytes, [3]string{"changes in service, worst second at 20 a minute, membership's with it", "spread", "worst_bytes"},
+		[3]string{"membership, idle traffic", "nodes", "idle_bytes"},
+		[3]string{"membership, idle traffic, simulated", "virtual", "idle_bytes"},
+		[3]string{"membership, worst second after a death", "virtual", "killed_bytes"},
+		[3]string{"membership, worst second of one restart", "virtual", "restarted_bytes"},
+		[3]string{"membership, a zone of 15 that is lost, mean of 15 s", "virtual", "zone_mean"},
+		[3]string{"membership, a zone of 15 that comes back at once, mean of 15 s", "virtual", "zone_back_mean"},
+		[3]string{"membership, a region of 7 that is lost, mean of 15 s", "virtual", "region_mean"},
+		[3]string{"membership, a region of 7 that comes back at once, mean of 15 s", "virtual", "region_back_mean"},
+		[3]string{"membership, a region of 7 whose cut is healed, mean of 15 s", "virtual", "healed_mean"},
+		[3]string{"membership, all nodes join at once, mean of 60 s", "virtual", "herd_mean"})
+	bytes.wanted = "900 changes a day"
+	group(bytes, [3]string{"changes in service, traffic of a node among 80, membership's with it", "changes", "bytes"})
+	bytes.wanted = "3,000 restarts a day of 300 nodes"
+	group(bytes, [3]string{"membership, traffic of a day's restarts, evenly spread", "restarts", "bytes"})
+	bytes.wanted, bytes.factor = "1,300 nodes", WantedChanges/DaySeconds
+	group(bytes, [3]string{"changes in service, traffic, mean of a day with 900", "spread", "change_bytes"})
+	core := end{wanted: "169 requests a second", ends: "one core", kind: "timely", budget: oneCore}
+	group(core, [3]string{"requests: processor time of the node", "requests", "cpu"})
+	core.wanted, core.size = "197 requests a second", RequestsEach*RegionLost
+	group(core, [3]string{"requests, one region's load shifted", "requests", "cpu"})
+	return append(list,
+		end{what: "callers' connections, idle node", wanted: "14,000 connections at one node", ends: "14 ms of processor a second, were they counted as control",
+			kind: "timely", quantity: "callers", measure: "idle_cpu", budget: BudgetCPU},
+		end{what: "callers' connections, resident", wanted: "14,000 connections at one node", ends: "32 MB over none, were they counted as control",
+			kind: "safe", quantity: "callers", measure: "rss_mb", budget: BudgetMB, over: true},
+		end{what: "agreeing on tokens: the leader's processor", wanted: "55,000 tokens a second (a quarter of all requests, assumed)",
+			ends: "one core of the leader", kind: "safe", quantity: "tokens", measure: "leader_cpu", budget: oneCore})
 }
 
 // lineRow is what a fit says of an end.
