--- a/council/council_test.go
+++ b/council/council_test.go
@@ -270,21 +270,11 @@
 		case 5, 6:
 			w.pause(i, true)
 		case 7, 8, 9:
-			for k := range w.machines {
-				w.pause(k, false)
-			}
+			w.resume()
 		case 10, 11:
-			for k := range w.machines {
-				if k != i && chance.Intn(2) == 0 {
-					w.cut[[2]int{i, k}] = true
-				}
-			}
+			w.cutFrom(i, chance)
 		case 12:
-			for k := range w.machines {
-				if k != i {
-					w.cut[[2]int{k, i}], w.cut[[2]int{i, k}] = true, chance.Intn(2) == 0
-				}
-			}
+			w.cutOff(i, chance)
 		case 13, 14, 15:
 			clear(w.cut)
 		}
--- a/council/disk_test.go
+++ b/council/disk_test.go
@@ -292,21 +292,11 @@
 		case 9, 10:
 			w.pause(i, true)
 		case 11, 12, 13:
-			for k := range w.machines {
-				w.pause(k, false)
-			}
+			w.resume()
 		case 14, 15:
-			for k := range w.machines {
-				if k != i && chance.Intn(2) == 0 {
-					w.cut[[2]int{i, k}] = true
-				}
-			}
+			w.cutFrom(i, chance)
 		case 16:
-			for k := range w.machines {
-				if k != i {
-					w.cut[[2]int{k, i}], w.cut[[2]int{i, k}] = true, chance.Intn(2) == 0
-				}
-			}
+			w.cutOff(i, chance)
 		case 17, 18, 19:
 			clear(w.cut)
 		case 20:
--- a/council/helpers_test.go
+++ b/council/helpers_test.go
@@ -502,3 +502,28 @@
 	}
 	return porcupine.CheckOperations(model, history)
 }
+
+// resume has all go on that were paused.
+func (w *world) resume() {
+	for i := range w.machines {
+		w.pause(i, false)
+	}
+}
+
+// cutFrom cuts the way from a machine to some of the others.
+func (w *world) cutFrom(i int, chance *rand.Rand) {
+	for k := range w.machines {
+		if k != i && chance.Intn(2) == 0 {
+			w.cut[[2]int{i, k}] = true
+		}
+	}
+}
+
+// cutOff cuts the way of all others to a machine, and its way to some of them.
+func (w *world) cutOff(i int, chance *rand.Rand) {
+	for k := range w.machines {
+		if k != i {
+			w.cut[[2]int{k, i}], w.cut[[2]int{i, k}] = true, chance.Intn(2) == 0
+		}
+	}
+}
