Capacity: connections of callers come from more source addresses

Ladders of connections failed with 'address already in use' where several were climbed within a minute (seen on 2026-12-02 at 06:11, 95,000 ports of ended connections on the machine): 4,000 of some 28,000 ports an address, each held for a minute after its end.

--- a/lab/capacity/load.go
+++ b/lab/capacity/load.go
@@ -20,7 +20,7 @@
 
 const (
 	answerMost = 5 * time.Second // for an answer, past the client timeout of generated operations
-	sourceEach = 4_000           // connections from one source address: a machine has some 28,000 ports for each
+	sourceEach = 1_000           // connections from one source address: of some 28,000 ports, each is taken for a minute after its connection ended
 	tracked    = 60_000_000      // us that the histogram holds at the most
 	openAtOnce = 32              // connections that are opened at a time
 )
