--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -113,7 +113,7 @@
 	digests  map[uint64]configuration.Digest
 	records  map[uint64]*configuration.Record
 	last     *configuration.Agreed // the newest that a seat told
-	apart    map[*member]bool      // on the smaller side of a cut
+	apart    map[*member]bool      // in the region that is cut off
 	wrong    []string
 	back     int // versions that went back
 	forked   int // versions with two contents
--- a/lab/rig/versions_play.go
+++ b/lab/rig/versions_play.go
@@ -17,6 +17,7 @@
 const (
 	inForce   = 10 * second                           // in which a change is to be in force
 	reachStep = 100 * ms                              // between looks at who is in reach
+	lasting   = math.MaxInt64                         // the end of a stretch that goes on
 	noticed   = 500 * ms                              // until an operator takes back what was stopped
 	loadFor   = 60 * second                           // for the first content to be agreed on
 	joinFor   = 60 * second                           // for one view, where membership is played
@@ -290,11 +291,6 @@
 				seats++
 			}
 		}
-		if 2*seats > len(f.seats) {
-			for _, m := range f.members {
-				f.apart[m] = !f.apart[m]
-			}
-		}
 		f.say("FAULT region %s is cut off: %d nodes, %d seats, for %.0f s", region, len(within), seats, seconds(back-f.Now))
 		f.At(back, func() {
 			f.Mend()
@@ -308,25 +304,33 @@
 
 func (f *versions) sound() { f.Loss, f.Double, f.Late = 0, 0, 0 }
 
-// reach notes who is out of reach: down, on the smaller side of a cut, without a majority of seats, or back without a disk and
-// not yet recovered.
-func (f *versions) reach() {
-	seats := 0
-	for _, name := range f.seats {
-		if m := f.byName[name]; m.Up && !f.apart[m] {
-			seats++
+// noteReach notes who is in reach from now on: up, with a majority of all seats up on its side of a cut, and not still recovering
+// from a lost disk. Both kinds of play measure by it.
+func (f *versions) noteReach(now int64, up, recovering func(*member) bool) {
+	seats := map[bool]int{} // that are up, by side
+	all := 0
+	for _, m := range f.members {
+		if m.seat {
+			all++
+			if up(m) {
+				seats[f.apart[m]]++
+			}
 		}
 	}
 	for _, m := range f.members {
-		if m.Up && !f.apart[m] && 2*seats > len(f.seats) && !m.life.fresh {
-			continue
-		}
-		if k := len(m.out); k > 0 && m.out[k-1].to >= f.Now {
-			m.out[k-1].to = f.Now + reachStep
-		} else {
-			m.out = append(m.out, stretch{f.Now, f.Now + reachStep})
+		in := up(m) && 2*seats[f.apart[m]] > all && !recovering(m)
+		switch k := len(m.out); {
+		case !in && (k == 0 || m.out[k-1].to != lasting):
+			m.out = append(m.out, stretch{now, lasting})
+		case in && k > 0 && m.out[k-1].to == lasting:
+			m.out[k-1].to = now
 		}
 	}
+}
+
+// reach looks again and again at who is in reach.
+func (f *versions) reach() {
+	f.noteReach(f.Now, func(m *member) bool { return m.Up }, func(m *member) bool { return m.life.fresh })
 	f.After(reachStep, f.reach)
 }
 
--- a/lab/rig/versions_processes.go
+++ b/lab/rig/versions_processes.go
@@ -41,6 +41,8 @@
 	has    []configuration.Mark
 	up     []bool
 	lives  []int
+	began  []int64    // of each node's life
+	empty  []bool     // without a disk, and nothing was in force since
 	bytes  [][]sample // of each node, since its last start
 	agreed configuration.AtSeat
 	undone [][2]uint64 // versions between these two were taken back by the second
@@ -121,7 +123,13 @@
 			f.sayNow("n%d goes from version %d to %d", i, last.Version, mark.Version)
 		}
 		f.has[i] = mark
-		m.held = append(m.held, taken{max(now-a.Status.TakenNS, f.startOf(m)), mark.Version})
+		at := max(now-a.Status.TakenNS, f.began[i])
+		m.held = append(m.held, taken{at, mark.Version})
+		if f.empty[i] && mark.Version > 0 {
+			f.empty[i] = false
+			f.recovers = append(f.recovers, seconds(at-f.began[i]))
+			f.lookAround(at)
+		}
 	}
 	if d, known := f.marks[mark.Version]; mark.Version > 0 && known && d != mark.Digest {
 		f.forked++
@@ -140,12 +148,9 @@
 	}
 }
 
-// startOf is when a member's life began, as far as it was noted.
-func (f *polled) startOf(m *member) int64 {
-	if k := len(m.out); k > 0 {
-		return m.out[k-1].to
-	}
-	return 0
+// lookAround notes who is in reach from a time on; under the lock.
+func (f *polled) lookAround(now int64) {
+	f.noteReach(now, func(m *member) bool { return f.up[m.index] }, func(m *member) bool { return f.empty[m.index] })
 }
 
 // put has one command ordered, at one seat after the other until there is a verdict.
@@ -282,7 +287,7 @@
 func (n *Night) playVersionsOnProcesses(p *processes, seed int64) *Outcome {
 	o := &Outcome{Seed: seed, Measures: map[string]float64{}}
 	f := &polled{versions: newVersions(n, seed), p: p, fleet: envelope.FleetOf("rig"), marks: map[uint64]configuration.Digest{},
-		has: make([]configuration.Mark, n.Nodes), up: make([]bool, n.Nodes), lives: make([]int, n.Nodes), bytes: make([][]sample, n.Nodes),
+		has: make([]configuration.Mark, n.Nodes), up: make([]bool, n.Nodes), lives: make([]int, n.Nodes), began: make([]int64, n.Nodes), empty: make([]bool, n.Nodes), bytes: make([][]sample, n.Nodes),
 		ask: make(chan struct{}, asksMost)}
 	f.World = world.New(seed, 0)
 	for i, m := range f.members {
@@ -440,7 +445,7 @@
 			down = append(down, i)
 		}
 	}
-	f.apartPolled(nil, false)
+	f.apartPolled(nil)
 	return f.startSome(down)
 }
 
@@ -450,32 +455,25 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.p.now()
 	for _, i := range list {
 		f.up[i] = true
 		f.lives[i]++
-		f.has[i] = configuration.Mark{}
-		m := f.members[i]
-		m.out[len(m.out)-1].to = f.p.now()
+		f.has[i], f.began[i] = configuration.Mark{}, now
 	}
+	f.lookAround(now)
 	return nil
 }
 
-// apartPolled notes who is cut off, or that nobody is any more.
-func (f *polled) apartPolled(nodes []int, cut bool) {
+// apartPolled notes who is cut off from all others, nobody where it is healed. There is one cut at a time.
+func (f *polled) apartPolled(nodes []int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.apart)
 	for _, i := range nodes {
-		m := f.members[i]
-		m.out, f.apart[m] = append(m.out, stretch{f.p.now(), 1 << 62}), true
-	}
-	if !cut {
-		for m := range f.apart {
-			if k := len(m.out); m.out[k-1].to == 1<<62 && f.up[m.index] {
-				m.out[k-1].to = f.p.now()
-			}
-		}
-		clear(f.apart)
+		f.apart[f.members[i]] = true
 	}
+	f.lookAround(f.p.now())
 }
 
 // begin does a fault, and lays its end.
@@ -516,16 +514,17 @@
 		}
 		cutAll(p, nodes, out)
 		cutAll(p, out, nodes)
-		f.apartPolled(nodes, true)
+		f.apartPolled(nodes)
 		f.noted("FAULT %d nodes of %s cut off", len(nodes), layout.Name(nodes[0]))
-		*list = append(*list, begun{back, func() error { p.heal(); f.apartPolled(nil, false); return nil }})
+		*list = append(*list, begun{back, func() error { p.heal(); f.apartPolled(nil); return nil }})
 	case "kill":
 		f.mu.Lock()
 		for _, i := range nodes {
 			f.up[i] = false
 			f.lives[i]++
-			f.members[i].out = append(f.members[i].out, stretch{p.now(), 1 << 62})
+			f.empty[i] = f.empty[i] || fault.Shape == "forgets"
 		}
+		f.lookAround(p.now())
 		f.mu.Unlock()
 		endAll(p, nodes, false, make([]bool, n.Nodes))
 		for _, i := range nodes {
@@ -558,6 +557,7 @@
 	f.measureInForce(x)
 	x["gone_back"], x["two_contents"], x["stops"] = float64(f.back), float64(f.forked), float64(f.stops)
 	x["put_s"], x["changes"], x["versions"] = quantile(f.puts, 0.99), float64(len(f.changes)), float64(f.agreed.Newest.Version)
+	x["recovered_s"], x["recoveries"] = quantile(f.recovers, 1), float64(len(f.recovers))
 	idle, nodes := 0.0, 0
 	for i, list := range f.bytes {
 		var first, last *sample
