Sound peers are set aside no more while seats lag; reach on processes as in virtual time

Need: all nodes' neighbours counted as liars where three seats in a row did not know of a rumour. A seat's answer now says whether it is in touch with the council (a leader is heard, and something of its term carried out), and counts against a rumour only then, and only 5 s after the rumour was told; an answer that came twice counts once. Seats are asked less often while a rumour stands. Another content for a version that was vouched for is now found for the last 16 versions, and also when the seat's word comes after the peer's.

On processes a loss of the seats' majority, and the time until a lost disk is made good, was not counted as out of reach; both plays now note it by the same function.

--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -26,19 +26,20 @@
 	seatAfter    = 1_500 * ms  // ns without a neighbour that has it, past which a seat is asked
 	asideFor     = 4_000 * ms  // ns that a peer is passed over for a lie, doubled with each up to asideMost: it may have believed another
 	asideMost    = 900_000 * ms
-	orderAgain   = 500 * ms // ns to the next try at having a stop ordered
-	rate         = 14_000   // bytes a second, all letters of this package, both ways: 21 KB less membership's and a reserve
-	burst        = 32 << 10 // bytes that may go at once after a quiet time
-	pieceMost    = 24 << 10 // bytes of records or blocks in one answer, or one block
-	askerRate    = rate / 2 // bytes a second that one peer may have of this node
-	eagerMost    = 700      // bytes of records in a datagram of 1,200
-	wantedMost   = 16       // blocks asked for at once: more than fit an answer
-	peersMost    = 96       // peers that something is known of: links, seats and some that ask
-	holdMost     = 1 << 20  // bytes of records that a node keeps for others
-	journalMost  = 1 << 20  // bytes of records on disk after which all is written anew
-	vouchesMost  = 2_000    // reports that a seat answers in a second: thrice a fleet's share of one change
-	marksMost    = 16       // marks that were vouched for, with which records of a peer can end
-	doubtsMost   = 3        // seats that don't know of a rumour, past which it is a lie
+	orderAgain   = 500 * ms   // ns to the next try at having a stop ordered
+	rate         = 14_000     // bytes a second, all letters of this package, both ways: 21 KB less membership's and a reserve
+	burst        = 32 << 10   // bytes that may go at once after a quiet time
+	pieceMost    = 24 << 10   // bytes of records or blocks in one answer, or one block
+	askerRate    = rate / 2   // bytes a second that one peer may have of this node
+	eagerMost    = 700        // bytes of records in a datagram of 1,200
+	wantedMost   = 16         // blocks asked for at once: more than fit an answer
+	peersMost    = 96         // peers that something is known of: links, seats and some that ask
+	holdMost     = 1 << 20    // bytes of records that a node keeps for others
+	journalMost  = 1 << 20    // bytes of records on disk after which all is written anew
+	vouchesMost  = 2_000      // reports that a seat answers in a second: thrice a fleet's share of one change
+	marksMost    = 16         // marks that were vouched for, with which records of a peer can end
+	claimFor     = 5_000 * ms // ns that a rumour may stand unconfirmed: seats that come back learn what was agreed on meanwhile
+	denialsMost  = 3          // answers of seats that know all and not of a rumour, past which it is a lie
 	never        = 1<<63 - 1
 )
 
@@ -80,6 +81,9 @@
 	due       int64 // to be told again
 	aside     int64
 	lies      int
+	claim     Head  // the first that it told and no seat vouched for yet
+	claimed   int64 // when it was told
+	denied    int   // seats' answers against it
 	again     int64 // not asked before
 	tokens    int64
 	filled    int64
@@ -91,17 +95,18 @@
 	Counters Counters
 	Board    Board // at a seat: who reported what
 
-	terms  Terms
-	chance *rand.Rand
-	source string
-	view   View
-	peers  map[string]*peer
-	agreed *Agreed // at a seat
-	head   Head    // vouched for
-	forked Mark    // the last that a seat vouched for against what one did before
-	marks  []Mark  // the last that were vouched for, by version
-	heard  int64   // when a seat last vouched, 0 for never
-	began  int64
+	terms   Terms
+	chance  *rand.Rand
+	source  string
+	view    View
+	peers   map[string]*peer
+	agreed  *Agreed // at a seat
+	current bool    // that seat is in touch with the council
+	head    Head    // vouched for
+	forked  Mark    // the last that a seat vouched for against what one did before
+	marks   []Mark  // the last that were vouched for, by version
+	heard   int64   // when a seat last vouched, 0 for never
+	began   int64
 
 	mark, ready         Mark // in force; had, and not lower
 	content, next       *Content
@@ -121,7 +126,8 @@
 	seq                 uint32
 	waiting             int64 // until an answer to it is late, 0 while none is open
 	tries               int
-	doubts              int
+	doubts              int    // answers in a row that did not confirm a rumour
+	judged              uint32 // the last report whose answer was held against peers
 	fetch               fetch
 	run                 run
 	staged              *Content
@@ -257,6 +263,8 @@
 		if h.agreed = i.Agreed; h.agreed != nil {
 			effects = h.vouched(now, h.agreed.Head, effects)
 		}
+	case Stood:
+		h.current = i.Current
 	case Came:
 		switch p := h.known(now, i.From); {
 		case i.Message == nil || p == nil:
@@ -328,7 +336,44 @@
 	}
 	p.aside = now + min(asideFor<<min(p.lies, 10), asideMost)
 	p.lies++
-	p.head, p.has, p.offer = Head{}, Mark{}, nil
+	p.head, p.has, p.offer, p.claim = Head{}, Mark{}, nil, Head{}
+}
+
+// belied says whether a peer told of another content for a version that was vouched for, or is held here.
+func (h *Holder) belied(marks ...Mark) bool {
+	for _, x := range marks {
+		other := func(y Mark) bool { return x.Version == y.Version && x.Version > 0 && x.Digest != y.Digest }
+		if other(h.ready) || other(h.head.All) || other(h.head.First) || slices.ContainsFunc(h.marks, other) {
+			return true
+		}
+	}
+	return false
+}
+
+// claims follows the first rumour of a peer that no seat vouched for yet, true while there is one.
+func (p *peer) claims(now int64, mine *Head) bool {
+	if !p.claim.newer(mine) {
+		p.claim, p.claimed, p.denied = p.head, now, 0
+	}
+	return p.claim.newer(mine)
+}
+
+// deny holds a seat's answer against the peers that told of more. It counts where that seat knows all and the report was sent
+// long after the rumour: a seat that is back, or cut off from the others, says nothing against a peer that knows better.
+func (h *Holder) deny(now int64) {
+	if h.judged == h.seq {
+		return // an answer that came twice
+	}
+	h.judged = h.seq
+	mine := h.heads()
+	for _, p := range h.peers {
+		if p.aside > now || !p.claims(now, &mine) || h.reported < p.claimed+claimFor {
+			continue
+		}
+		if p.denied++; p.denied >= denialsMost {
+			h.lie(now, p)
+		}
+	}
 }
 
 // hear takes a neighbour's word. It only says whom to ask: what isn't vouched for by a seat is a rumour.
@@ -336,22 +381,20 @@
 	if p.aside > now {
 		return
 	}
-	for _, x := range [...]Mark{m.Head.All, m.Head.First, m.Has} {
-		for _, y := range [...]Mark{h.head.All, h.head.First, h.ready} {
-			if x.Version == y.Version && x.Version > 0 && x.Digest != y.Digest {
-				h.lie(now, p)
-				return
-			}
-		}
+	if h.belied(m.Head.All, m.Head.First, m.Has) {
+		h.lie(now, p)
+		return
 	}
 	p.head, p.has = m.Head.marks(), m.Has
-	if mine := h.heads(); mine.newer(&p.head) || h.ready.Version > p.has.Version { // it lacks what this node can tell
+	mine := h.heads()
+	p.claims(now, &mine)
+	if mine.newer(&p.head) || h.ready.Version > p.has.Version { // it lacks what this node can tell
 		p.due = min(p.due, max(now, p.toldAt)+tellBack)
 	}
 	switch {
 	case !h.rumour(now):
 	case h.waiting == 0:
-		h.report = min(h.report, max(now+h.draw(reportSpread), h.reported+reportGap))
+		h.report = min(h.report, max(now+h.draw(reportSpread), h.reported+reportGap<<min(h.doubts/2, 4)))
 	default: // another seat is asked soon, however long this one is waited for
 		h.waiting = min(h.waiting, max(now, h.reported+vouchFor))
 	}
@@ -396,7 +439,7 @@
 		return effects
 	}
 	h.Board.Report(now, from, m.Has, m.Refused, m.Why, m.Age)
-	answer := &Message{Kind: Vouch, Seq: m.Seq, Head: h.agreed.Head}
+	answer := &Message{Kind: Vouch, Seq: m.Seq, Head: h.agreed.Head, Current: h.current}
 	h.sent(answer)
 	return append(effects, Effect{Kind: Send, To: from, Message: answer})
 }
@@ -419,17 +462,11 @@
 		return effects
 	}
 	h.tries++ // this seat lags behind what a neighbour heard, or that one lied: another seat is asked
-	if h.doubts++; h.doubts >= doubtsMost {
-		mine := h.heads()
-		for _, p := range h.peers {
-			if p.head.newer(&mine) {
-				h.lie(now, p)
-			}
-		}
-		h.doubts = 0
-		return effects
+	if m.Current {
+		h.deny(now)
 	}
-	h.report = now + h.about(vouchFor)
+	h.report = now + h.about(min(vouchFor<<min(h.doubts/denialsMost, 5), vouchMost))
+	h.doubts++
 	return effects
 }
 
@@ -451,6 +488,7 @@
 	if head.newer(&h.head) {
 		if head.marks() != h.head.marks() {
 			h.news++
+			h.doubts = 0
 		}
 		h.head = head
 		for _, m := range [...]Mark{head.All, head.First} {
@@ -459,6 +497,11 @@
 			}
 		}
 		h.marks = h.marks[max(0, len(h.marks)-marksMost):]
+		for _, p := range h.peers {
+			if p.aside <= now && h.belied(p.claim.All, p.claim.First, p.head.All, p.head.First, p.has) {
+				h.lie(now, p)
+			}
+		}
 	}
 	return effects
 }
--- a/configuration/holder_test.go
+++ b/configuration/holder_test.go
@@ -151,3 +151,63 @@
 	require.Positive(t, one)
 	require.LessOrEqual(t, one, seconds*askerRate+burst+blockMost)
 }
+
+// rumoured has neighbours tell of a version for some seconds, which seats don't know; it says how many reports were sent.
+func rumoured(h *Holder, head, rumour Head, seconds int64, current bool) (reports int) {
+	var in []Input
+	for now := ms; now < seconds*1_000*ms; now += 10 * ms {
+		if now%(500*ms) == ms {
+			in = append(in, told("a", rumour, rumour.First), told("b", rumour, rumour.First))
+		}
+		effects, _ := h.Step(now, in)
+		in = nil
+		for _, e := range pick(effects, Send) {
+			if e.Message.Kind == Report {
+				reports++
+				answer := Input{Kind: Came, From: e.To, Message: &Message{Kind: Vouch, Seq: e.Message.Seq, Head: head, Current: current}}
+				twice := *answer.Message
+				in = append(in, answer, Input{Kind: Came, From: e.To, Message: &twice})
+			}
+		}
+	}
+	return reports
+}
+
+// TestSoundPeersAreNotSetAsideWhileSeatsLag has all seats back with what they knew before, and in touch with no majority.
+func TestSoundPeersAreNotSetAsideWhileSeatsLag(t *testing.T) {
+	x, h := chain(3), holding()
+	one, three := markOf(x, 1), markOf(x, 3)
+	h.Step(0, []Input{vouchedFor(one, one), told("a", Head{}, one, x.log[0].wire())})
+	h.Step(1, []Input{{Kind: Took, Mark: one}})
+	require.Equal(t, one, h.Mark())
+	reports := rumoured(h, Head{All: one, First: one}, Head{All: one, First: three}, 60, false)
+	require.Zero(t, h.Counters.Lies)
+	require.Less(t, reports, 60, "seats are asked less and less often")
+	effects, _ := h.Step(60_001*ms, []Input{vouchedFor(one, three), told("a", Head{All: one, First: three}, three, wired(x.log[1:], eagerMost, true)...)})
+	require.Empty(t, pick(effects, Take))
+	require.Equal(t, three, h.ready, "and neighbours are believed as soon as a seat vouches")
+}
+
+// TestARumourThatIsOnItsWayIsNoLie has seats that are in touch with the council learn of it some seconds later than neighbours.
+func TestARumourThatIsOnItsWayIsNoLie(t *testing.T) {
+	x, h := chain(2), holding()
+	one, two := markOf(x, 1), markOf(x, 2)
+	rumoured(h, Head{All: one, First: one}, Head{All: one, First: two}, claimFor/(1_000*ms), true)
+	require.Zero(t, h.Counters.Lies)
+}
+
+// TestWhoTellsOfWhatNobodyAgreedOnIsSetAside has seats that know all deny it, and one with another content for a known version.
+func TestWhoTellsOfWhatNobodyAgreedOnIsSetAside(t *testing.T) {
+	x, h := chain(2), holding()
+	one, two := markOf(x, 1), markOf(x, 2)
+	rumoured(h, Head{All: one, First: one}, Head{All: one, First: Mark{9, Digest{A: 9}}}, 20, true)
+	require.Equal(t, 2, h.Counters.Lies, "both neighbours told it")
+	require.Equal(t, 1, h.peers["a"].lies)
+	require.Equal(t, 1, h.peers["b"].lies)
+	h = holding()
+	h.Step(ms, []Input{vouchedFor(one, one), told("a", Head{All: one, First: Mark{2, Digest{A: 9}}}, one), told("b", Head{All: one, First: two}, two)})
+	require.Zero(t, h.Counters.Lies, "nobody knows yet")
+	h.Step(2*ms, []Input{vouchedFor(one, two)})
+	require.Equal(t, 1, h.peers["a"].lies)
+	require.Zero(t, h.peers["b"].lies)
+}
--- a/configuration/message.go
+++ b/configuration/message.go
@@ -29,6 +29,7 @@
 	Index   []byte      `cbor:"12,keyasint,omitempty"` // Piece: the digests of their blocks in a row
 	Blocks  []Block     `cbor:"13,keyasint,omitempty"` // Piece
 	Busy    int64       `cbor:"14,keyasint,omitempty"` // Piece: ns after which to ask again
+	Current bool        `cbor:"16,keyasint,omitempty"` // Vouch: the seat is in touch with the council, so it knows all but what is on its way
 }
 
 // Block is one range of a content.
@@ -82,6 +83,7 @@
 	Took                      // Mark is in force at this node, or can't be: Why
 	Saved                     // the last Persist was carried out, or wasn't: Why
 	Ordered                   // the table of this node's seat changed
+	Stood                     // this node's seat is in touch with the council, or not any more: Current
 )
 
 // Input is one thing that happened. What it holds is the holder's afterwards.
@@ -92,6 +94,7 @@
 	Message *Message
 	View    *View
 	Agreed  *Agreed
+	Current bool
 	Mark    Mark
 	Why     string
 }
--- a/configuration/schedules_test.go
+++ b/configuration/schedules_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -193,6 +194,27 @@
 	}
 }
 
+// TestLiarsAreSetAside wants that schedules have nodes that lie, and that others find it out; that sound ones never are is checked at each step.
+func TestLiarsAreSetAside(t *testing.T) {
+	lying, found := 0, 0
+	for seed := int64(1); seed <= 60; seed++ {
+		w, lies := play(seed, nil), 0
+		if !slices.ContainsFunc(w.nodes, func(n *node) bool { return n.liar }) {
+			continue
+		}
+		lying++
+		for _, n := range w.nodes {
+			lies += n.holder.Counters.Lies
+		}
+		if lies > 0 {
+			found++
+		}
+	}
+	t.Logf("%d of %d liars were found out", found, lying)
+	require.Greater(t, lying, 10)
+	require.GreaterOrEqual(t, 10*found, 9*lying)
+}
+
 // TestMutationsAreFound wants that the schedules see faults that were put in.
 func TestMutationsAreFound(t *testing.T) {
 	for name, mutate := range map[string]func(*world){
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -262,6 +262,11 @@
 			return
 		}
 	}
+	for _, p := range n.holder.peers {
+		if p.lies > 0 && !w.byName[p.name].liar {
+			w.fail("%s sets %s aside, which is sound", n.name, p.name)
+		}
+	}
 	if next <= w.now {
 		w.fail("%s wakes in the past", n.name)
 	}
@@ -533,6 +538,9 @@
 // tick has seats that are together follow the log, order what is due, and callers go on.
 func (w *world) tick() {
 	for i, n := range w.nodes[:w.seats] {
+		if current := w.majority(i) && n.seen == len(w.entries); n.up && current != n.holder.current {
+			w.give(i, Input{Kind: Stood, Current: current})
+		}
 		if !w.majority(i) {
 			continue
 		}
--- a/council/seat.go
+++ b/council/seat.go
@@ -203,6 +203,16 @@
 // Leads says whether this seat leads the council, as far as it knows.
 func (x *Seat) Leads() bool { return x.leads() }
 
+// Current says whether this seat knows of all that was agreed on but for what is on its way: it hears a leader, or leads and is
+// heard by a majority, and has carried out something of that leader's term, and with it all before.
+func (x *Seat) Current() bool {
+	if !x.founded || x.leader == 0 || x.now >= x.heardAt+electLeast || x.muted() {
+		return false
+	}
+	term, err := x.storage.Term(x.applied)
+	return err == nil && term == x.node.BasicStatus().GetTerm()
+}
+
 // Leader is the name of the seat that leads, as far as this one knows, empty where it knows none.
 func (x *Seat) Leader() string {
 	for name, s := range x.seats {
--- a/lab/experiments/config-scale.jsonnet
+++ b/lab/experiments/config-scale.jsonnet
@@ -42,6 +42,7 @@
     { name: 'all changes are answered', measure: 'unanswered', most: 0 },
     { name: 'all nodes are at one digest in the end', measure: 'digests', most: 1 },
     { name: "what an older build can't take is stopped", measure: 'stops', least: 1 },
+    { name: 'no node sets a sound one aside', measure: 'lies', most: 0 },
     { name: 'idle', measure: 'idle_bytes', most: 500 },
     { name: "a node keeps to its bytes over 15 s, also from a lost disk, beside membership's 1.25 kB/s", measure: 'window_bytes', most: 19750 },
   ],
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -87,6 +87,7 @@
 	council *council.Council
 	toSeat  []council.Input
 	seated  int64 // when the seat is woken
+	current bool  // as the holder knows of its seat
 	writes  []*council.Write
 	free    int64 // when the seat's disk has nothing to do
 	fresh   bool  // began without a disk, and has taken nothing since
@@ -412,6 +413,10 @@
 		}
 		l.give(configuration.Input{Kind: configuration.Ordered, Agreed: agreed})
 	}
+	if current := l.council.Current(); current != l.current {
+		l.current = current
+		l.give(configuration.Input{Kind: configuration.Stood, Current: current})
+	}
 	l.wakeSeat(next)
 }
 
--- a/lab/rig/versions_processes.go
+++ b/lab/rig/versions_processes.go
@@ -49,10 +49,11 @@
 	ask    chan struct{}
 }
 
-// sample is what a holder had sent and received.
+// sample is what a holder had sent and received, and how often it had set a peer aside.
 type sample struct {
 	at    int64
 	bytes int64
+	lies  int
 	life  int
 }
 
@@ -137,7 +138,7 @@
 		f.marks[mark.Version] = mark.Digest
 	}
 	c := &a.Status.Counters
-	f.bytes[i] = append(f.bytes[i], sample{now, c.BytesSent + c.BytesCame, life})
+	f.bytes[i] = append(f.bytes[i], sample{now, c.BytesSent + c.BytesCame, c.Lies, life})
 	if s := a.Seat; s != nil && (s.Head.All.Version > f.agreed.Head.All.Version || s.Newest.Version > f.agreed.Newest.Version || s.Head.Stopped) {
 		if s.Head.Stopped && !f.agreed.Head.Stopped {
 			f.sayNow("version %d is stopped by %s: %s", s.Head.First.Version, s.Head.Who, s.Head.Why)
@@ -558,6 +559,7 @@
 	x["gone_back"], x["two_contents"], x["stops"] = float64(f.back), float64(f.forked), float64(f.stops)
 	x["put_s"], x["changes"], x["versions"] = quantile(f.puts, 0.99), float64(len(f.changes)), float64(f.agreed.Newest.Version)
 	x["recovered_s"], x["recoveries"] = quantile(f.recovers, 1), float64(len(f.recovers))
+	x["lies"] = 0
 	idle, nodes := 0.0, 0
 	for i, list := range f.bytes {
 		var first, last *sample
@@ -573,6 +575,9 @@
 			idle, nodes = idle+float64(last.bytes-first.bytes)/seconds(last.at-first.at), nodes+1
 		}
 		for k := range list {
+			if k+1 == len(list) || list[k+1].life != list[k].life {
+				x["lies"] += float64(list[k].lies)
+			}
 			for j := k + 1; j < len(list) && list[j].life == list[k].life; j++ {
 				span := list[j].at - list[k].at
 				if span < window*second || list[k].at < start {
--- a/lab/rig/versions_test.go
+++ b/lab/rig/versions_test.go
@@ -1,10 +1,14 @@
 package rig
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"topazpost/lab/mesh"
 )
 
 // short are the faults and changes of the experiment, closer together.
@@ -45,6 +49,57 @@
 		"versions.changes": `[{"at":"1 s","for":"14 s","every":"1 s"},{"at":"9 s","new":true}]`})
 }
 
+// A node is out of reach while it is down, without a majority of seats on its side, or still recovering from a lost disk; what
+// is late without such an excuse is found. Plays in virtual time and on processes note it alike.
+func TestALateVersionWithoutAnExcuseIsFound(t *testing.T) {
+	t.Parallel()
+	for name, x := range map[string]struct {
+		down, apart, empty []int // members from 5 s until 8 s; the first three are seats
+		late               int   // has the version of second 1 after 12 s
+		found              bool
+	}{
+		"nothing else happens":             {late: 4, found: true},
+		"another is down":                  {down: []int{3}, late: 4, found: true},
+		"one seat is down":                 {down: []int{0}, late: 4, found: true},
+		"one seat and others are cut off":  {apart: []int{0, 3}, late: 4, found: true},
+		"another recovers":                 {empty: []int{3}, late: 4, found: true},
+		"it is down":                       {down: []int{4}, late: 4},
+		"it is cut off":                    {apart: []int{4}, late: 4},
+		"it is cut off with one seat":      {apart: []int{0, 4}, late: 4},
+		"most seats are cut off from it":   {apart: []int{0, 1}, late: 4},
+		"it is with most seats, cut off":   {apart: []int{0, 1, 4}, late: 4, found: true},
+		"most seats are down":              {down: []int{0, 1}, late: 4},
+		"a seat is down, another cut off":  {down: []int{0}, apart: []int{1}, late: 4},
+		"it recovers":                      {empty: []int{4}, late: 4},
+		"a seat is late and others aren't": {down: []int{4}, late: 1, found: true},
+	} {
+		f := &versions{Mesh: mesh.New(1, 5, 2), apart: map[*member]bool{}, agreedAt: map[uint64]int64{1: second}, changes: []*change{{version: 1}}}
+		for k := range 5 {
+			m := &member{Node: &mesh.Node{Name: fmt.Sprint("n", k)}, index: k, seat: k < 3, held: []taken{{0, 0}, {3 * second, 1}}}
+			if k == x.late {
+				m.held[1].at = 13 * second
+			}
+			f.members = append(f.members, m)
+		}
+		look := func(now int64, on bool) {
+			for _, k := range x.apart {
+				f.apart[f.members[k]] = on
+			}
+			f.noteReach(now, func(m *member) bool { return !on || !slices.Contains(x.down, m.index) },
+				func(m *member) bool { return on && slices.Contains(x.empty, m.index) })
+		}
+		for at := int64(0); at < 20*second; at += second {
+			look(at, at >= 5*second && at < 8*second)
+		}
+		got := map[string]float64{}
+		f.measureInForce(got)
+		assert.Equal(t, x.found, got["in_force"] == 0, "%s: %v", name, got)
+		f.members[x.late].held[1].at = 11 * second // 10 s after: in time
+		f.measureInForce(got)
+		assert.Equal(t, 1.0, got["in_force"], name)
+	}
+}
+
 // A measure that can't fail is none: seats that all lose their disks have lost what they acknowledged.
 func TestLostVersionsAreFound(t *testing.T) {
 	t.Parallel()
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -104,6 +104,7 @@
 	early   []Effect // from before the first step
 	taking  *taking
 	agreed  *configuration.Agreed // of this node's seat
+	current bool                  // as the holder knows of that seat
 	orders  []*order              // by when they came
 	verdict []configuration.Verdict
 }
@@ -306,6 +307,10 @@
 		c.agreed = agreed
 		c.inputs = append(c.inputs, configuration.Input{Kind: configuration.Ordered, Agreed: agreed})
 	}
+	if seat := r.claimed.seat; seat != nil && seat.Current() != c.current {
+		c.current = !c.current
+		c.inputs = append(c.inputs, configuration.Input{Kind: configuration.Stood, Current: c.current})
+	}
 	r.seeConfiguration()
 	for round := 0; round < roundsMost && (len(c.inputs) > 0 || round == 0 && r.now >= c.wakeAt); round++ {
 		inputs := c.inputs
