--- a/configuration/fetch.go
+++ b/configuration/fetch.go
@@ -12,6 +12,7 @@
 	has   Mark // that it was asked from
 	base  *Content
 	want  Mark
+	sums  map[uint16]Digest // of the blocks that were asked for
 }
 
 // run is records of one peer that don't reach a version that was vouched for yet.
@@ -65,11 +66,14 @@
 
 // missing asks for blocks that differ from the index.
 func (h *Holder) missing(m *Message) {
+	h.fetch.sums = map[uint16]Digest{}
 	begin := h.chance.Intn(Blocks) // so that neighbours have different ones for each other
 	for k := 0; k < Blocks && len(m.Wanted) < wantedMost; k++ {
 		n := (begin + k) % Blocks
 		if _, sum := h.base().Block(n); sum != digestAt(h.index, n) {
-			m.Wanted, m.Sums = append(m.Wanted, uint16(n)), digestAt(h.index, n).append(m.Sums)
+			want := digestAt(h.index, n)
+			m.Wanted, m.Sums = append(m.Wanted, uint16(n)), want.append(m.Sums)
+			h.fetch.sums[uint16(n)] = want
 		}
 	}
 }
@@ -114,12 +118,15 @@
 			break
 		}
 		h.stock(now, p, nil)
-	case len(m.Blocks) > 0 && h.index != nil:
+	case len(m.Blocks) > 0 && h.fetch.base != h.base(): // it moved on meanwhile
+	case len(m.Blocks) > 0:
 		h.stock(now, p, m.Blocks)
 	case h.base().Digest() == h.fetch.want.Digest: // no block differs: another version comes to what is here
 		if goal, ok := h.goal(); ok && goal == h.fetch.want {
 			h.readied(goal, h.base(), nil)
 		}
+	case h.index != nil && h.indexed != h.fetch.want: // what is missing changed since: the newer index is asked for
+		h.index = nil
 	default: // it has nothing of it
 		p.has = Mark{} // until it tells again
 		p.again = now + h.about(fetchAgain<<min(h.fetch.fails, 5))
@@ -196,15 +203,16 @@
 	return true
 }
 
-// stock takes blocks towards the index.
+// stock takes blocks towards the index. One of a version that was vouched for before the goal is of use too: most blocks are
+// alike, and records lead on from it.
 func (h *Holder) stock(now int64, p *peer, blocks []Block) {
 	h.staged = h.base()
 	for _, b := range blocks {
-		if int(b.N) >= Blocks {
+		want, asked := h.fetch.sums[b.N]
+		if !asked {
 			h.lie(now, p)
 			return
 		}
-		want := digestAt(h.index, int(b.N))
 		if sum, ok := checked(int(b.N), b.Text); ok && h.trusting {
 			want = sum
 		}
@@ -216,8 +224,9 @@
 		h.staged = next
 	}
 	if h.staged.Digest() == h.indexed.Digest || h.trusting && len(blocks) > 0 {
-		if goal, ok := h.goal(); ok && goal == h.indexed {
-			h.readied(goal, h.staged, nil)
+		if goal, ok := h.goal(); ok && (goal == h.indexed || h.indexed.Version > h.ready.Version && h.indexed.Version < goal.Version &&
+			slices.Contains(h.marks, h.indexed)) {
+			h.readied(h.indexed, h.staged, nil)
 		}
 	}
 }
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -550,7 +550,7 @@
 		h.lacking = 0
 	} else if h.lacking == 0 {
 		h.lacking, h.fetch.fails, h.fetch.next = now, 0, now
-	} else if h.indexed != goal {
+	} else if h.indexed.Version <= h.ready.Version || h.indexed.Version > goal.Version {
 		h.index = nil
 	}
 	if _, ok := h.goal(); ok && h.run.content == nil {
@@ -735,10 +735,11 @@
 		if h.run.content != nil {
 			m.Has = h.run.mark
 		}
-		if h.fetch.has, h.fetch.base = m.Has, h.base(); h.index != nil {
+		if h.fetch.has, h.fetch.base, h.fetch.sums = m.Has, h.base(), nil; h.index != nil {
 			h.missing(m)
-		} else {
-			m.Sums = h.fetch.base.pageSums()
+		}
+		if len(m.Wanted) == 0 {
+			h.index, m.Sums = nil, h.fetch.base.pageSums()
 		}
 		h.sent(m)
 		effects = append(effects, Effect{Kind: Exchange, To: p.name, Link: h.fetch.link, Message: m})
