--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -114,6 +114,7 @@
 	log                 []*Record
 	logged              int
 	taking, refused     Mark
+	checked             Mark     // was given to be checked, before it is its turn
 	taken               *Content // that of taking
 	why                 string
 	kept                Mark
@@ -297,6 +298,10 @@
 		}
 	case Took:
 		effects = h.took(now, i, effects)
+	case Checked:
+		if i.Why != "" && i.Mark == h.checked && i.Mark != h.refused && h.taking != i.Mark && h.mark != i.Mark {
+			effects = h.refuse(now, i.Mark, i.Why, effects)
+		}
 	case Saved:
 		if i.Why != "" {
 			h.full = true
@@ -575,13 +580,29 @@
 		return effects
 	}
 	first := h.ready == h.head.First && h.ready.Version > h.head.All.Version
-	if first && (h.head.Stopped || !h.drawn(h.ready.Version)) || !first && h.ready != h.head.All {
+	if first && h.head.Stopped || !first && h.ready != h.head.All {
 		return effects
 	}
+	if first && !h.drawn(h.ready.Version) { // a refusal anywhere stops a version while it stands at the first stage
+		if h.checked == h.ready {
+			return effects
+		}
+		h.checked = h.ready
+		return append(effects, Effect{Kind: Check, Mark: h.ready, First: true, Old: h.content, New: h.next})
+	}
 	h.taking, h.taken = h.ready, h.next
 	return append(effects, Effect{Kind: Take, Mark: h.ready, First: first, Old: h.content, New: h.next})
 }
 
+// refuse notes that a version can't be taken here, and has seats told.
+func (h *Holder) refuse(now int64, mark Mark, why string, effects []Effect) []Effect {
+	h.refused, h.why = mark, cut(why, reasonMost)
+	h.Counters.Refused++
+	h.report = min(h.report, now)
+	h.note(now)
+	return append(effects, Effect{Kind: Remark, Warn: true, Text: fmt.Sprintf("configuration %d can't be taken, %d stays in force: %s", mark.Version, h.mark.Version, h.why)})
+}
+
 // took notes that a version is in force here, or can't be.
 func (h *Holder) took(now int64, i *Input, effects []Effect) []Effect {
 	if i.Mark != h.taking || h.taking.Version == 0 {
@@ -590,11 +611,7 @@
 	content := h.taken
 	h.taking, h.taken = Mark{}, nil
 	if i.Why != "" {
-		h.refused, h.why = i.Mark, cut(i.Why, reasonMost)
-		h.Counters.Refused++
-		h.report = min(h.report, now)
-		h.note(now)
-		return append(effects, Effect{Kind: Remark, Warn: true, Text: fmt.Sprintf("configuration %d can't be taken, %d stays in force: %s", i.Mark.Version, h.mark.Version, h.why)})
+		return h.refuse(now, i.Mark, i.Why, effects)
 	}
 	h.Counters.Taken++
 	h.mark, h.content, h.since, h.source = i.Mark, content, now, "fleet"
--- a/configuration/message.go
+++ b/configuration/message.go
@@ -81,6 +81,7 @@
 	Answered                  // an exchange of ours on Link
 	Missed                    // an exchange of ours on Link came to nothing
 	Took                      // Mark is in force at this node, or can't be: Why
+	Checked                   // Mark could be taken, or can't be: Why
 	Saved                     // the last Persist was carried out, or wasn't: Why
 	Ordered                   // the table of this node's seat changed
 	Stood                     // this node's seat is in touch with the council, or not any more: Current
@@ -107,7 +108,8 @@
 	Send     EffectKind = iota // a datagram to To
 	Exchange                   // open Link to To, write Message, wait for the answer
 	Reply                      // answer the exchange on Link
-	Take                       // have Mark in force: Diff(Old, New) are the changes; answered by Took
+	Take                       // have Mark in force: Diff(Old, New) are the changes; answered by Took. It takes the place of a Check
+	Check                      // see whether Mark could be taken, and change nothing; answered by Checked
 	Persist                    // keep Mark: Records after what was kept before, or all of New where Full; answered by Saved
 	Order                      // have the seat order Command
 	Remark                     // tell operators
@@ -120,7 +122,7 @@
 	Link     int
 	Message  *Message
 	Mark     Mark
-	First    bool // Take: for the first stage
+	First    bool // Take, Check: for the first stage
 	Old, New *Content
 	Records  []*Record
 	Full     bool
--- a/configuration/spread_test.go
+++ b/configuration/spread_test.go
@@ -136,6 +136,32 @@
 	require.EqualValues(t, 3, w.order.Head().All.Version)
 }
 
+// TestARefusalByANodeThatIsntDrawnStopsAVersion has one node that can't take it and isn't of its first stage.
+func TestARefusalByANodeThatIsntDrawnStopsAVersion(t *testing.T) {
+	w := spread(3, 60, 5, 5, 2, 80*ms)
+	w.loss = 0.05
+	w.put(w.callers[0], tenant(1, "1"))
+	w.run(w.now + 10_000*ms)
+	require.Empty(t, w.settled())
+	for _, n := range w.nodes {
+		if n.old = !n.holder.drawn(2) && !n.seat; n.old {
+			break
+		}
+	}
+	w.put(w.callers[0], Item{Operations, "new", []byte(`"new"`)})
+	w.run(w.now + 15_000*ms)
+	require.Empty(t, w.wrong)
+	head := w.order.Head()
+	require.True(t, head.Stopped)
+	require.EqualValues(t, 1, head.All.Version)
+	require.Contains(t, head.Why, "of a later build")
+	w.put(w.callers[0], Item{Part: Operations, Name: "new"}) // taken away again, without a rollback
+	w.run(w.now + 15_000*ms)
+	require.Empty(t, w.wrong)
+	require.Empty(t, w.settled())
+	require.False(t, w.order.Head().Stopped)
+}
+
 // TestACutRegionGoesOnAndCatchesUp cuts off nodes without a seat, and counts from the healing.
 func TestACutRegionGoesOnAndCatchesUp(t *testing.T) {
 	w := spread(4, 60, 5, 5, 2, 80*ms)
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -322,7 +322,7 @@
 				w.give(k, Input{Kind: Answered, Link: link, Message: &m})
 			}
 		})
-	case Take:
+	case Take, Check:
 		w.take(i, e)
 	case Persist:
 		n.before = n.disk
@@ -390,6 +390,10 @@
 	}
 	w.at(w.now+w.chance.Int63n(20*ms), func() {
 		if n.life == life && n.up {
+			if e.Kind == Check {
+				w.give(i, Input{Kind: Checked, Mark: mark, Why: why})
+				return
+			}
 			if why == "" {
 				n.most = mark.Version
 				n.took[mark.Version] = w.now
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -329,7 +329,7 @@
 			m.spend(f.Now, size)
 			reply(parcel{e.Message, size}, size)
 		}
-	case configuration.Take:
+	case configuration.Take, configuration.Check:
 		l.take(e)
 	case configuration.Persist:
 		next := kept{e.Mark, e.New}
@@ -344,7 +344,7 @@
 	}
 }
 
-// take has a version in force at a node, or refuses it.
+// take has a version in force at a node, or only checks it, or refuses it.
 func (l *life) take(e *configuration.Effect) {
 	f, m, mark := l.f, l.m, e.Mark
 	if want, agreed := f.digests[mark.Version]; !agreed || want != mark.Digest || e.New.Digest() != mark.Digest {
@@ -359,7 +359,7 @@
 			if f.refused++; f.refused <= lateNamed {
 				f.say("%s refuses version %d, first stage %t", m.Name, mark.Version, e.First)
 			}
-		} else {
+		} else if e.Kind == configuration.Take {
 			if k := len(m.held); k > 0 && mark.Version <= m.held[k-1].version {
 				f.back++
 				f.say("%s goes from version %d to %d", m.Name, m.held[k-1].version, mark.Version)
@@ -370,7 +370,11 @@
 				f.recovers = append(f.recovers, seconds(f.Now-m.Started))
 			}
 		}
-		l.give(configuration.Input{Kind: configuration.Took, Mark: mark, Why: why})
+		answer := configuration.Input{Kind: configuration.Took, Mark: mark, Why: why}
+		if e.Kind == configuration.Check {
+			answer.Kind = configuration.Checked
+		}
+		l.give(answer)
 	})
 }
 
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -85,6 +85,7 @@
 type taking struct {
 	mark     configuration.Mark
 	first    bool
+	only     bool // it is checked, and not taken
 	began    int64
 	old, new *configuration.Content
 	diff     *configuration.Difference
@@ -265,7 +266,7 @@
 		case t.checking != nil && err == nil && len(items) > 0:
 			t.checking.Add(changes)
 		case t.checking != nil && err == nil:
-			if err = t.checking.Err(); err == nil {
+			if err = t.checking.Err(); err == nil && !t.only {
 				t.checking, t.diff = nil, configuration.Diff(t.old, t.new)
 				continue
 			}
@@ -285,10 +286,13 @@
 	c := &r.configuring
 	c.taking = nil
 	next := configuration.Input{Kind: configuration.Took, Mark: t.mark}
+	if t.only {
+		next.Kind = configuration.Checked
+	}
 	if err != nil {
 		r.Counters.VersionsRefused++
 		next.Why = err.Error()
-	} else {
+	} else if !t.only {
 		r.amendedTo(&t.version)
 		r.do(Effect{Kind: InForce, InForce: &VersionInForce{Mark: t.mark, After: c.holder.Mark().Version, Source: "fleet", First: t.first,
 			Added: t.version.counts[0], Changed: t.version.counts[1], Removed: t.version.counts[2], TookNS: r.now - t.began}})
@@ -358,8 +362,8 @@
 		}
 	case configuration.Reply:
 		r.sealConfiguration(Effect{Kind: PeerReply, Link: e.Link}, &configurationLetter{Message: e.Message})
-	case configuration.Take:
-		t := &taking{mark: e.Mark, first: e.First, began: r.now, old: e.Old, new: e.New, diff: configuration.Diff(e.Old, e.New),
+	case configuration.Take, configuration.Check:
+		t := &taking{mark: e.Mark, first: e.First, only: e.Kind == configuration.Check, began: r.now, old: e.Old, new: e.New, diff: configuration.Diff(e.Old, e.New),
 			checking: r.config.Checking(), version: version{number: e.Mark.Version}}
 		if r.hollow.on { // it has no module that could not take it
 			r.taken(t, nil)
