--- a/reducer/configuration_test.go
+++ b/reducer/configuration_test.go
@@ -216,6 +216,51 @@
 	assert.Equal(t, uint64(9), r.Version())
 }
 
+// What stands at the first stage is checked at the others, and nothing of it is in force there.
+func TestAVersionThatIsOnlyCheckedChangesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		item    nodeconfig.Item
+		refused int
+		taken   bool // it becomes in force for all meanwhile
+	}{
+		{"sound", tenant("x", 3), 0, false},
+		{"one that this node can't take", operation("new", `,"class_calls":true`), 1, false},
+		{"sound, and its turn comes", tenant("x", 3), 0, true},
+	} {
+		r, err := configuredNode(t, Addresses{"executor:1", "", "control:1"}, fromFile)
+		require.NoError(t, err)
+		servingNode(t, r)
+		before, content := r.config.Own(), r.configuring.holder.Content()
+		items := []configuration.Item{configuration.Item(c.item)}
+		for k := range 3 * amendedAStep {
+			items = append(items, configuration.Item(tenant(fmt.Sprint("t", k), 1)))
+		}
+		next, err := content.Apply(items)
+		require.NoError(t, err)
+		e := &configuration.Effect{Kind: configuration.Check, Mark: configuration.Mark{Version: 9, Digest: next.Digest()}, First: true, Old: content, New: next}
+		r.carryConfiguration(e)
+		require.NotNil(t, r.configuring.taking)
+		if c.taken {
+			step(r)
+			again := *e
+			again.Kind = configuration.Take
+			r.carryConfiguration(&again)
+		}
+		var all []Effect
+		for steps := 0; r.configuring.taking != nil; steps++ {
+			all = append(all, step(r)...)
+			require.Less(t, steps, 20, c.name)
+		}
+		assert.Equal(t, c.refused, r.Counters.VersionsRefused, c.name)
+		assert.Len(t, kindsOf(all, InForce), map[bool]int{true: 1}[c.taken], c.name)
+		if !c.taken {
+			assert.Equal(t, before, r.config.Own(), c.name)
+			assert.Zero(t, r.Version(), c.name)
+		}
+	}
+}
+
 func TestStartIsFromTheDiskWhereItCanBeTaken(t *testing.T) {
 	kept := func(items ...nodeconfig.Item) func(file *configuration.Content) configuration.Start {
 		return func(file *configuration.Content) configuration.Start {
