--- a/configuration/fetch.go
+++ b/configuration/fetch.go
@@ -15,9 +15,11 @@
 	sums  map[uint16]Digest // of the blocks that were asked for
 }
 
-// run is records of one peer that don't reach a version that was vouched for yet.
+// run is records that don't reach a version that was vouched for yet. Any peer may go on with it: it does so only where its own
+// log has the mark that they came to, so what is false at their end is its own.
 type run struct {
-	from    string
+	from    string // who gave the last of them
+	misses  int    // peers that could not go on with it
 	mark    Mark
 	content *Content
 	records []*Record
@@ -27,14 +29,9 @@
 // supplier is whom to ask for a version: a neighbour that has it, or a seat once none had it for a while.
 func (h *Holder) supplier(now int64, goal Mark) *peer {
 	var may, part []*peer
-	if p := h.peers[h.run.from]; h.run.content != nil && p != nil && p.aside <= now && p.again <= now+fetchMost { // it is begun with this one
-		if p.again > now {
-			return nil
-		}
-		return p
-	}
+	at := max(h.ready.Version, h.run.mark.Version)
 	for _, name := range h.view.Neighbours {
-		if p := h.peers[name]; p != nil && p.aside <= now && p.again <= now && p.has.Version > h.ready.Version {
+		if p := h.peers[name]; p != nil && p.aside <= now && p.again <= now && p.has.Version > at {
 			if p.has.Version >= goal.Version {
 				may = append(may, p)
 			} else if slices.Contains(h.marks, p.has) {
@@ -108,6 +105,9 @@
 		if h.fetch.has == h.ready && h.run.content == nil || h.run.content != nil && h.fetch.has == h.run.mark { // else it moved on meanwhile
 			h.extend(now, p, m.Records)
 		}
+	case h.run.content != nil && h.run.from != p.name && h.run.misses < missesMost: // others may know how it goes on
+		h.run.misses++
+		p.again = now + h.about(fetchMost)
 	case len(m.Index) > 0 && h.fetch.want.Version <= h.ready.Version: // it came by another way
 	case len(m.Index) > 0:
 		if h.run = (run{}); h.fetch.base != h.base() {
@@ -147,6 +147,7 @@
 		h.run = run{from: p.name, mark: h.ready, content: h.next}
 	}
 	x := &h.run
+	x.from, x.misses = p.name, 0
 	for k := range records {
 		r := records[k]
 		if r.Was, r.size = nil, 0; r.Version > goal.Version { // newer than is wanted: it isn't vouched for yet
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -32,6 +32,7 @@
 	pieceMost    = 24 << 10   // bytes of records or blocks in one answer, or one block
 	askerRate    = rate / 2   // bytes a second that one peer may have of this node
 	eagerMost    = 700        // bytes of records in a datagram of 1,200
+	missesMost   = 3          // peers that can't go on with records of another, past which they are dropped: they may be false
 	wantedMost   = 16         // blocks asked for at once: more than fit an answer
 	peersMost    = 96         // peers that something is known of: links, seats and some that ask
 	holdMost     = 1 << 20    // bytes of records that a node keeps for others
@@ -746,9 +747,6 @@
 		h.fetch.link++
 		h.fetch.to, h.fetch.until, h.fetch.want = p.name, now+fetchFor, goal
 		m := &Message{Kind: Fetch, Has: h.ready, Want: goal}
-		if h.run.content != nil && h.run.from != p.name {
-			h.run = run{}
-		}
 		if h.run.content != nil {
 			m.Has = h.run.mark
 		}
