--- a/configuration/holder_test.go
+++ b/configuration/holder_test.go
@@ -211,3 +211,100 @@
 	require.Equal(t, 1, h.peers["a"].lies)
 	require.Zero(t, h.peers["b"].lies)
 }
+
+// asked is the exchange that a step opens, with the peer it goes to.
+func asked(t *testing.T, h *Holder, now int64, in ...Input) Effect {
+	effects, _ := h.Step(now, in)
+	list := pick(effects, Exchange)
+	require.Len(t, list, 1)
+	return list[0]
+}
+
+// TestRecordsGoOnWithAnyPeer has the peer that gave some of the records busy, while another one knows how they go on.
+func TestRecordsGoOnWithAnyPeer(t *testing.T) {
+	x, h := chain(3), holding()
+	one, three := markOf(x, 1), markOf(x, 3)
+	head := Head{All: three, First: three}
+	ask := asked(t, h, 500*ms, vouchedFor(three, three), told("a", head, three), told("b", head, three))
+	from, other := ask.To, map[string]string{"a": "b", "b": "a"}[ask.To]
+	ask = asked(t, h, 501*ms, Input{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Has: three, Records: wired(x.log[:1], pieceMost, false)}})
+	for ask.To == other { // it has nothing at hand
+		ask = asked(t, h, 502*ms, Input{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Busy: ms}})
+	}
+	require.Equal(t, from, ask.To)
+	effects, _ := h.Step(503*ms, []Input{{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Busy: 30_000 * ms}}})
+	for now := 504 * ms; len(pick(effects, Exchange)) == 0; now += 10 * ms {
+		require.Less(t, now, 800*ms, "the other one is asked soon")
+		effects, _ = h.Step(now, nil)
+	}
+	ask = pick(effects, Exchange)[0]
+	require.Equal(t, other, ask.To)
+	require.Equal(t, one, ask.Message.Has, "from where the first one left off")
+	h.Step(801*ms, []Input{{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Has: three, Records: wired(x.log[1:], pieceMost, false)}}})
+	require.Equal(t, three, h.ready)
+	require.Zero(t, h.Counters.Lies)
+}
+
+// TestFalseRecordsAreLeftOnceNobodyGoesOnWithThem has one give records that agree with each other and that nobody agreed on.
+func TestFalseRecordsAreLeftOnceNobodyGoesOnWithThem(t *testing.T) {
+	x, h := chain(2), holding()
+	two := markOf(x, 2)
+	head := Head{All: two, First: two}
+	lie, err := (&Content{}).Apply([]Item{tenant(7, "7")})
+	require.NoError(t, err)
+	ask := asked(t, h, 500*ms, vouchedFor(two, two), told("a", head, two))
+	h.Step(501*ms, []Input{{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Has: two,
+		Records: []Record{{Version: 1, Digest: lie.Digest(), Changes: []Item{tenant(7, "7")}}}}}, told("b", head, two)})
+	for now := 510 * ms; h.ready != two; now += 10 * ms {
+		require.Less(t, now, 30_000*ms)
+		var in []Input
+		if h.fetch.until > 0 {
+			m := &Message{Kind: Piece, Has: two}
+			if h.fetch.to == "b" {
+				m.Records = wired(between(x.log, h.fetch.has, 2), pieceMost, false)
+			}
+			in = append(in, Input{Kind: Answered, Link: h.fetch.link, Message: m})
+		}
+		h.Step(now, append(in, told("b", head, two)))
+	}
+	require.Zero(t, h.peers["b"].lies)
+}
+
+// TestBlocksOnTheirWayAreKeptWhenTheVersionMovesOn has a further version agreed on while blocks travel, and each time anew.
+func TestBlocksOnTheirWayAreKeptWhenTheVersionMovesOn(t *testing.T) {
+	h, c := holding(), full(t, 100, 3_000)
+	n := NewHolder(0, Terms{Name: "a"}, Start{Content: c, Mark: Mark{1, c.Digest()}}) // who gives
+	now, rounds, indices := 500*ms, 0, 0
+	for ; h.ready.Version == 0; rounds++ {
+		require.Less(t, rounds, 200)
+		mark := Mark{uint64(rounds + 1), c.Digest()}
+		n.next, n.content = c, c
+		n.ready = mark
+		var ask Effect
+		for effects, _ := h.Step(now, []Input{vouchedFor(mark, mark), told("a", Head{All: mark, First: mark}, mark)}); ; effects, _ = h.Step(now, nil) {
+			if list := pick(effects, Exchange); len(list) > 0 {
+				ask = list[0]
+				break
+			}
+			now += 10 * ms
+		}
+		next, err := c.Apply([]Item{tenant(rounds, fmt.Sprint(rounds))})
+		require.NoError(t, err)
+		after := Mark{mark.Version + 1, next.Digest()}
+		answer := &Message{Kind: Piece, Has: mark}
+		if len(ask.Message.Wanted) > 0 {
+			n.blocks(ask.Message, answer)
+		} else {
+			pages(c, ask.Message.Sums, answer)
+			indices++
+		}
+		h.Step(now+ms, []Input{vouchedFor(after, after)})
+		h.Step(now+2*ms, []Input{{Kind: Answered, Link: ask.Link, Message: answer}})
+		now, c = now+2_000*ms, next
+		if h.base().Digest() == h.indexed.Digest {
+			break
+		}
+	}
+	t.Logf("%d rounds, the index %d times", rounds, indices)
+	require.Less(t, indices, rounds/4)
+}
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -81,12 +81,12 @@
 	m       *member
 	holder  *configuration.Holder
 	inbox   []configuration.Input
-	woken   int64
+	woken   alarm // of the holder
 	asked   map[int]func(body any, size int)
 	links   int
 	council *council.Council
 	toSeat  []council.Input
-	seated  int64 // when the seat is woken
+	seated  alarm // of the seat
 	current bool  // as the holder knows of its seat
 	writes  []*council.Write
 	free    int64 // when the seat's disk has nothing to do
@@ -172,6 +172,7 @@
 	if l.fresh {
 		start = configuration.Start{Content: &configuration.Content{}, Source: "file"}
 	}
+	l.woken.step, l.seated.step = l.step, l.stepSeat
 	m.life = l
 	l.holder = configuration.NewHolder(f.Now, configuration.Terms{Name: n.Name, Seed: f.chance.Int63()}, start)
 	if s := l.holder.Status(f.Now); s.Mark != m.disk.mark || s.Source != start.Source {
@@ -269,19 +270,27 @@
 	l.wake(l.f.Now)
 }
 
-func (l *life) wake(at int64) {
-	if at = max(at, l.f.Now); l.woken > 0 && l.woken <= at {
+// alarm steps a part of a life at the earliest time for which it was set.
+type alarm struct {
+	at   int64 // 0 while it isn't set
+	step func()
+}
+
+func (l *life) set(a *alarm, at int64) {
+	if at = max(at, l.f.Now); a.at > 0 && a.at <= at {
 		return
 	}
-	l.woken = at
+	a.at = at
 	l.m.Later(at-l.f.Now, func() {
-		if l.woken == at && l.m.life == l {
-			l.woken = 0
-			l.step()
+		if a.at == at && l.m.life == l {
+			a.at = 0
+			a.step()
 		}
 	})
 }
 
+func (l *life) wake(at int64) { l.set(&l.woken, at) }
+
 func (l *life) step() {
 	in := l.inbox
 	l.inbox = nil
@@ -383,18 +392,7 @@
 	l.wakeSeat(l.f.Now)
 }
 
-func (l *life) wakeSeat(at int64) {
-	if at = max(at, l.f.Now); l.seated > 0 && l.seated <= at {
-		return
-	}
-	l.seated = at
-	l.m.Later(at-l.f.Now, func() {
-		if l.seated == at && l.m.life == l {
-			l.seated = 0
-			l.stepSeat()
-		}
-	})
-}
+func (l *life) wakeSeat(at int64) { l.set(&l.seated, at) }
 
 func (l *life) stepSeat() {
 	f, m := l.f, l.m
