--- a/council/council_test.go
+++ b/council/council_test.go
@@ -419,3 +419,39 @@
 func TestBothBooksGoByOneLag(t *testing.T) {
 	assert.Equal(t, claims.LagMost, quota.Lag)
 }
+
+// A seat vouches for what was agreed on as current only while it hears of what the majority agrees on.
+func TestSeatKnowsWhetherItIsCurrent(t *testing.T) {
+	w := onDisks(t, 4, 3)
+	current := func() (list []bool) {
+		for _, m := range w.machines[:3] {
+			list = append(list, m.up && m.seat.Current())
+		}
+		return list
+	}
+	w.run(w.now + 2_000*ms)
+	assert.Equal(t, []bool{true, true, true}, current())
+	i := w.index(w.leader()) // cut off, it goes on leading as far as it knows
+	for k := range w.machines {
+		w.cut[[2]int{k, i}], w.cut[[2]int{i, k}] = k != i, k != i
+	}
+	w.run(w.now + 6_000*ms)
+	want := []bool{true, true, true}
+	want[i] = false
+	assert.Equal(t, want, current())
+	clear(w.cut)
+	w.run(w.now + 4_000*ms)
+	assert.Equal(t, []bool{true, true, true}, current())
+	w.down()
+	w.start(0)
+	w.run(w.now + 5_000*ms)
+	require.NotZero(t, w.machines[0].seat.applied, "it knows what it knew")
+	assert.Equal(t, []bool{false, false, false}, current(), "and not what others may have agreed on since")
+	w.up()
+	w.run(w.now + 4_000*ms)
+	assert.Equal(t, []bool{true, true, true}, current())
+	for _, m := range w.machines[:3] { // for each, what it holds is of the term that goes on
+		m.seat.leader = 0
+	}
+	assert.Equal(t, []bool{false, false, false}, current(), "without a leader none is")
+}
