--- a/configuration/holder_test.go
+++ b/configuration/holder_test.go
@@ -210,6 +210,13 @@
 	h.Step(2*ms, []Input{vouchedFor(one, two)})
 	require.Equal(t, 1, h.peers["a"].lies)
 	require.Zero(t, h.peers["b"].lies)
+	x, h = chain(9), holding()
+	for k := 1; k <= 9; k++ {
+		h.Step(int64(k)*ms, []Input{vouchedFor(markOf(x, k), markOf(x, k))})
+	}
+	h.Step(10*ms, []Input{told("a", Head{}, Mark{4, Digest{A: 4}}), told("b", Head{}, markOf(x, 4))})
+	require.Equal(t, 1, h.peers["a"].lies, "what passed is known for a while")
+	require.Zero(t, h.peers["b"].lies)
 }
 
 // asked is the exchange that a step opens, with the peer it goes to.
@@ -259,8 +266,9 @@
 		require.Less(t, now, 30_000*ms)
 		var in []Input
 		if h.fetch.until > 0 {
-			m := &Message{Kind: Piece, Has: two}
+			m := &Message{Kind: Piece, Busy: 4_000 * ms} // whoever lied isn't there for it any more
 			if h.fetch.to == "b" {
+				m.Busy, m.Has = 0, two
 				m.Records = wired(between(x.log, h.fetch.has, 2), pieceMost, false)
 			}
 			in = append(in, Input{Kind: Answered, Link: h.fetch.link, Message: m})
