--- a/configuration/fetch.go
+++ b/configuration/fetch.go
@@ -12,11 +12,14 @@
 	has   Mark // that it was asked from
 	base  *Content
 	want  Mark
+	sums  map[uint16]Digest // of the blocks that were asked for
 }
 
-// run is records of one peer that don't reach a version that was vouched for yet.
+// run is records that don't reach a version that was vouched for yet. Any peer may go on with it: it does so only where its own
+// log has the mark that they came to, so what is false at their end is its own.
 type run struct {
-	from    string
+	from    string // who gave the last of them
+	misses  int    // peers that could not go on with it
 	mark    Mark
 	content *Content
 	records []*Record
@@ -26,14 +29,9 @@
 // supplier is whom to ask for a version: a neighbour that has it, or a seat once none had it for a while.
 func (h *Holder) supplier(now int64, goal Mark) *peer {
 	var may, part []*peer
-	if p := h.peers[h.run.from]; h.run.content != nil && p != nil && p.aside <= now && p.again <= now+fetchMost { // it is begun with this one
-		if p.again > now {
-			return nil
-		}
-		return p
-	}
+	at := max(h.ready.Version, h.run.mark.Version)
 	for _, name := range h.view.Neighbours {
-		if p := h.peers[name]; p != nil && p.aside <= now && p.again <= now && p.has.Version > h.ready.Version {
+		if p := h.peers[name]; p != nil && p.aside <= now && p.again <= now && p.has.Version > at {
 			if p.has.Version >= goal.Version {
 				may = append(may, p)
 			} else if slices.Contains(h.marks, p.has) {
@@ -65,11 +63,14 @@
 
 // missing asks for blocks that differ from the index.
 func (h *Holder) missing(m *Message) {
+	h.fetch.sums = map[uint16]Digest{}
 	begin := h.chance.Intn(Blocks) // so that neighbours have different ones for each other
 	for k := 0; k < Blocks && len(m.Wanted) < wantedMost; k++ {
 		n := (begin + k) % Blocks
 		if _, sum := h.base().Block(n); sum != digestAt(h.index, n) {
-			m.Wanted, m.Sums = append(m.Wanted, uint16(n)), digestAt(h.index, n).append(m.Sums)
+			want := digestAt(h.index, n)
+			m.Wanted, m.Sums = append(m.Wanted, uint16(n)), want.append(m.Sums)
+			h.fetch.sums[uint16(n)] = want
 		}
 	}
 }
@@ -104,6 +105,9 @@
 		if h.fetch.has == h.ready && h.run.content == nil || h.run.content != nil && h.fetch.has == h.run.mark { // else it moved on meanwhile
 			h.extend(now, p, m.Records)
 		}
+	case h.run.content != nil && h.run.from != p.name && h.run.misses < missesMost: // others may know how it goes on
+		h.run.misses++
+		p.again = now + h.about(fetchMost)
 	case len(m.Index) > 0 && h.fetch.want.Version <= h.ready.Version: // it came by another way
 	case len(m.Index) > 0:
 		if h.run = (run{}); h.fetch.base != h.base() {
@@ -114,12 +118,15 @@
 			break
 		}
 		h.stock(now, p, nil)
-	case len(m.Blocks) > 0 && h.index != nil:
+	case len(m.Blocks) > 0 && h.fetch.base != h.base(): // it moved on meanwhile
+	case len(m.Blocks) > 0:
 		h.stock(now, p, m.Blocks)
 	case h.base().Digest() == h.fetch.want.Digest: // no block differs: another version comes to what is here
 		if goal, ok := h.goal(); ok && goal == h.fetch.want {
 			h.readied(goal, h.base(), nil)
 		}
+	case h.index != nil && h.indexed != h.fetch.want: // what is missing changed since: the newer index is asked for
+		h.index = nil
 	default: // it has nothing of it
 		p.has = Mark{} // until it tells again
 		p.again = now + h.about(fetchAgain<<min(h.fetch.fails, 5))
@@ -140,6 +147,7 @@
 		h.run = run{from: p.name, mark: h.ready, content: h.next}
 	}
 	x := &h.run
+	x.from, x.misses = p.name, 0
 	for k := range records {
 		r := records[k]
 		if r.Was, r.size = nil, 0; r.Version > goal.Version { // newer than is wanted: it isn't vouched for yet
@@ -196,15 +204,16 @@
 	return true
 }
 
-// stock takes blocks towards the index.
+// stock takes blocks towards the index. One of a version that was vouched for before the goal is of use too: most blocks are
+// alike, and records lead on from it.
 func (h *Holder) stock(now int64, p *peer, blocks []Block) {
 	h.staged = h.base()
 	for _, b := range blocks {
-		if int(b.N) >= Blocks {
+		want, asked := h.fetch.sums[b.N]
+		if !asked {
 			h.lie(now, p)
 			return
 		}
-		want := digestAt(h.index, int(b.N))
 		if sum, ok := checked(int(b.N), b.Text); ok && h.trusting {
 			want = sum
 		}
@@ -216,8 +225,9 @@
 		h.staged = next
 	}
 	if h.staged.Digest() == h.indexed.Digest || h.trusting && len(blocks) > 0 {
-		if goal, ok := h.goal(); ok && goal == h.indexed {
-			h.readied(goal, h.staged, nil)
+		if goal, ok := h.goal(); ok && (goal == h.indexed || h.indexed.Version > h.ready.Version && h.indexed.Version < goal.Version &&
+			slices.Contains(h.marks, h.indexed)) {
+			h.readied(h.indexed, h.staged, nil)
 		}
 	}
 }
--- a/configuration/holder_test.go
+++ b/configuration/holder_test.go
@@ -151,3 +151,168 @@
 	require.Positive(t, one)
 	require.LessOrEqual(t, one, seconds*askerRate+burst+blockMost)
 }
+
+// rumoured has neighbours tell of a version for some seconds, which seats don't know; it says how many reports were sent.
+func rumoured(h *Holder, head, rumour Head, seconds int64, current bool) (reports int) {
+	var in []Input
+	for now := ms; now < seconds*1_000*ms; now += 10 * ms {
+		if now%(500*ms) == ms {
+			in = append(in, told("a", rumour, rumour.First), told("b", rumour, rumour.First))
+		}
+		effects, _ := h.Step(now, in)
+		in = nil
+		for _, e := range pick(effects, Send) {
+			if e.Message.Kind == Report {
+				reports++
+				answer := Input{Kind: Came, From: e.To, Message: &Message{Kind: Vouch, Seq: e.Message.Seq, Head: head, Current: current}}
+				twice := *answer.Message
+				in = append(in, answer, Input{Kind: Came, From: e.To, Message: &twice})
+			}
+		}
+	}
+	return reports
+}
+
+// TestSoundPeersAreNotSetAsideWhileSeatsLag has all seats back with what they knew before, and in touch with no majority.
+func TestSoundPeersAreNotSetAsideWhileSeatsLag(t *testing.T) {
+	x, h := chain(3), holding()
+	one, three := markOf(x, 1), markOf(x, 3)
+	h.Step(0, []Input{vouchedFor(one, one), told("a", Head{}, one, x.log[0].wire())})
+	h.Step(1, []Input{{Kind: Took, Mark: one}})
+	require.Equal(t, one, h.Mark())
+	reports := rumoured(h, Head{All: one, First: one}, Head{All: one, First: three}, 60, false)
+	require.Zero(t, h.Counters.Lies)
+	require.Less(t, reports, 60, "seats are asked less and less often")
+	effects, _ := h.Step(60_001*ms, []Input{vouchedFor(one, three), told("a", Head{All: one, First: three}, three, wired(x.log[1:], eagerMost, true)...)})
+	require.Empty(t, pick(effects, Take))
+	require.Equal(t, three, h.ready, "and neighbours are believed as soon as a seat vouches")
+}
+
+// TestARumourThatIsOnItsWayIsNoLie has seats that are in touch with the council learn of it some seconds later than neighbours.
+func TestARumourThatIsOnItsWayIsNoLie(t *testing.T) {
+	x, h := chain(2), holding()
+	one, two := markOf(x, 1), markOf(x, 2)
+	rumoured(h, Head{All: one, First: one}, Head{All: one, First: two}, claimFor/(1_000*ms), true)
+	require.Zero(t, h.Counters.Lies)
+}
+
+// TestWhoTellsOfWhatNobodyAgreedOnIsSetAside has seats that know all deny it, and one with another content for a known version.
+func TestWhoTellsOfWhatNobodyAgreedOnIsSetAside(t *testing.T) {
+	x, h := chain(2), holding()
+	one, two := markOf(x, 1), markOf(x, 2)
+	rumoured(h, Head{All: one, First: one}, Head{All: one, First: Mark{9, Digest{A: 9}}}, 20, true)
+	require.Equal(t, 2, h.Counters.Lies, "both neighbours told it")
+	require.Equal(t, 1, h.peers["a"].lies)
+	require.Equal(t, 1, h.peers["b"].lies)
+	h = holding()
+	h.Step(ms, []Input{vouchedFor(one, one), told("a", Head{All: one, First: Mark{2, Digest{A: 9}}}, one), told("b", Head{All: one, First: two}, two)})
+	require.Zero(t, h.Counters.Lies, "nobody knows yet")
+	h.Step(2*ms, []Input{vouchedFor(one, two)})
+	require.Equal(t, 1, h.peers["a"].lies)
+	require.Zero(t, h.peers["b"].lies)
+	x, h = chain(9), holding()
+	for k := 1; k <= 9; k++ {
+		h.Step(int64(k)*ms, []Input{vouchedFor(markOf(x, k), markOf(x, k))})
+	}
+	h.Step(10*ms, []Input{told("a", Head{}, Mark{4, Digest{A: 4}}), told("b", Head{}, markOf(x, 4))})
+	require.Equal(t, 1, h.peers["a"].lies, "what passed is known for a while")
+	require.Zero(t, h.peers["b"].lies)
+}
+
+// asked is the exchange that a step opens, with the peer it goes to.
+func asked(t *testing.T, h *Holder, now int64, in ...Input) Effect {
+	effects, _ := h.Step(now, in)
+	list := pick(effects, Exchange)
+	require.Len(t, list, 1)
+	return list[0]
+}
+
+// TestRecordsGoOnWithAnyPeer has the peer that gave some of the records busy, while another one knows how they go on.
+func TestRecordsGoOnWithAnyPeer(t *testing.T) {
+	x, h := chain(3), holding()
+	one, three := markOf(x, 1), markOf(x, 3)
+	head := Head{All: three, First: three}
+	ask := asked(t, h, 500*ms, vouchedFor(three, three), told("a", head, three), told("b", head, three))
+	from, other := ask.To, map[string]string{"a": "b", "b": "a"}[ask.To]
+	ask = asked(t, h, 501*ms, Input{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Has: three, Records: wired(x.log[:1], pieceMost, false)}})
+	for ask.To == other { // it has nothing at hand
+		ask = asked(t, h, 502*ms, Input{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Busy: ms}})
+	}
+	require.Equal(t, from, ask.To)
+	effects, _ := h.Step(503*ms, []Input{{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Busy: 30_000 * ms}}})
+	for now := 504 * ms; len(pick(effects, Exchange)) == 0; now += 10 * ms {
+		require.Less(t, now, 800*ms, "the other one is asked soon")
+		effects, _ = h.Step(now, nil)
+	}
+	ask = pick(effects, Exchange)[0]
+	require.Equal(t, other, ask.To)
+	require.Equal(t, one, ask.Message.Has, "from where the first one left off")
+	h.Step(801*ms, []Input{{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Has: three, Records: wired(x.log[1:], pieceMost, false)}}})
+	require.Equal(t, three, h.ready)
+	require.Zero(t, h.Counters.Lies)
+}
+
+// TestFalseRecordsAreLeftOnceNobodyGoesOnWithThem has one give records that agree with each other and that nobody agreed on.
+func TestFalseRecordsAreLeftOnceNobodyGoesOnWithThem(t *testing.T) {
+	x, h := chain(2), holding()
+	two := markOf(x, 2)
+	head := Head{All: two, First: two}
+	lie, err := (&Content{}).Apply([]Item{tenant(7, "7")})
+	require.NoError(t, err)
+	ask := asked(t, h, 500*ms, vouchedFor(two, two), told("a", head, two))
+	h.Step(501*ms, []Input{{Kind: Answered, Link: ask.Link, Message: &Message{Kind: Piece, Has: two,
+		Records: []Record{{Version: 1, Digest: lie.Digest(), Changes: []Item{tenant(7, "7")}}}}}, told("b", head, two)})
+	for now := 510 * ms; h.ready != two; now += 10 * ms {
+		require.Less(t, now, 30_000*ms)
+		var in []Input
+		if h.fetch.until > 0 {
+			m := &Message{Kind: Piece, Busy: 4_000 * ms} // whoever lied isn't there for it any more
+			if h.fetch.to == "b" {
+				m.Busy, m.Has = 0, two
+				m.Records = wired(between(x.log, h.fetch.has, 2), pieceMost, false)
+			}
+			in = append(in, Input{Kind: Answered, Link: h.fetch.link, Message: m})
+		}
+		h.Step(now, append(in, told("b", head, two)))
+	}
+	require.Zero(t, h.peers["b"].lies)
+}
+
+// TestBlocksOnTheirWayAreKeptWhenTheVersionMovesOn has a further version agreed on while blocks travel, and each time anew.
+func TestBlocksOnTheirWayAreKeptWhenTheVersionMovesOn(t *testing.T) {
+	h, c := holding(), full(t, 100, 3_000)
+	n := NewHolder(0, Terms{Name: "a"}, Start{Content: c, Mark: Mark{1, c.Digest()}}) // who gives
+	now, rounds, indices := 500*ms, 0, 0
+	for ; h.ready.Version == 0; rounds++ {
+		require.Less(t, rounds, 200)
+		mark := Mark{uint64(rounds + 1), c.Digest()}
+		n.next, n.content = c, c
+		n.ready = mark
+		var ask Effect
+		for effects, _ := h.Step(now, []Input{vouchedFor(mark, mark), told("a", Head{All: mark, First: mark}, mark)}); ; effects, _ = h.Step(now, nil) {
+			if list := pick(effects, Exchange); len(list) > 0 {
+				ask = list[0]
+				break
+			}
+			now += 10 * ms
+		}
+		next, err := c.Apply([]Item{tenant(rounds, fmt.Sprint(rounds))})
+		require.NoError(t, err)
+		after := Mark{mark.Version + 1, next.Digest()}
+		answer := &Message{Kind: Piece, Has: mark}
+		if len(ask.Message.Wanted) > 0 {
+			n.blocks(ask.Message, answer)
+		} else {
+			pages(c, ask.Message.Sums, answer)
+			indices++
+		}
+		h.Step(now+ms, []Input{vouchedFor(after, after)})
+		h.Step(now+2*ms, []Input{{Kind: Answered, Link: ask.Link, Message: answer}})
+		now, c = now+2_000*ms, next
+		if h.base().Digest() == h.indexed.Digest {
+			break
+		}
+	}
+	t.Logf("%d rounds, the index %d times", rounds, indices)
+	require.Less(t, indices, rounds/4)
+}
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -262,6 +262,11 @@
 			return
 		}
 	}
+	for _, p := range n.holder.peers {
+		if p.lies > 0 && !w.byName[p.name].liar {
+			w.fail("%s sets %s aside, which is sound", n.name, p.name)
+		}
+	}
 	if next <= w.now {
 		w.fail("%s wakes in the past", n.name)
 	}
@@ -317,7 +322,7 @@
 				w.give(k, Input{Kind: Answered, Link: link, Message: &m})
 			}
 		})
-	case Take:
+	case Take, Check:
 		w.take(i, e)
 	case Persist:
 		n.before = n.disk
@@ -385,6 +390,10 @@
 	}
 	w.at(w.now+w.chance.Int63n(20*ms), func() {
 		if n.life == life && n.up {
+			if e.Kind == Check {
+				w.give(i, Input{Kind: Checked, Mark: mark, Why: why})
+				return
+			}
 			if why == "" {
 				n.most = mark.Version
 				n.took[mark.Version] = w.now
@@ -533,6 +542,9 @@
 // tick has seats that are together follow the log, order what is due, and callers go on.
 func (w *world) tick() {
 	for i, n := range w.nodes[:w.seats] {
+		if current := w.majority(i) && n.seen == len(w.entries); n.up && current != n.holder.current {
+			w.give(i, Input{Kind: Stood, Current: current})
+		}
 		if !w.majority(i) {
 			continue
 		}
--- a/lab/rig/versions.go
+++ b/lab/rig/versions.go
@@ -81,12 +81,13 @@
 	m       *member
 	holder  *configuration.Holder
 	inbox   []configuration.Input
-	woken   int64
+	woken   alarm // of the holder
 	asked   map[int]func(body any, size int)
 	links   int
 	council *council.Council
 	toSeat  []council.Input
-	seated  int64 // when the seat is woken
+	seated  alarm // of the seat
+	current bool  // as the holder knows of its seat
 	writes  []*council.Write
 	free    int64 // when the seat's disk has nothing to do
 	fresh   bool  // began without a disk, and has taken nothing since
@@ -113,7 +114,7 @@
 	digests  map[uint64]configuration.Digest
 	records  map[uint64]*configuration.Record
 	last     *configuration.Agreed // the newest that a seat told
-	apart    map[*member]bool      // on the smaller side of a cut
+	apart    map[*member]bool      // in the region that is cut off
 	wrong    []string
 	back     int // versions that went back
 	forked   int // versions with two contents
@@ -171,6 +172,7 @@
 	if l.fresh {
 		start = configuration.Start{Content: &configuration.Content{}, Source: "file"}
 	}
+	l.woken.step, l.seated.step = l.step, l.stepSeat
 	m.life = l
 	l.holder = configuration.NewHolder(f.Now, configuration.Terms{Name: n.Name, Seed: f.chance.Int63()}, start)
 	if s := l.holder.Status(f.Now); s.Mark != m.disk.mark || s.Source != start.Source {
@@ -268,19 +270,27 @@
 	l.wake(l.f.Now)
 }
 
-func (l *life) wake(at int64) {
-	if at = max(at, l.f.Now); l.woken > 0 && l.woken <= at {
+// alarm steps a part of a life at the earliest time for which it was set.
+type alarm struct {
+	at   int64 // 0 while it isn't set
+	step func()
+}
+
+func (l *life) set(a *alarm, at int64) {
+	if at = max(at, l.f.Now); a.at > 0 && a.at <= at {
 		return
 	}
-	l.woken = at
+	a.at = at
 	l.m.Later(at-l.f.Now, func() {
-		if l.woken == at && l.m.life == l {
-			l.woken = 0
-			l.step()
+		if a.at == at && l.m.life == l {
+			a.at = 0
+			a.step()
 		}
 	})
 }
 
+func (l *life) wake(at int64) { l.set(&l.woken, at) }
+
 func (l *life) step() {
 	in := l.inbox
 	l.inbox = nil
@@ -328,7 +338,7 @@
 			m.spend(f.Now, size)
 			reply(parcel{e.Message, size}, size)
 		}
-	case configuration.Take:
+	case configuration.Take, configuration.Check:
 		l.take(e)
 	case configuration.Persist:
 		next := kept{e.Mark, e.New}
@@ -343,7 +353,7 @@
 	}
 }
 
-// take has a version in force at a node, or refuses it.
+// take has a version in force at a node, or only checks it, or refuses it.
 func (l *life) take(e *configuration.Effect) {
 	f, m, mark := l.f, l.m, e.Mark
 	if want, agreed := f.digests[mark.Version]; !agreed || want != mark.Digest || e.New.Digest() != mark.Digest {
@@ -358,7 +368,7 @@
 			if f.refused++; f.refused <= lateNamed {
 				f.say("%s refuses version %d, first stage %t", m.Name, mark.Version, e.First)
 			}
-		} else {
+		} else if e.Kind == configuration.Take {
 			if k := len(m.held); k > 0 && mark.Version <= m.held[k-1].version {
 				f.back++
 				f.say("%s goes from version %d to %d", m.Name, m.held[k-1].version, mark.Version)
@@ -369,7 +379,11 @@
 				f.recovers = append(f.recovers, seconds(f.Now-m.Started))
 			}
 		}
-		l.give(configuration.Input{Kind: configuration.Took, Mark: mark, Why: why})
+		answer := configuration.Input{Kind: configuration.Took, Mark: mark, Why: why}
+		if e.Kind == configuration.Check {
+			answer.Kind = configuration.Checked
+		}
+		l.give(answer)
 	})
 }
 
@@ -378,18 +392,7 @@
 	l.wakeSeat(l.f.Now)
 }
 
-func (l *life) wakeSeat(at int64) {
-	if at = max(at, l.f.Now); l.seated > 0 && l.seated <= at {
-		return
-	}
-	l.seated = at
-	l.m.Later(at-l.f.Now, func() {
-		if l.seated == at && l.m.life == l {
-			l.seated = 0
-			l.stepSeat()
-		}
-	})
-}
+func (l *life) wakeSeat(at int64) { l.set(&l.seated, at) }
 
 func (l *life) stepSeat() {
 	f, m := l.f, l.m
@@ -412,6 +415,10 @@
 		}
 		l.give(configuration.Input{Kind: configuration.Ordered, Agreed: agreed})
 	}
+	if current := l.council.Current(); current != l.current {
+		l.current = current
+		l.give(configuration.Input{Kind: configuration.Stood, Current: current})
+	}
 	l.wakeSeat(next)
 }
 
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -85,6 +85,7 @@
 type taking struct {
 	mark     configuration.Mark
 	first    bool
+	only     bool // it is checked, and not taken
 	began    int64
 	old, new *configuration.Content
 	diff     *configuration.Difference
@@ -104,6 +105,7 @@
 	early   []Effect // from before the first step
 	taking  *taking
 	agreed  *configuration.Agreed // of this node's seat
+	current bool                  // as the holder knows of that seat
 	orders  []*order              // by when they came
 	verdict []configuration.Verdict
 }
@@ -264,7 +266,7 @@
 		case t.checking != nil && err == nil && len(items) > 0:
 			t.checking.Add(changes)
 		case t.checking != nil && err == nil:
-			if err = t.checking.Err(); err == nil {
+			if err = t.checking.Err(); err == nil && !t.only {
 				t.checking, t.diff = nil, configuration.Diff(t.old, t.new)
 				continue
 			}
@@ -284,10 +286,13 @@
 	c := &r.configuring
 	c.taking = nil
 	next := configuration.Input{Kind: configuration.Took, Mark: t.mark}
+	if t.only {
+		next.Kind = configuration.Checked
+	}
 	if err != nil {
 		r.Counters.VersionsRefused++
 		next.Why = err.Error()
-	} else {
+	} else if !t.only {
 		r.amendedTo(&t.version)
 		r.do(Effect{Kind: InForce, InForce: &VersionInForce{Mark: t.mark, After: c.holder.Mark().Version, Source: "fleet", First: t.first,
 			Added: t.version.counts[0], Changed: t.version.counts[1], Removed: t.version.counts[2], TookNS: r.now - t.began}})
@@ -306,6 +311,10 @@
 		c.agreed = agreed
 		c.inputs = append(c.inputs, configuration.Input{Kind: configuration.Ordered, Agreed: agreed})
 	}
+	if seat := r.claimed.seat; seat != nil && seat.Current() != c.current {
+		c.current = !c.current
+		c.inputs = append(c.inputs, configuration.Input{Kind: configuration.Stood, Current: c.current})
+	}
 	r.seeConfiguration()
 	for round := 0; round < roundsMost && (len(c.inputs) > 0 || round == 0 && r.now >= c.wakeAt); round++ {
 		inputs := c.inputs
@@ -353,8 +362,8 @@
 		}
 	case configuration.Reply:
 		r.sealConfiguration(Effect{Kind: PeerReply, Link: e.Link}, &configurationLetter{Message: e.Message})
-	case configuration.Take:
-		t := &taking{mark: e.Mark, first: e.First, began: r.now, old: e.Old, new: e.New, diff: configuration.Diff(e.Old, e.New),
+	case configuration.Take, configuration.Check:
+		t := &taking{mark: e.Mark, first: e.First, only: e.Kind == configuration.Check, began: r.now, old: e.Old, new: e.New, diff: configuration.Diff(e.Old, e.New),
 			checking: r.config.Checking(), version: version{number: e.Mark.Version}}
 		if r.hollow.on { // it has no module that could not take it
 			r.taken(t, nil)
