A seat's streams carry all nodes of a large fleet: idle ones make room, refused ones back off

At 325 hollow nodes with three seats a put had no verdict. Each node asks the council each 2 s, each 200 ms while it has no answer, on a stream; a seat had 64 (a quarter of 256 descriptors, 96 at the most). It closed the 65th at once, the node dialled again 100 to 200 ms later, and these dials held the 16 places of exchanges, so that the exchange of a put was closed unread (connection reset by peer).

A seat now has as many streams as members, up to a quarter of its descriptors; past that the accepted stream that was silent longest makes room; a stream that ends before a letter came is tried again after 100 ms, doubled to 3.2 s. A dial that fails is tried again as before.

--- a/lab/capacity/changes.go
+++ b/lab/capacity/changes.go
@@ -69,7 +69,7 @@
 			Wanted: WantedChanges, Ladder: []float64{0, 10 * 60 * 24, 60 * 60 * 24, 300 * 60 * 24}, Short: nil, Measures: spread,
 			climb: func(b *Bench, x float64) (map[string]float64, error) { return b.inService(changedNodes, x) }},
 		{Name: "spread", Title: "Nodes that take 20 changes a minute in service, hollow", Unit: "nodes", Wanted: WantedNodes,
-			Ladder: []float64{80, 160, 325}, Short: []float64{12, 24, 48}, Measures: spread,
+			Ladder: []float64{80, 160, 325, 650}, Short: []float64{12, 24, 48}, Measures: spread,
 			climb: func(b *Bench, x float64) (map[string]float64, error) { return b.inService(int(x), changesNodes) }},
 		{Name: "service", Title: "A whole node with configuration in service", Unit: "% of 4,700 routes and 130,000 tenants", Wanted: portion,
 			Ladder: []float64{0, 25, 50, 100}, Short: []float64{0, 5, 10}, Measures: []Measure{
--- a/lab/capacity/reach.go
+++ b/lab/capacity/reach.go
@@ -13,7 +13,7 @@
 	membersUsual = 512      // fleetconfig: the same without a setting
 	tableUsual   = 4 << 20  // fleetconfig: bytes of the council's table without a setting
 	tableMost    = 12 << 20 // fleetconfig: the most that a setting may say
-	streamsSeat  = 96       // server: streams of a node with a seat
+	streamsSeat  = 1_500    // server: streams of a node with a seat
 	sourceRate   = 200      // server: datagrams a second that are taken of one sender
 	sourcesMost  = 4_096    // server: senders whose pace is kept
 	idleWaitS    = 15.0     // reducer: seconds of rest past which a connection is ended
@@ -175,8 +175,8 @@
 	list := []row{
 		{what: "changes of configuration without configuration in service, each a new start of every node", wanted: "900 changes a day", kind: "timely",
 			ends: "the 3,000 restarts a day that are planned, all of them taken", from: "3,000 / 1,300 nodes / 900", reach: float64(WantedRestarts) / WantedNodes / WantedChanges},
-		{what: "streams at a seat of the council", wanted: "1,300 nodes that ask it", kind: "safe", ends: "`streamsSeat`, 96: one past it is refused",
-			from: "96 / 1,300, all nodes at one seat", reach: float64(streamsSeat) / WantedNodes},
+		{what: "streams at a seat of the council", wanted: "1,300 nodes that ask it", kind: "safe", ends: "`streamsSeat`, 1,500, `members` and a quarter of `limits.sockets`: past them idle streams make room",
+			from: "1,500 / 1,300, all nodes at one seat", reach: float64(streamsSeat) / WantedNodes},
 		{what: "membership's table", wanted: "1,300 nodes and those of an hour that came back under new names", kind: "safe",
 			ends: "`membersMost`, 1,500", from: "1,500 / (1,300 + 3,000/24)", reach: membersMost / (WantedNodes + WantedRestarts/worstOf)},
 		{what: "membership's table, without a setting", wanted: "1,300 nodes", kind: "safe", ends: "`membersUsual`, 512", from: "512 / 1,300",
--- a/lab/hollow/fleet.go
+++ b/lab/hollow/fleet.go
@@ -22,6 +22,7 @@
 	nodesEach     = 110             // nodes in one process where nothing else is said: a core carries some hundreds that are idle
 	processesMost = 200             // a few hundred are allowed beside whole daemons
 	contactsUsual = 3               // seeds
+	socketsUsual  = 6_144           // of a node: a quarter is for streams of a seat, one to each node of the largest fleet
 	leaveTime     = 5 * time.Second // for a process to end once its commands end; then it is killed
 	look          = 20 * time.Millisecond
 	keptSeconds   = 7_200 // figures of so many seconds are kept
@@ -154,7 +155,7 @@
 // UsualConfig is the configuration of a node with one operation and no tenant.
 func UsualConfig() []byte {
 	text, err := json.Marshal(map[string]any{"listen": "127.0.0.1:0", "executor": "127.0.0.1:1", "control": "127.0.0.1:1", "catalog": "127.0.0.1:1",
-		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
+		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": socketsUsual},
 		"settings": map[string]any{"grades": []any{map[string]any{"name": "hold", "aim": 2_000, "give_up": 5_000, "importance": 1,
 			"effect": "deduplicated", "window": 10_000}},
 			"family_info": map[string]any{"n_cores": 8, "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{false},
--- a/lab/hollow/hollow_test.go
+++ b/lab/hollow/hollow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -100,6 +101,24 @@
 	})
 }
 
+func TestMoreNodesThanASeatHasStreamsReachTheCouncil(t *testing.T) {
+	var config map[string]any
+	require.NoError(t, json.Unmarshal(UsualConfig(), &config))
+	config["limits"].(map[string]any)["sockets"] = 48 // a quarter of which are a seat's streams
+	text, err := json.Marshal(config)
+	require.NoError(t, err)
+	f := begin(t, Options{Nodes: 48, Processes: 2, Seats: 3, Config: text, Fleet: quick})
+	f.Tokens(12) // of each node in turn, so that six seconds ask all of them
+	require.Eventually(t, func() bool {
+		list := f.Sample()
+		var t Tokens
+		for _, s := range list[max(0, len(list)-6):] {
+			t.Wanted, t.TurnedAway, t.Kept = t.Wanted+s.Tokens.Wanted, t.TurnedAway+s.Tokens.TurnedAway, t.Kept+s.Tokens.Kept
+		}
+		return t.Wanted > 60 && t.TurnedAway == 0 && t.Kept > 48
+	}, generous, look, "no node is turned away for want of the council")
+}
+
 func TestFiguresOfAProcessThatLackedTimeAreDealtOutToItsSeconds(t *testing.T) {
 	s := &Second{Unix: 100, Span: 3, Nodes: 7, CPU: 1.5, Changes: 8, Sent: map[string]Traffic{"datagrams": {Bytes: 10, Messages: 3}}, Tokens: Tokens{Kept: 4, BeginMS: 2}}
 	sum, unix := together(s.spread()), []int64{}
--- a/lab/rig/processes.go
+++ b/lab/rig/processes.go
@@ -25,9 +25,11 @@
 )
 
 const (
-	port       = hollow.Port
-	standTries = 8       // blocks of loopback addresses on which something else may stand
-	linesMost  = 1 << 20 // bytes of one line of a log
+	port         = hollow.Port
+	standTries   = 8       // blocks of loopback addresses on which something else may stand
+	linesMost    = 1 << 20 // bytes of one line of a log
+	socketsLeast = 256     // of a daemon
+	socketsEach  = 5       // of it for each node of the fleet: a quarter is for streams of a seat, and all may ask one
 )
 
 // processes is a fleet of built daemons on loopback addresses.
@@ -210,7 +212,7 @@
 	}
 	config := map[string]any{"name": name(i), "listen": "127.0.0.1:0",
 		"executor": executor, "control": p.control.Addr().String(), "catalog": p.supply.listener.Addr().String(),
-		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
+		"seed": "8c1f30d27a5be964", "stop_ms": 3_000, "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": max(socketsLeast, socketsEach*p.night.Nodes)},
 		"settings": map[string]any{"grades": []any{operation, map[string]any{"name": "look", "aim": 1_000, "give_up": 2_500, "importance": 1, "effect": "idempotent"}},
 			"family_info": map[string]any{"n_cores": cmp.Or(p.night.Cores, 8), "memory_kb": 400_000, "blowup": 4, "entry_kb": 1, "class_calls": []bool{p.night.Calls > 0, false},
 				"below": below, "calls_out": share, "calls_over": 1_000, "linger": 0, "advert": "off", "gauges": []string{"cpu_busy", "runnable"}},
--- a/server/server.go
+++ b/server/server.go
@@ -178,7 +178,7 @@
 	case n.Fleet == nil || n.Fleet.Council == nil:
 		return 0
 	case slices.Contains(n.Fleet.Council.Seats, n.Name):
-		return min(streamsSeat, max(streamsOther, n.Sockets/4))
+		return min(streamsSeat, n.Fleet.Terms.MembersMost, max(streamsOther, n.Sockets/4))
 	}
 	return streamsOther
 }
--- a/server/streams.go
+++ b/server/streams.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -17,7 +18,7 @@
 
 const (
 	streamMark    = 0x72747374             // in the place of a length, at the start of a stream: larger than any exchange
-	streamsSeat   = 96                     // streams of a node with a seat in the council: other seats, and nodes that ask it
+	streamsSeat   = 1_500                  // streams of a node with a seat in the council at the most: all nodes may ask one seat
 	streamsOther  = 12                     // of another node: the seats, and some that it talks to no more
 	lettersMost   = 512                    // letters that may wait on a stream; more are dropped, and sent again
 	toldWaiting   = 512                    // letters that may wait for the reducer; then their streams wait
@@ -27,7 +28,9 @@
 	streamRest    = 2 * time.Second        // for the rest of a letter, once its length is read
 	streamPace    = 100 * time.Nanosecond  // for each byte of it beside that: 10 MB/s
 	streamDial    = time.Second            // for a stream to be opened
-	streamAgain   = 100 * time.Millisecond // between tries at one address
+	streamAgain   = 100 * time.Millisecond // between tries at one address; doubled while streams to it end before a letter came
+	streamAgainAt = 32                     // times it at the most: a seat that has no room is not asked by a herd all the time
+	streamSpare   = 250 * time.Millisecond // without a letter, past which an accepted stream makes room for another; seats speak more often
 	streamRate    = 4_000                  // letters a second that are taken from one stream: a seat that is busy says as many; the rest waits
 	streamBurst   = 1_000                  // of them at once
 	pendingLetter = 8 << 20                // bytes that may wait on a stream
@@ -46,7 +49,13 @@
 	last      int
 	byNumber  map[int]*stream
 	byAddress map[string]*stream
-	failed    map[string]time.Time
+	failed    map[string]failure
+}
+
+// failure is that of an address to which a stream could not be opened, or ended before a letter came.
+type failure struct {
+	at   time.Time
+	wait time.Duration // until the next try
 }
 
 type stream struct {
@@ -55,13 +64,16 @@
 	out     chan []byte
 	stop    chan struct{}
 	once    sync.Once
+	heard   atomic.Int64 // Unix ns of its last letter in either direction, of its start before one came
+	letters atomic.Bool  // one came
+
 	mu      sync.Mutex
 	waiting int // bytes
 }
 
 func newStreams(p *peering, most int) *streams {
 	return &streams{p: p, told: make(chan reducer.Input, toldWaiting), most: most, byNumber: map[int]*stream{}, byAddress: map[string]*stream{},
-		failed: map[string]time.Time{}}
+		failed: map[string]failure{}}
 }
 
 // add takes a stream on, if there is room.
@@ -71,6 +83,7 @@
 	}
 	s.last++
 	x := &stream{number: s.last, address: address, out: make(chan []byte, lettersMost), stop: make(chan struct{})}
+	x.heard.Store(time.Now().UnixNano())
 	s.byNumber[x.number] = x
 	if address != "" {
 		s.byAddress[address] = x
@@ -78,6 +91,38 @@
 	return x
 }
 
+// makeRoom ends the accepted stream that was silent longest, where none is left and that one is spare. Guards against many idle
+// nodes that hold all streams of a seat, so that other nodes, and other seats, find none; does harm to one that is idle: it
+// opens another when it has something to say. mu is held.
+func (s *streams) makeRoom() {
+	if len(s.byNumber) < s.most {
+		return
+	}
+	var oldest *stream
+	for _, x := range s.byNumber {
+		if x.address == "" && (oldest == nil || x.heard.Load() < oldest.heard.Load()) {
+			oldest = x
+		}
+	}
+	if oldest != nil && time.Now().UnixNano()-oldest.heard.Load() > int64(streamSpare) {
+		delete(s.byNumber, oldest.number)
+		oldest.end()
+	}
+}
+
+// missed notes that a stream to an address came to nothing. With refused it was opened, and ended before a letter came: then
+// the next tries are further and further apart. mu is held.
+func (s *streams) missed(address string, refused bool) {
+	if len(s.failed) > 4*s.most {
+		clear(s.failed)
+	}
+	f := failure{time.Now(), streamAgain}
+	if refused {
+		f.wait = min(max(streamAgain, 2*s.failed[address].wait), streamAgainAt*streamAgain)
+	}
+	s.failed[address] = f
+}
+
 func (s *streams) drop(x *stream) {
 	s.mu.Lock()
 	delete(s.byNumber, x.number)
@@ -105,7 +150,8 @@
 	s.mu.Lock()
 	x := s.byNumber[e.Link]
 	if x == nil && e.Address != "" {
-		if x = s.byAddress[e.Address]; x == nil && time.Since(s.failed[e.Address]) >= streamAgain {
+		if x = s.byAddress[e.Address]; x == nil && time.Since(s.failed[e.Address].at) >= s.failed[e.Address].wait {
+			s.makeRoom()
 			if x = s.add(e.Address); x != nil {
 				s.p.s.group.Go(func() error { s.open(x); return nil })
 			}
@@ -157,20 +203,25 @@
 	}
 	if err != nil {
 		s.mu.Lock()
-		if len(s.failed) > 4*s.most {
-			clear(s.failed)
-		}
-		s.failed[x.address] = time.Now()
+		s.missed(x.address, false)
 		s.mu.Unlock()
 		s.p.s.limited.Debug().Err(err).Str("to", x.address).Msg("stream to a peer could not be opened")
 		return
 	}
 	s.carry(x, conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if x.letters.Load() {
+		delete(s.failed, x.address)
+	} else {
+		s.missed(x.address, true)
+	}
 }
 
 // accept goes on with a connection that a peer opened as a stream.
 func (s *streams) accept(conn net.Conn) {
 	s.mu.Lock()
+	s.makeRoom()
 	x := s.add("")
 	s.mu.Unlock()
 	if x == nil {
@@ -209,6 +260,7 @@
 			x.waiting -= len(b)
 			x.mu.Unlock()
 			idle.Reset(streamIdle)
+			x.heard.Store(time.Now().UnixNano())
 			conn.SetWriteDeadline(time.Now().Add(streamWrite + time.Duration(len(b))*streamPace))
 			space = append(binary.LittleEndian.AppendUint32(space[:0], uint32(len(b))), b...)
 			if _, err := conn.Write(space); err != nil {
@@ -252,6 +304,8 @@
 		if err != nil {
 			return err
 		}
+		x.heard.Store(time.Now().UnixNano())
+		x.letters.Store(true)
 		if !s.hand(reducer.Input{Kind: reducer.PeerTold, Link: x.number, From: conn.RemoteAddr().String(), Bytes: text}) {
 			return net.ErrClosed
 		}
