Exchanges have a queue of their own beside datagrams; relays send in the name of any number of nodes

At 400 hollow nodes seeds dropped 6,352 inputs in a herd of joins: one queue of 256 held datagrams and parts of exchanges, datagrams filled it, and joins and tables that were asked for got no answer and came again. Parts of exchanges, of which few are under way at once, wait apart now. A relay before a whole daemon had sockets for the first 256 senders ever; what all later ones sent came from one address, whose pace of 200 a second the daemon bounds: at 1,300 nodes links of whole daemons starved. The socket unused longest makes room now.

--- a/lab/rig/relay.go
+++ b/lab/rig/relay.go
@@ -11,7 +11,7 @@
 
 const (
 	dialWait    = time.Second
-	sourcesMost = 256     // senders in whose name a relay sends; what others send comes from its own address
+	sourcesMost = 256     // senders in whose name a relay sends at a time: those heard last, many more than a node has links
 	largest     = 2 << 10 // bytes of a datagram, more than any peer sends
 	delayedMost = 1_024   // datagrams on their way at once; more are lost
 )
@@ -86,7 +86,14 @@
 	tcp    net.Listener
 
 	mu      sync.Mutex
-	sources map[int]*net.UDPConn // by sender, at its address: a daemon bounds the pace of each
+	sources map[int]*source // by sender, at its address: a daemon bounds the pace of each
+	turn    int64
+}
+
+// source is a socket at a sender's address, with the turn in which it was used last.
+type source struct {
+	*net.UDPConn
+	used int64
 }
 
 func newRelay(w *wire, to int, at, bind string, sender map[netip.Addr]int) (*relay, error) {
@@ -94,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &relay{wire: w, to: to, bind: bind, sender: sender, sources: map[int]*net.UDPConn{}}
+	r := &relay{wire: w, to: to, bind: bind, sender: sender, sources: map[int]*source{}}
 	if r.udp, err = net.ListenUDP("udp", address); err != nil {
 		return nil, err
 	}
@@ -118,22 +125,33 @@
 	clear(r.sources)
 }
 
-// source is a socket at the address of a sender.
+// source is a socket at the address of a sender. The one unused longest makes room: what came from the relay's own address
+// would share one pace at the daemon, and links of later neighbours would starve.
 func (r *relay) source(from int, at netip.Addr) *net.UDPConn {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.turn++
 	s := r.sources[from]
-	if s == nil && len(r.sources) < sourcesMost {
-		var err error
-		if s, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at, 0))); err != nil {
+	if s == nil {
+		if len(r.sources) >= sourcesMost {
+			oldest := -1
+			for i, o := range r.sources {
+				if oldest < 0 || o.used < r.sources[oldest].used {
+					oldest = i
+				}
+			}
+			r.sources[oldest].Close()
+			delete(r.sources, oldest)
+		}
+		conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at, 0)))
+		if err != nil {
 			return r.udp
 		}
+		s = &source{UDPConn: conn}
 		r.sources[from] = s
 	}
-	if s == nil {
-		return r.udp
-	}
-	return s
+	s.used = r.turn
+	return s.UDPConn
 }
 
 func (r *relay) datagrams() {
--- a/server/peers.go
+++ b/server/peers.go
@@ -24,6 +24,7 @@
 const (
 	peeredWaiting = 256             // inputs of peers that may wait for the reducer; more are dropped, as lost datagrams are
 	peeredAStep   = 64              // of them taken in one step: they never hold up invocations
+	exchangesWait = 64              // parts of exchanges that may wait beside them: more than are under way at once, both ways
 	sendsWaiting  = 512             // datagrams that may wait to be sent; more are dropped
 	sourcesMost   = 4096            // senders whose pace is kept; when there are more all start anew
 	sourceRate    = 200             // datagrams a second of one sender: ten times what a neighbour sends
@@ -51,7 +52,8 @@
 	fleet    *fleetconfig.Fleet
 	udp      Datagrams
 	tcp      net.Listener
-	in       chan reducer.Input
+	in       chan reducer.Input // datagrams
+	swapped  chan reducer.Input // parts of exchanges: bounded by those under way, so datagrams never take their place
 	out      chan reducer.Effect
 	counters PeerCounters
 
@@ -65,7 +67,8 @@
 
 // join makes the node one of its fleet; run opens the sockets.
 func (s *Server) join(fleet *fleetconfig.Fleet) {
-	s.peers = &peering{s: s, fleet: fleet, in: make(chan reducer.Input, peeredWaiting), out: make(chan reducer.Effect, sendsWaiting),
+	s.peers = &peering{s: s, fleet: fleet, in: make(chan reducer.Input, peeredWaiting),
+		swapped: make(chan reducer.Input, exchangesWait), out: make(chan reducer.Effect, sendsWaiting),
 		served: make(map[int]chan []byte), opened: make(chan struct{}, openedMost)}
 	s.peers.streams = newStreams(s.peers, s.config.streamsMost())
 	s.clock = ahead{s.clock, fleet.WallAhead}
@@ -114,8 +117,12 @@
 
 // give hands an input on if there is room; what peers send never waits, and so never holds up anybody.
 func (p *peering) give(in reducer.Input) bool {
+	to := p.swapped
+	if in.Kind == reducer.PeerCame {
+		to = p.in
+	}
 	select {
-	case p.in <- in:
+	case to <- in:
 		return true
 	default:
 		p.counters.Dropped.Add(1)
@@ -123,6 +130,11 @@
 	}
 }
 
+// take takes what peers sent and waits for the next step.
+func (p *peering) take(inputs []reducer.Input) []reducer.Input {
+	return takeAll(takeAll(inputs, p.swapped, exchangesWait), p.in, peeredAStep)
+}
+
 // read takes datagrams, each sender at its pace. Guards against a peer that floods; does harm to senders behind one
 // address, which share a pace.
 func (p *peering) read() {
--- /dev/null
+++ b/server/peers_test.go
@@ -0,0 +1,51 @@
+package server
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"topazpost/fleetconfig"
+	"topazpost/membership"
+	"topazpost/reducer"
+)
+
+func TestDatagramsNeverTakeTheRoomOfExchanges(t *testing.T) {
+	n, err := ReadConfig([]byte(config))
+	require.NoError(t, err)
+	n.Fleet = &fleetconfig.Fleet{Name: "f", Bind: "127.0.0.1:0", Terms: membership.Config{Name: "n1", Address: "127.0.0.1:1", MembersMost: 8}}
+	s := New(n, zerolog.Nop(), SystemClock())
+	ctx, end := context.WithCancel(t.Context())
+	s.ctx, s.group = ctx, groupOf(t)
+	defer end()
+	p := s.peers
+	for p.give(reducer.Input{Kind: reducer.PeerCame}) {
+	}
+	peer, own := net.Pipe()
+	defer peer.Close()
+	ended := make(chan struct{})
+	go func() { defer close(ended); defer own.Close(); p.exchange(own, func() {}) }()
+	require.NoError(t, writeLetter(peer, make([]byte, 64)))
+	var asked int
+	require.Eventually(t, func() bool {
+		inputs := p.take(nil)
+		k := slices.IndexFunc(inputs, func(in reducer.Input) bool { return in.Kind == reducer.PeerAsked })
+		if k >= 0 {
+			asked = inputs[k].Link
+		}
+		for p.give(reducer.Input{Kind: reducer.PeerCame}) { // they come all the time
+		}
+		return k >= 0
+	}, 10*time.Second, time.Millisecond, "an exchange comes through beside datagrams that fill their queue")
+	p.reply(&reducer.Effect{Link: asked, Bytes: make([]byte, 32)})
+	answer, err := readLetter(peer)
+	require.NoError(t, err)
+	assert.Len(t, answer, 32)
+	<-ended
+}
--- a/server/server.go
+++ b/server/server.go
@@ -298,9 +298,9 @@
 		s.heard <- reducer.Input{Kind: reducer.Adopt, Plan: s.config.Levels}
 	}
 	notice, wake := s.notice, int64(math.MaxInt64)
-	var peered, streamed chan reducer.Input
+	var peered, swapped, streamed chan reducer.Input
 	if s.peers != nil {
-		peered, streamed = s.peers.in, s.peers.streams.told
+		peered, swapped, streamed = s.peers.in, s.peers.swapped, s.peers.streams.told
 	}
 	for {
 		inputs = inputs[:0]
@@ -317,6 +317,8 @@
 			inputs = append(inputs, in)
 		case in := <-peered:
 			inputs = append(inputs, in)
+		case in := <-swapped:
+			inputs = append(inputs, in)
 		case in := <-streamed:
 			inputs = append(inputs, in)
 		case <-notice:
@@ -332,7 +334,9 @@
 		}
 		inputs = takeAll(inputs, s.heard, inputsAStep)
 		inputs = takeAll(inputs, s.inputs, inputsAStep)
-		inputs = takeAll(inputs, peered, peeredAStep)
+		if s.peers != nil {
+			inputs = s.peers.take(inputs)
+		}
 		inputs = takeAll(inputs, streamed, toldAStep)
 		now, wall := s.clock.Now()
 		wake = math.MaxInt64
