In a herd of joins tables are asked for once news rest, and links that ended are told together

At 400 hollow nodes on a busy machine each node asked neighbours for whole tables one to two times a second (some 1,000 to 1,900 messages of exchanges a second in all, 20 to 30 kB a second and node), as their tables differed for as long as news were on their way: a table of another moment was old at once. In virtual time, herd of 400, 1,996 of 3,070 exchanges came after the one view. Now a table is asked for once no news came for 500 ms, or after 10 s. Links that a herd's shifting rings leave behind end one by one, and each was told in a version of its own that goes to all: they are told together within 1.5 s, and no later than their silence would have told them.

--- a/membership/links.go
+++ b/membership/links.go
@@ -37,7 +37,9 @@
 
 func (m *Members) close(k int8) {
 	l := &m.links[k]
-	m.dirtySelf = m.dirtySelf || l.up
+	if l.up && !m.dirtySelf { // told together with others that end, and before its silence would have told it
+		m.dirtySelf, m.publishAt = true, max(m.publishAt, min(m.t+closedEvery, l.proof+m.config.Silence))
+	}
 	m.members[l.member].link = -1
 	l.member, l.up, l.owing = -1, false, 0
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -93,6 +93,8 @@
 	knockAt, joinAt, seedAt, joinFor int64
 	healing                          int // link of the exchange that is under way
 	healAt                           int64
+	learned                          int64 // when a record last was news
+	rested                           int64 // when news last rested, or a table was asked for in spite of them
 	knocks                           [knocksMost]struct {
 		id  ID
 		seq uint32
@@ -280,7 +282,7 @@
 		if age := l.seq - seq; age < sentKept && l.sent[seq%sentKept] > 0 && seq>>31 == 0 {
 			l.proof = max(l.proof, l.sent[seq%sentKept])
 			if !l.up && m.t-l.proof <= m.config.Silence {
-				l.up, m.dirtySelf = true, true
+				l.up, m.dirtySelf, m.publishAt = true, true, min(m.publishAt, m.published+publishEvery)
 			}
 			return
 		}
@@ -353,7 +355,7 @@
 		}
 	}
 	b := &m.members[i]
-	b.counted = true
+	b.counted, m.learned = true, m.t
 	if !b.in {
 		b.out = m.t
 	}
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -269,3 +269,65 @@
 		}
 	})
 }
+
+func TestTablesAreAskedForOnceNewsRest(t *testing.T) {
+	m := held("b", "c", "d")
+	differs := func(at int64) (asked int) { // pings are answered by neighbours whose tables are others
+		effects, _ := m.Step(at, at, nil)
+		inputs := answer(m)
+		for k := range inputs {
+			inputs[k].Message.Digest++
+		}
+		for _, e := range append(slices.Clone(effects), func() []Effect { e, _ := m.Step(at, at, inputs); return e }()...) {
+			if e.Kind == Exchange {
+				asked++
+			}
+		}
+		return asked
+	}
+	now, asked := m.wake, 0
+	for k := range 60 { // news come for 6 s
+		now += 100 * ms
+		r := record(fmt.Sprint("e", k), 100)
+		m.learn(&r, -1)
+		asked += differs(now)
+	}
+	assert.Zero(t, asked, "while news come, a table would be old at once")
+	for end := now + healRest + 100*ms; now < end; now += 100 * ms {
+		asked += differs(now)
+	}
+	assert.Equal(t, 1, asked, "once they rest it is asked for")
+	m.Step(now, now, []Input{{Kind: Missed, Link: m.healing}})
+	asked = 0
+	for k := range 150 { // 15 s
+		now += 100 * ms
+		r := record(fmt.Sprint("f", k), 100)
+		m.learn(&r, -1)
+		asked += differs(now)
+	}
+	assert.Equal(t, 1, asked, "news don't put it off for ever")
+}
+
+func TestLinksThatNobodyWantsAreToldAsEndedTogether(t *testing.T) {
+	m := held("b", "c", "d", "e", "f")
+	var links []int8
+	for k := range m.links {
+		if m.links[k].member >= 0 {
+			links = append(links, int8(k))
+		}
+	}
+	ver, now := m.Self().Ver, m.wake
+	proof := m.links[links[1]].proof
+	m.close(links[0])
+	until(m, now, now+300*ms, true)
+	m.close(links[1])
+	assert.Equal(t, ver, m.Self().Ver)
+	until(m, m.wake, now+closedEvery+ms, true)
+	assert.Equal(t, ver+1, m.Self().Ver, "as one change")
+	assert.Less(t, now+closedEvery, proof+usual.Silence, "before silence would have told it")
+	m.close(links[2])
+	l := &m.links[links[3]]
+	l.proof = m.t - usual.Silence - 1
+	m.keepLinks()
+	assert.LessOrEqual(t, m.publishAt, m.t+publishEvery, "a link that is lost is told at once, and those with it")
+}
--- a/membership/types.go
+++ b/membership/types.go
@@ -31,11 +31,14 @@
 	newsEvery    = 100 * ms    // ns between news on one link: records that change again meanwhile go once
 	publishEvery = 200 * ms    // ns between new links of one's own record
 	gainsEvery   = 500 * ms    // ns between them where only more were gained: in a herd many come at once
+	closedEvery  = 1_500 * ms  // ns between them where links ended that neither end wants: they end one by one after a herd
 	knockEvery   = 1_000 * ms  // ns between tries at one that was lost
 	joinEvery    = 500 * ms    // ns between tries at a seed, doubled up to joinMost
 	joinMost     = 4_000 * ms  // ns
 	healAfter    = 1_500 * ms  // ns that a neighbour's table differs before it is asked for all: news takes less
 	healAgain    = 3_000 * ms  // ns between full exchanges
+	healRest     = 500 * ms    // ns without news before one: while they come, tables differ, and a whole one is old at once
+	healMost     = 10_000 * ms // ns for which news put it off at the most
 	coldAfter    = 30_000 * ms // ns after which a lost member's record is no part of what tables are compared by
 	pardon       = 60_000 * ms // ns of standing after which a loss is forgotten
 	gapLeast     = 150 * ms    // ns past a wake from which this process stood still, and not the others
--- a/membership/view.go
+++ b/membership/view.go
@@ -268,11 +268,14 @@
 	if m.healing != 0 && m.t >= m.healAt+healAgain {
 		m.healing = 0
 	}
-	if m.healing == 0 && m.t >= m.healAt {
+	if m.t-m.learned >= healRest {
+		m.rested = m.t
+	}
+	if m.healing == 0 && m.t >= m.healAt && (m.rested == m.t || m.t-m.rested >= healMost) {
 		for k := range m.links {
 			l := &m.links[k]
 			if l.member >= 0 && l.up && l.differ > 0 && m.t-l.differ >= healAfter && m.t-l.healed >= healAgain {
-				l.healed, l.differ = m.t, 0
+				l.healed, l.differ, m.rested = m.t, 0, m.t
 				m.ask(m.members[l.member].rec.Address)
 				break
 			}
