--- a/server/peers.go
+++ b/server/peers.go
@@ -52,9 +52,9 @@
 	fleet    *fleetconfig.Fleet
 	udp      Datagrams
 	tcp      net.Listener
-	in       chan reducer.Input // datagrams
+	in       chan letter        // datagrams
 	swapped  chan reducer.Input // parts of exchanges: bounded by those under way, so datagrams never take their place
-	out      chan reducer.Effect
+	out      chan letter
 	counters PeerCounters
 
 	mu     sync.Mutex
@@ -65,10 +65,22 @@
 	streams *streams
 }
 
+// letter is what waits of a datagram or a stream; an input or an effect is several times as large, and there is room for hundreds.
+type letter struct {
+	kind    reducer.InputKind
+	link    int    // of a stream
+	address string // of the peer
+	bytes   []byte
+}
+
+func (l *letter) input() reducer.Input {
+	return reducer.Input{Kind: l.kind, Link: l.link, From: l.address, Bytes: l.bytes}
+}
+
 // join makes the node one of its fleet; run opens the sockets.
 func (s *Server) join(fleet *fleetconfig.Fleet) {
-	s.peers = &peering{s: s, fleet: fleet, in: make(chan reducer.Input, peeredWaiting),
-		swapped: make(chan reducer.Input, exchangesWait), out: make(chan reducer.Effect, sendsWaiting),
+	s.peers = &peering{s: s, fleet: fleet, in: make(chan letter, peeredWaiting),
+		swapped: make(chan reducer.Input, exchangesWait), out: make(chan letter, sendsWaiting),
 		served: make(map[int]chan []byte), opened: make(chan struct{}, openedMost)}
 	s.peers.streams = newStreams(s.peers, s.config.streamsMost())
 	s.clock = ahead{s.clock, fleet.WallAhead}
@@ -115,14 +127,21 @@
 	return nil
 }
 
-// give hands an input on if there is room; what peers send never waits, and so never holds up anybody.
+// give hands a part of an exchange on if there is room; what peers send never waits, and so never holds up anybody.
 func (p *peering) give(in reducer.Input) bool {
-	to := p.swapped
-	if in.Kind == reducer.PeerCame {
-		to = p.in
+	select {
+	case p.swapped <- in:
+		return true
+	default:
+		p.counters.Dropped.Add(1)
+		return false
 	}
+}
+
+// came does so with a datagram.
+func (p *peering) came(from string, text []byte) bool {
 	select {
-	case to <- in:
+	case p.in <- letter{kind: reducer.PeerCame, address: from, bytes: text}:
 		return true
 	default:
 		p.counters.Dropped.Add(1)
@@ -132,7 +151,21 @@
 
 // take takes what peers sent and waits for the next step.
 func (p *peering) take(inputs []reducer.Input) []reducer.Input {
-	return takeAll(takeAll(inputs, p.swapped, exchangesWait), p.in, peeredAStep)
+	inputs = takeLetters(takeAll(inputs, p.swapped, exchangesWait), p.in, peeredAStep)
+	return takeLetters(inputs, p.streams.told, toldAStep)
+}
+
+// takeLetters takes what waits, up to so many.
+func takeLetters(inputs []reducer.Input, from chan letter, most int) []reducer.Input {
+	for range most {
+		select {
+		case l := <-from:
+			inputs = append(inputs, l.input())
+		default:
+			return inputs
+		}
+	}
+	return inputs
 }
 
 // read takes datagrams, each sender at its pace. Guards against a peer that floods; does harm to senders behind one
@@ -166,25 +199,34 @@
 		if n > envelope.DatagramMost {
 			n = 0 // told as one that is too short
 		}
-		p.give(reducer.Input{Kind: reducer.PeerCame, From: from.String(), Bytes: append([]byte(nil), space[:n]...)})
+		p.came(from.String(), append([]byte(nil), space[:n]...))
+	}
+}
+
+// send takes a datagram that is to be sent, if there is room.
+func (p *peering) send(e *reducer.Effect) {
+	select {
+	case p.out <- letter{address: e.Address, bytes: e.Bytes}:
+	default:
+		p.counters.Dropped.Add(1)
 	}
 }
 
 func (p *peering) write() {
 	for {
 		select {
-		case e := <-p.out:
-			p.post(&e)
+		case l := <-p.out:
+			p.post(&l)
 		case <-p.s.ctx.Done():
 			return
 		}
 	}
 }
 
-func (p *peering) post(e *reducer.Effect) {
-	to, err := netip.ParseAddrPort(e.Address)
+func (p *peering) post(l *letter) {
+	to, err := netip.ParseAddrPort(l.address)
 	if err == nil {
-		_, err = p.udp.WriteToUDPAddrPort(e.Bytes, to)
+		_, err = p.udp.WriteToUDPAddrPort(l.bytes, to)
 	}
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		p.s.limited.Debug().Err(err).Msg("datagram could not be sent")
@@ -195,8 +237,8 @@
 func (p *peering) flush() {
 	for {
 		select {
-		case e := <-p.out:
-			p.post(&e)
+		case l := <-p.out:
+			p.post(&l)
 		default:
 			return
 		}
--- a/server/peers_test.go
+++ b/server/peers_test.go
@@ -25,7 +25,7 @@
 	s.ctx, s.group = ctx, groupOf(t)
 	defer end()
 	p := s.peers
-	for p.give(reducer.Input{Kind: reducer.PeerCame}) {
+	for p.came("127.0.0.1:2", nil) {
 	}
 	peer, own := net.Pipe()
 	defer peer.Close()
@@ -39,7 +39,7 @@
 		if k >= 0 {
 			asked = inputs[k].Link
 		}
-		for p.give(reducer.Input{Kind: reducer.PeerCame}) { // they come all the time
+		for p.came("127.0.0.1:2", nil) { // they come all the time
 		}
 		return k >= 0
 	}, 10*time.Second, time.Millisecond, "an exchange comes through beside datagrams that fill their queue")
--- a/server/server.go
+++ b/server/server.go
@@ -77,7 +77,11 @@
 // New makes a node that Run starts. What a logger and a clock are handed in for is the embedder's to choose.
 func New(config *Config, log zerolog.Logger, clock Clock) *Server {
 	limited := log.Sample(&zerolog.BurstSampler{Burst: remarksOnce, Period: time.Second})
-	s := &Server{config: config, log: log, limited: limited, clock: clock, inputs: make(chan reducer.Input, inputsWaiting),
+	waiting := inputsWaiting
+	if config.Hollow != nil { // it listens to no dispatcher
+		waiting = 0
+	}
+	s := &Server{config: config, log: log, limited: limited, clock: clock, inputs: make(chan reducer.Input, waiting),
 		heard: make(chan reducer.Input, heardWaiting), notice: make(chan struct{}, 1), abort: make(chan struct{}, 1),
 		reload: make(chan *Config, 1), links: make(map[int]*link), endReport: func() {}, reporter: newReporter()}
 	connections, spare, links := config.shares()
@@ -298,7 +302,8 @@
 		s.heard <- reducer.Input{Kind: reducer.Adopt, Plan: s.config.Levels}
 	}
 	notice, wake := s.notice, int64(math.MaxInt64)
-	var peered, swapped, streamed chan reducer.Input
+	var peered, streamed chan letter
+	var swapped chan reducer.Input
 	if s.peers != nil {
 		peered, swapped, streamed = s.peers.in, s.peers.swapped, s.peers.streams.told
 	}
@@ -315,12 +320,12 @@
 			inputs = append(inputs, in)
 		case in := <-s.inputs:
 			inputs = append(inputs, in)
-		case in := <-peered:
-			inputs = append(inputs, in)
+		case l := <-peered:
+			inputs = append(inputs, l.input())
 		case in := <-swapped:
 			inputs = append(inputs, in)
-		case in := <-streamed:
-			inputs = append(inputs, in)
+		case l := <-streamed:
+			inputs = append(inputs, l.input())
 		case <-notice:
 			notice = nil
 			inputs = append(inputs, reducer.Input{Kind: reducer.Notice})
@@ -337,7 +342,6 @@
 		if s.peers != nil {
 			inputs = s.peers.take(inputs)
 		}
-		inputs = takeAll(inputs, streamed, toldAStep)
 		now, wall := s.clock.Now()
 		wake = math.MaxInt64
 		for _, e := range s.state.Step(now, wall, inputs) {
@@ -424,11 +428,7 @@
 	case reducer.Persist:
 		s.seat.keep(e.Write)
 	case reducer.PeerSend:
-		select {
-		case s.peers.out <- *e:
-		default:
-			s.peers.counters.Dropped.Add(1)
-		}
+		s.peers.send(e)
 	case reducer.PeerExchange:
 		s.peers.open(e)
 	case reducer.PeerReply:
--- a/server/streams.go
+++ b/server/streams.go
@@ -42,7 +42,7 @@
 // it accepted, alike. Both directions of one are used.
 type streams struct {
 	p    *peering
-	told chan reducer.Input
+	told chan letter
 	most int
 
 	mu        sync.Mutex
@@ -72,7 +72,7 @@
 }
 
 func newStreams(p *peering, most int) *streams {
-	return &streams{p: p, told: make(chan reducer.Input, toldWaiting), most: most, byNumber: map[int]*stream{}, byAddress: map[string]*stream{},
+	return &streams{p: p, told: make(chan letter, toldWaiting), most: most, byNumber: map[int]*stream{}, byAddress: map[string]*stream{},
 		failed: map[string]failure{}}
 }
 
@@ -131,14 +131,14 @@
 	}
 	s.mu.Unlock()
 	x.end()
-	s.hand(reducer.Input{Kind: reducer.PeerHungUp, Link: x.number})
+	s.hand(letter{kind: reducer.PeerHungUp, link: x.number})
 }
 
 func (x *stream) end() { x.once.Do(func() { close(x.stop) }) }
 
-func (s *streams) hand(in reducer.Input) bool {
+func (s *streams) hand(l letter) bool {
 	select {
-	case s.told <- in:
+	case s.told <- l:
 		return true
 	case <-s.p.s.ctx.Done():
 		return false
@@ -306,7 +306,7 @@
 		}
 		x.heard.Store(time.Now().UnixNano())
 		x.letters.Store(true)
-		if !s.hand(reducer.Input{Kind: reducer.PeerTold, Link: x.number, From: conn.RemoteAddr().String(), Bytes: text}) {
+		if !s.hand(letter{kind: reducer.PeerTold, link: x.number, address: conn.RemoteAddr().String(), bytes: text}) {
 			return net.ErrClosed
 		}
 	}
