--- a/lab/rig/night.go
+++ b/lab/rig/night.go
@@ -480,7 +480,8 @@
 					continue
 				}
 				gone, returned := int64(-1), int64(-1)
-				for _, e := range of[concern{i, name(victim)}] {
+				told := of[concern{i, name(victim)}] // not all events: a large fleet has a million
+				for _, e := range told {
 					if e.At < s.from || e.At > s.to+2*after {
 						continue
 					}
@@ -507,7 +508,7 @@
 					if returned < 0 {
 						returned = 1_000 * second
 					} else {
-						returned -= hindered(events, spans, s, i, name(victim), s.to, s.to+returned)
+						returned -= hindered(values(told), spans, s, i, name(victim), s.to, s.to+returned)
 					}
 					back = append(back, seconds(returned))
 				}
@@ -536,6 +537,13 @@
 	return true
 }
 
+func values(events []*Event) (list []Event) {
+	for _, e := range events {
+		list = append(list, *e)
+	}
+	return list
+}
+
 // hindered is how much of a time a node could not be back at another: other faults than s concerned one of the two, or it had
 // fallen out there again and again, and is let in after 1, 2, 4, 8 s then (docs/design/membership.md).
 func hindered(events []Event, spans []*span, s *span, by int, who string, from, to int64) (sum int64) {
