--- a/configuration/content.go
+++ b/configuration/content.go
@@ -28,6 +28,7 @@
 	nameMost    = 256              // bytes of a name
 	valueMost   = 4 << 10          // bytes of a value: several times an operation with all its settings
 	blockMost   = 40 << 10         // bytes of a block: it travels whole in one exchange, beside a head
+	scanOnce    = 128 << 10        // bytes of blocks that one look for changes goes through, beside the last one: some 0.1 ms
 	contentMost = 16 << 20         // bytes of a content: what letter takes as a snapshot
 	seedSecond  = 0x63_6f_6e_66_32 // of the second half of a digest
 	digestBytes = 16
@@ -297,12 +298,13 @@
 			n++
 		}
 		old, _ := next.Block(order[0].block)
-		block, i := merge(old, order[:n]), order[0].item
+		block, sum := next.merge(old, order[:n])
+		i := order[0].item
 		if len(block) > blockMost {
 			return nil, fmt.Errorf("configuration: no room for %s %q: names that fall together have %d bytes, %d at the most; make values smaller",
 				i.Part, i.Name, len(block), blockMost)
 		}
-		next.set(order[0].block, block, &own)
+		next.own(order[0].block, &own).put(order[0].block, block, sum)
 		order = order[n:]
 	}
 	if next.bytes > contentMost {
@@ -319,8 +321,8 @@
 	item  *Item
 }
 
-// merge writes a block with changes in order carried out.
-func merge(old []byte, changes []placed) []byte {
+// merge writes a block with changes in order carried out, and says what comes to its digest by them. They are counted in and out.
+func (c *Content) merge(old []byte, changes []placed) (block []byte, sum Digest) {
 	size := len(old)
 	for _, p := range changes {
 		size += len(p.item.Name) + len(p.item.Value) + 8
@@ -335,53 +337,69 @@
 			}
 			if n < 0 {
 				to = append(to, e.text...)
+			} else {
+				sum = sum.minus(c.countOne(&e, false))
 			}
 			old = rest
 		}
 		again := k+1 < len(changes) && changes[k+1].part == p.part && changes[k+1].item.Name == p.item.Name
 		if !again && len(p.item.Value) > 0 {
+			at := len(to)
 			to = appendEntry(to, p.part, p.item.Name, p.item.Value)
+			sum = sum.plus(c.countOne(&entry{part: p.part, text: to[at:]}, true))
 		}
 	}
 	if to = append(to, old...); len(to) == 0 {
-		return nil
+		return nil, sum
 	}
-	return bytes.Clone(to) // without the room behind it: blocks are kept for long
+	return bytes.Clone(to), sum // without the room behind it: blocks are kept for long
 }
 
-// set puts a block of sound form in its place. Pages that this content has alone are marked own.
-func (c *Content) set(n int, block []byte, own *[fan]bool) {
+// own is the page of a block, which this content has alone: those are marked.
+func (c *Content) own(n int, own *[fan]bool) *page {
 	k := n / fan
-	p := c.pages[k]
 	if !own[k] {
-		q := &page{}
-		if p != nil {
-			*q = *p
+		p := &page{}
+		if c.pages[k] != nil {
+			*p = *c.pages[k]
 		}
-		p, c.pages[k], own[k] = q, q, true
+		c.pages[k], own[k] = p, true
 	}
-	c.count(p.blocks[n%fan], false)
-	p.sum = p.sum.minus(p.sums[n%fan])
-	p.sums[n%fan] = c.count(block, true)
-	p.sum = p.sum.plus(p.sums[n%fan])
-	p.blocks[n%fan] = block
+	return c.pages[k]
+}
+
+// put puts a block in its place; sum comes to its digest.
+func (p *page) put(n int, block []byte, sum Digest) {
+	p.blocks[n%fan], p.sums[n%fan], p.sum = block, p.sums[n%fan].plus(sum), p.sum.plus(sum)
+}
+
+// set puts a block of sound form in its place, and counts all of it.
+func (c *Content) set(n int, block []byte, own *[fan]bool) {
+	p := c.own(n, own)
+	out := c.count(p.blocks[n%fan], false)
+	p.put(n, block, c.count(block, true).minus(out))
 }
 
 // count has a block's items counted in or out, and says its digest.
 func (c *Content) count(block []byte, in bool) (sum Digest) {
-	for size := len(block); len(block) > 0; size = len(block) {
+	for len(block) > 0 {
 		e, rest, _ := take(block)
-		d := digestOf(e.text)
-		if sum = sum.plus(d); in {
-			c.sums[e.part], c.items[e.part], c.bytes = c.sums[e.part].plus(d), c.items[e.part]+1, c.bytes+size-len(rest)
-		} else {
-			c.sums[e.part], c.items[e.part], c.bytes = c.sums[e.part].minus(d), c.items[e.part]-1, c.bytes-size+len(rest)
-		}
-		block = rest
+		sum, block = sum.plus(c.countOne(&e, in)), rest
 	}
 	return sum
 }
 
+// countOne has an item counted in or out, and says its digest.
+func (c *Content) countOne(e *entry, in bool) Digest {
+	d, size := digestOf(e.text), len(e.text)
+	if in {
+		c.sums[e.part], c.items[e.part], c.bytes = c.sums[e.part].plus(d), c.items[e.part]+1, c.bytes+size
+	} else {
+		c.sums[e.part], c.items[e.part], c.bytes = c.sums[e.part].minus(d), c.items[e.part]-1, c.bytes-size
+	}
+	return d
+}
+
 // checked is the digest of a block that came from elsewhere, ok where its form is sound and all of it belongs there.
 func checked(n int, block []byte) (sum Digest, ok bool) {
 	if len(block) > blockMost {
@@ -422,18 +440,24 @@
 	from, to *Content
 	next     int
 	old, new []byte
+	scanned  int // bytes of blocks that were gone through
 }
 
 // Diff begins at the first item that differs.
 func Diff(from, to *Content) *Difference { return &Difference{from: from, to: to} }
 
-// Next is up to so many changes more, none at the end. Removed items have no value; values must not be changed.
+// Next is up to so many changes more, none at the end. It is fewer where they lie apart, so that a call costs at most what they
+// and some blocks cost. Removed items have no value; values must not be changed.
 func (d *Difference) Next(most int) (changes []Item) {
-	for len(changes) < most {
-		if len(d.old) == 0 && len(d.new) == 0 && !d.advance() {
+	for end := d.scanned + scanOnce; len(changes) < most; {
+		if len(d.old) == 0 && len(d.new) == 0 && (len(changes) > 0 && d.scanned >= end || !d.advance()) {
 			break
 		}
 		old, oldRest, _ := take(d.old)
+		if len(old.text) > 0 && bytes.HasPrefix(d.new, old.text) { // most of a block is the same
+			d.old, d.new = oldRest, d.new[len(old.text):]
+			continue
+		}
 		item, newRest, _ := take(d.new)
 		order := 0
 		switch {
@@ -469,6 +493,7 @@
 		item, b := d.to.Block(d.next)
 		if a != b {
 			d.old, d.new = old, item
+			d.scanned += len(old) + len(item)
 			d.next++
 			return true
 		}
--- /dev/null
+++ b/configuration/snapshot_test.go
@@ -0,0 +1,147 @@
+package configuration
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// crowded is a table with so many tenants, and a longer change on the way.
+func crowded(t *testing.T, tenants int) *Table {
+	table := NewTable()
+	put := func(seq, base uint64, piece int, more bool, from, to, rate int) {
+		var changes []Item
+		for k := from; k < to; k++ {
+			changes = append(changes, Item{Tenants, fmt.Sprintf("tenant-%06d", k), fmt.Appendf(nil, `{"quota_rps":%d}`, rate)})
+		}
+		v := table.Apply(int64(seq), &Command{Kind: Put, From: "a", Seq: seq, Base: base, Piece: piece, More: more, Changes: changes})
+		require.True(t, v.Done, v.Refused)
+	}
+	seq := uint64(0)
+	const piece = 1_000
+	for k := 0; k < tenants; k += piece {
+		seq++
+		put(seq, 0, k/piece, k+piece < tenants, k, k+piece, 1)
+	}
+	require.Equal(t, uint64(1), table.Head().Newest)
+	require.True(t, table.Apply(1<<40, &Command{Kind: Advance, Version: 1}).Done)
+	for k := range 20 {
+		seq++
+		put(seq, uint64(k+1), 0, false, k, k+1, 2)
+	}
+	seq++
+	put(seq, 21, 0, true, 0, piece, 3) // more of it will come
+	return table
+}
+
+// A snapshot of a table of the size that is wanted is written in parts of which none costs much, and is that of the table as it
+// was when it was begun, whatever became of the table meanwhile.
+func TestSnapshotIsWrittenInBoundedParts(t *testing.T) {
+	const once = 64 << 10
+	table := crowded(t, 130_000)
+	before, err := crowded(t, 130_000).Snapshot()
+	require.NoError(t, err)
+	w, parts, last, seq := table.BeginSnapshot(), 0, 0, uint64(1_000)
+	for whole := false; !whole; parts++ {
+		whole = w.Next(once)
+		assert.LessOrEqual(t, len(w.Text())-last, once+blockMost)
+		last = len(w.Text())
+		seq++
+		table.Apply(1<<41, &Command{Kind: Put, From: "b", Seq: seq, Base: table.Head().Newest, Changes: []Item{{Tenants, fmt.Sprint("b", seq), []byte(`{}`)}}})
+		table.Apply(1<<41+int64(parts)*stageFor, &Command{Kind: Advance, Version: table.Head().First.Version})
+	}
+	assert.Greater(t, parts, len(before)/(once+blockMost))
+	assert.Equal(t, before, w.Text())
+	assert.LessOrEqual(t, cap(w.Text()), len(before)*11/10, "its room is known before, so that it is never copied")
+	again, err := Restore(w.Text())
+	require.NoError(t, err)
+	text, err := again.Snapshot()
+	require.NoError(t, err)
+	assert.Equal(t, before, text)
+}
+
+// Written in parts it says what the encoder says of all of it, so that builds before this one read it.
+func TestSnapshotInPartsIsThatOfTheEncoder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, at := NewTable(), int64(0)
+		for seq := range uint64(rapid.IntRange(0, 30).Draw(t, "commands")) {
+			at += rapid.SampledFrom([]int64{0, stageFor}).Draw(t, "later")
+			c := Command{Kind: Put, From: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "who"), Seq: seq + 1, Base: table.Head().Newest}
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				c = Command{Kind: Advance, Version: table.Head().First.Version}
+			case 1:
+				c = Command{Kind: Stop, Version: table.Head().First.Version, Who: "n", Why: "no"}
+			case 2:
+				c = Command{Kind: Rollback, From: "c", Seq: seq + 1, Version: table.Head().All.Version}
+			case 3:
+				c.Piece, c.More = table.draft.Pieces, rapid.Bool().Draw(t, "more")
+				fallthrough
+			default:
+				for range rapid.IntRange(1, 40).Draw(t, "items") {
+					value := fmt.Appendf(nil, `{"quota_rps":%d}`, rapid.IntRange(0, 3).Draw(t, "rate"))
+					if rapid.IntRange(0, 4).Draw(t, "removed") == 0 {
+						value = nil
+					}
+					c.Changes = append(c.Changes, Item{Tenants, fmt.Sprint("t", rapid.IntRange(0, 60).Draw(t, "tenant")), value})
+				}
+			}
+			table.Apply(at, &c)
+		}
+		s := saved{Head: table.head, Since: table.since, Blocks: make([][]byte, Blocks), All: items(table.newest, table.all),
+			First: items(table.newest, table.first), Log: table.log, Good: table.good, Askers: table.askers, Draft: table.draft}
+		for n := range s.Blocks {
+			s.Blocks[n], _ = table.newest.Block(n)
+		}
+		if s.Draft.content != nil {
+			s.Draft.Changes = items(table.newest, s.Draft.content)
+		}
+		whole, err := cbor.Marshal(&s)
+		require.NoError(t, err)
+		w := table.BeginSnapshot()
+		for !w.Next(rapid.IntRange(1, 10_000).Draw(t, "least")) {
+		}
+		var one, two saved
+		require.NoError(t, cbor.Unmarshal(whole, &one))
+		require.NoError(t, cbor.Unmarshal(w.Text(), &two))
+		require.Equal(t, one, two)
+		require.Len(t, w.Text(), len(whole), "nothing is there twice")
+	})
+}
+
+// Changes that lie apart, one to a block, are found at the cost of some blocks a look, and all of them.
+func TestLookForChangesThatLieApartIsBounded(t *testing.T) {
+	from := crowded(t, 130_000).newest
+	var changes []Item
+	for k := range 2_000 {
+		changes = append(changes, Item{Tenants, fmt.Sprintf("tenant-%06d", 60*k), []byte(`{"quota_rps":9}`)})
+	}
+	to, err := from.Apply(changes)
+	require.NoError(t, err)
+	d, found, looks := Diff(from, to), 0, 0
+	for before := 0; ; before = d.scanned {
+		some := d.Next(256)
+		assert.LessOrEqual(t, d.scanned-before, 256<<10)
+		if len(some) == 0 {
+			break
+		}
+		found, looks = found+len(some), looks+1
+	}
+	assert.Equal(t, len(changes), found)
+	assert.Greater(t, looks, 30)
+}
+
+// items are all that differ.
+func items(from, to *Content) (all []Item) {
+	for d := Diff(from, to); ; {
+		some := d.Next(logMost)
+		if len(some) == 0 {
+			return all
+		}
+		all = append(all, some...)
+	}
+}
--- a/configuration/table.go
+++ b/configuration/table.go
@@ -422,49 +422,17 @@
 	t.agree(at, c, content, true, v)
 }
 
-// saved is a table as a snapshot holds it: the newest content in blocks, the others as what differs from it.
-type saved struct {
-	Head   Head      `cbor:"1,keyasint"`
-	Since  int64     `cbor:"2,keyasint"`
-	Blocks [][]byte  `cbor:"3,keyasint"`
-	All    []Item    `cbor:"4,keyasint,omitempty"`
-	First  []Item    `cbor:"5,keyasint,omitempty"`
-	Log    []*Record `cbor:"6,keyasint,omitempty"`
-	Good   []uint64  `cbor:"7,keyasint,omitempty"`
-	Askers []Verdict `cbor:"8,keyasint,omitempty"`
-	Draft  draft     `cbor:"9,keyasint"`
-}
-
 // Snapshot writes the table; two that are equal are written alike. One that didn't change since the last snapshot gives
 // the same bytes again, which must not be changed.
 func (t *Table) Snapshot() ([]byte, error) {
 	if t.snapshot != nil {
 		return t.snapshot, nil
 	}
-	s := saved{Head: t.head, Since: t.since, Blocks: make([][]byte, Blocks), All: items(t.newest, t.all), First: items(t.newest, t.first),
-		Log: t.log, Good: t.good, Askers: t.askers, Draft: t.draft}
-	for n := range s.Blocks {
-		s.Blocks[n], _ = t.newest.Block(n)
-	}
-	if s.Draft.content != nil {
-		s.Draft.Changes = items(t.newest, s.Draft.content)
-	}
-	text, err := cbor.Marshal(&s)
-	if err == nil {
-		t.snapshot = text
-	}
-	return text, err
-}
-
-// items are all that differ.
-func items(from, to *Content) (all []Item) {
-	for d := Diff(from, to); ; {
-		some := d.Next(logMost)
-		if len(some) == 0 {
-			return all
-		}
-		all = append(all, some...)
+	w := t.BeginSnapshot()
+	for !w.Next(atOnce) {
 	}
+	t.snapshot = w.Text()
+	return t.snapshot, nil
 }
 
 var decode = func() cbor.DecMode {
--- a/council/configuration.go
+++ b/council/configuration.go
@@ -155,6 +155,8 @@
 	return x.table.Snapshot()
 }
 
+func (x *configurationTable) beginSnapshot() pieces { return x.table.BeginSnapshot() }
+
 // Restore takes the place of the table.
 func (x *configurationTable) Restore(text []byte) (err error) {
 	x.changed, x.used = true, len(text) > 0
--- a/council/parts.go
+++ b/council/parts.go
@@ -1,6 +1,10 @@
 package council
 
 import (
+	"crypto/sha256"
+	"fmt"
+	"hash"
+	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
@@ -89,24 +93,106 @@
 	x.ask()
 }
 
-// part is what a snapshot has of a table: all of it, or its digest.
-func (x *Seat) part(i int) any {
-	t := x.tables[i]
-	if x.held[i] == nil {
+// A snapshot is written of what is known at one entry, some in each step; entries go on being carried out meanwhile.
+
+const writtenOnce = 128 << 10 // bytes that are written in one step, and their digest taken: some 0.3 ms
+
+// inPieces is a table whose snapshot takes long.
+type inPieces interface {
+	// beginSnapshot begins a snapshot of what the table holds now; the table may change before it is whole.
+	beginSnapshot() pieces
+}
+
+// pieces writes so many bytes more, one block above them at the most, and says whether all is there.
+type pieces interface {
+	Next(least int) (whole bool)
+	Text() []byte // so far
+}
+
+// writing is a snapshot on its way.
+type writing struct {
+	index     uint64
+	confState *pb.ConfState
+	seats     map[string]incumbent
+	texts     [][]byte // by table, nil for those that are not written yet
+	digests   []string // of those that lie apart
+	apart     []bool
+	changed   []bool   // the table changed since
+	pieces    []pieces // by table, nil for those that were written at once
+	hash      hash.Hash
+	hashed    int // bytes of the first in pieces
+}
+
+func (w *writing) whole() bool {
+	return !slices.ContainsFunc(w.texts, func(text []byte) bool { return text == nil })
+}
+
+// beginSnapshot begins a snapshot. What did not change since the last one is not written anew.
+func (x *Seat) beginSnapshot() *writing {
+	n := len(x.tables)
+	w := &writing{index: x.applied, confState: x.confState, seats: maps.Clone(x.seats), texts: slices.Clone(x.held), digests: slices.Clone(x.digests),
+		apart: make([]bool, n), changed: make([]bool, n), pieces: make([]pieces, n), hash: sha256.New()}
+	for i, t := range x.tables {
+		w.apart[i] = t.apart()
+		if w.texts[i] != nil {
+			continue
+		}
+		w.digests[i] = ""
+		if slow, is := t.(inPieces); is && w.apart[i] {
+			w.pieces[i] = slow.beginSnapshot()
+			continue
+		}
 		text, err := t.Snapshot()
 		if err != nil {
 			panic(err)
 		}
-		x.held[i], x.digests[i] = text, ""
+		w.texts[i] = text
 	}
-	if !t.apart() {
-		return x.held[i]
+	return w
+}
+
+// writeSome goes on with what is written.
+func (x *Seat) writeSome() {
+	w := x.writing
+	if w == nil {
+		return
+	}
+	for i, p := range w.pieces {
+		if w.texts[i] != nil || p == nil {
+			continue
+		}
+		whole := p.Next(writtenOnce)
+		text := p.Text()
+		w.hash.Write(text[w.hashed:])
+		if w.hashed = len(text); whole {
+			w.texts[i], w.digests[i] = text, fmt.Sprintf("%x", w.hash.Sum(nil))
+			w.pieces[i], w.hashed = nil, 0
+			w.hash.Reset()
+		}
+		return
 	}
-	if x.digests[i] == "" {
-		x.digests[i] = digest(x.held[i])
+}
+
+// written is the text of a snapshot that is whole, with the tables that lie apart named by their digests.
+func (x *Seat) written(w *writing) []byte {
+	all := map[uint8]any{keySeats: w.seats}
+	for i, text := range w.texts {
+		part := any(text)
+		if w.apart[i] {
+			if w.digests[i] == "" {
+				w.digests[i] = digest(text)
+			}
+			x.parts[w.digests[i]], part = text, w.digests[i]
+		}
+		if all[keySeats+1+uint8(i)] = part; !w.changed[i] {
+			x.held[i], x.digests[i] = text, w.digests[i]
+		}
+	}
+	text, err := canonical.Marshal(all)
+	if err != nil {
+		panic(err)
 	}
-	x.parts[x.digests[i]] = x.held[i]
-	return x.digests[i]
+	return text
 }
 
 // unpart is the text of a table that a snapshot has as part, empty where it has none.
--- a/council/seat.go
+++ b/council/seat.go
@@ -25,6 +25,7 @@
 	bindFor       = 3_000 * ms  // ns that a seat stays bound to a founding that does not come about
 	ruleEvery     = 50 * ms     // ns between looks of a leader at what its tables propose of their own
 	snapFor       = 1_000 * ms  // ns that a snapshot may be on its way
+	writtenAgain  = 50 * ms     // ns until one is tried again that isn't written yet
 	gapLeast      = 150 * ms    // ns past a wake from which this process stood still, and not the others
 	entriesKept   = 256         // entries kept behind a snapshot, for seats that lag a little
 	entriesMost   = 2_048       // entries after which there is another snapshot
@@ -127,6 +128,7 @@
 	named   []string          // by the last snapshot but one
 	digests []string          // of held, where they are known
 	fetch   *fetch            // nil where no snapshot waits
+	writing *writing          // nil where none is written
 }
 
 func newSeat(names []string, self string, life uint64, now, seed int64) *Seat {
@@ -141,7 +143,7 @@
 	x.applied, x.snapped, x.confState, x.founded, x.bound = 0, 0, nil, false, 0
 	x.leader, x.answered, x.snapAt, x.heardOf = 0, map[uint64]int64{}, map[uint64]int64{}, map[string]uint64{}
 	x.held, x.digests, x.whispers = make([][]byte, len(x.tables)), make([]string, len(x.tables)), false
-	x.parts, x.named, x.fetch = map[string][]byte{}, nil, nil
+	x.parts, x.named, x.fetch, x.writing = map[string][]byte{}, nil, nil, nil
 	x.disk.marks, x.disk.marked, x.disk.owed, x.disk.returning = map[uint64]uint64{}, false, nil, nil
 	if x.disk.on && x.disk.written {
 		x.write(Write{Forget: true}, nil)
@@ -390,7 +392,8 @@
 		}
 		x.carry(&rd)
 	}
-	if x.disk.owed == nil {
+	x.writeSome()
+	if x.disk.owed == nil && !x.disk.failed {
 		x.compact()
 	}
 }
@@ -419,6 +422,10 @@
 	for _, m := range messages {
 		if m.GetType() == pb.MsgSnap { // raft waits for word of it, sent or not
 			x.snapAt[m.GetTo()] = x.now
+			if x.writing != nil { // the last one may be of before the other sat here
+				x.snapAt[m.GetTo()] += writtenAgain - snapFor
+				continue
+			}
 		}
 		if !muted || x.whispers {
 			x.post(m)
@@ -462,6 +469,9 @@
 		for i, t := range x.tables {
 			if part := parts[uint8(i)+1]; part != nil {
 				x.held[i] = nil
+				if x.writing != nil {
+					x.writing.changed[i] = true
+				}
 				t.Apply(x.time(), part)
 			}
 		}
@@ -480,7 +490,7 @@
 		return
 	}
 	x.confState = x.node.ApplyConfChange(cc)
-	defer x.remember() // a seat that is new takes no snapshot of before it was there
+	defer x.remember() // a seat that is new takes no snapshot of before it was there; one that is being written is begun anew
 	var who map[string]incumbent
 	if len(cc.Context) > 0 && cbor.Unmarshal(cc.Context, &who) == nil {
 		for name, s := range who {
@@ -513,7 +523,7 @@
 	if err != nil {
 		panic(err)
 	}
-	x.seats = seats
+	x.seats, x.writing = seats, nil
 	x.confState = s.GetMetadata().GetConfState()
 	x.applied, x.snapped = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
 	x.founded = true
@@ -521,33 +531,35 @@
 	x.Counters.Snapshots++
 }
 
-// snapshot is all that is known here. What did not change since the last one is not written anew.
-func (x *Seat) snapshot() []byte {
-	all := map[uint8]any{keySeats: x.seats}
-	for i := range x.tables {
-		all[keySeats+1+uint8(i)] = x.part(i)
-	}
-	text, err := canonical.Marshal(all)
-	if err != nil {
-		panic(err)
-	}
-	return text
-}
-
-// compact drops what a snapshot holds.
+// compact has a snapshot written where the log is long, and drops what it holds once it is whole.
 func (x *Seat) compact() {
-	if x.applied-x.snapped >= entriesMost {
+	switch {
+	case x.writing != nil && x.writing.whole():
+		x.remembered()
+	case x.writing == nil && x.applied-x.snapped >= entriesMost:
 		x.remember()
 	}
 }
 
+// remember has a snapshot written of what is known now.
 func (x *Seat) remember() {
-	if _, err := x.storage.CreateSnapshot(x.applied, x.confState, x.snapshot()); err != nil {
+	x.writing = x.beginSnapshot()
+	x.writeSome()
+	if x.writing.whole() {
+		x.remembered()
+	}
+}
+
+// remembered takes a snapshot that is whole in the place of what it holds.
+func (x *Seat) remembered() {
+	w := x.writing
+	x.writing = nil
+	if _, err := x.storage.CreateSnapshot(w.index, w.confState, x.written(w)); err != nil {
 		return
 	}
 	x.Counters.Snapshots++
-	x.snapped = x.applied
-	x.storage.Compact(x.applied - min(x.applied-1, entriesKept))
+	x.snapped = w.index
+	x.storage.Compact(w.index - min(w.index-1, entriesKept))
 	x.trim()
 	x.rebase()
 }
@@ -564,6 +576,9 @@
 	if x.fetch != nil {
 		at = min(at, x.fetch.askAt)
 	}
+	if x.writing != nil && !x.writing.whole() {
+		return x.now
+	}
 	if x.leads() {
 		return min(at, x.beatAt, x.ruleAt)
 	}
@@ -642,7 +657,7 @@
 	slices.Sort(voters)
 	one := uint64(1)
 	conf := &pb.ConfState{Voters: voters}
-	x.storage.ApplySnapshot(&pb.Snapshot{Data: x.snapshot(), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: &one, Term: &one}})
+	x.storage.ApplySnapshot(&pb.Snapshot{Data: x.written(x.beginSnapshot()), Metadata: &pb.SnapshotMetadata{ConfState: conf, Index: &one, Term: &one}})
 	x.storage.SetHardState(&pb.HardState{Term: &one, Commit: &one})
 	x.confState, x.applied, x.snapped, x.founded = conf, 1, 1, true
 	x.rebase()
--- a/reducer/configuration.go
+++ b/reducer/configuration.go
@@ -16,6 +16,7 @@
 	orderFor           = 1_600 * ms  // ns that one waits here: its exchange ends after 2 s, and then it is asked again
 	orderEvery         = 400 * ms    // ns to the next try at having it ordered
 	answerBytes        = 384 << 10   // of blocks in one answer to an operator: an exchange carries 512 kB
+	looksAStep         = 8           // looks for changes in one step, each through 128 kB: a millisecond in all
 	seenEvery          = 100 * ms    // ns between looks at the view
 	fullEvery          = 10_000 * ms // ns after which the view is told again whether or not it seems to have changed
 )
@@ -258,7 +259,7 @@
 	for left := amendedAStep; c.taking != nil && left > 0; {
 		t := c.taking
 		items := t.diff.Next(left)
-		left -= len(items)
+		left -= max(len(items), amendedAStep/looksAStep) // where they lie apart, looking for them is what costs
 		changes, err := r.changesOf(items)
 		switch {
 		case t.checking != nil && err == nil && len(items) > 0:
--- a/reducer/configuration_test.go
+++ b/reducer/configuration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -261,3 +262,45 @@
 	require.NoError(t, envelope.Open(sealed(t, "mobilier", msg), fleet, &body))
 	assert.Equal(t, peerLetter{Message: msg}, body)
 }
+
+// A version whose changes lie apart in a large content is taken over steps that each look at a bounded part of it, and as a whole.
+func TestVersionOfChangesThatLieApartIsTakenOverSteps(t *testing.T) {
+	const tenants, changed, most = 40_000, 600, 128 // most a step: each lies in a block of 13 kB
+	note := strings.Repeat("n", 280)
+	var own, next *configuration.Content
+	r, err := configuredNode(t, Addresses{}, func(file *configuration.Content) configuration.Start {
+		var all, some []configuration.Item
+		for k := range tenants {
+			all = append(all, configuration.Item{Part: configuration.Tenants, Name: fmt.Sprint("tenant-", k), Value: fmt.Appendf(nil, `{"note":%q,"quota_rps":1}`, note)})
+		}
+		for k := range changed {
+			some = append(some, configuration.Item{Part: configuration.Tenants, Name: fmt.Sprint("tenant-", 60*k), Value: fmt.Appendf(nil, `{"note":%q,"quota_rps":2}`, note)})
+		}
+		var err error
+		own, err = file.Apply(all)
+		require.NoError(t, err)
+		next, err = own.Apply(some)
+		require.NoError(t, err)
+		return configuration.Start{Mark: configuration.Mark{Version: 1, Digest: own.Digest()}, Content: own, Source: "disk", Journal: -1}
+	})
+	require.NoError(t, err)
+	servingNode(t, r)
+	r.carryConfiguration(&configuration.Effect{Kind: configuration.Take, Old: own, New: next, Mark: configuration.Mark{Version: 2, Digest: next.Digest()}})
+	steps, last := 0, 0
+	for ; r.configuring.taking != nil; steps++ {
+		taking := r.configuring.taking
+		require.Less(t, steps, 1_000)
+		r.keepTaking()
+		if taken := taking.version.counts[1]; taking.checking == nil {
+			assert.LessOrEqual(t, taken-last, most)
+			last = taken
+		}
+	}
+	assert.GreaterOrEqual(t, steps, 2*changed/most, "checked, and taken")
+	assert.Equal(t, changed, last)
+	for _, k := range []int{0, 60, 61, 60 * (changed - 1)} {
+		i, known := r.config.Tenants.Find(fmt.Sprint("tenant-", k))
+		require.True(t, known)
+		assert.Equal(t, float64(1+(60-k%60)/60), r.config.Node.TenantRates[i], k)
+	}
+}
