--- a/lab/capacity/changes.go
+++ b/lab/capacity/changes.go
@@ -34,7 +34,8 @@
 	verdictMost    = 20 * time.Second
 	askAgain       = 200 * time.Millisecond
 	asksAtOnce     = 8
-	changedTenants = 50 // which are changed in turn
+	changedTenants = 50  // which are changed in turn
+	largeChange    = 300 // tenants of one, apart from one another: their record is less than the 24 kB of one answer. Past those a node takes blocks, at 14 kB a second
 
 	// WantedForce is how long a change may take until it is in force everywhere, s.
 	WantedForce = 10.0
@@ -81,10 +82,17 @@
 				{"change_cpu_ms", "ms of processor of it, with 2 s around it", true},
 				{"change_peak_mb", "peak then, MB", true},
 				{"change_over_mb", "peak then, over, MB", true},
+				{"large_s", fmt.Sprintf("a change of %d tenants until in force, s", largeChange), false},
+				{"large_over_mb", "peak then, over, MB", true},
 				{"reload_mb", "resident after SIGHUP, MB", true},
 				{"reload_peak_mb", "peak at SIGHUP, MB", true},
 				{"reload_over_mb", "peak at SIGHUP, over, MB", true},
 				{"idle_cpu", "idle, ms of processor a second", true},
+				{"put_step_ms", "longest step of the reducer while the whole file comes into force, ms", false},
+				{"change_step_ms", "while one item does", false},
+				{"large_step_ms", "while the large change does", false},
+				{"reload_step_ms", "while a SIGHUP and one item do", false},
+				{"seat_step_ms", "longest step of the seat beside it, of the whole play, ms", false},
 				{"seat_mb", "the seat beside it, resident, MB", true},
 				{"seat_peak_mb", "its peak, MB", true},
 			}, climb: func(b *Bench, x float64) (map[string]float64, error) { return b.served(x) }},
@@ -326,11 +334,12 @@
 		return nil, err
 	}
 	os.RemoveAll(filepath.Join(b.folder, "last-n0")) // of the size before
-	seat := exec.Command(b.Program, "seat", "--name", "s1", seatFile)
-	if err := seat.Start(); err != nil {
+	beside := &daemon{command: exec.Command(b.Program, "seat", "--name", "s1", seatFile), ended: make(chan struct{})}
+	if err := beside.run(); err != nil {
 		return nil, err
 	}
-	defer func() { seat.Process.Kill(); seat.Wait() }()
+	seat := beside.command
+	defer func() { seat.Process.Kill(); <-beside.ended }()
 	s := shape{routes: max(1, int(WantedRoutes*part/portion)), tenants: int(WantedTenants * part / portion)}
 	if s.fleet, err = file("n0", 1); err != nil {
 		return nil, err
@@ -342,9 +351,11 @@
 	defer d.close()
 	m := map[string]float64{}
 	time.Sleep(settleFor) // until the seat knows it
+	_, begun := d.longest(0)
 	if m["put_s"], err = b.config(d.config, at(0)); err != nil {
 		return nil, err
 	}
+	m["put_step_ms"], _ = d.longest(begun)
 	put, err := d.look()
 	if err != nil {
 		return nil, err
@@ -363,16 +374,9 @@
 		return nil, err
 	}
 	m["rss_mb"], m["over_mb"] = steady.rssMB, steady.rssMB-bare
-	change := filepath.Join(b.folder, "change.json")
-	text := fmt.Sprintf(`{"tenants":{%q:{"quota_rps":7}}}`, tenantName(0))
-	if s.tenants == 0 {
-		text = `{"limits":{"limits.max_retry_after":1500}}`
-	}
-	if err := os.WriteFile(change, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
 	d.lowerPeak()
-	took, err := b.config(change, at(0))
+	_, begun = d.longest(0)
+	took, err := b.configSome(s, 1, 7, at(0))
 	if err != nil {
 		return nil, err
 	}
@@ -381,19 +385,56 @@
 	if err != nil {
 		return nil, err
 	}
+	m["change_step_ms"], begun = d.longest(begun)
 	m["change_ms"], m["change_cpu_ms"] = took*1e3, (changed.cpu-steady.cpu).Seconds()*1e3
 	m["change_peak_mb"], m["change_over_mb"] = changed.peakMB, changed.peakMB-bare
 	d.lowerPeak()
+	if m["large_s"], err = b.configSome(s, largeChange, 9, at(0)); err != nil {
+		return nil, err
+	}
+	large, err := d.look()
+	if err != nil {
+		return nil, err
+	}
+	m["large_over_mb"] = large.peakMB - bare
+	m["large_step_ms"], begun = d.longest(begun)
+	d.lowerPeak()
 	_, after, err := d.reload()
 	if err != nil {
 		return nil, err
 	}
 	m["reload_mb"], m["reload_peak_mb"], m["reload_over_mb"] = after.rssMB, after.peakMB, after.peakMB-bare
+	if _, err := b.configSome(s, 1, 8, at(0)); err != nil { // whose line tells of the steps since the one before, so of the SIGHUP's too
+		return nil, err
+	}
+	m["reload_step_ms"], _ = d.longest(begun)
+	m["seat_step_ms"], _ = beside.longest(0)
 	u, err := look(seat.Process.Pid)
 	m["seat_mb"], m["seat_peak_mb"] = u.rssMB, u.peakMB
 	return m, err
 }
 
+// configSome puts another value of so many items, and says how many seconds it took until they were in force.
+func (b *Bench) configSome(s shape, items, value int, seat netip.Addr) (seconds float64, err error) {
+	change := map[string]any{"limits": map[string]any{"limits.max_retry_after": 1_000 + value}}
+	if s.tenants > 0 {
+		tenants := map[string]any{}
+		for k := range min(items, s.tenants) {
+			tenants[tenantName(k*max(1, s.tenants/items))] = map[string]any{"quota_rps": value}
+		}
+		change = map[string]any{"tenants": tenants}
+	}
+	text, err := json.Marshal(change)
+	if err != nil {
+		return 0, err
+	}
+	path := filepath.Join(b.folder, "change.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return 0, err
+	}
+	return b.config(path, seat)
+}
+
 // config puts a file and waits until it is in force, and says how many seconds that took.
 func (b *Bench) config(file string, seat netip.Addr) (seconds float64, err error) {
 	ctx, stop := context.WithTimeout(context.Background(), 2*forceMost)
--- a/lab/capacity/daemon.go
+++ b/lab/capacity/daemon.go
@@ -90,7 +90,8 @@
 	mu      sync.Mutex
 	listens string
 	serving time.Time
-	last    string // line of its log
+	last    string    // line of its log
+	forces  []logLine // versions that came into force
 }
 
 // start writes a configuration and starts a node on it; it returns once the node serves.
@@ -113,23 +114,9 @@
 		arguments = []string{"serve", "--fleet", s.fleet, d.config}
 	}
 	d.command = exec.Command(b.Program, arguments...)
-	out, err := d.command.StderrPipe()
-	if err != nil {
-		return nil, 0, err
-	}
-	d.began = time.Now()
-	if err := d.command.Start(); err != nil {
+	if err := d.run(); err != nil {
 		return nil, 0, err
 	}
-	go func() {
-		in := bufio.NewScanner(out)
-		in.Buffer(nil, linesMost)
-		for in.Scan() {
-			d.heard(in.Bytes())
-		}
-		d.command.Wait()
-		close(d.ended)
-	}()
 	for time.Since(d.began) < startMost {
 		if at, _ := d.serves(); at != "" {
 			return d, size, nil
@@ -145,8 +132,36 @@
 	return nil, 0, fmt.Errorf("%s does not serve after %s: %s", b.Program, startMost, d.last)
 }
 
+// run starts the command, and reads its log until it ends.
+func (d *daemon) run() error {
+	out, err := d.command.StderrPipe()
+	if err != nil {
+		return err
+	}
+	d.began = time.Now()
+	if err := d.command.Start(); err != nil {
+		return err
+	}
+	go func() {
+		in := bufio.NewScanner(out)
+		in.Buffer(nil, linesMost)
+		for in.Scan() {
+			d.heard(in.Bytes())
+		}
+		d.command.Wait()
+		close(d.ended)
+	}()
+	return nil
+}
+
+// logLine is what is read of a line of a daemon's log.
+type logLine struct {
+	Message, Listen string
+	Longest         float64 `json:"longest_step_ms"` // where a version came into force: of the reducer's steps since the one before
+}
+
 func (d *daemon) heard(line []byte) {
-	var l struct{ Message, Listen string }
+	var l logLine
 	json.Unmarshal(line, &l)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -156,7 +171,20 @@
 		d.listens = l.Listen
 	case strings.HasPrefix(l.Message, "executor is up") && d.serving.IsZero():
 		d.serving = time.Now()
+	case l.Message == "configuration in force":
+		d.forces = append(d.forces, l)
+	}
+}
+
+// longest is the longest step of the reducer, in ms, up to the last version that came into force and since so many versions were.
+// The daemon takes the wall clock, so other work on the machine only adds to it.
+func (d *daemon) longest(since int) (ms float64, versions int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, f := range d.forces[since:] {
+		ms = max(ms, f.Longest)
 	}
+	return ms, len(d.forces)
 }
 
 // serves says where, once the node does, and how long that took.
