A version larger than one answer goes as the changes of its blocks, and in parts from node to node

Change: an ask for blocks also says which all are missing, and a peer that knows what changed from what the asker has answers with the changes of as many as 24 kB take, each whole where that is less. Each is compared with the index, so what is false is found with its answer and only who gave it is set aside. The node then has the record, or the changes over some versions, for others; before that it gives on the index and what came so far. Peers put off at the pace ask one after another, and a seat is asked after 6 s without a gain where neighbours are on the way too. Older builds pass the new keys over, and give and get whole blocks.

Checks: drawn schedules have changes larger than an answer in a quarter of them, and liars twist changes of blocks; the play of a block lied about is as it was.

--- a/configuration/content.go
+++ b/configuration/content.go
@@ -161,6 +161,9 @@
 	return int(xxhash.Sum64(append(append(room[:0], part), name...)) >> (64 - blockBits))
 }
 
+// block is where a usable item is.
+func (i *Item) block() int { return blockOf(byte(slices.Index(partNames[:], i.Part)), i.Name) }
+
 // entry is an item as it stands in a block.
 type entry struct {
 	part  byte
--- a/configuration/disk.go
+++ b/configuration/disk.go
@@ -39,7 +39,7 @@
 		f, size := frame{}, 0
 		for n := range Blocks {
 			if text, _ := c.Block(n); len(text) > 0 {
-				f.Blocks, size = append(f.Blocks, Block{uint16(n), text}), size+len(text)
+				f.Blocks, size = append(f.Blocks, Block{N: uint16(n), Text: text}), size+len(text)
 			}
 			if size > pieceMost || n == Blocks-1 && size > 0 {
 				if !yield(f.append(nil)) {
--- a/configuration/fetch.go
+++ b/configuration/fetch.go
@@ -4,17 +4,31 @@
 
 // fetch is the exchange that goes on.
 type fetch struct {
-	link  int // of the last one
-	to    string
-	until int64 // 0 while none goes on
-	next  int64
-	fails int
-	has   Mark // that it was asked from
-	base  *Content
-	want  Mark
-	sums  map[uint16]Digest // of the blocks that were asked for
+	link    int // of the last one
+	to      string
+	until   int64 // 0 while none goes on
+	next    int64
+	fails   int
+	gained  int64 // when something last came of one
+	has     Mark  // that it was asked from
+	base    *Content
+	want    Mark
+	part    bool   // that peer has but some of it
+	index   []byte // by which blocks were asked for
+	missing []byte // a bit for each of them
 }
 
+// asked is the digest of a block that was asked for.
+func (f *fetch) asked(n uint16) (Digest, bool) {
+	if int(n) >= Blocks || !marked(f.missing, int(n)) {
+		return Digest{}, false
+	}
+	return digestAt(f.index, int(n)), true
+}
+
+// marked says whether the bit of a block is set.
+func marked(bits []byte, n int) bool { return n/8 < len(bits) && bits[n/8]>>(n%8)&1 == 1 }
+
 // run is records that don't reach a version that was vouched for yet. Any peer may go on with it: it does so only where its own
 // log has the mark that they came to, so what is false at their end is its own.
 type run struct {
@@ -26,6 +40,62 @@
 	bytes   int
 }
 
+// deltas are changes from one version to another, block by block, each of which was compared with an index: so what is false is
+// found with the answer that has it and only who gave it is at fault, and whoever has some of them can give them on.
+type deltas struct {
+	from, to Mark
+	blocks   map[int][]Item
+	bytes    int
+	gaps     bool // there was no room for all of them
+}
+
+// put notes the changes of a block, in the place of those to an earlier version.
+func (d *deltas) put(n int, changes []Item) {
+	if d.bytes += sizeOf(changes) - sizeOf(d.blocks[n]); d.gaps || d.bytes > holdMost {
+		*d = deltas{gaps: true}
+		return
+	}
+	if d.blocks == nil {
+		d.blocks = map[int][]Item{}
+	}
+	d.blocks[n] = changes
+}
+
+// all are the changes of all blocks.
+func (d *deltas) all() (list []Item) {
+	for n := range Blocks {
+		list = append(list, d.blocks[n]...)
+	}
+	return list
+}
+
+// changes are those from one version to another, in order; none where this node doesn't know them.
+func (h *Holder) changes(from, to Mark) (list []Item) {
+	if d := &h.span; d.to.Version > 0 && d.from == from && d.to.Version <= to.Version {
+		if list, from = d.all(), d.to; from == to {
+			return list
+		}
+	}
+	records := between(h.records(), from, to.Version)
+	if k := len(records); k == 0 || records[k-1].Version != to.Version || records[k-1].Digest != to.Digest {
+		return nil
+	}
+	for _, r := range records {
+		list = append(list, r.Changes...)
+	}
+	return list
+}
+
+// byBlock parts changes by the block that they are in. All are usable.
+func byBlock(list []Item) map[int][]Item {
+	parted := map[int][]Item{}
+	for _, i := range list {
+		n := i.block()
+		parted[n] = append(parted[n], i)
+	}
+	return parted
+}
+
 // supplier is whom to ask for a version: a neighbour that has it, or a seat once none had it for a while.
 func (h *Holder) supplier(now int64, goal Mark) *peer {
 	var may, part []*peer
@@ -42,7 +112,21 @@
 	if len(may) == 0 {
 		may = part // some of the way
 	}
-	if len(may) == 0 && now >= h.lacking+seatAfter {
+	if h.fetch.part = false; len(may) > 0 {
+		return may[h.chance.Intn(len(may))]
+	}
+	others := 0
+	if h.run.content == nil && (h.index != nil || now >= h.lacking+seatAfter) { // those that are on the way there too may have blocks already
+		for _, name := range h.view.Neighbours {
+			if p := h.peers[name]; p != nil && p.aside <= now && p.has.Version <= at && (p.head.All == goal || p.head.First == goal) {
+				if others++; p.again <= now {
+					may = append(may, p)
+				}
+			}
+		}
+	}
+	full := len(may)
+	if now >= h.lacking+seatAfter && (others == 0 || now >= max(h.lacking, h.fetch.gained)+herdAfter) {
 		if p := h.known(now, h.seat(h.fetch.fails)); p != nil && p.name != "" && p.aside <= now && p.again <= now {
 			may = append(may, p)
 		}
@@ -50,7 +134,9 @@
 	if len(may) == 0 {
 		return nil
 	}
-	return may[h.chance.Intn(len(may))]
+	k := h.chance.Intn(len(may))
+	h.fetch.part = k < full
+	return may[k]
 }
 
 // base is what blocks are put into.
@@ -63,16 +149,19 @@
 
 // missing asks for blocks that differ from the index.
 func (h *Holder) missing(m *Message) {
-	h.fetch.sums = map[uint16]Digest{}
+	m.Missing = make([]byte, Blocks/8)
 	begin := h.chance.Intn(Blocks) // so that neighbours have different ones for each other
-	for k := 0; k < Blocks && len(m.Wanted) < wantedMost; k++ {
+	for k := range Blocks {
 		n := (begin + k) % Blocks
-		if _, sum := h.base().Block(n); sum != digestAt(h.index, n) {
-			want := digestAt(h.index, n)
+		want := digestAt(h.index, n)
+		if _, sum := h.base().Block(n); sum == want {
+			continue
+		}
+		if m.Missing[n/8] |= 1 << (n % 8); len(m.Wanted) < wantedMost {
 			m.Wanted, m.Sums = append(m.Wanted, uint16(n)), want.append(m.Sums)
-			h.fetch.sums[uint16(n)] = want
 		}
 	}
+	h.fetch.index, h.fetch.missing = h.index, m.Missing
 }
 
 func (h *Holder) missed(now int64) {
@@ -95,12 +184,16 @@
 	if p == nil {
 		return effects
 	}
-	h.fetch.next = now
+	if h.fetch.next = now; m != nil && m.content() {
+		h.fetch.gained = now
+	}
 	switch {
 	case m == nil || m.Kind != Piece || p.aside > now:
 		h.backoff(now)
 	case m.Busy > 0:
-		p.again = now + min(m.Busy, fetchMost) + h.draw(fetchAgain)
+		p.again = now + min(m.Busy, p.patience()) + h.draw(fetchAgain)
+	case h.fetch.part && !m.content():
+		p.again, h.fetch.next = now+h.about(partAgain), now+h.about(partNext)
 	case len(m.Records) > 0:
 		if h.fetch.has == h.ready && h.run.content == nil || h.run.content != nil && h.fetch.has == h.run.mark { // else it moved on meanwhile
 			h.extend(now, p, m.Records)
@@ -207,9 +300,15 @@
 // stock takes blocks towards the index. One of a version that was vouched for before the goal is of use too: most blocks are
 // alike, and records lead on from it.
 func (h *Holder) stock(now int64, p *peer, blocks []Block) {
-	h.staged = h.base()
+	if h.staged = h.base(); !h.merge(blocks) {
+		h.lie(now, p)
+		return
+	}
 	for _, b := range blocks {
-		want, asked := h.fetch.sums[b.N]
+		if len(b.Changes) > 0 {
+			continue
+		}
+		want, asked := h.fetch.asked(b.N)
 		if !asked {
 			h.lie(now, p)
 			return
@@ -223,12 +322,70 @@
 			return
 		}
 		h.staged = next
+		old, _ := h.next.Block(int(b.N))
+		text, _ := next.Block(int(b.N))
+		h.deltas.put(int(b.N), (&Difference{next: Blocks, old: old, new: text}).Next(blockMost))
 	}
 	if h.staged.Digest() == h.indexed.Digest || h.trusting && len(blocks) > 0 {
 		if goal, ok := h.goal(); ok && (goal == h.indexed || h.indexed.Version > h.ready.Version && h.indexed.Version < goal.Version &&
 			slices.Contains(h.marks, h.indexed)) {
-			h.readied(h.indexed, h.staged, nil)
+			h.arrived()
+		}
+	}
+}
+
+// merge has blocks of which changes came in their place, false where one doesn't come to the index: who gave it is at fault. They
+// are carried out on what this node asked them from, whatever came since.
+func (h *Holder) merge(blocks []Block) bool {
+	next, own, changes, seen := *h.staged, [fan]bool{}, []Item(nil), map[int][]Item{}
+	for _, b := range blocks {
+		if len(b.Changes) == 0 {
+			continue
+		}
+		if _, asked := h.fetch.asked(b.N); !asked || seen[int(b.N)] != nil {
+			return false
+		}
+		for k := range b.Changes {
+			if i := &b.Changes[k]; i.usable() != nil || i.block() != int(b.N) {
+				return false
+			}
+		}
+		text, sum := h.next.Block(int(b.N))
+		if _, other := next.Block(int(b.N)); other != sum {
+			next.set(int(b.N), text, &own)
 		}
+		seen[int(b.N)], changes = b.Changes, append(changes, b.Changes...)
+	}
+	if len(changes) == 0 {
+		return true
+	}
+	merged, err := next.Apply(changes)
+	if err != nil {
+		return false
+	}
+	for n := range seen {
+		if _, sum := merged.Block(n); sum != digestAt(h.fetch.index, n) && !h.trusting {
+			return false
+		}
+	}
+	h.staged = merged
+	for n, changes := range seen {
+		h.deltas.put(n, changes)
+	}
+	return true
+}
+
+// arrived has what came by blocks at hand. Others can have its changes of this node, unless they are too large.
+func (h *Holder) arrived() {
+	d := h.deltas
+	switch d.from, d.to = h.ready, h.indexed; {
+	case d.gaps || len(d.blocks) == 0:
+		h.readied(d.to, h.staged, nil)
+	case d.to.Version == d.from.Version+1:
+		h.readied(d.to, h.staged, []*Record{{Version: d.to.Version, Base: d.from.Digest, Digest: d.to.Digest, Changes: d.all()}})
+	default:
+		h.readied(d.to, h.staged, nil)
+		h.span = d
 	}
 }
 
@@ -250,6 +407,14 @@
 	if h.tokens < floor || p.tokens <= 0 {
 		h.Counters.Busy++
 		answer.Busy = max((floor-h.tokens)*1_000_000_000/rate, -p.tokens*1_000_000_000/askerRate, 50*ms)
+		if h.tokens < floor { // one after another: asks of all at once would cost more than what they ask for
+			turn := &h.turns[0]
+			if !p.neighbour {
+				turn = &h.turns[1]
+			}
+			*turn = min(max(*turn, now), now+p.patience())
+			answer.Busy, *turn = max(answer.Busy, *turn-now), max(*turn, now+answer.Busy)+int64(pieceMost)*1_000_000_000/rate
+		}
 		return
 	}
 	switch {
@@ -259,10 +424,13 @@
 		if answer.Records = wired(between(h.records(), m.Has, m.Want.Version), pieceMost, false); len(answer.Records) == 0 {
 			for _, c := range h.contents() {
 				if c.Digest() == m.Want.Digest {
-					pages(c, m.Sums, answer)
+					pages(c.index(), m.Sums, answer)
 					break
 				}
 			}
+			if !answer.content() && h.index != nil && h.indexed == m.Want {
+				pages(h.index, m.Sums, answer)
+			}
 		}
 	}
 	if answer.content() {
@@ -270,15 +438,26 @@
 	}
 }
 
+// patience is how long a busy peer is left alone at the most: one that isn't a neighbour has its own neighbours first.
+func (p *peer) patience() int64 {
+	if p.neighbour {
+		return fetchMost
+	}
+	return strangerMost
+}
+
 // pages answers with the index of those that differ.
-func pages(c *Content, sums []byte, answer *Message) {
+func pages(index, sums []byte, answer *Message) {
 	if len(sums) != fan*digestBytes {
 		sums = make([]byte, fan*digestBytes)
 	}
-	mine := c.pageSums()
 	for k := range fan {
-		if digestAt(mine, k) != digestAt(sums, k) {
-			answer.Pages, answer.Index = append(answer.Pages, uint8(k)), c.pageIndex(answer.Index, k)
+		page, sum := index[k*fan*digestBytes:][:fan*digestBytes], Digest{}
+		for n := range fan {
+			sum = sum.plus(digestAt(page, n))
+		}
+		if sum != digestAt(sums, k) {
+			answer.Pages, answer.Index = append(answer.Pages, uint8(k)), append(answer.Index, page...)
 		}
 	}
 }
@@ -292,8 +471,13 @@
 	return list
 }
 
-// blocks answers with those that have the digests that are asked for.
+// blocks answers with those that have the digests that are asked for, or with what changes in those that are missing.
 func (h *Holder) blocks(m, answer *Message) {
+	if len(m.Missing) > 0 && len(m.Wanted) > 0 {
+		if h.deltasOf(m, answer); len(answer.Blocks) > 0 {
+			return
+		}
+	}
 	list, room := h.contents(), pieceMost
 	for k, n := range m.Wanted[:min(len(m.Wanted), wantedMost, len(m.Sums)/digestBytes)] {
 		for _, c := range list {
@@ -310,3 +494,39 @@
 		}
 	}
 }
+
+// deltasOf answers with missing blocks, the first that is wanted and those behind it, each as its changes, or whole where that is
+// less; with none where this node doesn't know what changed.
+func (h *Holder) deltasOf(m, answer *Message) {
+	parted, room := byBlock(h.changes(m.Has, m.Want)), pieceMost
+	if len(parted) == 0 && h.staged != nil && h.index != nil && h.ready == m.Has && h.indexed == m.Want { // those that came so far
+		for n, changes := range h.deltas.blocks {
+			if _, sum := h.staged.Block(n); sum == digestAt(h.index, n) { // else of a version before that one
+				parted[n] = changes
+			}
+		}
+	}
+	var whole *Content
+	for _, c := range h.contents() {
+		if c.Digest() == m.Want.Digest {
+			whole = c
+			break
+		}
+	}
+	for k := range Blocks {
+		n := (int(m.Wanted[0]) + k) % Blocks
+		b := Block{N: uint16(n), Changes: parted[n]}
+		if len(b.Changes) == 0 || !marked(m.Missing, n) {
+			continue
+		}
+		if whole != nil {
+			if text, _ := whole.Block(n); len(text) <= sizeOf(b.Changes) {
+				b.Text, b.Changes = text, nil
+			}
+		}
+		if room -= b.bytes(); room < 0 && len(answer.Blocks) > 0 {
+			return
+		}
+		answer.Blocks = append(answer.Blocks, b)
+	}
+}
--- a/configuration/holder.go
+++ b/configuration/holder.go
@@ -23,7 +23,11 @@
 	fetchFor     = 2_500 * ms  // ns that an exchange may take: a connection and a piece between regions, some times over
 	fetchAgain   = 100 * ms    // ns before another peer is asked, doubled up to fetchMost
 	fetchMost    = 4_000 * ms  // ns
+	herdAfter    = 6_000 * ms  // ns without a gain, past which a seat is asked though neighbours are on the way there too
+	strangerMost = 16_000 * ms // ns that a busy peer that isn't a neighbour is left alone at the most: a herd asks seats
 	seatAfter    = 1_500 * ms  // ns without a neighbour that has it, past which a seat is asked
+	partAgain    = 2_000 * ms  // ns before a peer is asked again that had nothing of what it is on the way to
+	partNext     = 500 * ms    // ns before another such is asked
 	asideFor     = 4_000 * ms  // ns that a peer is passed over for a lie, doubled with each up to asideMost: it may have believed another
 	asideMost    = 900_000 * ms
 	orderAgain   = 500 * ms   // ns to the next try at having a stop ordered
@@ -35,7 +39,7 @@
 	missesMost   = 3          // peers that can't go on with records of another, past which they are dropped: they may be false
 	wantedMost   = 16         // blocks asked for at once: more than fit an answer
 	peersMost    = 96         // peers that something is known of: links, seats and some that ask
-	holdMost     = 1 << 20    // bytes of records that a node keeps for others
+	holdMost     = 1 << 20    // bytes of records that a node keeps for others, of changes over some versions, and of those on their way
 	journalMost  = 1 << 20    // bytes of records on disk after which all is written anew
 	vouchesMost  = 2_000      // reports that a seat answers in a second: thrice a fleet's share of one change
 	marksMost    = 16         // marks that were vouched for, with which records of a peer can end
@@ -131,8 +135,11 @@
 	doubts              int    // answers in a row that did not confirm a rumour
 	judged              uint32 // the last report whose answer was held against peers
 	fetch               fetch
+	turns               [2]int64 // when the next neighbour, and the next other, that is put off may ask again
 	run                 run
 	staged              *Content
+	deltas              deltas // what staged differs in, from ready
+	span                deltas // the last step over versions whose records aren't known
 	index               []byte // of indexed
 	indexed             Mark
 	lacking             int64 // since when there is a goal
@@ -669,7 +676,7 @@
 // readied notes that a version is at hand; records lead to it from the one before, or nothing is known of them.
 func (h *Holder) readied(mark Mark, content *Content, records []*Record) {
 	if len(records) == 0 {
-		h.log, h.logged = nil, 0
+		h.log, h.logged, h.span = nil, 0, deltas{}
 	}
 	for _, r := range records {
 		h.log, h.logged = append(h.log, r), h.logged+r.bytes()
@@ -679,7 +686,7 @@
 		h.log = h.log[1:] // not cleared: effects go on showing it
 	}
 	h.ready, h.next = mark, content
-	h.run, h.staged, h.index = run{}, nil, nil
+	h.run, h.staged, h.index, h.deltas = run{}, nil, nil, deltas{}
 	h.fetch.fails = 0
 	h.news++
 }
@@ -750,12 +757,15 @@
 		if h.run.content != nil {
 			m.Has = h.run.mark
 		}
-		if h.fetch.has, h.fetch.base, h.fetch.sums = m.Has, h.base(), nil; h.index != nil {
+		if h.fetch.base, h.fetch.index, h.fetch.missing = h.base(), nil, nil; h.index != nil {
 			h.missing(m)
 		}
 		if len(m.Wanted) == 0 {
 			h.index, m.Sums = nil, h.fetch.base.pageSums()
+		} else {
+			m.Has, m.Want = h.ready, h.indexed // changes of blocks are from the one to the other
 		}
+		h.fetch.has = m.Has
 		h.sent(m)
 		effects = append(effects, Effect{Kind: Exchange, To: p.name, Link: h.fetch.link, Message: m})
 	}
--- a/configuration/holder_test.go
+++ b/configuration/holder_test.go
@@ -303,7 +303,7 @@
 		if len(ask.Message.Wanted) > 0 {
 			n.blocks(ask.Message, answer)
 		} else {
-			pages(c, ask.Message.Sums, answer)
+			pages(c.index(), ask.Message.Sums, answer)
 			indices++
 		}
 		h.Step(now+ms, []Input{vouchedFor(after, after)})
--- a/configuration/message.go
+++ b/configuration/message.go
@@ -30,25 +30,30 @@
 	Blocks  []Block     `cbor:"13,keyasint,omitempty"` // Piece
 	Busy    int64       `cbor:"14,keyasint,omitempty"` // Piece: ns after which to ask again
 	Current bool        `cbor:"16,keyasint,omitempty"` // Vouch: the seat is in touch with the council, so it knows all but what is on its way
+	Missing []byte      `cbor:"17,keyasint,omitempty"` // Fetch, with Wanted: a bit for each block that is missing, of which changes from Has to Want may come; older builds pass it over
 }
 
-// Block is one range of a content.
+// Block is one range of a content, or what changes in it.
 type Block struct {
-	N    uint16 `cbor:"1,keyasint"`
-	Text []byte `cbor:"2,keyasint,omitempty"`
+	N       uint16 `cbor:"1,keyasint"`
+	Text    []byte `cbor:"2,keyasint,omitempty"`
+	Changes []Item `cbor:"3,keyasint,omitempty"` // in the place of Text, only where the ask has Missing
 }
 
+// bytes is about what a block takes.
+func (b *Block) bytes() int { return 12 + len(b.Text) + sizeOf(b.Changes) }
+
 // content says whether a message carries records, an index or blocks.
 func (m *Message) content() bool { return len(m.Records)+len(m.Index)+len(m.Blocks) > 0 }
 
 // size is about the bytes of a message, its envelope included.
 func (m *Message) size() int {
-	size := 180 + len(m.Why) + len(m.Head.Who) + len(m.Head.Why) + 3*len(m.Wanted) + 2*len(m.Pages) + len(m.Sums) + len(m.Index)
+	size := 180 + len(m.Why) + len(m.Head.Who) + len(m.Head.Why) + 3*len(m.Wanted) + len(m.Missing) + 2*len(m.Pages) + len(m.Sums) + len(m.Index)
 	for k := range m.Records {
 		size += m.Records[k].bytes()
 	}
 	for k := range m.Blocks {
-		size += len(m.Blocks[k].Text) + 12
+		size += m.Blocks[k].bytes()
 	}
 	return size
 }
--- a/configuration/message_test.go
+++ b/configuration/message_test.go
@@ -21,7 +21,7 @@
 	c := full(t, 300, 10_000)
 	piece := &Message{Kind: Piece, Has: most, Records: wired(x.log, pieceMost, false)}
 	index := &Message{Kind: Piece, Has: most}
-	pages(c, nil, index)
+	pages(c.index(), nil, index)
 	h := NewHolder(0, Terms{Name: "n"}, Start{Content: c})
 	h.index = (&Content{}).index()
 	ask := &Message{Kind: Fetch, Has: most, Want: most}
@@ -35,6 +35,14 @@
 	answerFrom.blocks(wanted, blocks)
 	require.Len(t, wanted.Wanted, wantedMost)
 	require.NotEmpty(t, blocks.Blocks)
+	g := give(t)
+	two := g.put(t, apart(g.base, 1_000)...)
+	h = g.asker()
+	h.index = g.newest.index()
+	parts, parted := &Message{Kind: Fetch, Has: g.one, Want: two}, &Message{Kind: Piece, Has: most}
+	h.missing(parts)
+	g.nodes["a"].blocks(parts, parted)
+	require.NotEmpty(t, parted.Blocks[0].Changes)
 	for _, m := range []struct {
 		*Message
 		most int
@@ -43,6 +51,7 @@
 		{&Message{Kind: Report, Seq: 1 << 31, Has: most, Refused: most, Why: strings.Repeat("y", reasonMost), Age: 1 << 60}, envelope.DatagramMost},
 		{&Message{Kind: Vouch, Seq: 1 << 31, Head: head}, envelope.DatagramMost},
 		{ask, 64 << 10}, {wanted, 64 << 10}, {piece, 64 << 10}, {index, 64 << 10}, {blocks, 64 << 10},
+		{parts, 64 << 10}, {parted, 64 << 10},
 	} {
 		text, err := envelope.Seal(nil, 1, m.Message)
 		require.NoError(t, err)
--- a/configuration/operator.go
+++ b/configuration/operator.go
@@ -66,7 +66,7 @@
 		if bytes -= len(text); bytes < 0 && len(list) > 0 {
 			return list, n
 		}
-		list = append(list, Block{uint16(n), text})
+		list = append(list, Block{N: uint16(n), Text: text})
 	}
 	return list, 0
 }
--- a/configuration/schedules_test.go
+++ b/configuration/schedules_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -29,6 +30,7 @@
 	if r.Intn(3) == 0 {
 		w.nodes[w.seats+r.Intn(len(w.nodes)-w.seats)].liar = true
 	}
+	w.large = r.Intn(4) == 0
 	if r.Intn(4) == 0 {
 		w.file, _ = w.file.Apply([]Item{{Tenants, "of the file", []byte("1")}})
 	}
@@ -58,7 +60,11 @@
 		}
 		return Item{Tenants, name, []byte(fmt.Sprintf(`{"rate":%d}`, r.Intn(9)))}
 	}
-	switch r.Intn(14) {
+	kinds := 14
+	if w.large {
+		kinds = 17
+	}
+	switch r.Intn(kinds) {
 	case 0, 1, 2, 3:
 		w.put(w.callers[r.Intn(2)], item(), item())
 	case 4: // on both sides at once
@@ -112,7 +118,35 @@
 				}
 			}
 		}
+	case 14, 15, 16: // one whose record is more than one answer
+		w.put(w.callers[r.Intn(2)], largeChange(r.Intn(3))...)
+	}
+}
+
+// largeNames are names that fall into a few blocks, some for each.
+var largeNames = func() (names [12][31]string) {
+	for k, full := 0, 0; full < len(names); k++ {
+		name := fmt.Sprint("large", k)
+		if n := blockOf(byte(slices.Index(partNames[:], Tenants)), name); n%85 == 0 && n/85 < len(names) {
+			if i := slices.Index(names[n/85][:], ""); i >= 0 {
+				if names[n/85][i] = name; i == len(names[n/85])-1 {
+					full++
+				}
+			}
+		}
+	}
+	return names
+}()
+
+// largeChange has a wide item in each of some blocks, that never changes, and small ones beside it, of one of some kinds.
+func largeChange(kind int) (list []Item) {
+	for _, names := range largeNames {
+		list = append(list, Item{Tenants, names[0], []byte(`"` + strings.Repeat("x", 3_000) + `"`)})
+		for k, name := range names[1:] {
+			list = append(list, Item{Tenants, name, []byte(fmt.Sprintf(`{"burst":%d,"of":"%030d","rate":%d}`, k, 0, kind))})
+		}
 	}
+	return list
 }
 
 func (w *world) heal() {
@@ -215,6 +249,23 @@
 	require.GreaterOrEqual(t, 10*found, 9*lying)
 }
 
+// TestSchedulesHaveLargeChanges wants that blocks come as their changes in some schedules.
+func TestSchedulesHaveLargeChanges(t *testing.T) {
+	large, parted, answers := 0, 0, 0
+	for seed := int64(1); seed <= 60; seed++ {
+		w := play(seed, nil)
+		if w.large {
+			large++
+		}
+		if w.parted > 0 {
+			parted++
+		}
+		answers += w.parted
+	}
+	t.Logf("%d schedules of 60 have large changes, %d such answers, in %d of them", large, answers, parted)
+	require.Greater(t, parted, 5)
+}
+
 // TestMutationsAreFound wants that the schedules see faults that were put in.
 func TestMutationsAreFound(t *testing.T) {
 	for name, mutate := range map[string]func(*world){
--- a/configuration/spread_test.go
+++ b/configuration/spread_test.go
@@ -41,6 +41,8 @@
 }
 
 var fleet = flag.Int("fleet", 200, "nodes of the fleet that changes spread over")
+var apartFleet = flag.Int("apart", 24, "nodes of the fleet that a change of 1,000 items that lie apart spreads over")
+var apartSeed = flag.Int64("apart-seed", 6, "its seed")
 
 // TestAChangeIsInForceWithinItsFormula puts changes, some while the stage of the one before goes on, and loses 5 % of all messages.
 func TestAChangeIsInForceWithinItsFormula(t *testing.T) {
--- a/configuration/world_test.go
+++ b/configuration/world_test.go
@@ -97,6 +97,8 @@
 	wrong    string
 	mutant   bool // mutation: holders compare no digests
 	hasty    bool // mutation: a seat acknowledges before the council agreed
+	parted   int  // answers with blocks as their changes
+	large    bool // some changes are more than one answer
 	file     *Content
 	links    [][]int // of each node, as membership's: both sides in four orders of the fleet
 	far      int64   // ns that a message takes more between regions
@@ -315,6 +317,9 @@
 		if n.liar {
 			w.twist(&m)
 		}
+		if slices.ContainsFunc(m.Blocks, func(b Block) bool { return len(b.Changes) > 0 }) {
+			w.parted++
+		}
 		n.spend(w.now, &m)
 		w.way(n, to, func() {
 			if to.life&0xffff == life && to.up {
@@ -425,7 +430,13 @@
 	}
 	if len(m.Blocks) > 0 && w.chance.Intn(2) == 0 {
 		m.Blocks = slices.Clone(m.Blocks)
-		m.Blocks[0].Text = appendEntry(nil, 1, "false", []byte("1"))
+		if b := &m.Blocks[0]; len(b.Changes) == 0 {
+			b.Text = appendEntry(nil, 1, "false", []byte("1"))
+		} else if b.Changes = slices.Clone(b.Changes); w.chance.Intn(2) == 0 {
+			b.Changes[0].Value = []byte("7")
+		} else {
+			b.Changes = b.Changes[1:]
+		}
 	}
 	if len(m.Records) > 0 {
 		m.Records = slices.Clone(m.Records)
