--- a/lab/capacity/peers.go
+++ b/lab/capacity/peers.go
@@ -19,11 +19,12 @@
 	afterFor    = 4 * time.Second  // past the last that knew, in which traffic is still of the change
 	restFor     = 12 * time.Second // of an idle fleet
 	restShort   = 4 * time.Second
-	rollNodes   = 300              // of the fleet whose restarts a day are climbed
-	rollFor     = 30 * time.Second // of them
-	calmMost    = 60 * time.Second // for the traffic to come to rest
-	calmSeconds = 4                // in a row that differ by no more than calmPart
+	rollNodes   = 300               // of the fleet whose restarts a day are climbed
+	rollFor     = 30 * time.Second  // of them
+	calmMost    = 120 * time.Second // for the traffic to come to rest
+	calmSeconds = 4                 // in a row that differ by no more than calmPart
 	calmPart    = 1.3
+	calmBytes   = 64 // of a datagram in the mean, at the most: a ping or an ack has some 40, one with a record 130 and more
 )
 
 var errApart = errors.New("the nodes did not come to one view in time")
@@ -98,29 +99,37 @@
 	return hollow.Start(ctx, b.Lab, o)
 }
 
-// calm waits until the traffic of a fleet no longer falls, and says 1; what a herd of joins brings goes on for a while after
-// all have one view. Where the fleet gets too little of the machine, links are lost and found again without end: then 0.
+// calm waits until a fleet is at rest, and says 1. Where it gets too little of the machine, links are lost and found again
+// without end: then 0.
 func calm(f *hollow.Fleet) float64 {
 	for end := time.Now().Add(calmMost); time.Now().Before(end); time.Sleep(time.Second) {
-		list := f.Sample()
-		if len(list) < calmSeconds {
-			continue
-		}
-		least, most := math.Inf(1), 0.0
-		for _, x := range list[len(list)-calmSeconds:] {
-			sent := int64(0)
-			for _, t := range x.Sent {
-				sent += t.Bytes
-			}
-			least, most = min(least, float64(sent)), max(most, float64(sent))
-		}
-		if most <= calmPart*least {
+		if atRest(f.Sample()) {
 			return 1
 		}
 	}
 	return 0
 }
 
+// atRest says whether the traffic of the last seconds no longer falls and is no news. What a herd of joins brings goes on for a
+// while after all have one view, and stays level where the machine can carry no more of it.
+func atRest(list []hollow.Second) bool {
+	if len(list) < calmSeconds {
+		return false
+	}
+	least, most := math.Inf(1), 0.0
+	for _, x := range list[len(list)-calmSeconds:] {
+		sent := int64(0)
+		for _, t := range x.Sent {
+			sent += t.Bytes
+		}
+		least, most = min(least, float64(sent)), max(most, float64(sent))
+		if t := x.Sent[hollow.Kinds[hollow.Datagram]]; t.Bytes > calmBytes*t.Messages {
+			return false
+		}
+	}
+	return most <= calmPart*least
+}
+
 // gathered starts a fleet, lets it rest, kills one node and starts it again, and restarts another.
 func (b *Bench) gathered(nodes int) (map[string]float64, error) {
 	ctx, stop := context.WithCancel(context.Background())
