--- a/configuration/apart_test.go
+++ b/configuration/apart_test.go
@@ -30,18 +30,7 @@
 func TestAThousandItemsApartAreInForceAsThePaceAllows(t *testing.T) {
 	nodes, seats := *apartFleet, max(3, *apartFleet/144)
 	w, c := spread(*apartSeed, nodes, seats, 5, 2, 30*ms), quarter(t)
-	var list []Item
-	for i := range c.All {
-		list = append(list, i)
-	}
-	seq := uint64(0)
-	for len(list) > 0 {
-		n := min(len(list), 600)
-		w.agree(ordered{w.now, &Command{Kind: Put, From: "file", Seq: seq + 1, Piece: int(seq), More: n < len(list), Changes: list[:n]}})
-		list, seq = list[n:], seq+1
-	}
-	mark := w.order.Head().First
-	require.Equal(t, c.Digest(), mark.Digest)
+	mark := w.putWhole(t, c)
 	for i, n := range w.nodes {
 		n.disk = disk{mark, c}
 		w.crash(i)
--- a/configuration/spread_test.go
+++ b/configuration/spread_test.go
@@ -189,11 +189,8 @@
 	require.Empty(t, w.wrong)
 }
 
-// TestAZoneThatComesBackKeepsToItsBytes has a zone start with empty disks beside a fleet that holds much, and compares the
-// bytes of each node and second with the formula.
-func TestAZoneThatComesBackKeepsToItsBytes(t *testing.T) {
-	w := spread(5, 45, 5, 5, 2, 30*ms)
-	c := full(t, 100, 3_000) // as much as a minute carries
+// putWhole has a whole content agreed on, in pieces, and says which version that is.
+func (w *world) putWhole(t *testing.T, c *Content) Mark {
 	var list []Item
 	for i := range c.All {
 		list = append(list, i)
@@ -206,6 +203,15 @@
 	}
 	mark := w.order.Head().First
 	require.Equal(t, c.Digest(), mark.Digest)
+	return mark
+}
+
+// TestAZoneThatComesBackKeepsToItsBytes has a zone start with empty disks beside a fleet that holds much, and compares the
+// bytes of each node and second with the formula.
+func TestAZoneThatComesBackKeepsToItsBytes(t *testing.T) {
+	w := spread(5, 45, 5, 5, 2, 30*ms)
+	c := full(t, 100, 3_000) // as much as a minute carries
+	mark := w.putWhole(t, c)
 	for i, n := range w.nodes { // all but one zone have it
 		if i%5 != 4 {
 			n.disk = disk{mark, c}
