Configuration's tests: a version that a node refuses is set up in one piece

Both tests of refusals had the same fleet, put and assertions; the draws and what is asserted are as they were. go vet with and without debug; the tests pass.

--- a/configuration/spread_test.go
+++ b/configuration/spread_test.go
@@ -103,15 +103,15 @@
 	require.GreaterOrEqual(t, len(w.callers[0].acked), 1_000)
 }
 
-// TestARefusalStopsAVersionBeforeTheNextStage has one node of the first stage that can't take it, everything else sound.
-func TestARefusalStopsAVersionBeforeTheNextStage(t *testing.T) {
+// refused is a fleet in which version 2 was stopped, since one node can't take it: one that is drawn for its first stage, or not.
+func refused(t *testing.T, drawn bool) *world {
 	w := spread(3, 60, 5, 5, 2, 80*ms)
 	w.loss = 0.05
 	w.put(w.callers[0], tenant(1, "1"))
 	w.run(w.now + 10_000*ms)
 	require.Empty(t, w.settled())
-	for _, n := range w.nodes { // one that is drawn for version 2
-		if n.old = n.holder.drawn(2) && !n.seat; n.old {
+	for _, n := range w.nodes {
+		if n.old = n.holder.drawn(2) == drawn && !n.seat; n.old {
 			break
 		}
 	}
@@ -122,6 +122,12 @@
 	require.True(t, head.Stopped)
 	require.EqualValues(t, 1, head.All.Version)
 	require.Contains(t, head.Why, "of a later build")
+	return w
+}
+
+// TestARefusalStopsAVersionBeforeTheNextStage has one node of the first stage that can't take it, everything else sound.
+func TestARefusalStopsAVersionBeforeTheNextStage(t *testing.T) {
+	w := refused(t, true)
 	first := 0
 	for _, n := range w.nodes {
 		if n.holder.Mark().Version == 2 {
@@ -140,23 +146,7 @@
 
 // TestARefusalByANodeThatIsntDrawnStopsAVersion has one node that can't take it and isn't of its first stage.
 func TestARefusalByANodeThatIsntDrawnStopsAVersion(t *testing.T) {
-	w := spread(3, 60, 5, 5, 2, 80*ms)
-	w.loss = 0.05
-	w.put(w.callers[0], tenant(1, "1"))
-	w.run(w.now + 10_000*ms)
-	require.Empty(t, w.settled())
-	for _, n := range w.nodes {
-		if n.old = !n.holder.drawn(2) && !n.seat; n.old {
-			break
-		}
-	}
-	w.put(w.callers[0], Item{Operations, "new", []byte(`"new"`)})
-	w.run(w.now + 15_000*ms)
-	require.Empty(t, w.wrong)
-	head := w.order.Head()
-	require.True(t, head.Stopped)
-	require.EqualValues(t, 1, head.All.Version)
-	require.Contains(t, head.Why, "of a later build")
+	w := refused(t, false)
 	w.put(w.callers[0], Item{Part: Operations, Name: "new"}) // taken away again, without a rollback
 	w.run(w.now + 15_000*ms)
 	require.Empty(t, w.wrong)
