--- a/review/standin/dispatcher.go
+++ b/review/standin/dispatcher.go
@@ -73,9 +73,6 @@
 // Close closes the connection.
 func (d *Dispatcher) Close() { d.conn.Close() }
 
-// CloseAfter closes the connection after a while.
-func (d *Dispatcher) CloseAfter(wait time.Duration) { time.AfterFunc(wait, d.Close) }
-
 // NewID returns the id of a new try: 16 hex digits.
 func NewID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
--- a/review/standin/executor.go
+++ b/review/standin/executor.go
@@ -70,14 +70,6 @@
 	return len(x.running)
 }
 
-// NodeStarts numbers notices from 1 on, as at each start of the node.
-func (x *Executor) NodeStarts() {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.first = 1
-	x.notices = nil
-}
-
 // BreakLink resets the link to the node. What the node sent in the last lost milliseconds before it is lost with it. Runs go on,
 // and a new link is accepted at once.
 func (x *Executor) BreakLink(lost time.Duration) {
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -16,8 +15,6 @@
 type Node struct {
 	c       *Case
 	name    string
-	line    string   // that the shell is given
-	env     []string // beside the environment
 	command *exec.Cmd
 	exited  chan error
 
@@ -33,7 +30,7 @@
 
 // StartProcess starts a command by /bin/sh from the root.
 func (c *Case) StartProcess(name, command string, env ...string) (*Node, error) {
-	n := &Node{c: c, name: name, line: command, env: env, command: exec.Command("/bin/sh", "-c", command), exited: make(chan error, 1)}
+	n := &Node{c: c, name: name, command: exec.Command("/bin/sh", "-c", command), exited: make(chan error, 1)}
 	n.command.Dir = c.Root
 	n.command.Env = append(append(os.Environ(), "TMPDIR="+c.Temp), env...)
 	output, err := n.command.StderrPipe()
@@ -44,14 +41,14 @@
 		return nil, err
 	}
 	c.Note("node %s: started", name)
-	c.AtEnd(func() { n.command.Process.Kill() })
+	c.AtEnd(func() {
+		n.command.Process.Kill()
+		_, _ = n.AwaitExit(5 * time.Second)
+	})
 	go n.readLog(output)
 	return n, nil
 }
 
-// StartAgain starts the same command once more.
-func (n *Node) StartAgain() (*Node, error) { return n.c.StartProcess(n.name, n.line, n.env...) }
-
 // readLog keeps the lines of the log, and waits for the process after the last one.
 func (n *Node) readLog(output io.Reader) {
 	lines := bufio.NewScanner(output)
@@ -64,21 +61,6 @@
 	n.exited <- n.command.Wait()
 }
 
-// PID is the number of the process.
-func (n *Node) PID() int { return n.command.Process.Pid }
-
-// Signal sends a signal to the process.
-func (n *Node) Signal(signal syscall.Signal) {
-	n.c.Note("node %s: signal %v", n.name, signal)
-	n.command.Process.Signal(signal)
-}
-
-// Kill kills the process and waits until it is gone.
-func (n *Node) Kill() {
-	n.Signal(syscall.SIGKILL)
-	_, _ = n.AwaitExit(5 * time.Second)
-}
-
 // AwaitExit waits for the end of the process; false means that it still runs.
 func (n *Node) AwaitExit(limit time.Duration) (error, bool) {
 	select {
