Runs whose EXEC was lost with the executor's link give their slots back

Cause: executorState.resendCommands passed over an EXEC whose invocation had been answered since, and nobody told the admission controller, which holds the slot and the memory of a run until its end is reported.

So neither the limit nor the queue nor a command that waits was to blame.

Change: commands stay in the log and are sent again until the executor acknowledges them, whatever became of their invocations; the executor answers an EXEC with the end of the run in any case (gone, where the request is over). An EXEC that was never on a link is withdrawn with its invocation, and the end of its run reported. A refused EXEC leaves the log at once.

--- a/internal/node/catalogue.go
+++ b/internal/node/catalogue.go
@@ -235,7 +235,7 @@
 	if outcome == admission.Succeeded {
 		v := &c.sm.invocations[i]
 		v.callRequest = nil
-		c.sm.sendCommand(i, lineprotocol.AppendBody(nil, line.Body, "RETURN", v.invocationID))
+		c.sm.executor.sendCommand(returnCommand, i, lineprotocol.AppendBody(nil, line.Body, "RETURN", v.invocationID))
 	}
 	c.releaseLink(k)
 	c.callEnded(i, outcome)
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -1,31 +1,46 @@
 package node
 
-import "strconv"
+import (
+	"strconv"
+
+	"topazpost/internal/admission"
+)
 
 // maxUnacknowledgedCommands bounds the command log: two commands, EXEC and RETURN, for each invocation that 1,024 connections with
 // maxOpenStreams each can hold.
 const maxUnacknowledgedCommands = 65_536
 
+// commandKind is the kind of a command that is logged.
+type commandKind uint8
+
+const (
+	execCommand   commandKind = iota // EXEC, starts the run of an invocation
+	returnCommand                    // RETURN, carries the reply to the call that a run waits for
+)
+
 // command is an encoded EXEC or RETURN that the executor may not have read.
 type command struct {
+	kind            commandKind
 	sequence        int
 	invocationIndex int32
 	invocationID    string
+	sent            bool // on some link, so that the executor may have read it
 	bytes           []byte
 }
 
 // commandLog holds the commands that the executor has not acknowledged, in the order in which they were sent. They are sent again on a new
-// link.
+// link, whatever has become of their invocations: a run takes up its slot at the admission controller until the executor has told its end.
 type commandLog struct {
 	unacknowledged        []command
 	sequence              int // of the last command
 	gaugesRequestSequence int // of the last command when gauges were last requested on this link
 }
 
-// add appends a command under the next sequence number.
-func (l *commandLog) add(invocation int32, invocationID string, bytes []byte) {
+// add appends a command under the next sequence number, which it sets.
+func (l *commandLog) add(c command) {
 	l.sequence++
-	l.unacknowledged = append(l.unacknowledged, command{l.sequence, invocation, invocationID, bytes})
+	c.sequence = l.sequence
+	l.unacknowledged = append(l.unacknowledged, c)
 }
 
 // acknowledgeInvocation drops the commands of an invocation after a notice of the executor about it, which proves that they were read.
@@ -53,28 +68,38 @@
 
 // sendCommand sends a command to the executor, and logs it until the executor acknowledges it. Before the link is synced the command is
 // only logged.
-func (x *executorState) sendCommand(i int32, bytes []byte) {
-	x.commands.add(i, x.sm.invocations[i].invocationID, bytes)
+func (x *executorState) sendCommand(kind commandKind, i int32, bytes []byte) {
+	x.commands.add(command{kind: kind, invocationIndex: i, invocationID: x.sm.invocations[i].invocationID, sent: x.synced, bytes: bytes})
 	x.sm.Invariants.Check(len(x.commands.unacknowledged) <= maxUnacknowledgedCommands, "unacknowledged commands are bounded")
 	if x.synced {
 		x.sm.emit(Effect{Kind: SendToExecutor, Link: x.link, Bytes: bytes})
 	}
 }
 
-// resendCommands sends the logged commands that are still needed, on a link that has just synced.
+// resendCommands sends the logged commands on a link that has just synced, also those of invocations that were answered since: the
+// executor may or may not have read an EXEC of the last link, and answers this one with the end of the run in both cases. Only an EXEC
+// that was never sent can be withdrawn. Its run ends here, because the executor knows nothing of it.
 func (x *executorState) resendCommands() {
-	for i := range x.commands.unacknowledged {
-		if c := &x.commands.unacknowledged[i]; x.isNeeded(c) {
-			x.sm.emit(Effect{Kind: SendToExecutor, Link: x.link, Bytes: c.bytes})
+	var withdrawn []int32
+	x.commands.acknowledge(func(c *command) bool {
+		if c.kind == execCommand && !c.sent && !x.isNeeded(c) {
+			withdrawn = append(withdrawn, c.invocationIndex)
+			return true
 		}
+		c.sent = true
+		x.sm.emit(Effect{Kind: SendToExecutor, Link: x.link, Bytes: c.bytes})
+		return false
+	})
+	for _, i := range withdrawn {
+		x.sm.runEnded(i, admission.NeverStarted)
 	}
 }
 
-// isNeeded reports whether the invocation of a command still needs it. The run of an abandoned invocation goes on for the duplicates that
-// wait for its result.
+// isNeeded reports whether the invocation of a command still needs its run. The run of an abandoned invocation goes on for the duplicates
+// that wait for its result.
 func (x *executorState) isNeeded(c *command) bool {
 	v := &x.sm.invocations[c.invocationIndex]
-	return v.live && (!v.answered || v.abandoned) && v.invocationID == c.invocationID
+	return !v.answered || v.abandoned
 }
 
 // unacknowledgedCommands returns the number of commands that are not acknowledged.
--- a/internal/node/executor.go
+++ b/internal/node/executor.go
@@ -310,16 +310,13 @@
 	if v == nil || name != "EXEC" {
 		return
 	}
-	if v.submittedToCache {
-		sm.tokenRunEnded(i, admission.NeverStarted, nil)
-		return
-	}
-	if !v.answered {
+	x.commands.acknowledgeInvocation(v.invocationID)
+	if !v.submittedToCache && !v.answered {
 		link := v.connectionLink
 		sm.fail(i)
 		if c := sm.connections.get(link); c != nil {
 			sm.connections.countFault(c)
 		}
 	}
-	sm.events = append(sm.events, admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: admission.NeverStarted})
+	sm.runEnded(i, admission.NeverStarted)
 }
--- a/internal/node/invocations.go
+++ b/internal/node/invocations.go
@@ -103,10 +103,20 @@
 	}
 	executorName, level := sm.executorOperation(v.operationName, form)
 	v.levelName = level
-	sm.sendCommand(i, lineprotocol.AppendBody(nil, v.body, "EXEC", v.invocationID, executorName))
+	sm.executor.sendCommand(execCommand, i, lineprotocol.AppendBody(nil, v.body, "EXEC", v.invocationID, executorName))
 	v.body = nil
 }
 
+// runEnded handles the end of the run of an invocation that needs no answer to it. A run with a token ends in the result cache, which
+// reports it.
+func (sm *StateMachine) runEnded(i int32, outcome admission.Outcome) {
+	if sm.invocations[i].submittedToCache {
+		sm.tokenRunEnded(i, outcome, nil)
+		return
+	}
+	sm.notifyController(admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: outcome})
+}
+
 // callerDisconnected ends an invocation whose caller disconnected, unless other invocations wait for its run.
 func (sm *StateMachine) callerDisconnected(i int32) {
 	v := &sm.invocations[i]
@@ -181,6 +191,3 @@
 		sm.log(Info, "invocation taken over from a lost node ended without a result; a repeat of it may run", v.invocationID, nil)
 	}
 }
-
-// sendCommand sends the executor a command for an invocation.
-func (sm *StateMachine) sendCommand(i int32, bytes []byte) { sm.executor.sendCommand(i, bytes) }
