Take tokens of operations that a version of the configuration brings

Cause: server.initState made the result cache, and node.EnableConsensus the claims client, once at the start and only if the node's own file had a deduplicated operation. Without them findOriginal drops the token.

Change: StateMachine.adaptResultCache, at the one place where changes are applied (in service, by the fleet or by an embedder, and from the disk at a start), fits the cache and the client to the operation.

--- a/cmd/topazpost/check.go
+++ b/cmd/topazpost/check.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return err
 	}
+	config.Fleet = fleet
 	fmt.Printf("fleet %s: hears peers on %s, told to them as %s, %d seeds; %s\n", fleet.Name, fleet.Bind, fleet.Membership.Address,
 		len(fleet.Membership.Seeds), fleet.Describe())
 	if fleet.ConsensusGroup != nil {
@@ -56,7 +57,7 @@
 	if c.Keep == "" {
 		return nil
 	}
-	cache, err := cacheconfig.Read(c.Keep, config.Settings.Node.Operations, config.MemoryMB)
+	cache, err := cacheconfig.Read(c.Keep, cacheNode(config))
 	if err != nil {
 		return err
 	}
--- a/cmd/topazpost/servefiles.go
+++ b/cmd/topazpost/servefiles.go
@@ -40,6 +40,12 @@
 	return nil
 }
 
+// cacheNode returns what the configuration of a node's result cache depends on. The fleet's file must have been read.
+func cacheNode(config *server.Config) cacheconfig.Node {
+	takesVersions := config.Fleet != nil && config.Fleet.ConfigSync != nil
+	return cacheconfig.Node{Operations: config.Settings.Node.Operations, TakesVersions: takesVersions, MemoryMB: config.MemoryMB}
+}
+
 // readResultCache reads the configuration of the result cache, if there is one.
 func (c *serveCommand) readResultCache(config *server.Config) error {
 	if c.Keep == "" {
@@ -49,6 +55,6 @@
 	if err != nil {
 		return err
 	}
-	config.Keep, err = cacheconfig.From(file, config.Settings.Node.Operations, config.MemoryMB)
+	config.Keep, err = cacheconfig.From(file, cacheNode(config))
 	return err
 }
--- a/integration/configsync_test.go
+++ b/integration/configsync_test.go
@@ -202,6 +202,38 @@
 	assert.NotContains(t, out.Parts["limits"], "group_size")
 }
 
+// Guards against repeats that run again of an operation that a version brings, the first one that takes a token: at a node that serves when
+// it comes, and after its restart.
+func TestOperationPutInServiceWithTokensRunsOnce(t *testing.T) {
+	fleet := startConfigFleet(t)
+	fleet.awaitInForceEverywhere(0, "file")
+	out, code := fleet.put("--wait", fleet.nodes[0].configPath)
+	require.Zero(t, code, out)
+	out, code = fleet.put("--wait", fleet.writeChange(`{ operations: { submit: { aim: 1000, give_up: 4000, effect: 'deduplicated', window: 60000 } } }`))
+	require.Zero(t, code, out)
+	node := fleet.nodes[0]
+	invoke := func(body string) {
+		t.Helper()
+		d := node.dial()
+		stream := uint32(0)
+		assert.Eventually(t, func() bool { // a new client of the group throttles until the group has answered
+			stream++
+			d.invokeOperationWithToken("submit", stream, "a", body)
+			return strings.HasPrefix(d.answer(), "20 on ")
+		}, testTimeout, 20*time.Millisecond, "%s", &node.logText)
+	}
+	invoke("once")
+	invoke("once")
+	require.NoError(t, node.command.Process.Kill())
+	_ = await(t, node.exited) // the error of the kill
+	runs := node.executor.startedBodies()
+	node.executor.reset("new")
+	node.launch()
+	fleet.awaitInForce(0, 2, "disk")
+	invoke("once")
+	assert.Len(t, append(runs, node.executor.startedBodies()...), 1, "the token ran once")
+}
+
 // checkOrder puts version 2, and checks that a repeated request counts once and that a change of an older version is
 // refused.
 func (f *configFleet) checkOrder(t *testing.T) {
--- a/integration/dispatcher_test.go
+++ b/integration/dispatcher_test.go
@@ -45,9 +45,15 @@
 
 // invokeWithToken sends an invocation with an idempotency token.
 func (d *dispatcher) invokeWithToken(stream uint32, token, body string) {
+	d.t.Helper()
+	d.invokeOperationWithToken("catalogue", stream, token, body)
+}
+
+// invokeOperationWithToken does so for an operation.
+func (d *dispatcher) invokeOperationWithToken(operation string, stream uint32, token, body string) {
 	d.t.Helper()
 	d.write(frame.AppendInvocation(nil, stream, []frame.Field{
-		{Name: "op", Value: "catalogue"},
+		{Name: "op", Value: operation},
 		{Name: "call", Value: newCallID(stream)},
 		{Name: "recv", Value: strconv.FormatInt(time.Now().UnixMilli(), 10)},
 		{Name: "src", Value: "4"},
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -55,8 +55,11 @@
 	Removed                bool // no operation has this index at present
 }
 
+// RepeatWindow returns for how long (ns) after an arrival its repeats may come, and lie unread until their callers give up.
+func (op *Operation) RepeatWindow() int64 { return op.DeduplicationWindow + op.ClientTimeout }
+
 // Config is the configuration of a Controller. Times are in nanoseconds, memory is in kilobytes. The host may change
-// TenantRates, OverQuotaWeightShare, Peers, CallQuota, DrainGrace and MaxRetryAfter between calls of Decide.
+// TenantRates, OverQuotaWeightShare, Peers, CallQuota, DrainGrace, MaxRetryAfter and MaxDeduplicationEntries between calls of Decide.
 type Config struct {
 	Seed                    int64
 	Operations              []Operation
--- a/internal/node/configsync_test.go
+++ b/internal/node/configsync_test.go
@@ -11,6 +11,7 @@
 	"topazpost/internal/fleet/configsync"
 	"topazpost/internal/fleet/membership"
 	"topazpost/internal/nodeconfig"
+	"topazpost/internal/resultcache"
 )
 
 // contentOf returns the part of a config that may change in service.
@@ -32,6 +33,7 @@
 	require.NoError(t, err)
 	sm := NewStateMachine(p, to, 5_000*ms, 4, 3)
 	sm.JoinFleet("mobilier", membership.New(membershipConfig, 0, 1, 0, 1))
+	sm.PrepareResultCache(resultcache.Config{Durability: resultcache.OnDisk, MaxBytes: 1 << 20, MaxResultBytes: 1_000}, "dedupe")
 	sm.EnableConsensus([]string{"n1"}, 1<<20, 0, 1)
 	file := contentOf(t, p)
 	err = sm.EnableConfigSync(0, 1, start(file), file)
--- a/internal/node/consensus.go
+++ b/internal/node/consensus.go
@@ -15,17 +15,15 @@
 	maxClaimsShown    = 500      // claims listed in one summary
 )
 
-// EnableConsensus makes the node claim tokens from a consensus group. It must be called before the first step, and after JoinFleet and
-// EnableResultCache. replicas names the nodes that have a replica of the group. maxTableBytes bounds the table of claims while this
+// EnableConsensus makes the node claim tokens from a consensus group. It must be called before the first step, and after
+// JoinFleet. replicas names the nodes that have a replica of the group. maxTableBytes bounds the table of claims while this
 // node's replica leads, 0 for the default.
 func (sm *StateMachine) EnableConsensus(replicas []string, maxTableBytes, now, seed int64) {
 	self := sm.Members().Self()
 	cs := &sm.group
 	*cs = groupState{self: claims.Owner{Name: self.Name, Incarnation: uint64(self.StartedAt)}, replicas: slices.Sorted(slices.Values(replicas)),
 		streams: map[string]int{}}
-	if sm.results.enabled() || sm.hollow.takesClaims() {
-		cs.client = claims.NewClient(cs.self)
-	}
+	sm.startClaimsClient()
 	cs.targetReplica = slices.Index(cs.replicas, self.Name)
 	if cs.targetReplica < 0 {
 		cs.targetReplica = int(uint64(seed) % uint64(len(cs.replicas)))
@@ -35,6 +33,15 @@
 	cs.replica.SetMaxTableBytes(maxTableBytes)
 }
 
+// startClaimsClient creates the claims client of a node that takes tokens and has a consensus group to claim them from, unless it exists.
+func (sm *StateMachine) startClaimsClient() {
+	cs := &sm.group
+	takesTokens := sm.results.enabled() || sm.hollow.takesClaims()
+	if takesTokens && len(cs.replicas) > 0 && cs.client == nil {
+		cs.client = claims.NewClient(cs.self)
+	}
+}
+
 // HasReplica reports whether this node has a replica of the consensus group.
 func (sm *StateMachine) HasReplica() bool { return sm.group.replica != nil }
 
--- a/internal/node/versions.go
+++ b/internal/node/versions.go
@@ -202,6 +202,7 @@
 		return
 	}
 	op := c.Operation
+	sm.adaptResultCache(&op)
 	sm.versions.replaceTokenLimits(result.Index, &op)
 	if result.Added {
 		sm.degradation.remapOperation(result.Index, c.Name)
--- a/internal/resultcache/cache.go
+++ b/internal/resultcache/cache.go
@@ -29,6 +29,12 @@
 	return &Cache{config: config, entries: make(map[Key]*entry)}
 }
 
+// Window is how long all that is recovered is remembered, in nanoseconds.
+func (c *Cache) Window() int64 { return c.config.Window }
+
+// ExtendWindow sets the window to at least the given one, for an operation that came into service later.
+func (c *Cache) ExtendWindow(window int64) { c.config.Window = max(c.config.Window, window) }
+
 // Step handles what happened at a moment of a monotonic clock, and returns what to do, valid until the next step.
 func (c *Cache) Step(now int64, inputs []Input) []Action {
 	c.actions = c.actions[:0]
--- a/internal/resultcache/cacheconfig/cacheconfig.go
+++ b/internal/resultcache/cacheconfig/cacheconfig.go
@@ -38,17 +38,24 @@
 	return fmt.Sprintf("in %s, %d MB at the most", c.Folder, c.Limits.MaxBytes>>20)
 }
 
+// Node is what the configuration of a node's result cache depends on.
+type Node struct {
+	Operations    []admission.Operation // of the node's own file
+	TakesVersions bool                  // versions of the fleet's configuration may bring other operations
+	MemoryMB      int
+}
+
 // Read reads the file of a path.
-func Read(path string, operations []admission.Operation, memoryMB int) (*Config, error) {
+func Read(path string, node Node) (*Config, error) {
 	file, err := configfile.Read(path)
 	if err != nil {
 		return nil, err
 	}
-	return From(file, operations, memoryMB)
+	return From(file, node)
 }
 
 // From reads the configuration from a file that was evaluated. All problems are reported at once.
-func From(file *configfile.File, operations []admission.Operation, memoryMB int) (*Config, error) {
+func From(file *configfile.File, node Node) (*Config, error) {
 	if err := file.Check(schema()); err != nil {
 		return nil, err
 	}
@@ -56,13 +63,13 @@
 	if err := file.Into(&content); err != nil {
 		return nil, err
 	}
-	config := defaultForFile(operations, memoryMB)
-	if config == nil {
+	if !node.TakesVersions && !TakesTokens(node.Operations) {
 		return nil, configfile.ProblemErrors{file.At(nil, "keeps results where no operation is tokened",
 			"leave the file out, or give an operation the effect \"deduplicated\" and a window")}
 	}
+	config := defaultForFile(node.Operations, node.MemoryMB)
 	content.applyTo(config, file.Path)
-	if problems := config.problems(file, memoryMB); len(problems) > 0 {
+	if problems := config.problems(file, node.MemoryMB); len(problems) > 0 {
 		return nil, problems
 	}
 	return config, nil
--- a/internal/resultcache/cacheconfig/default.go
+++ b/internal/resultcache/cacheconfig/default.go
@@ -16,29 +16,26 @@
 	defaultBatchWindow  = 2_000_000 // ns, short beside a sync
 )
 
-// Default is the configuration without a file: in memory only, or nil where no operation has an idempotency token.
+// Default is the configuration without a file: in memory only. Its window is 0 where no operation takes a token.
 func Default(operations []admission.Operation, memoryMB int) *Config {
-	window := longestWindow(operations)
-	if window == 0 {
-		return nil
-	}
 	return &Config{
 		Field: defaultField,
 		Cache: resultcache.Config{
 			MaxBytes:       min(defaultMemoryBytes, megabytes(memoryMB)/memoryDivisor),
 			MaxResultBytes: defaultResultBytes,
-			Window:         window,
+			Window:         longestWindow(operations),
 		},
 	}
 }
 
+// TakesTokens reports whether one of the operations takes a token.
+func TakesTokens(operations []admission.Operation) bool { return longestWindow(operations) > 0 }
+
 // defaultForFile is the configuration that a file changes.
 func defaultForFile(operations []admission.Operation, memoryMB int) *Config {
 	config := Default(operations, memoryMB)
-	if config != nil {
-		config.Limits = segmentstore.Limits{SegmentBytes: defaultSegmentBytes, MaxBytes: defaultStoreBytes}
-		config.BatchWindow = defaultBatchWindow
-	}
+	config.Limits = segmentstore.Limits{SegmentBytes: defaultSegmentBytes, MaxBytes: defaultStoreBytes}
+	config.BatchWindow = defaultBatchWindow
 	return config
 }
 
@@ -46,7 +43,7 @@
 func longestWindow(operations []admission.Operation) (window int64) {
 	for _, operation := range operations {
 		if operation.Idempotency == admission.IdempotentWithKey {
-			window = max(window, operation.DeduplicationWindow+operation.ClientTimeout) // repeats may lie unread for so long
+			window = max(window, operation.RepeatWindow())
 		}
 	}
 	return window
--- a/server/resultstore.go
+++ b/server/resultstore.go
@@ -65,10 +65,12 @@
 		log:       log,
 		recovered: recovered,
 	}
-	log.RetainUntil(s.resultStore.now() + config.Cache.Window)
 	return nil
 }
 
+// retainRecovered keeps what was recovered for a window, in nanoseconds, from now on.
+func (r *resultStore) retainRecovered(window int64) { r.log.RetainUntil(r.now() + window) }
+
 // now is Unix time in nanoseconds: that of the start plus the time that has passed since.
 func (r *resultStore) now() int64 { return r.startedAt.UnixNano() + int64(time.Since(r.startedAt)) }
 
--- a/server/server.go
+++ b/server/server.go
@@ -102,17 +102,7 @@
 	if config.Fleet != nil {
 		s.joinFleet(config.Fleet)
 	}
-	if config.Keep == nil && config.Hollow == nil {
-		config.Keep = cacheconfig.Default(config.Settings.Node.Operations, config.MemoryMB)
-	}
-	if cache := config.Keep; cache != nil {
-		rules := cache.Cache
-		if config.hasConsensus() { // the consensus group stores results in place of the disk
-			rules.Durability = resultcache.OnDisk
-			rules.OnStoreFailure = resultcache.RejectOnStoreFailure
-		}
-		s.state.EnableResultCache(rules, cache.Field, cache.Folder != "")
-	}
+	s.initResultCache()
 	if config.hasConsensus() {
 		now, _ := s.clock.Now()
 		c := config.Fleet.ConsensusGroup
@@ -123,6 +113,31 @@
 	}
 }
 
+// initResultCache enables the result cache of a node whose own file has an operation that takes a token, or that has a file for the
+// cache. Other nodes enable it once a configuration version brings such an operation.
+func (s *Server) initResultCache() {
+	config := s.config
+	operations := config.Settings.Node.Operations
+	cache := config.Keep
+	if cache == nil {
+		if config.Hollow != nil {
+			return
+		}
+		cache = cacheconfig.Default(operations, config.MemoryMB)
+	}
+	rules := cache.Cache
+	if config.hasConsensus() { // the consensus group stores results in place of the disk
+		rules.Durability = resultcache.OnDisk
+		rules.OnStoreFailure = resultcache.RejectOnStoreFailure
+	}
+	if config.Keep == nil && !cacheconfig.TakesTokens(operations) {
+		s.state.PrepareResultCache(rules, cache.Field)
+		return
+	}
+	config.Keep = cache
+	s.state.EnableResultCache(rules, cache.Field, cache.Folder != "")
+}
+
 // Drain starts a graceful shutdown: Run returns once it is complete. Nothing else starts one but Abort.
 func (s *Server) Drain() {
 	select {
--- a/server/storage.go
+++ b/server/storage.go
@@ -31,6 +31,9 @@
 			return err
 		}
 	}
+	if s.resultStore != nil { // last: a configuration version from the disk may have brought a longer window
+		s.resultStore.retainRecovered(s.state.RecoveryWindow())
+	}
 	return nil
 }
 
