A run that never started is no sample of service time

What was seen: now that the ends of lost commands are reported, a node may throttle what it could serve. A test that lets two runs end before their starts are recorded found the next invocation given up as late.

Cause: Controller.observeServiceTime took a run that ended with NeverStarted for a long failed one once it had counted as running for longer than its usual core time, which is the time until its command is known to be lost.

Change: NeverStarted is no sample.

--- a/internal/admission/concurrency.go
+++ b/internal/admission/concurrency.go
@@ -128,10 +128,10 @@
 }
 
 // observeServiceTime records the core time of a run that ended. It ignores runs that failed early, whose core time is
-// not typical.
+// not typical, and those that never started: they used no core while they counted as running.
 func (c *Controller) observeServiceTime(inv *invocation, outcome Outcome) {
 	usual := inv.usualCoreTime()
-	if outcome != Succeeded && inv.coreTime <= usual {
+	if outcome == NeverStarted || outcome != Succeeded && inv.coreTime <= usual {
 		return
 	}
 	c.health.observeServiceTime(inv.coreTime / usual)
