A duplicate that was resubmitted is not answered under its old index

Cause: the controller may give up an original and its duplicate in one decision. Carrying out the first action resubmits the duplicate as a new invocation of its stream; the second action then found the old one answered.

Change: the old index is marked as resubmitted and needs no answer. The test fails on the text before: --- FAIL: TestDuplicateThatIsGivenUpWithItsOriginalIsAnsweredOnce results_test.go:145: Should be empty, but was map[an invocation is answered once:1]

--- a/internal/node/invocations.go
+++ b/internal/node/invocations.go
@@ -34,6 +34,7 @@
 	runEndUnreported bool  // its run has ended, and reportRunEnd has not told the controller yet
 	runOutcome       admission.Outcome
 	abandoned        bool           // its caller disconnected, but other invocations wait for its run
+	resubmitted      bool           // another invocation of the same stream has replaced it
 	runForm          admission.Form // chosen by the controller, kept until the run's start is recorded
 	levelName        string         // of the reduced form that runs, empty for the full operation
 	operationIndex   int32
@@ -161,6 +162,9 @@
 // answer sends the only answer of an invocation.
 func (sm *StateMachine) answer(i int32, code byte, fields []frame.Field, body []byte) {
 	v := &sm.invocations[i]
+	if v.resubmitted { // the invocation that replaced it is answered
+		return
+	}
 	if v.abandoned {
 		sm.catalogue.cancelCall(i)
 		return
--- a/internal/node/results.go
+++ b/internal/node/results.go
@@ -211,6 +211,7 @@
 		return
 	}
 	sm.invocations[i].answered = true
+	sm.invocations[i].resubmitted = true
 	sm.unansweredCount--
 	sm.notifyController(admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: admission.NeverStarted})
 	e := v.arrivalEvent
--- a/internal/node/results_test.go
+++ b/internal/node/results_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"topazpost/internal/admission"
 	"topazpost/internal/nodeconfig"
 	"topazpost/internal/protocol/frame"
 	"topazpost/internal/resultcache"
@@ -122,6 +123,31 @@
 	assert.Equal(t, id(100), r.invocations[p.original].invocationID, "the duplicate is now the original of the token")
 }
 
+// Guards against two ends of one invocation, which stop a debug build: the controller may give up an original and its duplicate in one decision,
+// and the end of the original has resubmitted the duplicate by then.
+func TestDuplicateThatIsGivenUpWithItsOriginalIsAnsweredOnce(t *testing.T) {
+	r := cachingNode(t, resultcache.OnDisk)
+	for n := range 24 { // more than the node runs at once
+		step(r, tokenInvocation(n+1, fmt.Sprint("t", n)))
+	}
+	var original int32 = -1
+	for _, p := range r.results.pending {
+		original = max(original, p.original)
+	}
+	require.GreaterOrEqual(t, original, int32(0), "at least one token is pending")
+	step(r, tokenInvocation(100, r.invocations[original].tokenKey.Token))
+	duplicate, _ := r.findInvocation(id(100))
+	r.begin(r.now+ms, r.wall+ms)
+	r.decided = true // as while the actions of a decision are carried out
+	r.execute(&admission.Action{Kind: admission.Fail, Invocation: original})
+	r.execute(&admission.Action{Kind: admission.Fail, Invocation: duplicate})
+	assert.Equal(t, []string{fmt.Sprintf("51 on %d", r.invocations[original].stream)}, framesSent(t, r.effects))
+	assert.Empty(t, r.Invariants.All())
+	replacement, _ := r.findInvocation(id(100))
+	assert.NotEqual(t, duplicate, replacement, "the invocation that replaces the duplicate is the one to be answered")
+	assert.False(t, r.invocations[replacement].answered)
+}
+
 func TestTokensAreIgnoredWithoutAResultCache(t *testing.T) {
 	r := cachingNode(t, resultcache.InMemory)
 	r.results = resultState{}
