A run has one holder, which gives its slot back however its invocation ends

Cause: the controller counts a run from its decision on, the executor hears of it once its start is recorded. The end of a run was reported only for runs that had been at the executor (runEndUnreported), so an invocation that ended while its start was recorded left its slot and memory taken. A duplicate that ran in its place took up no slot.

Change: an invocation's run is held by the cache or the executor (runHolder), and ends in StateMachine.endRun alone. The cache holds a run only while its invocation is unanswered; whatever answers it or takes its caller ends the run. A duplicate that runs instead reports RunStarted and counts. Notices and refusals about a run that the executor does not hold change nothing. CheckRuns compares holders, logged commands and the controller's counts, in each step of debug builds and of simulations.

--- a/internal/admission/concurrency.go
+++ b/internal/admission/concurrency.go
@@ -73,7 +73,7 @@
 	}
 	for _, i := range c.queueOrder {
 		inv := &c.invocations[i]
-		total := c.counts.running + c.counts.blocked()
+		total := c.counts.runs()
 		if float64(c.counts.running) >= maxRunning || float64(total) >= maxTotal {
 			c.preemptFor(inv)
 			return
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -131,6 +131,8 @@
 		c.handleCallEnded(inv, e.Outcome)
 	case RunEnded:
 		c.handleRunEnded(e.Invocation, e.Outcome)
+	case RunStarted:
+		c.handleRunStarted(inv)
 	}
 }
 
--- a/internal/admission/events.go
+++ b/internal/admission/events.go
@@ -21,6 +21,10 @@
 	// OperationConfigured adds, changes or removes an operation. Invocations that arrived earlier retain the configuration
 	// that applied at their arrival. The host may also change the limits in Config, which are read at each use.
 	OperationConfigured
+
+	// RunStarted reports that an invocation which joined another one has started to run in its place, as the other one ended before
+	// its own start.
+	RunStarted
 )
 
 // Outcome is the result of a run or a call.
--- a/internal/admission/invocation.go
+++ b/internal/admission/invocation.go
@@ -56,6 +56,9 @@
 	ended        int // since the controller started
 }
 
+// runs returns the number of runs in progress, on the cores or blocked.
+func (n *invocationCounts) runs() int { return n.running + n.blocked() }
+
 // blocked returns the number of runs that are off the cores because they wait for a dependency call or its reply.
 func (n *invocationCounts) blocked() int { return n.awaitingCall + n.calling }
 
@@ -152,6 +155,14 @@
 	}
 }
 
+// handleRunStarted counts the run of an invocation that runs in the place of the one that it joined.
+func (c *Controller) handleRunStarted(inv *invocation) {
+	if inv.state == stateJoined {
+		inv.started = true
+		c.setState(inv, stateRunning)
+	}
+}
+
 // requeueStopped puts an invocation back into the queue whose run was stopped before it was answered: by a preemption or,
 // where stops discard progress, without a request of the controller.
 func (c *Controller) requeueStopped(inv *invocation) {
--- a/internal/admission/state.go
+++ b/internal/admission/state.go
@@ -67,6 +67,9 @@
 	}
 }
 
+// RunsInProgress returns the number of runs that hold a slot: on the cores, or blocked on a dependency call.
+func (c *Controller) RunsInProgress() int { return c.counts.runs() }
+
 // LoadMetrics are the metrics of the present load by which degradation levels are chosen.
 type LoadMetrics struct {
 	DemandByOperation []float64 // by index: share of the cores that recent first attempts need, if served completely
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -91,7 +91,7 @@
 		return false
 	})
 	for _, i := range withdrawn {
-		x.sm.runEnded(i, admission.NeverStarted)
+		x.sm.executorRunEnded(i, admission.NeverStarted, nil)
 	}
 }
 
--- a/internal/node/digestnode_test.go
+++ b/internal/node/digestnode_test.go
@@ -212,6 +212,7 @@
 		n.record(n.Now, epoch+n.Now, in)
 	}
 	effects := n.machine.Step(n.Now, epoch+n.Now, in)
+	n.machine.CheckRuns()
 	n.steps++
 	n.effects += len(effects)
 	n.digest.integers(int64(n.index), int64(n.processGeneration), n.Now, int64(len(effects)))
--- a/internal/node/executor.go
+++ b/internal/node/executor.go
@@ -266,25 +266,24 @@
 	}
 	sm := x.sm
 	i, v := sm.findInvocation(invocationID)
-	if v == nil { // it was released before its run ended, or started by an earlier incarnation of this node
+	if v == nil || v.runHolder == notHeld { // the run was started by an earlier incarnation of this node
 		if outcome <= admission.Errored { // Succeeded or Errored: the run took place
 			sm.addClaimInput(claims.Input{Kind: claims.EarlierRunEnded, InvocationID: invocationID, Outcome: uint8(outcome), Result: body})
 		}
 		return nil
 	}
-	x.commands.acknowledgeInvocation(v.invocationID)
-	if v.submittedToCache {
-		sm.tokenRunEnded(i, outcome, body)
+	if v.runHolder != heldByExecutor { // its end was told before
 		return nil
 	}
-	if !v.answered {
+	x.commands.acknowledgeInvocation(v.invocationID)
+	if !v.submittedToCache && !v.answered {
 		if outcome == admission.Succeeded {
 			sm.succeed(i, body)
 		} else {
 			sm.fail(i)
 		}
 	}
-	sm.events = append(sm.events, admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: outcome})
+	sm.executorRunEnded(i, outcome, body)
 	return nil
 }
 
@@ -292,7 +291,7 @@
 func (x *executorState) callRequested(invocationID string, body []byte) {
 	sm := x.sm
 	i, v := sm.findInvocation(invocationID)
-	if v == nil {
+	if v == nil || v.runHolder != heldByExecutor {
 		return
 	}
 	x.commands.acknowledgeInvocation(v.invocationID)
@@ -307,7 +306,7 @@
 	sm := x.sm
 	sm.log(Warn, "executor refused a command", invocationID, nil)
 	i, v := sm.findInvocation(invocationID)
-	if v == nil || name != "EXEC" {
+	if v == nil || v.runHolder != heldByExecutor || name != "EXEC" {
 		return
 	}
 	x.commands.acknowledgeInvocation(v.invocationID)
@@ -318,5 +317,5 @@
 			sm.connections.countFault(c)
 		}
 	}
-	sm.runEnded(i, admission.NeverStarted)
+	sm.executorRunEnded(i, admission.NeverStarted, nil)
 }
--- a/internal/node/invocations.go
+++ b/internal/node/invocations.go
@@ -5,7 +5,6 @@
 
 	"topazpost/internal/admission"
 	"topazpost/internal/protocol/frame"
-	"topazpost/internal/protocol/lineprotocol"
 	"topazpost/internal/resultcache"
 )
 
@@ -29,14 +28,13 @@
 	arrivalEvent     admission.Event
 	arrivedAt        int64
 	deadline         int64 // when the client timeout ends
-	atExecutor       bool  // the executor was sent the run of the token
 	submittedToCache bool  // it was submitted to the result cache
-	runEndUnreported bool  // its run has ended, and reportRunEnd has not told the controller yet
-	runOutcome       admission.Outcome
-	abandoned        bool           // its caller disconnected, but other invocations wait for its run
-	resubmitted      bool           // another invocation of the same stream has replaced it
-	runForm          admission.Form // chosen by the controller, kept until the run's start is recorded
-	levelName        string         // of the reduced form that runs, empty for the full operation
+	runHolder        runHolder
+	runOutcome       admission.Outcome // of a run that the cache holds
+	abandoned        bool              // its caller disconnected, but other invocations wait for its run
+	resubmitted      bool              // another invocation of the same stream has replaced it
+	runForm          admission.Form    // chosen by the controller
+	levelName        string            // of the reduced form that runs, empty for the full operation
 	operationIndex   int32
 	tenant           int32 // -1 without one
 	tokenLimits      *tokenLimits
@@ -82,6 +80,7 @@
 	if !sm.Invariants.Check(v.answered, "a released invocation must have been answered") {
 		sm.fail(i)
 	}
+	sm.Invariants.Check(v.runHolder == notHeld, "a released invocation has no run")
 	sm.catalogue.cancelCall(i)
 	if sm.indexByID[v.invocationID] == i {
 		delete(sm.indexByID, v.invocationID)
@@ -91,33 +90,6 @@
 	sm.freeIndices = append(sm.freeIndices, i)
 }
 
-// startRun sends an invocation to the executor. One with a token goes to the result cache first, which records the start.
-func (sm *StateMachine) startRun(i int32, form admission.Form) {
-	v := &sm.invocations[i]
-	if !sm.Invariants.Check(v.live && !v.answered, "a run starts only for an unanswered invocation") {
-		return
-	}
-	if v.tokenKey.Token != "" && !v.submittedToCache {
-		v.runForm = form
-		sm.startTokenRun(i)
-		return
-	}
-	executorName, level := sm.executorOperation(v.operationName, form)
-	v.levelName = level
-	sm.executor.sendCommand(execCommand, i, lineprotocol.AppendBody(nil, v.body, "EXEC", v.invocationID, executorName))
-	v.body = nil
-}
-
-// runEnded handles the end of the run of an invocation that needs no answer to it. A run with a token ends in the result cache, which
-// reports it.
-func (sm *StateMachine) runEnded(i int32, outcome admission.Outcome) {
-	if sm.invocations[i].submittedToCache {
-		sm.tokenRunEnded(i, outcome, nil)
-		return
-	}
-	sm.notifyController(admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: outcome})
-}
-
 // callerDisconnected ends an invocation whose caller disconnected, unless other invocations wait for its run.
 func (sm *StateMachine) callerDisconnected(i int32) {
 	v := &sm.invocations[i]
@@ -132,7 +104,7 @@
 	}
 	sm.catalogue.cancelCall(i)
 	sm.events = append(sm.events, admission.Event{Kind: admission.CallerDisconnected, Invocation: i})
-	sm.reportRunEnd(i)
+	sm.endCachedRun(i)
 }
 
 // reject answers an invocation with a throttle, which promises that it has never run.
@@ -176,7 +148,7 @@
 	sm.unansweredCount--
 	sm.catalogue.cancelCall(i)
 	sm.removeTokenWaiter(i)
-	sm.reportRunEnd(i)
+	sm.endCachedRun(i)
 	if v.connectionLink == noConnection {
 		sm.endTakenOver(v, code)
 		return
--- a/internal/node/machine.go
+++ b/internal/node/machine.go
@@ -162,6 +162,9 @@
 	wakeAt := sm.nextWakeup()
 	sm.Invariants.Check(wakeAt > now, "the next wakeup is after now")
 	sm.emit(Effect{Kind: SetWakeup, At: wakeAt})
+	if invariant.Debug {
+		sm.CheckRuns()
+	}
 	return sm.effects
 }
 
--- a/internal/node/results.go
+++ b/internal/node/results.go
@@ -213,7 +213,7 @@
 	sm.invocations[i].answered = true
 	sm.invocations[i].resubmitted = true
 	sm.unansweredCount--
-	sm.notifyController(admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: admission.NeverStarted})
+	sm.endJoined(i, admission.NeverStarted)
 	e := v.arrivalEvent
 	v.submittedToCache = false
 	v.tokenExpiresAt = 0
@@ -249,7 +249,7 @@
 	}
 	sm.stepCache(resultcache.Input{Kind: resultcache.CallerDisconnected, Invocation: i, Key: v.tokenKey})
 	v = &sm.invocations[i] // the step may have reallocated the table
-	v.abandoned = v.atExecutor && !v.runEndUnreported && sm.results.cache.JoinedCount(v.tokenKey) > 0
+	v.abandoned = v.runHolder == heldByExecutor && sm.results.cache.JoinedCount(v.tokenKey) > 0
 	return v.abandoned
 }
 
--- a/internal/node/results_answers.go
+++ b/internal/node/results_answers.go
@@ -21,12 +21,12 @@
 	sm.stepCache(resultcache.Input{Kind: resultcache.InvocationReceived, Invocation: i, Key: v.tokenKey, BodyHash: v.bodyHash, Remaining: until - sm.now})
 }
 
-// tokenRunEnded reports the outcome of a run to the result cache, which answers when the outcome is recorded.
+// tokenRunEnded reports the outcome of a run to the result cache, which answers when the outcome is recorded. The cache holds the run
+// until then.
 func (sm *StateMachine) tokenRunEnded(i int32, outcome admission.Outcome, body []byte) {
 	v := &sm.invocations[i]
-	v.runEndUnreported = true
+	v.runHolder = heldByCache
 	v.runOutcome = outcome
-	v.atExecutor = false
 	ending := resultcache.Failed
 	switch outcome {
 	case admission.Succeeded:
@@ -36,17 +36,7 @@
 	}
 	sm.stepCache(resultcache.Input{Kind: resultcache.RunEnded, Key: v.tokenKey, Outcome: ending, Result: body})
 	if sm.invocations[i].answered { // stepCache has answered it; v may be stale, as the table may have been reallocated
-		sm.reportRunEnd(i)
-	}
-}
-
-// reportRunEnd notifies the admission controller that the run of an invocation with a token has ended, unless it was notified
-// before. tokenRunEnded leaves this to the time when the outcome is recorded and the answer sent.
-func (sm *StateMachine) reportRunEnd(i int32) {
-	v := &sm.invocations[i]
-	if v.runEndUnreported {
-		v.runEndUnreported = false
-		sm.notifyController(admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: v.runOutcome})
+		sm.endCachedRun(i)
 	}
 }
 
@@ -114,11 +104,7 @@
 func (sm *StateMachine) executeCacheAction(a *resultcache.Action) {
 	switch a.Kind {
 	case resultcache.Run:
-		v := &sm.invocations[a.Invocation]
-		if v.live && !v.answered {
-			v.atExecutor = true
-			sm.startRun(a.Invocation, v.runForm)
-		}
+		sm.startRecordedRun(a.Invocation, a.Key)
 	case resultcache.WriteStart:
 		sm.recordRunStart(a)
 	case resultcache.WriteEnd:
@@ -161,7 +147,7 @@
 	if !sm.Invariants.Check(v.live && !v.answered, "the result cache answers only unanswered invocations") {
 		return
 	}
-	reportedByAnswer := v.runEndUnreported // answer reports the end of the invocation's own run
+	joined := v.runHolder == notHeld // answer ends the run of the invocation itself
 	var fields []frame.Field
 	if a.FromCache {
 		fields = append(fields, frame.Field{Name: "kept", Value: "1"})
@@ -183,8 +169,8 @@
 		}
 		sm.answer(i, frame.Errored, fields, nil)
 	}
-	if !reportedByAnswer {
-		sm.notifyController(admission.Event{Kind: admission.RunEnded, Invocation: i, Outcome: outcome})
+	if joined {
+		sm.endJoined(i, outcome)
 	}
 }
 
--- a/internal/resultcache/waiters.go
+++ b/internal/resultcache/waiters.go
@@ -33,6 +33,12 @@
 	return e.runner == invocation || slices.Contains(e.waiters, invocation)
 }
 
+// IsWaiting reports whether an invocation waits for a token: for its run to start, to end, or for its record.
+func (c *Cache) IsWaiting(key Key, invocation int32) bool {
+	e := c.entries[key]
+	return e != nil && e.isWaiting(invocation)
+}
+
 // answer answers with the outcome of a run.
 func (c *Cache) answer(e *entry, invocation int32, fromCache bool) {
 	if fromCache {
