A node without a version on its disk waits for that of its fleet

What callers saw: a node that joined a fleet with configuration in service answered 51 for operations of the fleet that its own file lacks, for more than 0.3 s in a play on processes; where its file gives an operation another effect it would run repeats of tokens again.

Change: the admission controller starts once the executor has welcomed a link and, without a version on the disk, a replica has confirmed what is in force and the node has it; until then, but for 2 s from the start at the most, arrivals are throttled with pushback, as before the first welcome. A node whose replicas are out of reach serves by its file after that, and says so. The play of an operation put in service on processes now has a node that joins later.

--- a/integration/configsync_test.go
+++ b/integration/configsync_test.go
@@ -30,32 +30,39 @@
 	t.Helper()
 	f := &configFleet{replicaProcesses: &replicaProcesses{t: t, folder: t.TempDir()}}
 	replicas := []string{"s1", "s2", "s3"}
-	var binds []string
-	for range 6 {
+	for range replicas {
 		_, bind := fleetFile(t)
-		binds = append(binds, bind)
+		f.binds = append(f.binds, bind)
 	}
-	f.binds = binds[:3]
 	for k, name := range replicas {
-		f.paths = append(f.paths, f.writeFleetFile(replicas, name, "z0", binds[k]))
+		f.paths = append(f.paths, f.writeFleetFile(replicas, name, "z0", f.binds[k]))
 	}
 	t.Cleanup(func() { f.stop(syscall.SIGKILL) })
 	f.launch()
-	for k, name := range []string{"n1", "n2", "n3"} {
-		path := f.writeFleetFile(replicas, name, "z"+name, binds[3+k])
-		f.nodes = append(f.nodes, startNodeWithFlags(t, func(config nodeConfig) {
-			config["name"] = name
-			info := config.familyInfo()
-			delete(info, "class_calls")
-			if name == "n3" {
-				config["catalog"] = ""
-				info["below"] = "off"
-			}
-		}, "--fleet", path))
+	for _, name := range []string{"n1", "n2", "n3"} {
+		f.join(name)
 	}
 	return f
 }
 
+// join starts a node and returns it.
+func (f *configFleet) join(name string) *testNode {
+	f.t.Helper()
+	_, bind := fleetFile(f.t)
+	path := f.writeFleetFile([]string{"s1", "s2", "s3"}, name, "z"+name, bind)
+	node := startNodeWithFlags(f.t, func(config nodeConfig) {
+		config["name"] = name
+		info := config.familyInfo()
+		delete(info, "class_calls")
+		if name == "n3" {
+			config["catalog"] = ""
+			info["below"] = "off"
+		}
+	}, "--fleet", path)
+	f.nodes = append(f.nodes, node)
+	return node
+}
+
 // writeFleetFile writes the fleet file of one process and returns its path.
 func (f *configFleet) writeFleetFile(replicas []string, name, zone, bind string) string {
 	f.t.Helper()
@@ -232,6 +239,11 @@
 	fleet.awaitInForce(0, 2, "disk")
 	invoke("once")
 	assert.Len(t, append(runs, node.executor.startedBodies()...), 1, "the token ran once")
+
+	node = fleet.join("n4")
+	fleet.awaitInForce(3, 2, "fleet")
+	invoke("once")
+	assert.Empty(t, node.executor.startedBodies(), "a node that joins later gets the result from the group")
 }
 
 // checkOrder puts version 2, and checks that a repeated request counts once and that a change of an older version is
--- a/internal/node/configsync.go
+++ b/internal/node/configsync.go
@@ -87,6 +87,9 @@
 	}
 	cs := &sm.configSync
 	cs.replicator = configsync.NewReplicator(now, configsync.ReplicatorConfig{Name: sm.fleet.selfName(), Seed: seed}, initial)
+	if initial.ContentRevision.Version == 0 && !sm.hollow.enabled() {
+		sm.awaitConfig(now)
+	}
 	sm.group.setConfigValidator(sm.validateConfigCommand)
 	sm.emit(Effect{Kind: ReportVersionInForce, InForce: &VersionInForce{ContentRevision: cs.replicator.Revision(), Source: initial.Source,
 		Added: v.counts.added, Changed: v.counts.changed, Removed: v.counts.removed}})
--- a/internal/node/configsync_test.go
+++ b/internal/node/configsync_test.go
@@ -29,12 +29,17 @@
 // configuredNode returns a node that replicates its configuration and has the only replica of its consensus group; start returns its
 // initial state.
 func configuredNode(t *testing.T, to Addresses, start func(file *configsync.Content) configsync.InitialState) (*StateMachine, error) {
+	return configuredNodeOf(t, []string{"n1"}, to, start)
+}
+
+// configuredNodeOf does so with the given replicas.
+func configuredNodeOf(t *testing.T, replicas []string, to Addresses, start func(file *configsync.Content) configsync.InitialState) (*StateMachine, error) {
 	p, err := nodeconfig.FromJSON(1, []byte(testSettings))
 	require.NoError(t, err)
 	sm := NewStateMachine(p, to, 5_000*ms, 4, 3)
 	sm.JoinFleet("mobilier", membership.New(membershipConfig, 0, 1, 0, 1))
 	sm.PrepareResultCache(resultcache.Config{Durability: resultcache.OnDisk, MaxBytes: 1 << 20, MaxResultBytes: 1_000}, "dedupe")
-	sm.EnableConsensus([]string{"n1"}, 1<<20, 0, 1)
+	sm.EnableConsensus(replicas, 1<<20, 0, 1)
 	file := contentOf(t, p)
 	err = sm.EnableConfigSync(0, 1, start(file), file)
 	return sm, err
--- a/internal/node/digest_test.go
+++ b/internal/node/digest_test.go
@@ -237,7 +237,7 @@
 	{"results cached in memory, with versions", 6, simulationOptions{nodes: 1, seconds: 30, rate: 40, caching: true, durability: resultcache.InMemory, versions: true, misbehaving: true, drains: true}, "20902789963f9cc2ffc7e340a1e151a1ad33b45744e9629612e7e19fc05ee11f"},
 	{"a fleet with a consensus group", 7, simulationOptions{nodes: 4, replicas: 3, seconds: 40, rate: 30, caching: true, durability: resultcache.OnDisk, kills: true, drains: true}, "43b3096d2732f820f7bb7de5466c4832ac8342edf25256b110ade0cb542a9897"},
 	{"a fleet with leases and faulty links", 8, simulationOptions{nodes: 3, replicas: 1, seconds: 25, rate: 30, caching: true, durability: resultcache.OnDisk, leases: true, faultyLinks: true, loss: 0.05}, "cb4621fde97ab8686a9161a5c25d915374581e073d7c93c5faf8cd90282956d9"},
-	{"a fleet with configuration changes", 9, simulationOptions{nodes: 4, replicas: 3, seconds: 30, rate: 15, configSync: true, kills: true, loss: 0.02, levels: true}, "3ed2304a0225df9fa7c3c20acc8d4e0c7411a6c22cbccc50a01a9902ead8c882"},
+	{"a fleet with configuration changes", 9, simulationOptions{nodes: 4, replicas: 3, seconds: 30, rate: 15, configSync: true, kills: true, loss: 0.02, levels: true}, "a8f884b43f8e737be76849691a8e21082803db09ca58a2af36bf6d48fb8b7c93"},
 	{"hollow nodes beside full ones", 10, simulationOptions{nodes: 5, hollow: 3, replicas: 3, seconds: 25, rate: 15, caching: true, durability: resultcache.OnDisk, leases: true, kills: true}, "2464e2352bb465996490c69b3013c7f54f04720ddd6c4ef79674afa66713cbdf"},
 	{"many cores and links", 11, simulationOptions{nodes: 1, seconds: 15, rate: 400, cores: 32, links: 60, levels: true, drains: true}, "ca8b72390af16d6f2baa09912d8c05979acc8fdd2bf70a8f85ca16d81be49666"},
 }
--- a/internal/node/dispatchers.go
+++ b/internal/node/dispatchers.go
@@ -55,6 +55,11 @@
 	}
 	c.lastStream = f.Stream
 	sm.Counters.Invocations++
+	if sm.startup.awaitsConfig() { // it may be of an operation that this node does not know yet
+		c.markUsed(sm.now)
+		sm.throttleOnArrival(c.link, f.Stream)
+		return
+	}
 	v := invocation{live: true, connectionLink: c.link, stream: f.Stream}
 	e := admission.Event{Kind: admission.Arrived, Tenant: -1, Original: admission.NoOriginal}
 	if err := sm.validateInvocation(c, f, &v, &e); err != nil {
--- a/internal/node/executor.go
+++ b/internal/node/executor.go
@@ -203,22 +203,22 @@
 	return fmt.Errorf("node: unknown or malformed line of the executor: %q", words)
 }
 
-// welcomed starts the controller at the executor's first welcome. The state is "new" if the executor has just started, so that the
+// welcomed has the controller start at the executor's first welcome. The state is "new" if the executor has just started, so that the
 // controller starts cold; the age is the time since the executor's start in milliseconds. The executor sends the missed notices
 // after the welcome and before it answers the request for gauges sent here, so that the answer proves that all of them were
 // received.
 func (x *executorState) welcomed(state, age string) {
 	x.welcomedLink = x.link
 	x.send("METER", x.syncTag())
-	if x.sm.controller != nil || x.sm.drain.isExitPending() { // a node about to exit starts no controller
+	if x.sm.controller != nil {
 		return
 	}
 	ageMS, err := strconv.ParseFloat(age, 64)
 	if err != nil || ageMS < 0 {
 		ageMS = 0
 	}
-	x.sm.startController(state == "new", x.sm.now-int64(ageMS*float64(ms)))
-	x.sm.log(Info, "executor is up; admitting invocations", state, nil)
+	x.sm.startup.executorWelcomed(state, x.sm.now-int64(ageMS*float64(ms)))
+	x.sm.startIfReady()
 }
 
 // noticeReceived applies a numbered notice unless it was applied before. A missing or malformed number, taken as -1, is an error.
--- a/internal/node/machine.go
+++ b/internal/node/machine.go
@@ -66,6 +66,7 @@
 	indexByID       map[string]int32
 	unansweredCount int // invocations that are not answered yet
 
+	startup     startupState
 	executor    executorState
 	catalogue   catalogueState
 	connections connectionTable
--- a/internal/node/timers.go
+++ b/internal/node/timers.go
@@ -5,6 +5,7 @@
 	if sm.hollow.enabled() {
 		return
 	}
+	sm.startIfReady()
 	sm.executor.dialIfDue()
 	sm.reports.sendIfDue()
 	sm.executor.requestGaugesIfDue()
@@ -25,7 +26,7 @@
 		return sm.hollowDue()
 	}
 	at := min(sm.timerAt, sm.catalogue.dueAt(), sm.health.dueAt(), sm.membershipDue(), sm.resultsDue(), sm.claimsDue(), sm.leaseDue(),
-		sm.versionsDue(), sm.configSyncDue())
+		sm.versionsDue(), sm.configSyncDue(), sm.startupDue())
 	if len(sm.deferredEvents) > 0 {
 		at = sm.now + 1
 	}
