--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -29,7 +29,8 @@
 }
 
 // commandLog holds the commands that the executor has not acknowledged, in the order in which they were sent. They are sent again on a new
-// link, whatever has become of their invocations: a run takes up its slot at the admission controller until the executor has told its end.
+// link. A run takes up its slot at the admission controller until the executor has told its end, so an EXEC that the executor may have read
+// stays in the log until then, whatever has become of its invocation.
 type commandLog struct {
 	unacknowledged        []command
 	sequence              int // of the last command
@@ -76,14 +77,18 @@
 	}
 }
 
-// resendCommands sends the logged commands on a link that has just synced, also those of invocations that were answered since: the
-// executor may or may not have read an EXEC of the last link, and answers this one with the end of the run in both cases. Only an EXEC
-// that was never sent can be withdrawn. Its run ends here, because the executor knows nothing of it.
+// resendCommands sends the logged commands on a link that has just synced, but for those of no use. An EXEC of the last link may or may not
+// have been read. It is sent again also if its invocation was answered since, as the executor answers with the end of the run in both
+// cases. An EXEC that was never sent is withdrawn with its invocation, and its run ends here, because the executor knows nothing of it.
+// A RETURN is not sent for an invocation that was answered, as the executor ends such a run at its call.
 func (x *executorState) resendCommands() {
 	var withdrawn []int32
 	x.commands.acknowledge(func(c *command) bool {
-		if c.kind == execCommand && !c.sent && !x.isNeeded(c) {
-			withdrawn = append(withdrawn, c.invocationIndex)
+		mayRun := c.kind == execCommand && c.sent
+		if !mayRun && !x.isNeeded(c) {
+			if c.kind == execCommand {
+				withdrawn = append(withdrawn, c.invocationIndex)
+			}
 			return true
 		}
 		c.sent = true
