--- a/review/cases-2/kept.go
+++ b/review/cases-2/kept.go
@@ -8,7 +8,11 @@
 	standin "topazpost/review/standin-2"
 )
 
-const answerTimeout = 8 * time.Second
+const (
+	answerTimeout = 8 * time.Second
+	tokenWindow   = 13_023 * time.Millisecond // of graded-submit
+	clientTimeout = 4_300 * time.Millisecond  // of graded-submit
+)
 
 var errNoAnswer = errors.New("no run could be had before the disruption")
 
@@ -105,9 +109,7 @@
 	if err != nil {
 		return err
 	}
-	operations := tokenOperations()
-	operations[3] = operation("graded-submit", "deduplicated", 1_800, 4_300, 13_023)
-	n, err := w.node("n1", flags, settings(operations, tenants("aigaio-academy", "kastro-school", "elia-tutors")))
+	n, err := w.node("n1", flags, settings(tokenOperations(), tenants("aigaio-academy", "kastro-school", "elia-tutors")))
 	if err != nil {
 		return err
 	}
@@ -119,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(13_023*time.Millisecond + 4_300*time.Millisecond + 2*time.Second)
+	time.Sleep(tokenWindow + clientTimeout + 2*time.Second)
 	second, err := callUntilTaken(w, n, hold)
 	if err != nil {
 		return err
@@ -142,3 +144,53 @@
 	}
 	return nil
 }
+
+// playTenantOrder: a node that keeps results on disk is started anew with a file that has one tenant more, before the others. A tenant's request must
+// not be answered with what was run for another tenant.
+func playTenantOrder(w *world) error {
+	flags, err := w.keepFile()
+	if err != nil {
+		return err
+	}
+	schools := []string{"aigaio-academy", "kastro-school", "elia-tutors"}
+	n, err := w.node("n1", flags, settings(tokenOperations(), tenants(schools...)))
+	if err != nil {
+		return err
+	}
+	if err := n.Start(); err != nil {
+		return err
+	}
+	submit := func(school string, again bool) standin.Invocation {
+		return standin.Invocation{Operation: "graded-submit", Tenant: school, Token: "exercise-4-attempt-1", Body: "the template of exercise 4", Again: again}
+	}
+	ownResults := map[string]map[string]bool{}
+	for _, school := range schools {
+		before := len(w.executor.Runs())
+		a, err := callUntilTaken(w, n, submit(school, false))
+		if err != nil || a.Code != 20 || len(w.executor.Runs()) != before+1 {
+			return errors.Join(errNoAnswer, err)
+		}
+		ownResults[school] = map[string]bool{a.Body: true}
+	}
+	if w.trouble {
+		w.record.Line("the operator adds the tenant delos-college, first in the list")
+		n.Config["settings"] = settings(tokenOperations(), tenants(append([]string{"delos-college"}, schools...)...))
+	}
+	if err := restart(w, n); err != nil {
+		return err
+	}
+	for _, school := range schools {
+		before := len(w.executor.Runs())
+		a, err := callUntilTaken(w, n, submit(school, true))
+		if err != nil {
+			return err
+		}
+		for _, r := range w.executor.Runs()[before:] { // another run is another rule's matter
+			ownResults[school][r.Result()] = true
+		}
+		if a.Code == 20 && !ownResults[school][a.Body] {
+			w.breaks("%s was answered with %q, which was run for another school; its own was %v", school, a.Body, ownResults[school])
+		}
+	}
+	return nil
+}
--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"maps"
 	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	standin "topazpost/review/standin-2"
@@ -31,6 +34,7 @@
 	catalogue *standin.Catalogue
 	control   *standin.ControlPlane
 	nodes     []*standin.Node
+	processes []*exec.Cmd // seats
 	broken    []string
 }
 
@@ -44,6 +48,9 @@
 var cases = map[string]func(w *world) error{
 	"config-order": playConfigOrder,
 	"token-again":  playTokenAgain,
+	"first-tenant": playFirstTenant,
+	"cut-off":      playCutOff,
+	"tenant-order": playTenantOrder,
 }
 
 func main() { os.Exit(run()) }
@@ -69,8 +76,12 @@
 	w.record.Line("case %s, trouble %v", os.Args[1], w.trouble)
 	result := make(chan error, 1)
 	go func() { result <- w.play(cases[os.Args[1]]) }()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case err = <-result:
+	case <-stop:
+		err = errors.New("stopped by a signal")
 	case <-time.After(caseTimeout):
 		err = errors.New("the case takes too long")
 	}
@@ -113,6 +124,10 @@
 			w.record.Line("log of the last life: %s", n.Log())
 		}
 	}
+	for _, p := range w.processes {
+		p.Process.Kill()
+		_ = p.Wait() // the error of the kill
+	}
 	if w.executor != nil {
 		w.executor.Close()
 	}
--- a/review/standin-2/dispatcher.go
+++ b/review/standin-2/dispatcher.go
@@ -45,6 +45,8 @@
 	return fmt.Sprintf("%d %q kept=%s", a.Code, a.Body, a.Fields["kept"])
 }
 
+const workHint = "100.00"
+
 var lastID atomic.Uint64
 
 func init() { lastID.Store(uint64(time.Now().UnixNano())) }
@@ -113,7 +115,7 @@
 	}
 	now := time.Now()
 	fields := []frame.Field{{Name: "op", Value: v.Operation}, {Name: "call", Value: id}, {Name: "recv", Value: strconv.FormatInt(now.UnixMilli(), 10)},
-		{Name: "src", Value: "4"}, {Name: "work", Value: "100.00"}, {Name: "heap", Value: strconv.FormatFloat(heap, 'f', 1, 64)}, {Name: "crit", Value: "0.6250"}}
+		{Name: "src", Value: "4"}, {Name: "work", Value: workHint}, {Name: "heap", Value: strconv.FormatFloat(heap, 'f', 1, 64)}, {Name: "crit", Value: "0.6250"}}
 	for _, f := range []frame.Field{{Name: "org", Value: v.Tenant}, {Name: "dedupe", Value: v.Token}} {
 		if f.Value != "" {
 			fields = append(fields, f)
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -66,6 +66,11 @@
 	if err := n.Launch(); err != nil {
 		return err
 	}
+	return n.AwaitReady()
+}
+
+// AwaitReady waits until the process answers a health check as good.
+func (n *Node) AwaitReady() error {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		if healthy(n.Address) {
 			n.record.Line("%s: ready", n.name)
