review: a bad client's token keeps a node with kept results from starting

Looked for: what bad clients can leave behind in what a node keeps. Done: case 6: one request with a token that is no text, then a restart on the same folder of kept results.

--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -51,6 +51,7 @@
 	"first-tenant": playFirstTenant,
 	"cut-off":      playCutOff,
 	"tenant-order": playTenantOrder,
+	"bad-token":    playBadToken,
 }
 
 func main() { os.Exit(run()) }
