--- a/review/cases-2/kept.go
+++ b/review/cases-2/kept.go
@@ -50,7 +50,9 @@
 }
 
 // ranAgain reports whether a token ran again within its window, which begins no later than its first run.
-func ranAgain(runs []*standin.Run) bool { return len(runs) > 1 && runs[1].At.Sub(runs[0].At) < tokenWindow }
+func ranAgain(runs []*standin.Run) bool {
+	return len(runs) > 1 && runs[1].At.Sub(runs[0].At) < tokenWindow
+}
 
 // playConfigOrder: a node that keeps results on disk is started anew with a file that has one operation more, before the tokened one. A repeat of
 // a token within its window has to get the stored answer.
