--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -52,6 +52,7 @@
 	"cut-off":      playCutOff,
 	"tenant-order": playTenantOrder,
 	"bad-token":    playBadToken,
+	"hang":         playHang,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/dispatcher.go
+++ b/review/standin-2/dispatcher.go
@@ -20,6 +20,7 @@
 	TTL       time.Duration
 	Again     bool // a further try
 	HeapKB    float64
+	Work      float64 // ms to expect
 }
 
 // Answer is what came for an invocation.
@@ -45,8 +46,6 @@
 	return fmt.Sprintf("%d %q kept=%s", a.Code, a.Body, a.Fields["kept"])
 }
 
-const workHint = "100.00"
-
 var lastID atomic.Uint64
 
 func init() { lastID.Store(uint64(time.Now().UnixNano())) }
@@ -115,12 +114,15 @@
 	}
 	now := time.Now()
 	fields := []frame.Field{{Name: "op", Value: v.Operation}, {Name: "call", Value: id}, {Name: "recv", Value: strconv.FormatInt(now.UnixMilli(), 10)},
-		{Name: "src", Value: "4"}, {Name: "work", Value: workHint}, {Name: "heap", Value: strconv.FormatFloat(heap, 'f', 1, 64)}, {Name: "crit", Value: "0.6250"}}
+		{Name: "src", Value: "4"}, {Name: "heap", Value: strconv.FormatFloat(heap, 'f', 1, 64)}, {Name: "crit", Value: "0.6250"}}
 	for _, f := range []frame.Field{{Name: "org", Value: v.Tenant}, {Name: "dedupe", Value: v.Token}} {
 		if f.Value != "" {
 			fields = append(fields, f)
 		}
 	}
+	if v.Work > 0 {
+		fields = append(fields, frame.Field{Name: "work", Value: strconv.FormatFloat(v.Work, 'f', 2, 64)})
+	}
 	if v.TTL > 0 {
 		fields = append(fields, frame.Field{Name: "ttl", Value: strconv.FormatInt(v.TTL.Milliseconds(), 10)})
 	}
--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// minHangStep is the least time after which a run that hung is looked at again.
+const minHangStep = 5 * time.Millisecond
+
 // Work is what an executor does for one run.
 type Work struct {
 	Time  time.Duration // on the cores, before each call and after the last one
@@ -53,6 +56,8 @@
 	byID     map[string]*Run
 	over     map[string]bool // requests that need no run any more
 	runs     []*Run
+	hung     time.Duration // for which work has hung until now
+	hungFrom time.Time     // zero while work goes on
 }
 
 // NewExecutor starts an executor.
@@ -252,14 +257,39 @@
 	x.goOn(r, work.Time)
 }
 
+// Hang has all work hang, or go on. Commands are taken meanwhile.
+func (x *Executor) Hang(hang bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.record.Line("executor: work hangs: %v", hang)
+	x.hung = x.hungUntilNow()
+	x.hungFrom = time.Time{}
+	if hang {
+		x.hungFrom = time.Now()
+	}
+}
+
+// hungUntilNow is for how long work has hung until now.
+func (x *Executor) hungUntilNow() time.Duration {
+	if x.hungFrom.IsZero() {
+		return x.hung
+	}
+	return x.hung + time.Since(x.hungFrom)
+}
+
 // goOn has a run reach its next call, or its end, after its work.
 func (x *Executor) goOn(r *Run, after time.Duration) {
+	hungBefore := x.hungUntilNow()
 	time.AfterFunc(after, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		if r.life != x.life || r.ended {
 			return
 		}
+		if hung := x.hungUntilNow() - hungBefore; hung > 0 {
+			x.goOn(r, max(hung, minHangStep))
+			return
+		}
 		switch {
 		case r.calls == 0:
 			x.end(r, "good", r.Result())
